--- /dev/null
+++ b/codegen/src/main.rs
@@ -0,0 +1,26 @@
+//! Generates `src/schema/*.rs` from `schema/*.proto`.
+//!
+//! Run from the root of the repository: `cargo run -p codegen -- src/schema`.
+
+use std::path::PathBuf;
+
+use prost::Message;
+
+const PACKAGES: [&str; 4] = ["manifest", "settings", "wire", "record"];
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let out_dir = PathBuf::from(std::env::args().nth(1).ok_or("usage: codegen OUT_DIR")?);
+    std::fs::create_dir_all(&out_dir)?;
+    let files = PACKAGES.map(|name| format!("schema/{name}.proto"));
+    let descriptors = protox::compile(&files, ["schema"])?;
+    prost_build::Config::new()
+        .out_dir(&out_dir)
+        .bytes([".bamboodoor.wire"])
+        .compile_fds(descriptors.clone())?;
+    pbjson_build::Builder::new()
+        .register_descriptors(&descriptors.encode_to_vec())?
+        .out_dir(&out_dir)
+        .preserve_proto_field_names()
+        .build(&[".bamboodoor.manifest", ".bamboodoor.settings", ".bamboodoor.record"])?;
+    Ok(())
+}
--- /dev/null
+++ b/src/agent.rs
@@ -0,0 +1,654 @@
+//! The decision core of the agent, the one process that talks to an upstream.
+//!
+//! Messages, upstream events and the time go in; typed actions come out. The
+//! agent owns the upstream's capacity, suppresses duplicates, renews and lapses
+//! leases, cancels what nobody waits for, and drains.
+
+pub mod calls;
+mod decode;
+pub mod ledger;
+pub mod link;
+pub mod orders;
+mod prefill;
+pub mod sessions;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+
+use crate::agent::calls::CallTable;
+use crate::agent::ledger::Ledger;
+use crate::agent::link::LinkSchedule;
+use crate::agent::orders::Orders;
+use crate::agent::prefill::PrefillQueue;
+use crate::agent::sessions::Sessions;
+use crate::clock::as_ms;
+use crate::manifest::Snapshot;
+use crate::schema::wire;
+use crate::schema::wire::AttemptId;
+use crate::schema::wire::Load;
+use crate::schema::wire::to_agent::Kind as ToAgent;
+use crate::schema::wire::to_entry::Kind as ToEntry;
+
+/// What an agent is told at its start.
+#[derive(Debug, Clone)]
+pub struct AgentConfig {
+    /// Name of the instance.
+    pub name: CompactString,
+    /// Pool the upstream belongs to.
+    pub pool: CompactString,
+    /// Region it runs in.
+    pub region: CompactString,
+    /// Availability zone it runs in.
+    pub zone: CompactString,
+    /// Address of the upstream, as other engines reach it.
+    pub upstream: CompactString,
+    /// Grows with each start of an agent in this slot.
+    pub incarnation: u64,
+    /// Time between heartbeats to each entry.
+    pub heartbeat: Duration,
+    /// How long an entry may be silent before its requests are cancelled.
+    pub lease_ttl: Duration,
+    /// How long a fenced or finished call is remembered.
+    pub tombstone_ttl: Duration,
+    /// Cap on the body of a manifest copy.
+    pub max_manifest_bytes: usize,
+}
+
+impl Default for AgentConfig {
+    fn default() -> Self {
+        Self {
+            name: CompactString::default(),
+            pool: CompactString::default(),
+            region: CompactString::default(),
+            zone: CompactString::default(),
+            upstream: CompactString::default(),
+            incarnation: 1,
+            heartbeat: Duration::from_millis(500),
+            lease_ttl: Duration::from_secs(3),
+            tombstone_ttl: Duration::from_secs(600),
+            max_manifest_bytes: 1 << 20,
+        }
+    }
+}
+
+/// A stream that the engine runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RunningStream {
+    /// The try.
+    pub id: AttemptId,
+    /// Blocks it holds.
+    pub blocks: u32,
+}
+
+/// What the upstream did.
+#[derive(Debug, Clone, PartialEq)]
+pub enum UpstreamEvent {
+    /// A prefill ended and its result waits in the engine's memory.
+    PrefillDone {
+        /// The try.
+        id: AttemptId,
+        /// Name of the result at the engine.
+        handle: String,
+        /// Prompt tokens found in the engine's cache.
+        cached_tokens: u32,
+        /// Size of the result.
+        kv_bytes: u64,
+    },
+    /// A prefill failed.
+    PrefillFailed {
+        /// The try.
+        id: AttemptId,
+        /// The engine's words.
+        reason: String,
+    },
+    /// A KV cache has arrived in the decode engine.
+    Imported {
+        /// The try.
+        id: AttemptId,
+    },
+    /// An import failed. `gone` is set when the source no longer has the KV.
+    ImportFailed {
+        /// The try.
+        id: AttemptId,
+        /// The KV cache was evicted.
+        gone: bool,
+    },
+    /// One token of a stream.
+    Chunk {
+        /// The try.
+        id: AttemptId,
+        /// Index of the token in the answer, from 0.
+        index: u32,
+        /// Its text.
+        text: Bytes,
+        /// True for the last token.
+        last: bool,
+        /// Why the stream ended, on the last token.
+        finish_reason: String,
+    },
+    /// The connection that carried a stream broke; the stream may still run.
+    StreamCut {
+        /// The try.
+        id: AttemptId,
+    },
+    /// The engine does not have the stream, or gave it up.
+    StreamLost {
+        /// The try.
+        id: AttemptId,
+        /// The engine's words.
+        reason: String,
+    },
+    /// The engine has freed everything it held for the try.
+    Stopped {
+        /// The try.
+        id: AttemptId,
+    },
+    /// A plain service answered.
+    CallDone {
+        /// The try.
+        id: AttemptId,
+        /// The answer.
+        reply: wire::CallReply,
+    },
+    /// What the engine runs, asked for at the start.
+    Running {
+        /// Every stream of the engine.
+        streams: Vec<RunningStream>,
+    },
+    /// State of the engine, after an order or a poll.
+    State(orders::EngineState),
+}
+
+/// What goes into the core.
+#[derive(Debug, Clone)]
+pub enum AgentEvent {
+    /// An entry connected and said hello.
+    EntryConnected(wire::EntryHello),
+    /// The connection to an entry was lost.
+    EntryLost {
+        /// Incarnation of the entry.
+        entry: u64,
+    },
+    /// A message of an entry.
+    FromEntry {
+        /// Incarnation of the entry.
+        entry: u64,
+        /// The message.
+        message: ToAgent,
+    },
+    /// Something happened at the upstream.
+    Upstream(UpstreamEvent),
+    /// A planned stop was asked for.
+    Leave,
+    /// Time has passed.
+    Tick,
+}
+
+/// What comes out of the core.
+#[derive(Debug, Clone, PartialEq)]
+pub enum AgentAction {
+    /// Send a message to an entry.
+    Send {
+        /// Incarnation of the entry.
+        entry: u64,
+        /// The message.
+        message: ToEntry,
+    },
+    /// Close the connection to an entry whose lease lapsed.
+    CloseEntry {
+        /// Incarnation of the entry.
+        entry: u64,
+    },
+    /// Start a prefill at the engine.
+    Prefill(wire::Prefill),
+    /// Fetch a KV cache into the decode engine.
+    Import {
+        /// The order, with handle and source.
+        decode: wire::Decode,
+        /// Give up and try again after this time.
+        timeout: Duration,
+    },
+    /// Start to decode, or go on at an index after a cut.
+    Decode {
+        /// The try.
+        id: AttemptId,
+        /// First index wanted.
+        from_index: u32,
+        /// Last index is below this.
+        max_tokens: u32,
+        /// Priority; lower runs first.
+        rank: u32,
+    },
+    /// Stop a stream and free its memory, prefill results included.
+    Stop {
+        /// The try.
+        id: AttemptId,
+    },
+    /// Send a call to the plain service.
+    Call(wire::Call),
+    /// Ask the engine what it runs.
+    ListStreams,
+    /// Give an order to the engine.
+    Order(orders::Order),
+    /// Read the state of the engine.
+    ReadState,
+    /// Everything is done: the process may exit.
+    Exit,
+    /// Write a log line and count it.
+    Record(AgentRecord),
+}
+
+/// A decision worth a log line and a counter.
+#[derive(Debug, Clone, PartialEq)]
+pub struct AgentRecord {
+    /// Name of the counter.
+    pub what: RecordKind,
+    /// The try it is about, if any.
+    pub id: Option<AttemptId>,
+    /// What a person needs to know.
+    pub detail: String,
+}
+
+/// Kinds of records of an agent.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, Hash, strum::Display, strum::EnumIter, strum::IntoStaticStr,
+)]
+#[strum(serialize_all = "kebab-case")]
+pub enum RecordKind {
+    /// An entry was silent past its lease; its requests are cancelled.
+    LeaseLapsed,
+    /// A stream that no entry claimed was cancelled.
+    OrphanCancelled,
+    /// A call was fenced before it started.
+    CallFenced,
+    /// A call was dropped because it came twice.
+    DuplicateDropped,
+    /// A transfer stalled and was tried again.
+    TransferRetried,
+    /// A transfer was given up.
+    TransferFailed,
+    /// A reservation was not used in time.
+    ReservationLapsed,
+    /// The manifest moved forward.
+    ManifestAdopted,
+    /// A manifest copy was refused.
+    ManifestRefused,
+    /// An order was given to the engine.
+    OrderGiven,
+    /// A successor has given orders; this agent stops.
+    OrderFenced,
+    /// A planned stop began.
+    DrainStarted,
+    /// A planned stop takes longer than the manifest's bound.
+    DrainOverdue,
+}
+
+/// What is known of the streams that an earlier agent left at the engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum EngineKnowledge {
+    Unknown,
+    Asked,
+    Known,
+}
+
+/// A stream that an earlier agent left at the engine.
+#[derive(Debug, Clone, Copy)]
+struct Orphan {
+    cancel_at: Duration,
+    blocks: u32,
+}
+
+/// An answer that has ended, kept for an entry that lost its connection.
+#[derive(Debug, Clone)]
+struct Finished {
+    until: Duration,
+    first_index: u32,
+    sent: Vec<Bytes>,
+    finish_reason: String,
+}
+
+/// The decision core of one agent.
+#[derive(Debug)]
+pub struct AgentCore {
+    config: AgentConfig,
+    snapshot: Option<Arc<Snapshot>>,
+    sessions: Sessions,
+    ledger: Ledger,
+    links: LinkSchedule,
+    prefills: PrefillQueue,
+    calls: CallTable,
+    orders: Orders,
+    orphans: HashMap<AttemptId, Orphan>,
+    finished: HashMap<AttemptId, Finished>,
+    fenced: HashMap<AttemptId, Duration>,
+    engine: EngineKnowledge,
+    leaving_since: Option<Duration>,
+    drain_reported: bool,
+    exited: bool,
+}
+
+impl AgentCore {
+    /// A core that holds nothing.
+    pub fn new(config: AgentConfig) -> Self {
+        Self {
+            sessions: Sessions::new(config.lease_ttl, config.heartbeat),
+            calls: CallTable::new(config.tombstone_ttl),
+            orders: Orders::new(config.incarnation),
+            config,
+            snapshot: None,
+            ledger: Ledger::default(),
+            links: LinkSchedule::default(),
+            prefills: PrefillQueue::default(),
+            orphans: HashMap::new(),
+            finished: HashMap::new(),
+            fenced: HashMap::new(),
+            engine: EngineKnowledge::Unknown,
+            leaving_since: None,
+            drain_reported: false,
+            exited: false,
+        }
+    }
+
+    /// Takes one event; the actions are appended to `out`.
+    pub fn handle(&mut self, now: Duration, event: AgentEvent, out: &mut Vec<AgentAction>) {
+        match event {
+            AgentEvent::EntryConnected(hello) => self.connect(now, &hello, out),
+            AgentEvent::EntryLost { entry } => self.sessions.disconnect(entry),
+            AgentEvent::FromEntry { entry, message } => {
+                if self.sessions.heard(now, entry) {
+                    self.on_message(now, entry, message, out);
+                }
+            }
+            AgentEvent::Upstream(event) => self.on_upstream(now, event, out),
+            AgentEvent::Leave => self.leave(now, out),
+            AgentEvent::Tick => {}
+        }
+        self.tick(now, out);
+    }
+
+    /// When the core wants to be called again at the latest.
+    pub fn next_wakeup(&self, now: Duration) -> Duration {
+        let periodic = self.sessions.next_wakeup(now);
+        let times =
+            [self.links.next_wakeup(), self.ledger.next_wakeup(), self.prefills.next_wakeup()];
+        times.into_iter().flatten().fold(periodic, Duration::min).max(now)
+    }
+
+    /// Generation of the manifest that is held, 0 for none.
+    pub fn generation(&self) -> u64 {
+        self.snapshot.as_ref().map_or(0, |snapshot| snapshot.generation)
+    }
+
+    /// True once a planned stop was asked for.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving_since.is_some()
+    }
+
+    /// Blocks that are held for requests.
+    pub fn held_blocks(&self) -> u32 {
+        self.ledger.held_blocks()
+    }
+
+    /// Requests of any kind that are held.
+    pub fn held_requests(&self) -> usize {
+        self.ledger.len() + self.prefills.len() + self.calls.open() + self.orphans.len()
+    }
+
+    /// The load report that goes to the entries.
+    pub fn load(&self, now: Duration) -> Load {
+        let mut load = Load { at_ms: as_ms(now), ..Load::default() };
+        self.ledger.report(now, &mut load);
+        self.prefills.report(&mut load);
+        load.calls = self.calls.open() as u32;
+        load
+    }
+
+    /// The greeting to an entry that connected.
+    pub fn hello(&self, now: Duration) -> ToEntry {
+        ToEntry::Hello(wire::AgentHello {
+            incarnation: self.config.incarnation,
+            name: self.config.name.to_string(),
+            pool: self.config.pool.to_string(),
+            region: self.config.region.to_string(),
+            zone: self.config.zone.to_string(),
+            upstream: self.config.upstream.to_string(),
+            generation: self.generation(),
+            leaving: self.is_leaving(),
+            load: Some(self.load(now)),
+        })
+    }
+
+    fn connect(&mut self, now: Duration, hello: &wire::EntryHello, out: &mut Vec<AgentAction>) {
+        self.sessions.connect(now, hello.entry);
+        out.push(AgentAction::Send { entry: hello.entry, message: self.hello(now) });
+        self.compare_generation(hello.entry, hello.generation, out);
+    }
+
+    fn compare_generation(&self, entry: u64, theirs: u64, out: &mut Vec<AgentAction>) {
+        let ours = self.generation();
+        if theirs > ours {
+            let pull = ToEntry::ManifestPull(wire::ManifestPull { have_generation: ours });
+            out.push(AgentAction::Send { entry, message: pull });
+        }
+    }
+
+    fn on_message(
+        &mut self,
+        now: Duration,
+        entry: u64,
+        message: ToAgent,
+        out: &mut Vec<AgentAction>,
+    ) {
+        match message {
+            ToAgent::Hello(hello) => self.connect(now, &hello, out),
+            ToAgent::Heartbeat(beat) => self.compare_generation(entry, beat.generation, out),
+            ToAgent::Reserve(reserve) => self.on_reserve(now, entry, &reserve, out),
+            ToAgent::Prefill(prefill) => self.on_prefill(now, entry, prefill, out),
+            ToAgent::PrefillUsed(used) => self.on_prefill_used(used.id.unwrap_or_default(), out),
+            ToAgent::Decode(decode) => self.on_decode(now, entry, decode, out),
+            ToAgent::Call(call) => self.on_call(now, entry, call, out),
+            ToAgent::Cancel(cancel) => {
+                self.on_cancel(now, entry, cancel.id.unwrap_or_default(), out)
+            }
+            ToAgent::Abandon(abandon) => self.on_abandon(now, entry, &abandon, out),
+            ToAgent::Resume(resume) => self.on_resume(now, entry, &resume, out),
+            ToAgent::Manifest(copy) => self.on_manifest(&copy, out),
+            ToAgent::ManifestPull(pull) => self.on_manifest_pull(entry, &pull, out),
+        }
+    }
+
+    fn on_manifest_pull(&self, entry: u64, pull: &wire::ManifestPull, out: &mut Vec<AgentAction>) {
+        let Some(snapshot) = &self.snapshot else { return };
+        if snapshot.generation > pull.have_generation {
+            let copy = wire::ManifestCopy {
+                generation: snapshot.generation,
+                body: snapshot.body.to_string(),
+            };
+            out.push(AgentAction::Send { entry, message: ToEntry::Manifest(copy) });
+        }
+    }
+
+    fn on_manifest(&mut self, copy: &wire::ManifestCopy, out: &mut Vec<AgentAction>) {
+        if copy.generation <= self.generation() {
+            return;
+        }
+        if copy.body.len() > self.config.max_manifest_bytes {
+            record(out, RecordKind::ManifestRefused, None, "larger than max_manifest_bytes");
+            return;
+        }
+        match Snapshot::parse(copy.generation, &copy.body) {
+            Ok(snapshot) => self.adopt(Arc::new(snapshot), out),
+            Err(findings) => {
+                let detail = findings.first().map(ToString::to_string).unwrap_or_default();
+                record(out, RecordKind::ManifestRefused, None, &detail);
+            }
+        }
+    }
+
+    /// Takes over a manifest, unless it is older than the one held.
+    pub fn adopt(&mut self, snapshot: Arc<Snapshot>, out: &mut Vec<AgentAction>) {
+        if snapshot.generation <= self.generation() {
+            return;
+        }
+        record(out, RecordKind::ManifestAdopted, None, &snapshot.generation.to_string());
+        if let Some(pool) = snapshot.pool(&self.config.pool) {
+            // Until the engine has told what an earlier agent left there, its
+            // free memory is not known and no slot is granted.
+            if pool.is_decode() && self.engine == EngineKnowledge::Unknown {
+                self.engine = EngineKnowledge::Asked;
+                out.push(AgentAction::ListStreams);
+            }
+            let model = snapshot.model_of_pool(&pool.name);
+            self.ledger.configure(pool, model.map_or(0, |model| model.between_tokens_target_ms));
+            self.prefills.configure(pool);
+            self.calls.configure(pool.max_calls);
+            self.links.configure(&snapshot, pool, &self.config.zone);
+            let wanted = model.map(|model| CompactString::from(model.name.as_str()));
+            self.orders.configure(snapshot.generation, wanted, pool.checks_fencing, out);
+        }
+        self.snapshot = Some(snapshot);
+    }
+
+    fn on_upstream(&mut self, now: Duration, event: UpstreamEvent, out: &mut Vec<AgentAction>) {
+        match event {
+            UpstreamEvent::PrefillDone { id, handle, cached_tokens, kv_bytes } => {
+                self.on_prefill_done(now, id, handle, cached_tokens, kv_bytes, out);
+            }
+            UpstreamEvent::PrefillFailed { id, reason } => {
+                self.on_prefill_failed(now, id, reason, out)
+            }
+            UpstreamEvent::Imported { id } => self.on_imported(now, id, out),
+            UpstreamEvent::ImportFailed { id, gone } => self.on_import_failed(now, id, gone, out),
+            UpstreamEvent::Chunk { id, index, text, last, finish_reason } => {
+                let chunk = wire::Chunk { id: Some(id), index, text, last, finish_reason };
+                self.on_chunk(now, chunk, out);
+            }
+            UpstreamEvent::StreamCut { id } => self.on_stream_cut(id, out),
+            UpstreamEvent::StreamLost { id, reason } => self.on_stream_lost(now, id, reason, out),
+            UpstreamEvent::Stopped { id } => self.on_stopped(now, id, out),
+            UpstreamEvent::CallDone { id, reply } => self.on_call_done(now, id, reply, out),
+            UpstreamEvent::Running { streams } => self.on_running(now, streams),
+            UpstreamEvent::State(state) => self.orders.on_state(&state, out),
+        }
+    }
+
+    fn on_running(&mut self, now: Duration, streams: Vec<RunningStream>) {
+        let cancel_at = now + self.config.lease_ttl;
+        for stream in streams {
+            if !self.ledger.holds(stream.id) {
+                self.orphans.insert(stream.id, Orphan { cancel_at, blocks: stream.blocks });
+            }
+        }
+        self.engine = EngineKnowledge::Known;
+        self.count_orphans();
+    }
+
+    fn count_orphans(&mut self) {
+        let blocks = self.orphans.values().map(|orphan| orphan.blocks).sum();
+        self.ledger.set_orphans(self.orphans.len() as u32, blocks);
+    }
+
+    fn leave(&mut self, now: Duration, out: &mut Vec<AgentAction>) {
+        if self.leaving_since.is_some() {
+            return;
+        }
+        self.leaving_since = Some(now);
+        record(out, RecordKind::DrainStarted, None, "");
+        self.sessions.beat_at_once();
+    }
+
+    fn tick(&mut self, now: Duration, out: &mut Vec<AgentAction>) {
+        for entry in self.sessions.lapsed(now) {
+            self.lapse(now, entry, out);
+        }
+        self.sweep_orphans(now, out);
+        self.fenced.retain(|_, until| now < *until);
+        self.finished.retain(|_, finished| now < finished.until);
+        self.calls.sweep(now);
+        self.expire_calls(now, out);
+        self.pump_prefills(now, out);
+        self.pump_ledger(now, out);
+        self.pump_links(now, out);
+        self.beat(now, out);
+        self.orders.poll(now, out);
+        self.finish_drain(now, out);
+    }
+
+    fn lapse(&mut self, now: Duration, entry: u64, out: &mut Vec<AgentAction>) {
+        record(out, RecordKind::LeaseLapsed, None, &entry.to_string());
+        out.push(AgentAction::CloseEntry { entry });
+        for id in self.ledger.held_by(entry) {
+            self.stop_held(now, id, out);
+        }
+        for id in self.prefills.held_by(entry) {
+            self.drop_prefill(id, out);
+        }
+        for id in self.calls.queued_by(entry) {
+            self.calls.fence(now, id);
+            record(out, RecordKind::CallFenced, Some(id), "lease lapsed");
+        }
+    }
+
+    fn sweep_orphans(&mut self, now: Duration, out: &mut Vec<AgentAction>) {
+        for (&id, orphan) in &mut self.orphans {
+            if now >= orphan.cancel_at {
+                orphan.cancel_at = now + ledger::STOP_RETRY;
+                record(out, RecordKind::OrphanCancelled, Some(id), "");
+                out.push(AgentAction::Stop { id });
+            }
+        }
+    }
+
+    fn beat(&mut self, now: Duration, out: &mut Vec<AgentAction>) {
+        let entries = self.sessions.due_for_beat(now);
+        if entries.is_empty() {
+            return;
+        }
+        let beat = wire::AgentHeartbeat {
+            generation: self.generation(),
+            leaving: self.is_leaving(),
+            load: Some(self.load(now)),
+        };
+        for entry in entries {
+            out.push(AgentAction::Send { entry, message: ToEntry::Heartbeat(beat) });
+        }
+    }
+
+    fn finish_drain(&mut self, now: Duration, out: &mut Vec<AgentAction>) {
+        let Some(since) = self.leaving_since else { return };
+        if self.held_requests() == 0 && !self.exited {
+            self.exited = true;
+            out.push(AgentAction::Exit);
+        }
+        let bound_ms = self.snapshot.as_ref().map_or(u64::MAX, |held| held.manifest.drain_bound_ms);
+        if !self.drain_reported && as_ms(now.saturating_sub(since)) > bound_ms {
+            self.drain_reported = true;
+            record(out, RecordKind::DrainOverdue, None, &self.held_requests().to_string());
+        }
+    }
+}
+
+fn record(out: &mut Vec<AgentAction>, what: RecordKind, id: Option<AttemptId>, detail: &str) {
+    out.push(AgentAction::Record(AgentRecord { what, id, detail: detail.to_string() }));
+}
+
+fn reject(
+    out: &mut Vec<AgentAction>,
+    entry: u64,
+    id: AttemptId,
+    reason: &str,
+    retry_after_ms: u32,
+    load: Load,
+) {
+    let rejected = wire::Rejected {
+        id: Some(id),
+        reason: reason.to_string(),
+        retry_after_ms,
+        load: Some(load),
+    };
+    out.push(AgentAction::Send { entry, message: ToEntry::Rejected(rejected) });
+}
--- /dev/null
+++ b/src/agent/calls.rs
@@ -0,0 +1,248 @@
+//! Calls to a plain service: each is sent to the service at most once.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::agent::AgentAction;
+use crate::agent::AgentCore;
+use crate::agent::RecordKind;
+use crate::agent::record;
+use crate::agent::reject;
+use crate::clock::from_ms;
+use crate::schema::wire;
+use crate::schema::wire::AttemptId;
+use crate::schema::wire::to_entry::Kind as ToEntry;
+
+const QUEUE_PER_CALL: usize = 8;
+const RETRY_AFTER_FULL_MS: u32 = 100;
+const REASON_INCARNATION: &str = "other-incarnation";
+const REASON_QUEUE_FULL: &str = "queue-full";
+const REASON_FENCED: &str = "fenced";
+
+#[derive(Debug, Clone, PartialEq)]
+enum CallState {
+    Queued {
+        rank: u32,
+        order: u64,
+        deadline: Duration,
+        call: Box<wire::Call>,
+    },
+    Started,
+    Finished {
+        until: Duration,
+    },
+    /// Never started and never will be.
+    Fenced {
+        until: Duration,
+    },
+}
+
+/// Every call of late, by try.
+#[derive(Debug)]
+pub struct CallTable {
+    tombstone_ttl: Duration,
+    max_calls: usize,
+    next_order: u64,
+    calls: HashMap<AttemptId, CallState>,
+    swept_at: Duration,
+}
+
+const SWEEP_EVERY: Duration = Duration::from_secs(1);
+
+impl CallTable {
+    /// An empty table that remembers an ended call for `tombstone_ttl`.
+    pub fn new(tombstone_ttl: Duration) -> Self {
+        Self {
+            tombstone_ttl,
+            max_calls: 1,
+            next_order: 0,
+            calls: HashMap::new(),
+            swept_at: Duration::ZERO,
+        }
+    }
+
+    /// Takes over how many calls the service serves at a time.
+    pub fn configure(&mut self, max_calls: u32) {
+        self.max_calls = max_calls.max(1) as usize;
+    }
+
+    /// Calls queued or started.
+    pub fn open(&self) -> usize {
+        let open =
+            |state: &&CallState| matches!(state, CallState::Queued { .. } | CallState::Started);
+        self.calls.values().filter(open).count()
+    }
+
+    /// Calls remembered in any state.
+    pub fn remembered(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Makes sure that the call never starts. False if it has started.
+    pub fn fence(&mut self, now: Duration, id: AttemptId) -> bool {
+        match self.calls.get(&id) {
+            Some(CallState::Started | CallState::Finished { .. }) => false,
+            _ => {
+                self.calls.insert(id, CallState::Fenced { until: now + self.tombstone_ttl });
+                true
+            }
+        }
+    }
+
+    /// Drops a call that waits in the queue.
+    pub fn cancel_queued(&mut self, now: Duration, id: AttemptId) {
+        if matches!(self.calls.get(&id), Some(CallState::Queued { .. })) {
+            self.fence(now, id);
+        }
+    }
+
+    /// Queued calls of an entry.
+    pub fn queued_by(&self, entry: u64) -> Vec<AttemptId> {
+        let queued =
+            self.calls.iter().filter(|(_, state)| matches!(state, CallState::Queued { .. }));
+        queued.map(|(id, _)| *id).filter(|id| id.entry == entry).collect()
+    }
+
+    /// Forgets what is past its time.
+    pub fn sweep(&mut self, now: Duration) {
+        if now < self.swept_at + SWEEP_EVERY {
+            return;
+        }
+        self.swept_at = now;
+        self.calls.retain(|_, state| match state {
+            CallState::Finished { until } | CallState::Fenced { until } => now < *until,
+            CallState::Queued { .. } | CallState::Started => true,
+        });
+    }
+
+    fn started(&self) -> usize {
+        self.calls.values().filter(|state| **state == CallState::Started).count()
+    }
+
+    fn queue_is_full(&self) -> bool {
+        self.open() >= self.max_calls * (1 + QUEUE_PER_CALL)
+    }
+
+    fn push(&mut self, now: Duration, id: AttemptId, call: wire::Call) {
+        self.next_order += 1;
+        let deadline = now + from_ms(call.timeout_ms);
+        let state = CallState::Queued {
+            rank: call.rank,
+            order: self.next_order,
+            deadline,
+            call: Box::new(call),
+        };
+        self.calls.insert(id, state);
+    }
+
+    fn expired(&self, now: Duration) -> Vec<AttemptId> {
+        let expired = |state: &CallState| matches!(state, CallState::Queued { deadline, .. } if now >= *deadline);
+        self.calls.iter().filter(|(_, state)| expired(state)).map(|(id, _)| *id).collect()
+    }
+
+    /// Takes the next calls out of the queue that the service has room for.
+    fn start(&mut self) -> Vec<wire::Call> {
+        let room = self.max_calls.saturating_sub(self.started());
+        let mut queued: Vec<(u32, u64, AttemptId)> = self
+            .calls
+            .iter()
+            .filter_map(|(id, state)| match state {
+                CallState::Queued { rank, order, .. } => Some((*rank, *order, *id)),
+                _ => None,
+            })
+            .collect();
+        queued.sort_unstable_by_key(|&(rank, order, _)| (rank, order));
+        queued.into_iter().take(room).filter_map(|(_, _, id)| self.start_one(id)).collect()
+    }
+
+    fn start_one(&mut self, id: AttemptId) -> Option<wire::Call> {
+        match self.calls.insert(id, CallState::Started) {
+            Some(CallState::Queued { call, .. }) => Some(*call),
+            _ => None,
+        }
+    }
+
+    fn finish(&mut self, now: Duration, id: AttemptId) -> bool {
+        let until = now + self.tombstone_ttl;
+        let before = self.calls.insert(id, CallState::Finished { until });
+        before == Some(CallState::Started)
+    }
+}
+
+impl AgentCore {
+    pub(super) fn on_call(
+        &mut self,
+        now: Duration,
+        entry: u64,
+        call: wire::Call,
+        out: &mut Vec<AgentAction>,
+    ) {
+        let id = call.id.unwrap_or_default();
+        match self.calls.calls.get(&id) {
+            Some(CallState::Fenced { .. }) => {
+                reject(out, entry, id, REASON_FENCED, 0, self.load(now));
+                return;
+            }
+            Some(_) => {
+                record(out, RecordKind::DuplicateDropped, Some(id), "call");
+                return;
+            }
+            None => {}
+        }
+        if call.incarnation != self.config.incarnation {
+            reject(out, entry, id, REASON_INCARNATION, 0, self.load(now));
+        } else if self.is_leaving() {
+            self.calls.fence(now, id);
+            reject(out, entry, id, "leaving", 0, self.load(now));
+        } else if self.calls.queue_is_full() {
+            self.calls.fence(now, id);
+            reject(out, entry, id, REASON_QUEUE_FULL, RETRY_AFTER_FULL_MS, self.load(now));
+        } else {
+            self.calls.push(now, id, call);
+        }
+    }
+
+    pub(super) fn expire_calls(&mut self, now: Duration, out: &mut Vec<AgentAction>) {
+        for id in self.calls.expired(now) {
+            self.calls.fence(now, id);
+            record(out, RecordKind::CallFenced, Some(id), "deadline passed in the queue");
+            let reply = wire::CallReply {
+                id: Some(id),
+                error: "deadline passed in the queue".to_string(),
+                not_run: true,
+                ..wire::CallReply::default()
+            };
+            out.push(AgentAction::Send { entry: id.entry, message: ToEntry::CallReply(reply) });
+        }
+        out.extend(self.calls.start().into_iter().map(AgentAction::Call));
+    }
+
+    pub(super) fn on_call_done(
+        &mut self,
+        now: Duration,
+        id: AttemptId,
+        reply: wire::CallReply,
+        out: &mut Vec<AgentAction>,
+    ) {
+        if self.calls.finish(now, id) {
+            out.push(AgentAction::Send { entry: id.entry, message: ToEntry::CallReply(reply) });
+        }
+    }
+
+    pub(super) fn on_abandon(
+        &mut self,
+        now: Duration,
+        entry: u64,
+        abandon: &wire::Abandon,
+        out: &mut Vec<AgentAction>,
+    ) {
+        let id = abandon.id.unwrap_or_default();
+        // An earlier incarnation may have started it; this one cannot tell.
+        let fenced = abandon.incarnation == self.config.incarnation && self.calls.fence(now, id);
+        if fenced {
+            record(out, RecordKind::CallFenced, Some(id), "abandoned");
+        }
+        let reply = wire::AbandonReply { id: Some(id), fenced };
+        out.push(AgentAction::Send { entry, message: ToEntry::AbandonReply(reply) });
+    }
+}
--- /dev/null
+++ b/src/agent/decode.rs
@@ -0,0 +1,382 @@
+//! Decode requests at the agent: reserve, fetch the KV cache, stream, stop.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use crate::agent::AgentAction;
+use crate::agent::AgentCore;
+use crate::agent::EngineKnowledge;
+use crate::agent::Finished;
+use crate::agent::RecordKind;
+use crate::agent::ledger::ReserveOutcome;
+use crate::agent::ledger::STOP_RETRY;
+use crate::agent::ledger::Stage;
+use crate::agent::record;
+use crate::agent::reject;
+use crate::clock::as_ms_u32;
+use crate::clock::from_ms;
+use crate::schema::wire;
+use crate::schema::wire::AttemptId;
+use crate::schema::wire::to_entry::Kind as ToEntry;
+
+const MAX_IMPORT_TRIES: u32 = 2;
+const REASON_TRANSFER: &str = "transfer-failed";
+const REASON_STOPPED: &str = "stopped";
+const REASON_ENGINE_UNKNOWN: &str = "engine-unknown";
+const ENGINE_UNKNOWN_RETRY_MS: u32 = 300;
+const REASON_NO_SLOT: &str = "no-slot";
+
+impl AgentCore {
+    pub(super) fn on_reserve(
+        &mut self,
+        now: Duration,
+        entry: u64,
+        reserve: &wire::Reserve,
+        out: &mut Vec<AgentAction>,
+    ) {
+        let id = reserve.id.unwrap_or_default();
+        if self.engine != EngineKnowledge::Known {
+            reject(out, entry, id, REASON_ENGINE_UNKNOWN, ENGINE_UNKNOWN_RETRY_MS, self.load(now));
+            return;
+        }
+        if self.is_leaving() || self.fenced.contains_key(&id) {
+            reject(out, entry, id, "leaving", 0, self.load(now));
+            return;
+        }
+        let (granted, wait) = match self.ledger.reserve(now, entry, reserve) {
+            ReserveOutcome::Granted(wait) => (true, wait),
+            ReserveOutcome::Refused(wait) => (false, wait),
+        };
+        let reply = wire::ReserveReply {
+            id: Some(id),
+            granted,
+            wait_ms: as_ms_u32(wait),
+            load: Some(self.load(now)),
+        };
+        out.push(AgentAction::Send { entry, message: ToEntry::ReserveReply(reply) });
+    }
+
+    pub(super) fn on_decode(
+        &mut self,
+        now: Duration,
+        entry: u64,
+        decode: wire::Decode,
+        out: &mut Vec<AgentAction>,
+    ) {
+        let id = decode.id.unwrap_or_default();
+        let lives_until = now + from_ms(decode.lives_ms);
+        let Some(held) = self.ledger.get_mut(id) else {
+            reject(out, entry, id, REASON_NO_SLOT, 0, self.load(now));
+            return;
+        };
+        if held.decode.is_some() {
+            record(out, RecordKind::DuplicateDropped, Some(id), "decode");
+            return;
+        }
+        held.lives_until = lives_until;
+        held.decode = Some(decode);
+        if held.stage == Stage::Granted {
+            self.queue_import(now, id);
+        }
+    }
+
+    fn queue_import(&mut self, now: Duration, id: AttemptId) {
+        let Some(held) = self.ledger.get_mut(id) else { return };
+        let Some(decode) = held.decode.clone() else { return };
+        let deadline = held.lives_until;
+        self.ledger.set_stage(now, id, Stage::Importing);
+        self.links.push(id, &decode.source_zone, decode.kv_bytes, deadline);
+    }
+
+    pub(super) fn pump_links(&mut self, now: Duration, out: &mut Vec<AgentAction>) {
+        for start in self.links.start(now) {
+            let Some(held) = self.ledger.get_mut(start.id) else { continue };
+            let Some(decode) = held.decode.clone() else { continue };
+            held.import_tries += 1;
+            out.push(AgentAction::Import { decode, timeout: start.timeout });
+        }
+    }
+
+    pub(super) fn on_imported(&mut self, now: Duration, id: AttemptId, out: &mut Vec<AgentAction>) {
+        let Some(held) = self.ledger.get_mut(id) else {
+            out.push(AgentAction::Stop { id });
+            return;
+        };
+        if held.stage != Stage::Importing {
+            return;
+        }
+        let Some(decode) = held.decode.clone() else { return };
+        let entry = held.entry;
+        self.ledger.set_stage(now, id, Stage::Decoding);
+        let imported = wire::Imported { id: Some(id) };
+        out.push(AgentAction::Send { entry, message: ToEntry::Imported(imported) });
+        out.push(AgentAction::Decode {
+            id,
+            from_index: decode.first_index,
+            max_tokens: decode.max_tokens,
+            rank: decode.rank,
+        });
+    }
+
+    pub(super) fn on_import_failed(
+        &mut self,
+        now: Duration,
+        id: AttemptId,
+        gone: bool,
+        out: &mut Vec<AgentAction>,
+    ) {
+        let Some(held) = self.ledger.get_mut(id) else { return };
+        if held.stage != Stage::Importing {
+            return;
+        }
+        let may_retry = !gone && held.import_tries < MAX_IMPORT_TRIES && now < held.lives_until;
+        if may_retry {
+            record(out, RecordKind::TransferRetried, Some(id), "");
+            self.queue_import(now, id);
+            return;
+        }
+        record(out, RecordKind::TransferFailed, Some(id), if gone { "evicted" } else { "stalled" });
+        self.fail_stream(now, id, REASON_TRANSFER, out);
+    }
+
+    fn fail_stream(
+        &mut self,
+        now: Duration,
+        id: AttemptId,
+        reason: &str,
+        out: &mut Vec<AgentAction>,
+    ) {
+        let Some(held) = self.ledger.get_mut(id) else { return };
+        let failed = wire::StreamFailed { id: Some(id), reason: reason.to_string() };
+        out.push(AgentAction::Send { entry: held.entry, message: ToEntry::StreamFailed(failed) });
+        self.stop_held(now, id, out);
+    }
+
+    pub(super) fn on_chunk(
+        &mut self,
+        now: Duration,
+        chunk: wire::Chunk,
+        out: &mut Vec<AgentAction>,
+    ) {
+        let id = chunk.id.unwrap_or_default();
+        let Some(held) = self.ledger.get_mut(id) else {
+            out.push(AgentAction::Stop { id });
+            return;
+        };
+        let first = held.first_index();
+        let expected = first + held.sent.len() as u32;
+        if held.stage != Stage::Decoding || chunk.index != expected {
+            return;
+        }
+        held.sent.push(chunk.text.clone());
+        let entry = held.entry;
+        let step = held.token_at.replace(now).map(|before| now.saturating_sub(before));
+        let last = chunk.last;
+        let finish_reason = chunk.finish_reason.clone();
+        out.push(AgentAction::Send { entry, message: ToEntry::Chunk(chunk) });
+        if let Some(step) = step {
+            self.ledger.observe_step(step);
+        }
+        if last {
+            self.finish(now, id, finish_reason);
+        }
+    }
+
+    fn finish(&mut self, now: Duration, id: AttemptId, finish_reason: String) {
+        let Some(held) = self.ledger.release(id) else { return };
+        let finished = Finished {
+            until: now + self.config.lease_ttl,
+            first_index: held.first_index(),
+            sent: held.sent,
+            finish_reason,
+        };
+        self.finished.insert(id, finished);
+        self.fence(now, id);
+    }
+
+    /// An ended try is remembered for one lease, so that a repeated order
+    /// does not start it again.
+    fn fence(&mut self, now: Duration, id: AttemptId) {
+        self.fenced.insert(id, now + self.config.lease_ttl);
+    }
+
+    pub(super) fn on_stream_cut(&mut self, id: AttemptId, out: &mut Vec<AgentAction>) {
+        let Some(held) = self.ledger.get_mut(id) else { return };
+        if held.stage != Stage::Decoding {
+            return;
+        }
+        let Some(decode) = &held.decode else { return };
+        out.push(AgentAction::Decode {
+            id,
+            from_index: decode.first_index + held.sent.len() as u32,
+            max_tokens: decode.max_tokens,
+            rank: decode.rank,
+        });
+    }
+
+    pub(super) fn on_stream_lost(
+        &mut self,
+        now: Duration,
+        id: AttemptId,
+        reason: String,
+        out: &mut Vec<AgentAction>,
+    ) {
+        let stopping = self
+            .ledger
+            .get_mut(id)
+            .is_some_and(|held| matches!(held.stage, Stage::Stopping { .. }));
+        if stopping {
+            self.on_stopped(now, id, out);
+            return;
+        }
+        self.fail_stream(now, id, &reason, out);
+    }
+
+    pub(super) fn on_stopped(&mut self, now: Duration, id: AttemptId, out: &mut Vec<AgentAction>) {
+        self.orphans.remove(&id);
+        self.count_orphans();
+        let stopping = self
+            .ledger
+            .get_mut(id)
+            .is_some_and(|held| matches!(held.stage, Stage::Stopping { .. }));
+        if stopping && let Some(held) = self.ledger.release(id) {
+            self.fence(now, id);
+            let cancelled = wire::Cancelled { id: Some(id) };
+            out.push(AgentAction::Send {
+                entry: held.entry,
+                message: ToEntry::Cancelled(cancelled),
+            });
+        }
+    }
+
+    pub(super) fn on_cancel(
+        &mut self,
+        now: Duration,
+        entry: u64,
+        id: AttemptId,
+        out: &mut Vec<AgentAction>,
+    ) {
+        let dropped = self.drop_prefill(id, out);
+        if self.ledger.holds(id) {
+            self.stop_held(now, id, out);
+            return;
+        }
+        if !dropped {
+            self.calls.cancel_queued(now, id);
+        }
+        self.fence(now, id);
+        let cancelled = wire::Cancelled { id: Some(id) };
+        out.push(AgentAction::Send { entry, message: ToEntry::Cancelled(cancelled) });
+    }
+
+    /// Frees what a try holds; blocks of a stream count until the engine confirms.
+    pub(super) fn stop_held(&mut self, now: Duration, id: AttemptId, out: &mut Vec<AgentAction>) {
+        self.links.remove(id);
+        let Some(held) = self.ledger.get_mut(id) else { return };
+        match held.stage {
+            Stage::Stopping { .. } => {}
+            Stage::Waiting | Stage::Granted => {
+                let entry = held.entry;
+                self.ledger.release(id);
+                self.fence(now, id);
+                let cancelled = wire::Cancelled { id: Some(id) };
+                out.push(AgentAction::Send { entry, message: ToEntry::Cancelled(cancelled) });
+            }
+            Stage::Importing | Stage::Decoding => {
+                out.push(AgentAction::Stop { id });
+                self.ledger.set_stage(now, id, Stage::Stopping { retry_at: now + STOP_RETRY });
+            }
+        }
+    }
+
+    pub(super) fn pump_ledger(&mut self, now: Duration, out: &mut Vec<AgentAction>) {
+        for id in self.ledger.lapsed_grants(now) {
+            record(out, RecordKind::ReservationLapsed, Some(id), "");
+            self.fail_stream(now, id, REASON_STOPPED, out);
+        }
+        for id in self.ledger.due_stops(now) {
+            out.push(AgentAction::Stop { id });
+        }
+        for id in self.ledger.grant_waiting(now) {
+            let Some(held) = self.ledger.get_mut(id) else { continue };
+            let (entry, has_order) = (held.entry, held.decode.is_some());
+            let ready = wire::SlotReady { id: Some(id) };
+            out.push(AgentAction::Send { entry, message: ToEntry::SlotReady(ready) });
+            if has_order {
+                self.queue_import(now, id);
+            }
+        }
+    }
+
+    pub(super) fn on_resume(
+        &mut self,
+        now: Duration,
+        entry: u64,
+        resume: &wire::Resume,
+        out: &mut Vec<AgentAction>,
+    ) {
+        for point in &resume.points {
+            self.resume_one(now, entry, point, out);
+        }
+        let wanted: Vec<AttemptId> = resume.points.iter().filter_map(|point| point.id).collect();
+        let unwanted = self.ledger.held_by(entry).into_iter().filter(|id| !wanted.contains(id));
+        for id in unwanted.collect::<Vec<_>>() {
+            self.stop_held(now, id, out);
+        }
+    }
+
+    fn resume_one(
+        &mut self,
+        now: Duration,
+        entry: u64,
+        point: &wire::ResumePoint,
+        out: &mut Vec<AgentAction>,
+    ) {
+        let id = point.id.unwrap_or_default();
+        if let Some(orphan) = self.orphans.remove(&id) {
+            self.count_orphans();
+            self.ledger.adopt_orphan(now, id, orphan.blocks, point.next_index);
+            out.push(AgentAction::Decode {
+                id,
+                from_index: point.next_index,
+                max_tokens: 0,
+                rank: 0,
+            });
+            return;
+        }
+        if let Some(held) = self.ledger.get_mut(id) {
+            replay(entry, id, point.next_index, held.first_index(), &held.sent, None, out);
+        } else if let Some(finished) = self.finished.get(&id) {
+            let end = Some(finished.finish_reason.as_str());
+            replay(entry, id, point.next_index, finished.first_index, &finished.sent, end, out);
+        } else {
+            let failed = wire::StreamFailed { id: Some(id), reason: REASON_STOPPED.to_string() };
+            out.push(AgentAction::Send { entry, message: ToEntry::StreamFailed(failed) });
+        }
+    }
+}
+
+/// Sends again what was given out from `next_index` on.
+fn replay(
+    entry: u64,
+    id: AttemptId,
+    next_index: u32,
+    first_index: u32,
+    sent: &[Bytes],
+    finish_reason: Option<&str>,
+    out: &mut Vec<AgentAction>,
+) {
+    let skip = next_index.saturating_sub(first_index) as usize;
+    for (position, text) in sent.iter().enumerate().skip(skip) {
+        let last = position + 1 == sent.len();
+        let chunk = wire::Chunk {
+            id: Some(id),
+            index: first_index + position as u32,
+            text: text.clone(),
+            last: last && finish_reason.is_some(),
+            finish_reason: finish_reason.filter(|_| last).unwrap_or_default().to_string(),
+        };
+        out.push(AgentAction::Send { entry, message: ToEntry::Chunk(chunk) });
+    }
+}
--- /dev/null
+++ b/src/agent/ledger.rs
@@ -0,0 +1,388 @@
+//! Capacity of a decode engine: who holds which blocks, and who waits.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use crate::clock::as_ms_u32;
+use crate::schema::manifest::Pool;
+use crate::schema::wire::AttemptId;
+use crate::schema::wire::Decode;
+use crate::schema::wire::Load;
+use crate::schema::wire::Reserve;
+
+/// Time between two tries to stop a stream.
+pub const STOP_RETRY: Duration = Duration::from_millis(200);
+/// How long a granted slot waits for its decode order.
+pub const GRANT_TTL: Duration = Duration::from_secs(10);
+const US_PER_MS: u32 = 1_000;
+const SMOOTHING: f64 = 0.1;
+const MIN_REMAINING_SHARE: u32 = 8;
+const TYPICAL_PREFILL: Duration = Duration::from_millis(200);
+
+/// Where a reservation stands.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Stage {
+    /// In the queue; holds no blocks.
+    Waiting,
+    /// Holds blocks; the prefill is under way.
+    Granted,
+    /// The KV cache is queued for transfer or on its way.
+    Importing,
+    /// The stream runs.
+    Decoding,
+    /// Being cancelled; the blocks count until the engine confirms.
+    Stopping {
+        /// When to ask the engine again.
+        retry_at: Duration,
+    },
+}
+
+/// One reservation.
+#[derive(Debug, Clone)]
+pub struct Held {
+    /// The try it belongs to.
+    pub id: AttemptId,
+    /// Entry that asked for it.
+    pub entry: u64,
+    /// Blocks it takes.
+    pub blocks: u32,
+    /// Output tokens that are expected.
+    pub expected_tokens: u32,
+    /// Priority; lower is granted first.
+    pub rank: u32,
+    /// Where it stands.
+    pub stage: Stage,
+    /// When it reached that stage.
+    pub since: Duration,
+    /// The decode order, once it came.
+    pub decode: Option<Decode>,
+    /// When the prefill result is evicted.
+    pub lives_until: Duration,
+    /// Transfers tried.
+    pub import_tries: u32,
+    /// Text given out so far, to answer a resume.
+    pub sent: Vec<Bytes>,
+    /// When the last token came.
+    pub token_at: Option<Duration>,
+    order: u64,
+}
+
+impl Held {
+    /// Index of the first token that this try gives.
+    pub fn first_index(&self) -> u32 {
+        self.decode.as_ref().map_or(0, |decode| decode.first_index)
+    }
+}
+
+/// Answer to a reservation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReserveOutcome {
+    /// A slot is held, or will be after the wait.
+    Granted(Duration),
+    /// No slot within the allowed wait; the predicted wait.
+    Refused(Duration),
+}
+
+/// Blocks, streams and the queue of one decode engine.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    total_blocks: u32,
+    max_streams: u32,
+    step_base_us: u32,
+    step_per_stream_us: u32,
+    target_us: u32,
+    slowdown: f64,
+    orphans: u32,
+    orphan_blocks: u32,
+    next_order: u64,
+    held: HashMap<AttemptId, Held>,
+}
+
+impl Ledger {
+    /// Takes over the sizes of the pool and the target between tokens.
+    pub fn configure(&mut self, pool: &Pool, between_tokens_target_ms: u32) {
+        self.total_blocks = pool.blocks;
+        self.max_streams = pool.max_streams;
+        self.step_base_us = pool.step_base_us;
+        self.step_per_stream_us = pool.step_per_stream_us;
+        self.target_us = between_tokens_target_ms * US_PER_MS;
+        if self.slowdown == 0.0 {
+            self.slowdown = 1.0;
+        }
+    }
+
+    /// Streams found at the engine that no entry has claimed yet.
+    pub fn set_orphans(&mut self, orphans: u32, blocks: u32) {
+        self.orphans = orphans;
+        self.orphan_blocks = blocks;
+    }
+
+    /// Asks for a slot. A repeated request gets the same answer.
+    pub fn reserve(&mut self, now: Duration, entry: u64, reserve: &Reserve) -> ReserveOutcome {
+        let id = reserve.id.unwrap_or_default();
+        let wait = match self.held.get(&id) {
+            Some(held) if held.stage == Stage::Waiting => self.predicted_wait_of(now, id),
+            Some(_) => Duration::ZERO,
+            None => self.predicted_wait(now, reserve.blocks, reserve.rank),
+        };
+        let known = self.held.contains_key(&id);
+        let too_long = wait > Duration::from_millis(reserve.max_wait_ms.into());
+        if !known && (too_long || reserve.blocks > self.total_blocks) {
+            return ReserveOutcome::Refused(wait);
+        }
+        if !known {
+            let stage = if wait.is_zero() { Stage::Granted } else { Stage::Waiting };
+            self.insert(now, entry, reserve, stage);
+        }
+        ReserveOutcome::Granted(wait)
+    }
+
+    fn insert(&mut self, now: Duration, entry: u64, reserve: &Reserve, stage: Stage) {
+        let id = reserve.id.unwrap_or_default();
+        self.next_order += 1;
+        let held = Held {
+            id,
+            entry,
+            blocks: reserve.blocks,
+            expected_tokens: reserve.expected_tokens.max(1),
+            rank: reserve.rank,
+            stage,
+            since: now,
+            decode: None,
+            lives_until: Duration::MAX,
+            import_tries: 0,
+            sent: Vec::new(),
+            token_at: None,
+            order: self.next_order,
+        };
+        self.held.insert(id, held);
+    }
+
+    /// Takes over a stream that an earlier agent left at the engine.
+    pub fn adopt_orphan(&mut self, now: Duration, id: AttemptId, blocks: u32, next_index: u32) {
+        let reserve = Reserve { id: Some(id), blocks, ..Reserve::default() };
+        self.insert(now, id.entry, &reserve, Stage::Decoding);
+        let held = self.held.get_mut(&id).expect("was just inserted");
+        held.decode = Some(Decode { id: Some(id), first_index: next_index, ..Decode::default() });
+    }
+
+    /// The reservation of a try.
+    pub fn get_mut(&mut self, id: AttemptId) -> Option<&mut Held> {
+        self.held.get_mut(&id)
+    }
+
+    /// True if there is a reservation.
+    pub fn holds(&self, id: AttemptId) -> bool {
+        self.held.contains_key(&id)
+    }
+
+    /// Moves a reservation on.
+    pub fn set_stage(&mut self, now: Duration, id: AttemptId, stage: Stage) {
+        if let Some(held) = self.held.get_mut(&id) {
+            held.stage = stage;
+            held.since = now;
+        }
+    }
+
+    /// Frees a reservation.
+    pub fn release(&mut self, id: AttemptId) -> Option<Held> {
+        self.held.remove(&id)
+    }
+
+    /// Grants slots to those that wait, best rank and longest wait first.
+    pub fn grant_waiting(&mut self, now: Duration) -> Vec<AttemptId> {
+        let mut granted = Vec::new();
+        for id in self.queue() {
+            let blocks = self.held[&id].blocks;
+            if !self.fits(blocks) {
+                break;
+            }
+            self.set_stage(now, id, Stage::Granted);
+            granted.push(id);
+        }
+        granted
+    }
+
+    /// Grants whose decode order has not come in time.
+    pub fn lapsed_grants(&self, now: Duration) -> Vec<AttemptId> {
+        let lapsed = |held: &&Held| {
+            held.stage == Stage::Granted && held.decode.is_none() && now >= held.since + GRANT_TTL
+        };
+        self.held.values().filter(lapsed).map(|held| held.id).collect()
+    }
+
+    /// Cancels that the engine has not confirmed in time; the next try is set.
+    pub fn due_stops(&mut self, now: Duration) -> Vec<AttemptId> {
+        let mut due = Vec::new();
+        for held in self.held.values_mut() {
+            if let Stage::Stopping { retry_at } = &mut held.stage
+                && now >= *retry_at
+            {
+                *retry_at = now + STOP_RETRY;
+                due.push(held.id);
+            }
+        }
+        due
+    }
+
+    /// Everything held for an entry.
+    pub fn held_by(&self, entry: u64) -> Vec<AttemptId> {
+        self.held.values().filter(|held| held.entry == entry).map(|held| held.id).collect()
+    }
+
+    /// Reservations of any stage.
+    pub fn len(&self) -> usize {
+        self.held.len()
+    }
+
+    /// True if nothing is held.
+    pub fn is_empty(&self) -> bool {
+        self.held.is_empty()
+    }
+
+    /// Blocks held, those being freed included.
+    pub fn held_blocks(&self) -> u32 {
+        self.active().map(|held| held.blocks).sum::<u32>() + self.orphan_blocks
+    }
+
+    /// Notes the time between two tokens of one stream.
+    pub fn observe_step(&mut self, step: Duration) {
+        let expected_us = self.step_us(self.streams());
+        if expected_us == 0 {
+            return;
+        }
+        let ratio = step.as_micros() as f64 / f64::from(expected_us);
+        self.slowdown += SMOOTHING * (ratio - self.slowdown);
+    }
+
+    /// Streams that the engine can run within the target between tokens.
+    pub fn stream_limit(&self) -> u32 {
+        if self.target_us == 0 || self.step_per_stream_us == 0 || self.slowdown <= 1.0 + TOLERANCE {
+            return self.max_streams;
+        }
+        let budget_us = f64::from(self.target_us) / self.slowdown - f64::from(self.step_base_us);
+        let fits = (budget_us / f64::from(self.step_per_stream_us)).floor().max(0.0) as u32;
+        fits.clamp(1, self.max_streams.max(1))
+    }
+
+    /// Fills in the decode part of a load report.
+    pub fn report(&self, now: Duration, load: &mut Load) {
+        load.total_blocks = self.total_blocks;
+        load.free_blocks = self.free_blocks();
+        load.streams = self.streams();
+        load.stream_limit = self.stream_limit();
+        load.waiting = self.waiting();
+        load.step_us = (f64::from(self.step_us(self.streams())) * self.slowdown) as u32;
+        let typical_blocks = self.held_blocks() / self.streams().max(1);
+        load.wait_ms = as_ms_u32(self.predicted_wait(now, typical_blocks, u32::MAX));
+    }
+
+    /// When a lapse or a stop is due next.
+    pub fn next_wakeup(&self) -> Option<Duration> {
+        let due = self.held.values().filter_map(|held| match held.stage {
+            Stage::Stopping { retry_at } => Some(retry_at),
+            Stage::Granted if held.decode.is_none() => Some(held.since + GRANT_TTL),
+            _ => None,
+        });
+        due.min()
+    }
+
+    fn active(&self) -> impl Iterator<Item = &Held> {
+        self.held.values().filter(|held| held.stage != Stage::Waiting)
+    }
+
+    fn streams(&self) -> u32 {
+        self.active().count() as u32 + self.orphans
+    }
+
+    fn waiting(&self) -> u32 {
+        self.held.values().filter(|held| held.stage == Stage::Waiting).count() as u32
+    }
+
+    fn free_blocks(&self) -> u32 {
+        self.total_blocks.saturating_sub(self.held_blocks())
+    }
+
+    fn step_us(&self, streams: u32) -> u32 {
+        self.step_base_us + streams * self.step_per_stream_us
+    }
+
+    fn fits(&self, blocks: u32) -> bool {
+        self.streams() < self.stream_limit() && self.free_blocks() >= blocks
+    }
+
+    fn queue(&self) -> Vec<AttemptId> {
+        let mut waiting: Vec<&Held> =
+            self.held.values().filter(|held| held.stage == Stage::Waiting).collect();
+        waiting.sort_by_key(|held| (held.rank, held.order));
+        waiting.into_iter().map(|held| held.id).collect()
+    }
+
+    fn predicted_wait_of(&self, now: Duration, id: AttemptId) -> Duration {
+        let held = &self.held[&id];
+        self.wait_behind(now, held.blocks, |other| {
+            (other.rank, other.order) < (held.rank, held.order)
+        })
+    }
+
+    fn predicted_wait(&self, now: Duration, blocks: u32, rank: u32) -> Duration {
+        self.wait_behind(now, blocks, |other| other.rank <= rank)
+    }
+
+    /// Plays the expected ends of the streams forward until `blocks` are free
+    /// for one that stands behind those `is_ahead` names.
+    fn wait_behind(
+        &self,
+        now: Duration,
+        blocks: u32,
+        is_ahead: impl Fn(&Held) -> bool,
+    ) -> Duration {
+        let mut needed: Vec<u32> = self
+            .queue()
+            .into_iter()
+            .map(|id| &self.held[&id])
+            .filter(|held| is_ahead(held))
+            .map(|held| held.blocks)
+            .collect();
+        needed.push(blocks);
+        let mut needed = needed.into_iter().peekable();
+        let mut free_blocks = self.free_blocks();
+        let mut free_streams = self.stream_limit().saturating_sub(self.streams());
+        let mut ends: Vec<(Duration, u32)> =
+            self.active().map(|held| (self.expected_end(now, held), held.blocks)).collect();
+        ends.sort_unstable();
+        let mut at = now;
+        let mut ends = ends.into_iter();
+        loop {
+            while needed.peek().is_some_and(|&next| free_streams > 0 && free_blocks >= next) {
+                free_blocks -= needed.next().unwrap_or_default();
+                free_streams -= 1;
+            }
+            if needed.peek().is_none() {
+                return at.saturating_sub(now);
+            }
+            let Some((end, freed)) = ends.next() else { return NO_END };
+            at = end;
+            free_blocks += freed;
+            free_streams += 1;
+        }
+    }
+
+    fn expected_end(&self, now: Duration, held: &Held) -> Duration {
+        let step_us = f64::from(self.step_us(self.streams())) * self.slowdown;
+        let done = held.sent.len() as u32;
+        let least = held.expected_tokens / MIN_REMAINING_SHARE;
+        let remaining = held.expected_tokens.saturating_sub(done).max(least).max(1);
+        let decoding = Duration::from_micros((step_us * f64::from(remaining)) as u64);
+        match held.stage {
+            Stage::Stopping { .. } => now + STOP_RETRY,
+            Stage::Decoding => now + decoding,
+            _ => now + TYPICAL_PREFILL + decoding,
+        }
+    }
+}
+
+const TOLERANCE: f64 = 0.1;
+const NO_END: Duration = Duration::from_secs(60);
--- /dev/null
+++ b/src/agent/prefill.rs
@@ -0,0 +1,236 @@
+//! The queue before a prefill engine, and results that wait to be fetched.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::agent::AgentAction;
+use crate::agent::AgentCore;
+use crate::agent::RecordKind;
+use crate::agent::record;
+use crate::agent::reject;
+use crate::clock::as_ms_u32;
+use crate::clock::from_ms;
+use crate::schema::manifest::Pool;
+use crate::schema::wire;
+use crate::schema::wire::AttemptId;
+use crate::schema::wire::Load;
+use crate::schema::wire::to_entry::Kind as ToEntry;
+
+const MS_PER_S: u64 = 1_000;
+const SMOOTHING: f64 = 0.2;
+const MIN_OBSERVED_TOKENS: u32 = 64;
+const REJECT_BUSY: &str = "prefill-busy";
+const REJECT_LEAVING: &str = "leaving";
+
+#[derive(Debug, Clone)]
+struct Job {
+    entry: u64,
+    prefill: wire::Prefill,
+    deadline: Duration,
+}
+
+#[derive(Debug, Clone)]
+struct Running {
+    job: Job,
+    started_at: Duration,
+    dropped: bool,
+}
+
+/// Prefills that wait, the one that runs, and results not fetched yet.
+#[derive(Debug, Default)]
+pub(super) struct PrefillQueue {
+    configured_rate: u32,
+    rate: f64,
+    eviction: Duration,
+    queue: Vec<Job>,
+    running: Option<Running>,
+    results: HashMap<AttemptId, Duration>,
+}
+
+impl PrefillQueue {
+    pub(super) fn configure(&mut self, pool: &Pool) {
+        if self.configured_rate != pool.prefill_tokens_per_s {
+            self.configured_rate = pool.prefill_tokens_per_s;
+            self.rate = f64::from(pool.prefill_tokens_per_s);
+        }
+        self.eviction = from_ms(pool.kv_eviction_ms);
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.queue.len() + usize::from(self.running.is_some()) + self.results.len()
+    }
+
+    pub(super) fn held_by(&self, entry: u64) -> Vec<AttemptId> {
+        let queued = self.queue.iter().map(|job| job.prefill.id.unwrap_or_default());
+        let running = self.running.iter().map(|running| running.job.prefill.id.unwrap_or_default());
+        let results = self.results.keys().copied();
+        queued.chain(running).chain(results).filter(|id| id.entry == entry).collect()
+    }
+
+    pub(super) fn report(&self, load: &mut Load) {
+        load.queued_prefill_tokens = self.queued_tokens();
+        load.prefill_tokens_per_s = self.rate as u32;
+    }
+
+    pub(super) fn next_wakeup(&self) -> Option<Duration> {
+        self.results.values().min().copied()
+    }
+
+    fn queued_tokens(&self) -> u64 {
+        let queued: u64 = self.queue.iter().map(|job| u64::from(job.prefill.prompt_tokens)).sum();
+        let running =
+            self.running.as_ref().map_or(0, |running| u64::from(running.job.prefill.prompt_tokens));
+        queued + running
+    }
+
+    fn time_for(&self, tokens: u64) -> Duration {
+        from_ms(tokens * MS_PER_S / (self.rate as u64).max(1))
+    }
+
+    fn time_ahead_of(&self, now: Duration, rank: u32, deadline: Duration) -> Duration {
+        let ahead: u64 = self
+            .queue
+            .iter()
+            .filter(|job| (job.prefill.rank, job.deadline) <= (rank, deadline))
+            .map(|job| u64::from(job.prefill.prompt_tokens))
+            .sum();
+        let running = self.running.as_ref().map_or(Duration::ZERO, |running| {
+            let whole = self.time_for(running.job.prefill.prompt_tokens.into());
+            whole.saturating_sub(now.saturating_sub(running.started_at))
+        });
+        running + self.time_for(ahead)
+    }
+
+    fn knows(&self, id: AttemptId) -> bool {
+        self.held_by(id.entry).contains(&id)
+    }
+
+    fn observe(&mut self, now: Duration, running: &Running, cached_tokens: u32) {
+        let computed = running.job.prefill.prompt_tokens.saturating_sub(cached_tokens);
+        let took_s = now.saturating_sub(running.started_at).as_secs_f64();
+        if computed >= MIN_OBSERVED_TOKENS && took_s > 0.0 {
+            let seen = f64::from(computed) / took_s;
+            self.rate += SMOOTHING * (seen - self.rate);
+        }
+    }
+}
+
+impl AgentCore {
+    pub(super) fn on_prefill(
+        &mut self,
+        now: Duration,
+        entry: u64,
+        prefill: wire::Prefill,
+        out: &mut Vec<AgentAction>,
+    ) {
+        let id = prefill.id.unwrap_or_default();
+        if self.prefills.knows(id) || self.fenced.contains_key(&id) {
+            record(out, RecordKind::DuplicateDropped, Some(id), "prefill");
+            return;
+        }
+        if self.is_leaving() {
+            reject(out, entry, id, REJECT_LEAVING, 0, self.load(now));
+            return;
+        }
+        let deadline = now + from_ms(prefill.deadline_ms);
+        let own = self.prefills.time_for(prefill.prompt_tokens.into());
+        let ahead = self.prefills.time_ahead_of(now, prefill.rank, deadline);
+        let excess = (now + ahead + own).saturating_sub(deadline);
+        if !excess.is_zero() && !ahead.is_zero() {
+            reject(out, entry, id, REJECT_BUSY, as_ms_u32(excess), self.load(now));
+            return;
+        }
+        self.prefills.queue.push(Job { entry, prefill, deadline });
+        self.prefills.queue.sort_by_key(|job| (job.prefill.rank, job.deadline));
+    }
+
+    pub(super) fn pump_prefills(&mut self, now: Duration, out: &mut Vec<AgentAction>) {
+        self.prefills.results.retain(|_, evicted_at| now < *evicted_at);
+        while self.prefills.running.is_none() && !self.prefills.queue.is_empty() {
+            let job = self.prefills.queue.remove(0);
+            if now >= job.deadline {
+                let id = job.prefill.id.unwrap_or_default();
+                reject(out, job.entry, id, REJECT_BUSY, 0, self.load(now));
+                continue;
+            }
+            out.push(AgentAction::Prefill(job.prefill.clone()));
+            self.prefills.running = Some(Running { job, started_at: now, dropped: false });
+        }
+    }
+
+    pub(super) fn on_prefill_done(
+        &mut self,
+        now: Duration,
+        id: AttemptId,
+        handle: String,
+        cached_tokens: u32,
+        kv_bytes: u64,
+        out: &mut Vec<AgentAction>,
+    ) {
+        let Some(running) = self.take_running(id) else {
+            out.push(AgentAction::Stop { id });
+            return;
+        };
+        self.prefills.observe(now, &running, cached_tokens);
+        if running.dropped {
+            out.push(AgentAction::Stop { id });
+            return;
+        }
+        self.prefills.results.insert(id, now + self.prefills.eviction);
+        let reply = wire::PrefillReply {
+            id: Some(id),
+            handle,
+            cached_tokens,
+            kv_bytes,
+            lives_ms: as_ms_u32(self.prefills.eviction),
+            load: Some(self.load(now)),
+        };
+        out.push(AgentAction::Send {
+            entry: running.job.entry,
+            message: ToEntry::PrefillReply(reply),
+        });
+    }
+
+    pub(super) fn on_prefill_failed(
+        &mut self,
+        _now: Duration,
+        id: AttemptId,
+        reason: String,
+        out: &mut Vec<AgentAction>,
+    ) {
+        let Some(running) = self.take_running(id) else { return };
+        if !running.dropped {
+            let failed = wire::StreamFailed { id: Some(id), reason };
+            let message = ToEntry::StreamFailed(failed);
+            out.push(AgentAction::Send { entry: running.job.entry, message });
+        }
+    }
+
+    pub(super) fn on_prefill_used(&mut self, id: AttemptId, out: &mut Vec<AgentAction>) {
+        if self.prefills.results.remove(&id).is_some() {
+            out.push(AgentAction::Stop { id });
+        }
+    }
+
+    /// Forgets a prefill that nobody waits for. True if there was one.
+    pub(super) fn drop_prefill(&mut self, id: AttemptId, out: &mut Vec<AgentAction>) -> bool {
+        let queued = self.prefills.queue.len();
+        self.prefills.queue.retain(|job| job.prefill.id != Some(id));
+        let was_queued = self.prefills.queue.len() < queued;
+        let had_result = self.prefills.results.remove(&id).is_some();
+        let runs =
+            self.prefills.running.as_mut().filter(|running| running.job.prefill.id == Some(id));
+        let was_running = runs.is_some();
+        if let Some(running) = runs {
+            running.dropped = true;
+        }
+        if had_result || was_running {
+            out.push(AgentAction::Stop { id });
+        }
+        was_queued || had_result || was_running
+    }
+
+    fn take_running(&mut self, id: AttemptId) -> Option<Running> {
+        self.prefills.running.take_if(|running| running.job.prefill.id == Some(id))
+    }
+}
--- /dev/null
+++ b/src/bin/bamboodoor/main.rs
@@ -0,0 +1,110 @@
+//! `bamboodoor`: the operators' command.
+
+mod arguments;
+mod output;
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::process::ExitCode;
+
+use arguments::Arguments;
+use arguments::Command;
+use bamboodoor::command::check;
+use bamboodoor::command::explain;
+use bamboodoor::command::publish;
+use bamboodoor::command::publish::Publication;
+use bamboodoor::command::status;
+use bamboodoor::edge::http::HttpClient;
+use bamboodoor::edge::platform::LogClient;
+use bamboodoor::error::Error;
+use bamboodoor::error::Result;
+
+/// The command did its work, but the answer is no.
+const EXIT_NO: u8 = 1;
+/// The arguments or a file are not valid.
+const EXIT_INVALID: u8 = 2;
+/// The platform could not be reached; the outcome may be unknown.
+const EXIT_UNREACHABLE: u8 = 3;
+
+fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    if arguments.version {
+        println!("bamboodoor {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let Some(command) = arguments.command else {
+        eprintln!("bamboodoor: expected a command; see bamboodoor --help");
+        return ExitCode::from(EXIT_INVALID);
+    };
+    match run(command) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(EXIT_NO),
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(exit_code(&error))
+        }
+    }
+}
+
+fn exit_code(error: &Error) -> u8 {
+    match error {
+        Error::Superseded { .. } => EXIT_NO,
+        Error::Log(_) => EXIT_UNREACHABLE,
+        _ => EXIT_INVALID,
+    }
+}
+
+fn run(command: Command) -> Result<bool> {
+    match command {
+        Command::Check(arguments) => {
+            check::check(&arguments.manifest)?;
+            output::checked(&arguments.manifest, arguments.json);
+            Ok(true)
+        }
+        Command::Publish(arguments) => run_publish(&arguments),
+        Command::Status(arguments) => run_status(&arguments),
+        Command::Explain(arguments) => run_explain(&arguments),
+    }
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn run_publish(arguments: &arguments::Publish) -> Result<bool> {
+    let body = check::check(&arguments.manifest)?;
+    let address = bamboodoor::settings::address("--log", &arguments.log)?;
+    let log = LogClient::new(HttpClient::default(), address);
+    let publish_id = format!("{:032x}", rand::random::<u128>());
+    let publication = Publication {
+        body: &body,
+        publisher: &arguments.publisher,
+        based_on: arguments.based_on,
+        publish_id: &publish_id,
+    };
+    let generation = publish::publish(&log, &publication).await?;
+    output::published(generation, arguments.json);
+    Ok(true)
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn run_status(arguments: &arguments::Status) -> Result<bool> {
+    let parsed =
+        arguments.addresses.iter().map(|text| bamboodoor::settings::address("ADDRESS", text));
+    let addresses = parsed.collect::<Result<Vec<_>>>()?;
+    let statuses = status::status(&addresses).await;
+    output::statuses(&statuses, arguments.json);
+    Ok(status::agrees(&statuses))
+}
+
+fn run_explain(arguments: &arguments::Explain) -> Result<bool> {
+    let mut readers: Vec<Box<dyn BufRead>> = Vec::new();
+    for path in &arguments.files {
+        let file = path.display().to_string();
+        let opened = std::fs::File::open(path).map_err(|source| Error::Read { file, source })?;
+        readers.push(Box::new(BufReader::new(opened)));
+    }
+    if readers.is_empty() {
+        readers.push(Box::new(BufReader::new(std::io::stdin())));
+    }
+    let steps = explain::explain(&arguments.request_id, readers);
+    output::steps(&steps, arguments.json);
+    Ok(!steps.is_empty())
+}
--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,45 @@
+//! Builds and runs the two daemons from their settings.
+
+pub mod agent;
+pub mod entry;
+
+use std::net::SocketAddr;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use tokio::net::TcpListener;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+use crate::error::Error;
+use crate::error::Result;
+
+/// A number that differs between starts and grows with each.
+pub fn new_incarnation() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    since_epoch.as_micros() as u64
+}
+
+/// Waits for SIGTERM or SIGINT.
+///
+/// # Errors
+/// The handlers cannot be installed.
+pub async fn planned_stop() -> Result<()> {
+    let install = |source| Error::Io { action: "install a signal handler", source };
+    let mut terminate = signal(SignalKind::terminate()).map_err(install)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(install)?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+async fn listen(address: SocketAddr, action: &'static str) -> Result<TcpListener> {
+    TcpListener::bind(address).await.map_err(|source| Error::Io { action, source })
+}
+
+fn local_address(listener: &TcpListener) -> Result<SocketAddr> {
+    let action = "read the address of a listener";
+    listener.local_addr().map_err(|source| Error::Io { action, source })
+}
--- /dev/null
+++ b/src/daemon/agent.rs
@@ -0,0 +1,114 @@
+//! The agent daemon.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kameo::actor::ActorRef;
+use tokio_util::sync::CancellationToken;
+
+use crate::agent::AgentConfig;
+use crate::agent::AgentEvent;
+use crate::clock::MonotonicClock;
+use crate::daemon::listen;
+use crate::daemon::local_address;
+use crate::daemon::new_incarnation;
+use crate::edge::agent_actor;
+use crate::edge::agent_actor::AgentActor;
+use crate::edge::agent_actor::AgentInput;
+use crate::edge::agent_actor::AgentParts;
+use crate::edge::agent_actor::GetStatus;
+use crate::edge::agent_server;
+use crate::edge::http::HttpClient;
+use crate::edge::operators;
+use crate::edge::operators::Report;
+use crate::edge::telemetry::Telemetry;
+use crate::edge::upstream::Upstream;
+use crate::error::Result;
+use crate::schema::settings::AgentSettings;
+use crate::settings;
+use crate::settings::duration;
+
+/// How long the last messages have to leave the process before it exits.
+const LAST_WORDS: Duration = Duration::from_millis(200);
+
+/// A running agent.
+#[derive(Debug)]
+pub struct RunningAgent {
+    /// Address that entries connect to.
+    pub address: SocketAddr,
+    /// Address of `/healthz`, `/readyz` and `/status`.
+    pub operators_address: SocketAddr,
+    actor: ActorRef<AgentActor>,
+    stop: CancellationToken,
+}
+
+impl RunningAgent {
+    /// Opens the sockets and starts to serve.
+    ///
+    /// # Errors
+    /// A socket cannot be opened.
+    pub async fn start(settings: &AgentSettings) -> Result<Self> {
+        let upstream = settings::address("upstream", &settings.upstream)?;
+        let statsd = optional_address(&settings.statsd)?;
+        let entries =
+            listen(settings::address("listen", &settings.listen)?, "listen for entries").await?;
+        let operators_address = settings::address("operators_listen", &settings.operators_listen)?;
+        let operators_listener = listen(operators_address, "listen for operators").await?;
+        let address = local_address(&entries)?;
+        let operators_address = local_address(&operators_listener)?;
+        let stop = CancellationToken::new();
+        let parts = AgentParts {
+            config: config(settings),
+            upstream: Upstream::new(HttpClient::default(), upstream),
+            telemetry: Telemetry::new("agent", &settings.name, statsd)?,
+            stop: stop.clone(),
+        };
+        let actor = agent_actor::spawn(parts, Arc::new(MonotonicClock::default()));
+        tokio::spawn(agent_server::serve(entries, actor.clone(), stop.clone()));
+        let asked = actor.clone();
+        tokio::spawn(operators::serve(operators_listener, stop.clone(), move || {
+            report(asked.clone())
+        }));
+        Ok(Self { address, operators_address, actor, stop })
+    }
+
+    /// Begins a planned stop.
+    pub fn leave(&self) {
+        let _ = self.actor.tell(AgentInput::Event(AgentEvent::Leave)).try_send();
+    }
+
+    /// Waits until nothing is held any more after a planned stop.
+    pub async fn stopped(&self) {
+        self.stop.cancelled().await;
+        tokio::time::sleep(LAST_WORDS).await;
+    }
+}
+
+async fn report(actor: ActorRef<AgentActor>) -> Report {
+    let json = actor.ask(GetStatus).await.unwrap_or_default();
+    let ready = json.contains("\"leaving\":false");
+    Report { ready, json }
+}
+
+fn config(settings: &AgentSettings) -> AgentConfig {
+    AgentConfig {
+        name: settings.name.as_str().into(),
+        pool: settings.pool.as_str().into(),
+        region: settings.region.as_str().into(),
+        zone: settings.zone.as_str().into(),
+        upstream: settings.upstream.as_str().into(),
+        incarnation: new_incarnation(),
+        heartbeat: duration(settings.heartbeat_ms),
+        lease_ttl: duration(settings.lease_ttl_ms),
+        tombstone_ttl: duration(settings.tombstone_ms),
+        max_manifest_bytes: settings.max_manifest_bytes as usize,
+    }
+}
+
+pub(super) fn optional_address(text: &str) -> Result<Option<SocketAddr>> {
+    if text.is_empty() {
+        return Ok(None);
+    }
+    settings::address("statsd", text).map(Some)
+}
--- /dev/null
+++ b/src/daemon/entry.rs
@@ -0,0 +1,194 @@
+//! The entry daemon.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kameo::actor::ActorRef;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+use crate::clock::MonotonicClock;
+use crate::daemon::agent::optional_address;
+use crate::daemon::listen;
+use crate::daemon::local_address;
+use crate::daemon::new_incarnation;
+use crate::edge::caller::CallerServer;
+use crate::edge::caller::Limits;
+use crate::edge::entry_actor;
+use crate::edge::entry_actor::EntryActor;
+use crate::edge::entry_actor::EntryInput;
+use crate::edge::entry_actor::EntryParts;
+use crate::edge::entry_actor::GetManifestOffset;
+use crate::edge::entry_actor::GetStatus;
+use crate::edge::http::HttpClient;
+use crate::edge::operators;
+use crate::edge::operators::Report;
+use crate::edge::platform;
+use crate::edge::platform::CLAIM_STREAM;
+use crate::edge::platform::LogClient;
+use crate::edge::platform::MANIFEST_STREAM;
+use crate::edge::telemetry::Telemetry;
+use crate::entry::EntryConfig;
+use crate::error::Result;
+use crate::policy::placement::Place;
+use crate::schema::settings::EntrySettings;
+use crate::settings;
+use crate::settings::duration;
+
+const LOG_WAIT: Duration = Duration::from_secs(5);
+const LOG_RETRY: Duration = Duration::from_millis(200);
+const LIST_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A running entry.
+#[derive(Debug)]
+pub struct RunningEntry {
+    /// Address that callers connect to.
+    pub address: SocketAddr,
+    /// Address of `/healthz`, `/readyz` and `/status`.
+    pub operators_address: SocketAddr,
+    actor: ActorRef<EntryActor>,
+    callers: JoinHandle<()>,
+}
+
+impl RunningEntry {
+    /// Opens the sockets and starts to serve.
+    ///
+    /// # Errors
+    /// A socket cannot be opened.
+    pub async fn start(settings: &EntrySettings) -> Result<Self> {
+        let log = settings::address("log", &settings.log)?;
+        let list = settings::address("instance_list", &settings.instance_list)?;
+        let statsd = optional_address(&settings.statsd)?;
+        let callers =
+            listen(settings::address("listen", &settings.listen)?, "listen for callers").await?;
+        let operators_address = settings::address("operators_listen", &settings.operators_listen)?;
+        let operators_listener = listen(operators_address, "listen for operators").await?;
+        let address = local_address(&callers)?;
+        let operators_address = local_address(&operators_listener)?;
+        let stop = CancellationToken::new();
+        let http = HttpClient::default();
+        let log = LogClient::new(http.clone(), log);
+        let telemetry = Telemetry::new("entry", &settings.name, statsd)?;
+        let parts = EntryParts {
+            config: config(settings),
+            log: log.clone(),
+            claim_batch: duration(settings.claim_batch_ms),
+            telemetry: telemetry.clone(),
+            stop: stop.clone(),
+        };
+        let actor = entry_actor::spawn(parts, Arc::new(MonotonicClock::default()));
+        tokio::spawn(follow_manifests(log.clone(), actor.clone(), stop.clone()));
+        tokio::spawn(follow_claims(log, actor.clone(), stop.clone()));
+        let poll = duration(settings.list_poll_ms);
+        tokio::spawn(follow_list(http, list, poll, actor.clone(), stop.clone()));
+        let asked = actor.clone();
+        tokio::spawn(operators::serve(operators_listener, stop.clone(), move || {
+            report(asked.clone())
+        }));
+        let limits = limits(settings);
+        let server = CallerServer { actor: actor.clone(), limits, telemetry, stop };
+        let callers = tokio::spawn(server.serve(callers));
+        Ok(Self { address, operators_address, actor, callers })
+    }
+
+    /// Begins a planned stop.
+    pub fn leave(&self) {
+        let _ = self.actor.tell(EntryInput::Leave).try_send();
+    }
+
+    /// Waits until every caller has the end of its answer after a planned stop.
+    pub async fn stopped(self) {
+        let _ = self.callers.await;
+    }
+}
+
+async fn report(actor: ActorRef<EntryActor>) -> Report {
+    let json = actor.ask(GetStatus).await.unwrap_or_default();
+    let ready = json.contains("\"ready\":true");
+    Report { ready, json }
+}
+
+fn config(settings: &EntrySettings) -> EntryConfig {
+    let incarnation = new_incarnation() ^ u64::from(rand::random::<u16>());
+    EntryConfig {
+        name: settings.name.as_str().into(),
+        incarnation,
+        place: Place {
+            region: settings.region.as_str().into(),
+            zone: settings.zone.as_str().into(),
+        },
+        heartbeat: duration(settings.heartbeat_ms),
+        lease_ttl: duration(settings.lease_ttl_ms),
+        max_manifest_bytes: settings.max_manifest_bytes as usize,
+        random_seed: settings.random_seed,
+        ..EntryConfig::default()
+    }
+}
+
+fn limits(settings: &EntrySettings) -> Limits {
+    Limits {
+        max_body_bytes: settings.max_body_bytes as usize,
+        max_header_bytes: settings.max_header_bytes as usize,
+        body_read: duration(settings.body_read_ms),
+        idle: duration(settings.idle_ms),
+        max_connections: settings.max_connections as usize,
+    }
+}
+
+async fn follow_manifests(log: LogClient, actor: ActorRef<EntryActor>, stop: CancellationToken) {
+    while !stop.is_cancelled() {
+        let Ok(from) = actor.ask(GetManifestOffset).await else { return };
+        match log.read(MANIFEST_STREAM, from, LOG_WAIT).await {
+            Ok(read) => {
+                // The answer tells that the records were taken in, so that the
+                // next read goes on after them.
+                if actor.ask(EntryInput::Manifests(read)).await.is_err() {
+                    return;
+                }
+            }
+            Err(_) => tokio::time::sleep(LOG_RETRY).await,
+        }
+    }
+}
+
+async fn follow_claims(log: LogClient, actor: ActorRef<EntryActor>, stop: CancellationToken) {
+    let mut from = 0;
+    // The first answer after an outage comes at once: it tells that the log is
+    // there, which calls with an idempotency key wait for.
+    let mut wait = Duration::ZERO;
+    while !stop.is_cancelled() {
+        match log.read(CLAIM_STREAM, from, wait).await {
+            Ok(read) => {
+                wait = LOG_WAIT;
+                from = read.records.last().map_or(from, |record| record.offset + 1);
+                if actor.ask(EntryInput::Claims(read)).await.is_err() {
+                    return;
+                }
+            }
+            Err(_) => {
+                wait = Duration::ZERO;
+                let _ = actor.tell(EntryInput::LogUp(false)).try_send();
+                tokio::time::sleep(LOG_RETRY).await;
+            }
+        }
+    }
+}
+
+async fn follow_list(
+    http: HttpClient,
+    address: SocketAddr,
+    poll: Duration,
+    actor: ActorRef<EntryActor>,
+    stop: CancellationToken,
+) {
+    while !stop.is_cancelled() {
+        if let Ok(instances) = platform::read_list(&http, address, LIST_TIMEOUT).await {
+            let _ = actor.tell(EntryInput::List(instances)).try_send();
+        }
+        tokio::select! {
+            () = stop.cancelled() => {}
+            () = tokio::time::sleep(poll) => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/edge.rs
@@ -0,0 +1,16 @@
+//! Sockets, timers, logs and metrics. Nothing here decides.
+
+pub mod agent_actor;
+pub mod agent_server;
+pub mod body;
+pub mod caller;
+pub mod entry_actor;
+pub mod entry_peers;
+pub mod frames;
+pub mod http;
+pub mod operators;
+pub mod platform;
+pub mod problem;
+pub mod telemetry;
+pub mod ticker;
+pub mod upstream;
--- /dev/null
+++ b/src/edge/agent_actor.rs
@@ -0,0 +1,264 @@
+//! The actor that owns the agent's core and carries out its actions.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kameo::Actor;
+use kameo::actor::ActorRef;
+use kameo::actor::Spawn;
+use kameo::error::Infallible;
+use kameo::mailbox;
+use kameo::message::Context;
+use kameo::message::Message;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::task::AbortHandle;
+use tokio_util::sync::CancellationToken;
+
+use crate::agent::AgentAction;
+use crate::agent::AgentConfig;
+use crate::agent::AgentCore;
+use crate::agent::AgentEvent;
+use crate::agent::UpstreamEvent;
+use crate::clock::Clock;
+use crate::edge::telemetry::Telemetry;
+use crate::edge::ticker;
+use crate::edge::ticker::Alarm;
+use crate::edge::upstream::Upstream;
+use crate::schema::wire;
+use crate::schema::wire::AttemptId;
+
+const LIST_RETRY: Duration = Duration::from_millis(300);
+
+/// What the actor is given at its start.
+#[derive(Debug)]
+pub struct AgentParts {
+    /// Settings of the core.
+    pub config: AgentConfig,
+    /// Client of the upstream.
+    pub upstream: Upstream,
+    /// Logs and metrics.
+    pub telemetry: Telemetry,
+    /// Cancelled once the agent may exit.
+    pub stop: CancellationToken,
+}
+
+/// Messages to the actor.
+#[derive(Debug)]
+pub enum AgentInput {
+    /// An entry connected; what is meant for it goes to `outbound`.
+    Connected {
+        /// Its greeting.
+        hello: wire::EntryHello,
+        /// Queue of the connection.
+        outbound: UnboundedSender<wire::ToEntry>,
+        /// Cancelled to close the connection.
+        close: CancellationToken,
+    },
+    /// A connection ended.
+    Disconnected {
+        /// Incarnation of the entry.
+        entry: u64,
+        /// Queue of the connection that ended.
+        outbound: UnboundedSender<wire::ToEntry>,
+    },
+    /// Anything else for the core.
+    Event(AgentEvent),
+}
+
+/// State of the agent, for operators.
+#[derive(Debug, Clone, serde::Serialize)]
+pub struct AgentStatus {
+    /// Generation of the manifest, 0 for none.
+    pub generation: u64,
+    /// True once a planned stop was asked for.
+    pub leaving: bool,
+    /// Blocks held for requests.
+    pub held_blocks: u32,
+    /// Requests held.
+    pub held_requests: usize,
+    /// Entries connected.
+    pub entries: usize,
+}
+
+/// Asks for the state.
+#[derive(Debug)]
+pub struct GetStatus;
+
+struct Connection {
+    outbound: UnboundedSender<wire::ToEntry>,
+    close: CancellationToken,
+}
+
+/// The actor.
+pub struct AgentActor {
+    core: AgentCore,
+    clock: Arc<dyn Clock>,
+    upstream: Upstream,
+    telemetry: Telemetry,
+    stop: CancellationToken,
+    alarm: Alarm,
+    actor: ActorRef<AgentActor>,
+    connections: HashMap<u64, Connection>,
+    readers: HashMap<AttemptId, AbortHandle>,
+}
+
+impl Actor for AgentActor {
+    type Args = (AgentParts, Arc<dyn Clock>);
+    type Error = Infallible;
+
+    async fn on_start(
+        (parts, clock): Self::Args,
+        actor: ActorRef<Self>,
+    ) -> std::result::Result<Self, Self::Error> {
+        let core = AgentCore::new(parts.config);
+        let ticked = actor.clone();
+        let alarm = ticker::spawn(clock.clone(), parts.stop.clone(), move || {
+            ticked.tell(AgentInput::Event(AgentEvent::Tick)).try_send().is_ok()
+        });
+        Ok(Self {
+            core,
+            clock,
+            upstream: parts.upstream,
+            telemetry: parts.telemetry,
+            stop: parts.stop,
+            alarm,
+            actor,
+            connections: HashMap::new(),
+            readers: HashMap::new(),
+        })
+    }
+}
+
+/// Starts the actor.
+pub fn spawn(parts: AgentParts, clock: Arc<dyn Clock>) -> ActorRef<AgentActor> {
+    AgentActor::spawn_with_mailbox((parts, clock), mailbox::unbounded())
+}
+
+impl Message<AgentInput> for AgentActor {
+    type Reply = ();
+
+    async fn handle(&mut self, input: AgentInput, _ctx: &mut Context<Self, Self::Reply>) {
+        let event = match input {
+            AgentInput::Event(event) => event,
+            AgentInput::Connected { hello, outbound, close } => {
+                let connection = Connection { outbound, close };
+                if let Some(old) = self.connections.insert(hello.entry, connection) {
+                    old.close.cancel();
+                }
+                AgentEvent::EntryConnected(hello)
+            }
+            AgentInput::Disconnected { entry, outbound } => {
+                let current = self.connections.get(&entry);
+                if current.is_none_or(|current| !current.outbound.same_channel(&outbound)) {
+                    return;
+                }
+                self.connections.remove(&entry);
+                AgentEvent::EntryLost { entry }
+            }
+        };
+        let mut actions = Vec::new();
+        self.core.handle(self.clock.now(), event, &mut actions);
+        self.carry_out(actions);
+    }
+}
+
+impl Message<GetStatus> for AgentActor {
+    type Reply = String;
+
+    async fn handle(&mut self, _: GetStatus, _ctx: &mut Context<Self, Self::Reply>) -> String {
+        let status = AgentStatus {
+            generation: self.core.generation(),
+            leaving: self.core.is_leaving(),
+            held_blocks: self.core.held_blocks(),
+            held_requests: self.core.held_requests(),
+            entries: self.connections.len(),
+        };
+        serde_json::to_string(&status).expect("a status is plain data")
+    }
+}
+
+impl AgentActor {
+    fn carry_out(&mut self, actions: Vec<AgentAction>) {
+        for action in actions {
+            self.carry_out_one(action);
+        }
+        self.telemetry.gauge("blocks.held", self.core.held_blocks().into());
+        self.alarm.set(self.core.next_wakeup(self.clock.now()));
+    }
+
+    fn carry_out_one(&mut self, action: AgentAction) {
+        let upstream = self.upstream.clone();
+        match action {
+            AgentAction::Send { entry, message } => {
+                if let Some(connection) = self.connections.get(&entry) {
+                    let _ = connection.outbound.send(wire::ToEntry { kind: Some(message) });
+                }
+            }
+            AgentAction::CloseEntry { entry } => {
+                if let Some(connection) = self.connections.remove(&entry) {
+                    connection.close.cancel();
+                }
+            }
+            AgentAction::Prefill(prefill) => {
+                self.report(async move { Some(upstream.prefill(prefill).await) });
+            }
+            AgentAction::Import { decode, timeout } => {
+                self.report(async move { Some(upstream.import(decode, timeout).await) });
+            }
+            AgentAction::Decode { id, from_index, max_tokens, rank } => {
+                self.read_stream(id, from_index, max_tokens, rank);
+            }
+            AgentAction::Stop { id } => {
+                if let Some(reader) = self.readers.remove(&id) {
+                    reader.abort();
+                }
+                self.report(async move { upstream.stop(id).await });
+            }
+            AgentAction::Call(call) => {
+                self.report(async move { Some(upstream.call(call).await) });
+            }
+            AgentAction::ListStreams => self.list_streams(),
+            AgentAction::Order(order) => self.report(async move { upstream.order(order).await }),
+            AgentAction::ReadState => self.report(async move { upstream.state().await }),
+            AgentAction::Exit => self.stop.cancel(),
+            AgentAction::Record(record) => {
+                self.telemetry.agent_record(&record, self.core.generation());
+            }
+        }
+    }
+
+    fn report(&self, work: impl Future<Output = Option<UpstreamEvent>> + Send + 'static) {
+        let actor = self.actor.clone();
+        tokio::spawn(async move {
+            if let Some(event) = work.await {
+                let _ = actor.tell(AgentInput::Event(AgentEvent::Upstream(event))).try_send();
+            }
+        });
+    }
+
+    fn read_stream(&mut self, id: AttemptId, from_index: u32, max_tokens: u32, rank: u32) {
+        let upstream = self.upstream.clone();
+        let actor = self.actor.clone();
+        let reader = tokio::spawn(async move {
+            let emit = |event| {
+                let _ = actor.tell(AgentInput::Event(AgentEvent::Upstream(event))).try_send();
+            };
+            upstream.decode(id, from_index, max_tokens, rank, emit).await;
+        });
+        self.readers.retain(|_, reader| !reader.is_finished());
+        self.readers.insert(id, reader.abort_handle());
+    }
+
+    fn list_streams(&self) {
+        let upstream = self.upstream.clone();
+        self.report(async move {
+            loop {
+                match upstream.running().await {
+                    Ok(event) => return Some(event),
+                    Err(_) => tokio::time::sleep(LIST_RETRY).await,
+                }
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/edge/body.rs
@@ -0,0 +1,230 @@
+//! The JSON bodies of generated answers, in the widely used form.
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::entry::request::GenerateArrival;
+use crate::manifest::Snapshot;
+use crate::outcome::Refusal;
+use crate::outcome::RefusalReason;
+use crate::policy::prefix::prefix_hashes;
+
+const DEFAULT_MAX_TOKENS: u32 = 256;
+
+/// Which of the two forms a request has.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Form {
+    /// `/v1/completions`.
+    Completion,
+    /// `/v1/chat/completions`.
+    Chat,
+}
+
+#[derive(Debug, Deserialize)]
+struct CompletionBody {
+    model: CompactString,
+    prompt: String,
+    #[serde(default)]
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    stream: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct ChatBody {
+    model: CompactString,
+    messages: Vec<ChatMessage>,
+    #[serde(default)]
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    stream: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct ChatMessage {
+    role: String,
+    content: String,
+}
+
+/// A request that was read.
+#[derive(Debug)]
+pub struct Generation {
+    /// What goes to the core.
+    pub arrival: GenerateArrival,
+    /// True if the answer is streamed.
+    pub stream: bool,
+}
+
+/// Reads a request body.
+///
+/// # Errors
+/// A refusal that names the field at fault.
+pub fn read(form: Form, body: &[u8], snapshot: &Snapshot) -> Result<Generation, Refusal> {
+    let (model, prompt, max_tokens, stream) = match form {
+        Form::Completion => {
+            let body: CompletionBody = parse(body)?;
+            (body.model, body.prompt, body.max_tokens, body.stream)
+        }
+        Form::Chat => {
+            let body: ChatBody = parse(body)?;
+            (body.model, chat_prompt(&body.messages), body.max_tokens, body.stream)
+        }
+    };
+    let Some(settings) = snapshot.model(&model) else {
+        return Err(invalid(RefusalReason::UnknownModel, format!("model: no model {model:?}")));
+    };
+    if max_tokens == Some(0) {
+        let detail = "max_tokens: expected a number above 0".to_string();
+        return Err(invalid(RefusalReason::InvalidField, detail));
+    }
+    let bytes_per_token = settings.prompt_bytes_per_token;
+    let prompt_tokens = (prompt.len() as u32).div_ceil(bytes_per_token).max(1);
+    if prompt_tokens > settings.max_prompt_tokens {
+        let limit = settings.max_prompt_tokens;
+        let detail = format!("prompt: {prompt_tokens} tokens, the model takes {limit}");
+        return Err(invalid(RefusalReason::PromptTooLong, detail));
+    }
+    let prompt = Bytes::from(prompt);
+    let arrival = GenerateArrival {
+        model,
+        prompt_tokens,
+        prefixes: prefix_hashes(&prompt, bytes_per_token),
+        prompt,
+        max_tokens: max_tokens.unwrap_or(DEFAULT_MAX_TOKENS),
+    };
+    Ok(Generation { arrival, stream })
+}
+
+fn parse<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, Refusal> {
+    let mut deserializer = serde_json::Deserializer::from_slice(body);
+    serde_path_to_error::deserialize(&mut deserializer).map_err(|error| {
+        let reason = match error.inner().classify() {
+            serde_json::error::Category::Data => RefusalReason::InvalidField,
+            _ => RefusalReason::MalformedJson,
+        };
+        invalid(reason, format!("{}: {}", error.path(), error.inner()))
+    })
+}
+
+fn invalid(reason: RefusalReason, detail: String) -> Refusal {
+    Refusal { detail, ..Refusal::not_run(reason, None) }
+}
+
+fn chat_prompt(messages: &[ChatMessage]) -> String {
+    messages.iter().map(|message| format!("{}: {}\n", message.role, message.content)).collect()
+}
+
+#[derive(Debug, Serialize)]
+struct ResponseJson<'a> {
+    id: &'a str,
+    object: &'static str,
+    model: &'a str,
+    choices: [ChoiceJson<'a>; 1],
+    #[serde(skip_serializing_if = "Option::is_none")]
+    usage: Option<UsageJson>,
+}
+
+#[derive(Debug, Serialize)]
+struct ChoiceJson<'a> {
+    index: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    text: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    message: Option<MessageJson<'a>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    delta: Option<MessageJson<'a>>,
+    finish_reason: Option<&'a str>,
+}
+
+#[derive(Debug, Serialize)]
+struct MessageJson<'a> {
+    role: &'static str,
+    content: &'a str,
+}
+
+#[derive(Debug, Serialize)]
+struct UsageJson {
+    prompt_tokens: u32,
+    completion_tokens: u32,
+    total_tokens: u32,
+}
+
+/// What the answers of one request have in common.
+#[derive(Debug, Clone)]
+pub struct Naming {
+    /// Form of the request.
+    pub form: Form,
+    /// Name of the request.
+    pub request_id: CompactString,
+    /// Name of the model.
+    pub model: CompactString,
+}
+
+impl Naming {
+    /// One event of a streamed answer, without framing.
+    pub fn event(&self, text: &str, finish_reason: Option<&str>) -> Vec<u8> {
+        let (object, choice) = match self.form {
+            Form::Completion => {
+                ("text_completion", self.choice(Some(text), None, None, finish_reason))
+            }
+            Form::Chat => {
+                let delta = MessageJson { role: "assistant", content: text };
+                ("chat.completion.chunk", self.choice(None, None, Some(delta), finish_reason))
+            }
+        };
+        self.json(object, choice, None)
+    }
+
+    /// A whole answer.
+    pub fn whole(
+        &self,
+        text: &str,
+        finish_reason: &str,
+        prompt_tokens: u32,
+        output_tokens: u32,
+    ) -> Vec<u8> {
+        let usage = UsageJson {
+            prompt_tokens,
+            completion_tokens: output_tokens,
+            total_tokens: prompt_tokens + output_tokens,
+        };
+        let (object, choice) = match self.form {
+            Form::Completion => {
+                ("text_completion", self.choice(Some(text), None, None, Some(finish_reason)))
+            }
+            Form::Chat => {
+                let message = MessageJson { role: "assistant", content: text };
+                ("chat.completion", self.choice(None, Some(message), None, Some(finish_reason)))
+            }
+        };
+        self.json(object, choice, Some(usage))
+    }
+
+    fn choice<'a>(
+        &self,
+        text: Option<&'a str>,
+        message: Option<MessageJson<'a>>,
+        delta: Option<MessageJson<'a>>,
+        finish_reason: Option<&'a str>,
+    ) -> ChoiceJson<'a> {
+        ChoiceJson { index: 0, text, message, delta, finish_reason }
+    }
+
+    fn json(
+        &self,
+        object: &'static str,
+        choice: ChoiceJson<'_>,
+        usage: Option<UsageJson>,
+    ) -> Vec<u8> {
+        let response = ResponseJson {
+            id: &self.request_id,
+            object,
+            model: &self.model,
+            choices: [choice],
+            usage,
+        };
+        serde_json::to_vec(&response).expect("a response is plain data")
+    }
+}
--- /dev/null
+++ b/src/edge/caller.rs
@@ -0,0 +1,420 @@
+//! The HTTP server that callers talk to.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use compact_str::ToCompactString;
+use futures_util::Stream;
+use futures_util::StreamExt;
+use futures_util::stream;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use http_body_util::StreamBody;
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use hyper::header::HeaderMap;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use kameo::actor::ActorRef;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::sync::mpsc;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::oneshot;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::edge::body;
+use crate::edge::body::Form;
+use crate::edge::body::Naming;
+use crate::edge::entry_actor::EntryActor;
+use crate::edge::entry_actor::EntryInput;
+use crate::edge::entry_actor::GetSnapshot;
+use crate::edge::problem;
+use crate::edge::telemetry::Telemetry;
+use crate::entry::Answer;
+use crate::entry::request::Arrival;
+use crate::entry::request::ArrivalWork;
+use crate::entry::request::CallArrival;
+use crate::entry::request::RequestKey;
+use crate::outcome::Refusal;
+use crate::outcome::RefusalReason;
+use crate::schema::wire;
+
+/// Body of a response to a caller.
+pub type ResponseBody = UnsyncBoxBody<Bytes, Infallible>;
+
+const ACCOUNT_HEADER: &str = "x-client-account";
+const REQUEST_ID_HEADER: &str = "x-request-id";
+const KEY_HEADER: &str = "idempotency-key";
+const SERVICES_PREFIX: &str = "/services/";
+const MAX_REQUEST_ID_BYTES: usize = 128;
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+/// Headers of one hop, which are not passed on.
+const HOP_HEADERS: [&str; 7] =
+    ["connection", "host", "keep-alive", "te", "trailer", "transfer-encoding", "upgrade"];
+
+/// Limits on what callers send.
+#[derive(Debug, Clone)]
+pub struct Limits {
+    /// Largest body.
+    pub max_body_bytes: usize,
+    /// Largest head of a request.
+    pub max_header_bytes: usize,
+    /// Longest time until the whole body is there.
+    pub body_read: Duration,
+    /// Longest time without a request on an open connection.
+    pub idle: Duration,
+    /// Most connections.
+    pub max_connections: usize,
+}
+
+/// The server.
+#[derive(Debug, Clone)]
+pub struct CallerServer {
+    /// The entry's actor.
+    pub actor: ActorRef<EntryActor>,
+    /// Limits on what callers send.
+    pub limits: Limits,
+    /// Logs and metrics.
+    pub telemetry: Telemetry,
+    /// Where to say that a new connection is refused, and exit.
+    pub stop: CancellationToken,
+}
+
+/// A body that is known as a whole.
+pub fn full(bytes: impl Into<Bytes>) -> ResponseBody {
+    Full::new(bytes.into()).boxed_unsync()
+}
+
+impl CallerServer {
+    /// Serves until the token is cancelled, then lets open responses end.
+    pub async fn serve(self, listener: TcpListener) {
+        let slots = Arc::new(Semaphore::new(self.limits.max_connections));
+        let server = Arc::new(self);
+        let open = TaskTracker::new();
+        loop {
+            let accepted = tokio::select! {
+                () = server.stop.cancelled() => break,
+                accepted = listener.accept() => accepted,
+            };
+            let Ok((stream, _)) = accepted else {
+                tokio::time::sleep(ACCEPT_RETRY).await;
+                continue;
+            };
+            let Ok(slot) = slots.clone().try_acquire_owned() else {
+                server.telemetry.count("connection_refused", "too-many-connections");
+                continue;
+            };
+            let server = server.clone();
+            open.spawn(async move {
+                server.serve_connection(stream).await;
+                drop(slot);
+            });
+        }
+        open.close();
+        open.wait().await;
+    }
+
+    async fn serve_connection(self: Arc<Self>, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let server = self.clone();
+        let service = service_fn(move |request| {
+            let server = server.clone();
+            async move { Ok::<_, Infallible>(server.handle(request).await) }
+        });
+        let connection = hyper::server::conn::http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(self.limits.idle)
+            .max_buf_size(self.limits.max_header_bytes)
+            .serve_connection(TokioIo::new(stream), service);
+        tokio::pin!(connection);
+        tokio::select! {
+            _ = connection.as_mut() => return,
+            () = self.stop.cancelled() => connection.as_mut().graceful_shutdown(),
+        }
+        let _ = connection.await;
+    }
+
+    async fn handle(&self, request: Request<Incoming>) -> Response<ResponseBody> {
+        let request_id = request_id(request.headers());
+        let answered = self.route(request, &request_id).await;
+        let mut response = answered.unwrap_or_else(|refusal| {
+            self.telemetry.count("refused", &refusal.reason.to_string());
+            problem::response(&refusal, &request_id)
+        });
+        if let Ok(value) = request_id.parse() {
+            response.headers_mut().insert(REQUEST_ID_HEADER, value);
+        }
+        response
+    }
+
+    async fn route(
+        &self,
+        request: Request<Incoming>,
+        request_id: &CompactString,
+    ) -> Result<Response<ResponseBody>, Refusal> {
+        let path = request.uri().path().to_string();
+        match (request.method(), path.as_str()) {
+            (&Method::POST, "/v1/completions") => {
+                self.generate(request, Form::Completion, request_id).await
+            }
+            (&Method::POST, "/v1/chat/completions") => {
+                self.generate(request, Form::Chat, request_id).await
+            }
+            _ if path.starts_with(SERVICES_PREFIX) => self.call(request, request_id).await,
+            _ => {
+                let refusal = Refusal::not_run(RefusalReason::UnknownService, None);
+                Err(Refusal { detail: format!("no such path: {path}"), ..refusal })
+            }
+        }
+    }
+
+    async fn read_body(&self, body: Incoming) -> Result<Bytes, Refusal> {
+        let collect = Limited::new(body, self.limits.max_body_bytes).collect();
+        match tokio::time::timeout(self.limits.body_read, collect).await {
+            Err(_) => Err(Refusal::not_run(RefusalReason::BodyTimeout, None)),
+            Ok(Err(_)) => Err(Refusal::not_run(RefusalReason::BodyTooLarge, None)),
+            Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        }
+    }
+
+    async fn generate(
+        &self,
+        request: Request<Incoming>,
+        form: Form,
+        request_id: &CompactString,
+    ) -> Result<Response<ResponseBody>, Refusal> {
+        let account = header(request.headers(), ACCOUNT_HEADER);
+        let bytes = self.read_body(request.into_body()).await?;
+        let snapshot = self.actor.ask(GetSnapshot).await.ok().flatten();
+        let Some(snapshot) = snapshot else {
+            return Err(Refusal::not_run(RefusalReason::NotReady, Some(NOT_READY_RETRY)));
+        };
+        let generation = body::read(form, &bytes, &snapshot)?;
+        let model = generation.arrival.model.clone();
+        let naming = Naming { form, request_id: request_id.clone(), model };
+        let work = ArrivalWork::Generate(generation.arrival);
+        let arrival = Arrival { request_id: request_id.clone(), account, work };
+        let mut answers = self.arrive(arrival).await?;
+        let first = answers.next().await?;
+        if let Answer::Refused(refusal) = first {
+            return Err(refusal);
+        }
+        if generation.stream {
+            return Ok(stream_response(naming, first, answers));
+        }
+        whole_response(&naming, first, answers).await
+    }
+
+    async fn call(
+        &self,
+        request: Request<Incoming>,
+        request_id: &CompactString,
+    ) -> Result<Response<ResponseBody>, Refusal> {
+        let (head, body) = request.into_parts();
+        let rest = head.uri.path().strip_prefix(SERVICES_PREFIX).unwrap_or_default();
+        let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
+        let query = head.uri.query().map(|query| format!("?{query}")).unwrap_or_default();
+        let arrival = CallArrival {
+            service: service.into(),
+            method: head.method.as_str().into(),
+            path: format!("/{path}{query}"),
+            headers: passed_on(&head.headers, request_id),
+            body: self.read_body(body).await?,
+            idempotency_key: head
+                .headers
+                .get(KEY_HEADER)
+                .map(|_| header(&head.headers, KEY_HEADER)),
+        };
+        let account = header(&head.headers, ACCOUNT_HEADER);
+        let work = ArrivalWork::Call(arrival);
+        let arrival = Arrival { request_id: request_id.clone(), account, work };
+        let mut answers = self.arrive(arrival).await?;
+        match answers.next().await? {
+            Answer::Reply(reply) => Ok(call_response(reply)),
+            Answer::Refused(refusal) => Err(refusal),
+            Answer::Token { .. } | Answer::Finished { .. } => {
+                unreachable!("a call is answered by a reply or a refusal")
+            }
+        }
+    }
+
+    async fn arrive(&self, arrival: Arrival) -> Result<Answers, Refusal> {
+        let (answers, receiver) = mpsc::unbounded_channel();
+        let (key_sender, key) = oneshot::channel();
+        let shutting_down = || Refusal::not_run(RefusalReason::ShuttingDown, Some(NOT_READY_RETRY));
+        let input = EntryInput::Arrive { arrival, answers, key: key_sender };
+        self.actor.tell(input).try_send().map_err(|_| shutting_down())?;
+        let key = key.await.map_err(|_| shutting_down())?;
+        Ok(Answers { receiver, key, actor: self.actor.clone(), ended: false })
+    }
+}
+
+const NOT_READY_RETRY: Duration = Duration::from_millis(500);
+
+/// The answers of one request. Dropped early, it means the caller is gone.
+struct Answers {
+    receiver: UnboundedReceiver<Answer>,
+    key: RequestKey,
+    actor: ActorRef<EntryActor>,
+    ended: bool,
+}
+
+impl Answers {
+    async fn next(&mut self) -> Result<Answer, Refusal> {
+        let Some(answer) = self.receiver.recv().await else {
+            self.ended = true;
+            let outcome = crate::outcome::Outcome::Unknown;
+            return Err(Refusal::with_outcome(RefusalReason::ShuttingDown, outcome));
+        };
+        self.ended = answer.is_final();
+        Ok(answer)
+    }
+}
+
+impl Drop for Answers {
+    fn drop(&mut self) {
+        if !self.ended {
+            let _ = self.actor.tell(EntryInput::CallerGone(self.key)).try_send();
+        }
+    }
+}
+
+async fn whole_response(
+    naming: &Naming,
+    first: Answer,
+    mut answers: Answers,
+) -> Result<Response<ResponseBody>, Refusal> {
+    let mut text = Vec::new();
+    let mut answer = first;
+    loop {
+        match answer {
+            Answer::Token { text: token, .. } => text.extend_from_slice(&token),
+            Answer::Finished { finish_reason, prompt_tokens, output_tokens } => {
+                let text = String::from_utf8_lossy(&text);
+                let json = naming.whole(&text, &finish_reason, prompt_tokens, output_tokens);
+                let mut response = Response::new(full(json));
+                let json_type = "application/json".parse().expect("is a valid header");
+                response.headers_mut().insert("content-type", json_type);
+                return Ok(response);
+            }
+            Answer::Refused(refusal) => return Err(refusal),
+            Answer::Reply(_) => unreachable!("a generated answer has no reply"),
+        }
+        answer = answers.next().await?;
+    }
+}
+
+fn stream_response(naming: Naming, first: Answer, answers: Answers) -> Response<ResponseBody> {
+    let events = events(naming, first, answers);
+    let frames = events.map(|event| Ok::<_, Infallible>(Frame::data(event)));
+    let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
+    let headers = response.headers_mut();
+    headers.insert("content-type", "text/event-stream".parse().expect("is a valid header"));
+    headers.insert("cache-control", "no-store".parse().expect("is a valid header"));
+    response
+}
+
+fn events(naming: Naming, first: Answer, answers: Answers) -> impl Stream<Item = Bytes> {
+    let start = Some((naming, Some(first), answers));
+    stream::unfold(start, |state| async move {
+        let (naming, first, mut answers) = state?;
+        let answer = match first {
+            Some(answer) => answer,
+            None => answers.next().await.unwrap_or_else(Answer::Refused),
+        };
+        let goes_on = !answer.is_final();
+        let event = event(&naming, answer);
+        Some((event, goes_on.then_some((naming, None, answers))))
+    })
+}
+
+fn event(naming: &Naming, answer: Answer) -> Bytes {
+    match answer {
+        Answer::Token { text, .. } => {
+            let text = String::from_utf8_lossy(&text);
+            sse(None, &naming.event(&text, None), false)
+        }
+        Answer::Finished { finish_reason, .. } => {
+            sse(None, &naming.event("", Some(&finish_reason)), true)
+        }
+        Answer::Refused(refusal) => {
+            let problem = problem::body(&refusal, &naming.request_id);
+            sse(Some("error"), &problem, false)
+        }
+        Answer::Reply(_) => unreachable!("a generated answer has no reply"),
+    }
+}
+
+fn sse(name: Option<&str>, data: &[u8], done: bool) -> Bytes {
+    let mut event = Vec::with_capacity(data.len() + 32);
+    if let Some(name) = name {
+        event.extend_from_slice(format!("event: {name}\n").as_bytes());
+    }
+    event.extend_from_slice(b"data: ");
+    event.extend_from_slice(data);
+    event.extend_from_slice(b"\n\n");
+    if done {
+        event.extend_from_slice(b"data: [DONE]\n\n");
+    }
+    event.into()
+}
+
+fn call_response(reply: wire::CallReply) -> Response<ResponseBody> {
+    let mut response = Response::new(full(reply.body));
+    if let Ok(status) = u16::try_from(reply.status).unwrap_or_default().try_into() {
+        *response.status_mut() = status;
+    }
+    for header in reply.headers {
+        let name = hyper::header::HeaderName::from_bytes(header.name.as_bytes());
+        let value = hyper::header::HeaderValue::from_bytes(&header.value);
+        if let (Ok(name), Ok(value)) = (name, value)
+            && !HOP_HEADERS.contains(&name.as_str())
+            && name != "content-length"
+        {
+            response.headers_mut().append(name, value);
+        }
+    }
+    response
+}
+
+fn passed_on(headers: &HeaderMap, request_id: &str) -> Vec<wire::Header> {
+    let kept = headers.iter().filter(|(name, _)| {
+        !HOP_HEADERS.contains(&name.as_str())
+            && *name != "content-length"
+            && name.as_str() != REQUEST_ID_HEADER
+    });
+    let mut passed: Vec<wire::Header> = kept
+        .map(|(name, value)| wire::Header {
+            name: name.to_string(),
+            value: Bytes::copy_from_slice(value.as_bytes()),
+        })
+        .collect();
+    let value = Bytes::copy_from_slice(request_id.as_bytes());
+    passed.push(wire::Header { name: REQUEST_ID_HEADER.to_string(), value });
+    passed
+}
+
+fn header(headers: &HeaderMap, name: &str) -> CompactString {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
+    value.unwrap_or_default().to_compact_string()
+}
+
+fn request_id(headers: &HeaderMap) -> CompactString {
+    let given = header(headers, REQUEST_ID_HEADER);
+    if !given.is_empty() && given.len() <= MAX_REQUEST_ID_BYTES {
+        return given;
+    }
+    CompactString::from(format!("{:032x}", rand::random::<u128>()))
+}
--- /dev/null
+++ b/src/edge/telemetry.rs
@@ -0,0 +1,134 @@
+//! JSON lines on standard output and statsd metrics.
+
+use std::net::SocketAddr;
+use std::net::UdpSocket;
+use std::str::FromStr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cadence::BufferedUdpMetricSink;
+use cadence::Counted;
+use cadence::Gauged;
+use cadence::NopMetricSink;
+use cadence::QueuingMetricSink;
+use cadence::StatsdClient;
+use cadence::Timed;
+use spdlog::LevelFilter;
+use spdlog::formatter::JsonFormatter;
+use spdlog::sink::StdStreamSink;
+
+use crate::agent::AgentRecord;
+use crate::edge::upstream::id_text;
+use crate::entry::Decision;
+use crate::entry::EntryRecord;
+use crate::error::Error;
+use crate::error::Result;
+
+const FLUSH_EVERY: Duration = Duration::from_millis(500);
+
+/// Directs the log lines of this process to standard output as JSON.
+///
+/// # Errors
+/// The level is not known, or the logger cannot be set up.
+pub fn init_logs(level: &str) -> Result<()> {
+    let level = if level.is_empty() { "info" } else { level };
+    let level = spdlog::Level::from_str(level).map_err(logging)?;
+    let sink = StdStreamSink::builder()
+        .stdout()
+        .formatter(JsonFormatter::new())
+        .build_arc()
+        .map_err(logging)?;
+    let logger = spdlog::Logger::builder()
+        .sink(sink)
+        .level_filter(LevelFilter::MoreSevereEqual(level))
+        .flush_level_filter(LevelFilter::MoreSevereEqual(spdlog::Level::Info))
+        .build_arc()
+        .map_err(logging)?;
+    logger.set_flush_period(Some(FLUSH_EVERY));
+    spdlog::set_default_logger(logger);
+    Ok(())
+}
+
+fn logging(error: impl std::fmt::Display) -> Error {
+    Error::Logging(error.to_string())
+}
+
+/// Counts and logs what the core decided.
+#[derive(Debug, Clone)]
+pub struct Telemetry {
+    metrics: Arc<StatsdClient>,
+    instance: Arc<str>,
+}
+
+impl Telemetry {
+    /// Sends metrics to `statsd`, or nowhere.
+    ///
+    /// # Errors
+    /// The socket cannot be opened.
+    pub fn new(role: &str, instance: &str, statsd: Option<SocketAddr>) -> Result<Self> {
+        let prefix = format!("bamboodoor.{role}");
+        let metrics = match statsd {
+            None => StatsdClient::from_sink(&prefix, NopMetricSink),
+            Some(address) => StatsdClient::from_sink(&prefix, udp_sink(address)?),
+        };
+        Ok(Self { metrics: Arc::new(metrics), instance: instance.into() })
+    }
+
+    /// Counts one event, told apart by a reason.
+    pub fn count(&self, name: &str, reason: &str) {
+        self.metrics.count_with_tags(name, 1).with_tag("reason", reason).send();
+    }
+
+    /// Sets a gauge.
+    pub fn gauge(&self, name: &str, value: u64) {
+        let _ = self.metrics.gauge(name, value);
+    }
+
+    /// Records a duration.
+    pub fn time(&self, name: &str, took: Duration) {
+        let _ = self.metrics.time(name, took);
+    }
+
+    /// Counts and logs a decision of an entry.
+    pub fn entry_record(&self, record: &EntryRecord) {
+        let (name, reason) = match record.what {
+            Decision::Refused(reason) => ("refused", reason.to_string()),
+            Decision::Retried(reason) => ("retried", reason.to_string()),
+            other => ("decided", other.to_string()),
+        };
+        self.count(name, &reason);
+        let what = record.what.to_string();
+        let id = record.id.map(|id| id_text(&id)).unwrap_or_default();
+        spdlog::info!("{what}", kv: {
+            instance: = self.instance,
+            request_id: = record.request_id,
+            attempt = record.attempt,
+            attempt_id: = id,
+            generation = record.generation,
+            agent: = record.agent,
+            detail: = record.detail
+        });
+    }
+
+    /// Counts and logs a decision of an agent.
+    pub fn agent_record(&self, record: &AgentRecord, generation: u64) {
+        let reason: &'static str = record.what.into();
+        self.count("decided", reason);
+        let id = record.id.map(|id| id_text(&id)).unwrap_or_default();
+        spdlog::info!("{reason}", kv: {
+            instance: = self.instance,
+            attempt_id: = id,
+            generation = generation,
+            detail: = record.detail
+        });
+    }
+}
+
+fn udp_sink(address: SocketAddr) -> Result<QueuingMetricSink> {
+    let bind = |source| Error::Io { action: "open the statsd socket", source };
+    let socket = UdpSocket::bind("0.0.0.0:0").map_err(bind)?;
+    socket.set_nonblocking(true).map_err(bind)?;
+    let sink = BufferedUdpMetricSink::from(address, socket)
+        .map_err(|error| Error::Logging(error.to_string()))?;
+    Ok(QueuingMetricSink::from(sink))
+}
--- /dev/null
+++ b/src/edge/upstream.rs
@@ -0,0 +1,312 @@
+//! The upstream beside the agent: an engine or a plain service, over HTTP.
+//!
+//! The engine's interface is stated in docs/INTERFACES.md.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Method;
+use hyper::Request;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::agent::RunningStream;
+use crate::agent::UpstreamEvent;
+use crate::agent::orders::EngineState;
+use crate::agent::orders::Fence;
+use crate::agent::orders::Order;
+use crate::edge::http::HttpClient;
+use crate::edge::http::HttpError;
+use crate::edge::http::json_request;
+use crate::edge::http::read_body;
+use crate::schema::wire;
+use crate::schema::wire::AttemptId;
+
+const PREFILL_TIMEOUT: Duration = Duration::from_secs(60);
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
+const STATUS_GONE: u16 = 410;
+const HEXADECIMAL: u32 = 16;
+
+/// The name of a try at the engine.
+pub fn id_text(id: &AttemptId) -> String {
+    format!("{:x}-{:x}-{:x}", id.entry, id.request, id.attempt)
+}
+
+/// Reads the name of a try back.
+pub fn parse_id(text: &str) -> Option<AttemptId> {
+    let mut parts = text.split('-');
+    let mut part = || u64::from_str_radix(parts.next()?, HEXADECIMAL).ok();
+    let (entry, request, attempt) = (part()?, part()?, part()?);
+    Some(AttemptId { entry, request, attempt: attempt.try_into().ok()? })
+}
+
+#[derive(Serialize)]
+struct PrefillBody<'a> {
+    id: String,
+    model: &'a str,
+    prompt: &'a str,
+    continued: &'a str,
+}
+
+#[derive(Deserialize)]
+struct PrefillAnswer {
+    handle: String,
+    cached_tokens: u32,
+    kv_bytes: u64,
+}
+
+#[derive(Serialize)]
+struct ImportBody<'a> {
+    id: String,
+    handle: &'a str,
+    source: &'a str,
+}
+
+#[derive(Serialize)]
+struct DecodeBody {
+    id: String,
+    from_index: u32,
+    max_tokens: u32,
+    priority: u32,
+}
+
+#[derive(Deserialize)]
+struct Token {
+    index: u32,
+    text: String,
+    #[serde(default)]
+    finish_reason: Option<String>,
+}
+
+#[derive(Serialize)]
+struct CancelBody {
+    id: String,
+}
+
+#[derive(Deserialize)]
+struct StreamList {
+    streams: Vec<ListedStream>,
+}
+
+#[derive(Deserialize)]
+struct ListedStream {
+    id: String,
+    blocks: u32,
+}
+
+#[derive(Serialize)]
+struct OrderBody<'a> {
+    model: &'a str,
+    fence_incarnation: u64,
+    fence_generation: u64,
+}
+
+#[derive(Deserialize)]
+struct StateAnswer {
+    model: CompactString,
+    fence_incarnation: u64,
+    fence_generation: u64,
+}
+
+#[derive(Deserialize)]
+struct Done {}
+
+/// Client of the upstream beside this agent.
+#[derive(Debug, Clone)]
+pub struct Upstream {
+    http: HttpClient,
+    calls: HttpClient,
+    address: SocketAddr,
+}
+
+impl Upstream {
+    /// A client of the upstream at `address`.
+    pub fn new(http: HttpClient, address: SocketAddr) -> Self {
+        Self { http, calls: HttpClient::without_pool(), address }
+    }
+
+    async fn post<A: serde::de::DeserializeOwned>(
+        &self,
+        path: &str,
+        body: &impl Serialize,
+        timeout: Duration,
+    ) -> Result<A, HttpError> {
+        self.http.json(Method::POST, self.address, path, body, timeout).await
+    }
+
+    /// Runs a prefill.
+    pub async fn prefill(&self, prefill: wire::Prefill) -> UpstreamEvent {
+        let id = prefill.id.unwrap_or_default();
+        let body = PrefillBody {
+            id: id_text(&id),
+            model: &prefill.model,
+            prompt: &String::from_utf8_lossy(&prefill.prompt),
+            continued: &String::from_utf8_lossy(&prefill.continued),
+        };
+        match self.post::<PrefillAnswer>("/v1/prefill", &body, PREFILL_TIMEOUT).await {
+            Ok(answer) => UpstreamEvent::PrefillDone {
+                id,
+                handle: answer.handle,
+                cached_tokens: answer.cached_tokens,
+                kv_bytes: answer.kv_bytes,
+            },
+            Err(error) => UpstreamEvent::PrefillFailed { id, reason: error.to_string() },
+        }
+    }
+
+    /// Has the engine fetch a KV cache from another.
+    pub async fn import(&self, decode: wire::Decode, timeout: Duration) -> UpstreamEvent {
+        let id = decode.id.unwrap_or_default();
+        let body = ImportBody { id: id_text(&id), handle: &decode.handle, source: &decode.source };
+        match self.post::<Done>("/v1/kv/import", &body, timeout).await {
+            Ok(Done {}) => UpstreamEvent::Imported { id },
+            Err(HttpError::Status { status: STATUS_GONE, .. }) => {
+                UpstreamEvent::ImportFailed { id, gone: true }
+            }
+            Err(_) => UpstreamEvent::ImportFailed { id, gone: false },
+        }
+    }
+
+    /// Reads a stream of tokens and hands each to `emit`, then the end.
+    pub async fn decode(
+        &self,
+        id: AttemptId,
+        from_index: u32,
+        max_tokens: u32,
+        rank: u32,
+        emit: impl Fn(UpstreamEvent),
+    ) {
+        let body = DecodeBody { id: id_text(&id), from_index, max_tokens, priority: rank };
+        let Ok(request) = json_request(Method::POST, self.address, "/v1/decode", &body) else {
+            return;
+        };
+        let response = match self.http.send(request).await {
+            Ok(response) => response,
+            Err(error) => {
+                emit(UpstreamEvent::StreamLost { id, reason: error.to_string() });
+                return;
+            }
+        };
+        if !response.status().is_success() {
+            let reason = format!("status {}", response.status().as_u16());
+            emit(UpstreamEvent::StreamLost { id, reason });
+            return;
+        }
+        if !read_tokens(id, response.into_body(), &emit).await {
+            emit(UpstreamEvent::StreamCut { id });
+        }
+    }
+
+    /// Stops a stream or frees a prefill result.
+    pub async fn stop(&self, id: AttemptId) -> Option<UpstreamEvent> {
+        let body = CancelBody { id: id_text(&id) };
+        let stopped = self.post::<Done>("/v1/cancel", &body, CONTROL_TIMEOUT).await;
+        stopped.is_ok().then_some(UpstreamEvent::Stopped { id })
+    }
+
+    /// Asks what the engine runs.
+    pub async fn running(&self) -> Result<UpstreamEvent, HttpError> {
+        let list: StreamList =
+            self.http.json(Method::GET, self.address, "/v1/streams", &(), CONTROL_TIMEOUT).await?;
+        let named = |stream: ListedStream| {
+            parse_id(&stream.id).map(|id| RunningStream { id, blocks: stream.blocks })
+        };
+        let streams = list.streams.into_iter().filter_map(named).collect();
+        Ok(UpstreamEvent::Running { streams })
+    }
+
+    /// Gives an order; an older fencing number may be refused.
+    pub async fn order(&self, order: Order) -> Option<UpstreamEvent> {
+        let body = OrderBody {
+            model: &order.model,
+            fence_incarnation: order.fence.incarnation,
+            fence_generation: order.fence.generation,
+        };
+        let state = self.post::<StateAnswer>("/v1/orders", &body, CONTROL_TIMEOUT).await.ok()?;
+        Some(UpstreamEvent::State(engine_state(state)))
+    }
+
+    /// Reads the state of the engine.
+    pub async fn state(&self) -> Option<UpstreamEvent> {
+        let state = self
+            .http
+            .json::<StateAnswer>(Method::GET, self.address, "/v1/state", &(), CONTROL_TIMEOUT)
+            .await;
+        state.ok().map(|state| UpstreamEvent::State(engine_state(state)))
+    }
+
+    /// Sends a call to the plain service, once.
+    pub async fn call(&self, call: wire::Call) -> UpstreamEvent {
+        let id = call.id.unwrap_or_default();
+        let timeout = Duration::from_millis(call.timeout_ms.into());
+        let exchange = tokio::time::timeout(timeout, self.exchange(&call)).await;
+        let reply = match exchange.unwrap_or(Err(HttpError::Timeout(timeout))) {
+            Ok(reply) => wire::CallReply { id: Some(id), ..reply },
+            Err(error) => wire::CallReply {
+                id: Some(id),
+                not_run: matches!(error, HttpError::NotSent(_)),
+                error: error.to_string(),
+                ..wire::CallReply::default()
+            },
+        };
+        UpstreamEvent::CallDone { id, reply }
+    }
+
+    async fn exchange(&self, call: &wire::Call) -> Result<wire::CallReply, HttpError> {
+        let mut builder = Request::builder()
+            .method(call.method.as_str())
+            .uri(format!("http://{}{}", self.address, call.path));
+        for header in &call.headers {
+            builder = builder.header(header.name.as_str(), header.value.as_ref());
+        }
+        let request = builder
+            .body(Full::new(call.body.clone()))
+            .map_err(|error| HttpError::NotSent(error.to_string()))?;
+        let response = self.calls.send(request).await?;
+        let status = response.status().as_u16().into();
+        let named = |(name, value): (&hyper::header::HeaderName, &hyper::header::HeaderValue)| {
+            wire::Header { name: name.to_string(), value: Bytes::copy_from_slice(value.as_bytes()) }
+        };
+        let headers = response.headers().iter().map(named).collect();
+        let body = read_body(response.into_body()).await?;
+        Ok(wire::CallReply { status, headers, body, ..wire::CallReply::default() })
+    }
+}
+
+fn engine_state(state: StateAnswer) -> EngineState {
+    let fence = Fence { incarnation: state.fence_incarnation, generation: state.fence_generation };
+    EngineState { model: state.model, fence }
+}
+
+/// Reads lines of JSON. True if the last token came.
+async fn read_tokens(
+    id: AttemptId,
+    mut body: hyper::body::Incoming,
+    emit: &impl Fn(UpstreamEvent),
+) -> bool {
+    let mut pending = Vec::new();
+    while let Some(Ok(frame)) = body.frame().await {
+        let Ok(data) = frame.into_data() else { continue };
+        pending.extend_from_slice(&data);
+        while let Some(end) = pending.iter().position(|&byte| byte == b'\n') {
+            let line: Vec<u8> = pending.drain(..=end).collect();
+            let Ok(token) = serde_json::from_slice::<Token>(&line) else { return false };
+            let last = token.finish_reason.is_some();
+            emit(UpstreamEvent::Chunk {
+                id,
+                index: token.index,
+                text: token.text.into(),
+                last,
+                finish_reason: token.finish_reason.unwrap_or_default(),
+            });
+            if last {
+                return true;
+            }
+        }
+    }
+    false
+}
--- /dev/null
+++ b/src/entry.rs
@@ -0,0 +1,668 @@
+//! The decision core of the entry, the process that callers talk to.
+//!
+//! Requests, messages of agents, records of the log and the time go in; typed
+//! actions come out. Each request gets exactly one final answer.
+
+pub mod calls;
+pub mod claims;
+mod configuration;
+mod decoding;
+mod generate;
+pub mod membership;
+pub mod request;
+mod timers;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use slotmap::Key;
+use slotmap::KeyData;
+use slotmap::SlotMap;
+
+use crate::entry::claims::ClaimIndex;
+use crate::entry::configuration::Carrying;
+use crate::entry::membership::Membership;
+use crate::entry::request::Arrival;
+use crate::entry::request::Request;
+use crate::entry::request::RequestKey;
+use crate::entry::request::Work;
+use crate::entry::timers::Timers;
+use crate::manifest::Snapshot;
+use crate::manifest::fold::ManifestFold;
+use crate::outcome::Outcome;
+use crate::outcome::Refusal;
+use crate::outcome::RefusalReason;
+use crate::outcome::RetryReason;
+use crate::policy::PolicyKind;
+use crate::policy::ejection::Limits;
+use crate::policy::fair::FairShare;
+use crate::policy::placement::Place;
+use crate::policy::placement::policy_of;
+use crate::policy::prefix::PrefixIndex;
+use crate::policy::retry::RetryBudget;
+use crate::policy::view::AgentKey;
+use crate::policy::view::View;
+use crate::schema::record::ClaimBatch;
+use crate::schema::wire;
+use crate::schema::wire::AttemptId;
+use crate::schema::wire::Load;
+use crate::schema::wire::to_agent::Kind as ToAgent;
+use crate::schema::wire::to_entry::Kind as ToEntry;
+
+/// What an entry is told at its start.
+#[derive(Debug, Clone)]
+pub struct EntryConfig {
+    /// Name of the instance.
+    pub name: CompactString,
+    /// Differs between any two starts of any entry.
+    pub incarnation: u64,
+    /// Where it runs.
+    pub place: Place,
+    /// Time between heartbeats to each agent.
+    pub heartbeat: Duration,
+    /// How long an agent may be silent before its connection counts as lost.
+    pub lease_ttl: Duration,
+    /// How long to wait for an agent's answer to a question.
+    pub reply_timeout: Duration,
+    /// How long a cut stream waits for its agent to come back.
+    pub resume_wait: Duration,
+    /// How long a claim may take to come back from the log.
+    pub claim_timeout: Duration,
+    /// Cap on the body of a manifest.
+    pub max_manifest_bytes: usize,
+    /// Way of routing.
+    pub policy: PolicyKind,
+    /// Seed of every random choice.
+    pub random_seed: u64,
+}
+
+impl Default for EntryConfig {
+    fn default() -> Self {
+        Self {
+            name: CompactString::default(),
+            incarnation: 1,
+            place: Place::default(),
+            heartbeat: Duration::from_millis(500),
+            lease_ttl: Duration::from_secs(3),
+            reply_timeout: Duration::from_millis(250),
+            resume_wait: Duration::from_millis(400),
+            claim_timeout: Duration::from_secs(2),
+            max_manifest_bytes: 1 << 20,
+            policy: PolicyKind::default(),
+            random_seed: 1,
+        }
+    }
+}
+
+/// What comes out of the core.
+#[derive(Debug, Clone, PartialEq)]
+pub enum EntryAction {
+    /// Send a message to an agent.
+    Send {
+        /// The agent.
+        agent: AgentKey,
+        /// The message.
+        message: ToAgent,
+    },
+    /// Give something to the caller.
+    Answer {
+        /// The request.
+        request: RequestKey,
+        /// A part of the answer, or its end.
+        answer: Answer,
+    },
+    /// Connect to an agent, and again whenever the connection is lost.
+    Connect {
+        /// Name of the agent.
+        name: CompactString,
+        /// Its address, IP:PORT.
+        address: CompactString,
+    },
+    /// Stop connecting to an agent.
+    Disconnect {
+        /// Name of the agent.
+        name: CompactString,
+    },
+    /// Append a batch to the stream of claims.
+    AppendClaims(ClaimBatch),
+    /// Append a record to the stream of manifests.
+    AppendManifest(String),
+    /// Every request is done: the process may exit.
+    Exit,
+    /// Write a log line and count it.
+    Record(EntryRecord),
+}
+
+/// A part of an answer.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Answer {
+    /// One token; indices follow one another without a gap.
+    Token {
+        /// Index from 0.
+        index: u32,
+        /// Its text.
+        text: Bytes,
+    },
+    /// The end of a generated answer.
+    Finished {
+        /// Why it ended.
+        finish_reason: CompactString,
+        /// Tokens of the prompt.
+        prompt_tokens: u32,
+        /// Tokens of the answer.
+        output_tokens: u32,
+    },
+    /// The whole answer of a plain service.
+    Reply(wire::CallReply),
+    /// The end of a request that is given up on.
+    Refused(Refusal),
+}
+
+impl Answer {
+    /// True if nothing may follow.
+    pub fn is_final(&self) -> bool {
+        !matches!(self, Self::Token { .. })
+    }
+}
+
+/// A decision worth a log line and a counter.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EntryRecord {
+    /// The caller's name for the request, empty if it is about none.
+    pub request_id: CompactString,
+    /// Number of the try.
+    pub attempt: u32,
+    /// Name of the try on the wire, as agents log it.
+    pub id: Option<AttemptId>,
+    /// Generation of the manifest that the request follows.
+    pub generation: u64,
+    /// What was decided.
+    pub what: Decision,
+    /// Name of the agent, where one was chosen.
+    pub agent: CompactString,
+    /// What a person needs to know.
+    pub detail: String,
+}
+
+/// Kinds of decisions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Decision {
+    /// The request was taken up.
+    Admitted,
+    /// A decode slot was asked for.
+    Reserving,
+    /// A decode slot is promised.
+    Reserved,
+    /// A prefill was sent.
+    Prefilling,
+    /// A prefill result is there.
+    Prefilled,
+    /// The KV cache has arrived.
+    Transferred,
+    /// The first token was given to the caller.
+    FirstToken,
+    /// The answer is whole.
+    Finished,
+    /// The caller went away.
+    Cancelled,
+    /// A claim was sent to the log.
+    Claiming,
+    /// The claim won.
+    Claimed,
+    /// A call was sent.
+    Calling,
+    /// A prefill result was lost.
+    PrefillWasted,
+    /// The request was refused.
+    #[strum(to_string = "refused-{0}")]
+    Refused(RefusalReason),
+    /// The request is tried again.
+    #[strum(to_string = "retry-{0}")]
+    Retried(RetryReason),
+    /// The manifest moved forward.
+    ManifestAdopted,
+    /// A published manifest was not accepted.
+    ManifestIgnored,
+    /// An agent connected.
+    AgentConnected,
+    /// The connection to an agent was lost.
+    AgentLost,
+    /// A chunk of another try or out of order was dropped.
+    ChunkDropped,
+}
+
+#[derive(Debug, Default)]
+struct ModelStats {
+    output_share: Option<f64>,
+}
+
+/// The decision core of one entry.
+#[derive(Debug)]
+pub struct EntryCore {
+    config: EntryConfig,
+    fold: ManifestFold,
+    carrying: Carrying,
+    view: View,
+    membership: Membership,
+    requests: SlotMap<RequestKey, Request>,
+    timers: Timers,
+    cancels: HashMap<AttemptId, PendingCancel>,
+    prefixes: PrefixIndex,
+    fair: FairShare,
+    budgets: HashMap<CompactString, RetryBudget>,
+    stats: HashMap<CompactString, ModelStats>,
+    claims: ClaimIndex,
+    claim_queue: ClaimBatch,
+    log_up: bool,
+    turn: usize,
+    rng: ChaCha8Rng,
+    beat_due: Duration,
+    cancel_due: Duration,
+    leaving: bool,
+    exited: bool,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct PendingCancel {
+    agent: AgentKey,
+}
+
+const CANCEL_RETRY: Duration = Duration::from_millis(200);
+
+impl EntryCore {
+    /// A core without manifest, agents or requests.
+    pub fn new(config: EntryConfig) -> Self {
+        Self {
+            fold: ManifestFold::new(config.max_manifest_bytes),
+            carrying: Carrying::default(),
+            view: View::default(),
+            membership: Membership::default(),
+            requests: SlotMap::with_key(),
+            timers: Timers::default(),
+            cancels: HashMap::new(),
+            prefixes: PrefixIndex::default(),
+            fair: FairShare::default(),
+            budgets: HashMap::new(),
+            stats: HashMap::new(),
+            claims: ClaimIndex::default(),
+            claim_queue: ClaimBatch::default(),
+            log_up: false,
+            turn: 0,
+            rng: ChaCha8Rng::seed_from_u64(config.random_seed ^ config.incarnation),
+            beat_due: Duration::ZERO,
+            cancel_due: Duration::ZERO,
+            leaving: false,
+            exited: false,
+            config,
+        }
+    }
+
+    /// Requests in flight.
+    pub fn open_requests(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Generation of the manifest in force here, 0 for none.
+    pub fn generation(&self) -> u64 {
+        self.fold.generation()
+    }
+
+    /// True if the entry may be given requests.
+    pub fn is_ready(&self) -> bool {
+        self.generation() > 0 && !self.leaving
+    }
+
+    /// The manifest in force.
+    pub fn snapshot(&self) -> Option<Arc<Snapshot>> {
+        self.fold.in_force_shared()
+    }
+
+    /// What is known of the agents.
+    pub fn view(&self) -> &View {
+        &self.view
+    }
+
+    /// Keys that the claim index remembers.
+    pub fn remembered_claims(&self) -> usize {
+        self.claims.len()
+    }
+
+    /// Takes up a new request. Its answers come out as actions.
+    pub fn arrive(
+        &mut self,
+        now: Duration,
+        arrival: Arrival,
+        out: &mut Vec<EntryAction>,
+    ) -> RequestKey {
+        let snapshot = self.fold.in_force_shared();
+        let key = self.requests.insert(Request::new(now, arrival, snapshot));
+        if self.leaving {
+            self.refuse(
+                key,
+                Refusal::not_run(RefusalReason::ShuttingDown, Some(CANCEL_RETRY)),
+                out,
+            );
+        } else if self.requests[key].snapshot.is_none() {
+            let again = Some(self.config.heartbeat);
+            self.refuse(key, Refusal::not_run(RefusalReason::NotReady, again), out);
+        } else {
+            self.start(now, key, out);
+        }
+        self.flush(now, out);
+        key
+    }
+
+    fn start(&mut self, now: Duration, key: RequestKey, out: &mut Vec<EntryAction>) {
+        match self.requests[key].work {
+            Work::Generate(_) => self.start_generate(now, key, out),
+            Work::Call(_) => self.start_call(now, key, out),
+        }
+    }
+
+    /// The caller went away: everything held for the request is freed.
+    pub fn caller_gone(&mut self, now: Duration, key: RequestKey, out: &mut Vec<EntryAction>) {
+        if !self.requests.contains_key(key) {
+            return;
+        }
+        self.record(key, Decision::Cancelled, None, String::new(), out);
+        self.cancel_tries(key, out);
+        self.remove(key);
+        self.flush(now, out);
+    }
+
+    /// An agent connected and said hello.
+    pub fn agent_connected(
+        &mut self,
+        now: Duration,
+        hello: &wire::AgentHello,
+        out: &mut Vec<EntryAction>,
+    ) -> AgentKey {
+        let known = self.view.named(&hello.name);
+        let before = known.and_then(|key| self.view.get(key)).map(|agent| agent.incarnation);
+        let agent = self.view.connect(now, hello);
+        self.record_agent(agent, Decision::AgentConnected, out);
+        let same = before == Some(hello.incarnation);
+        self.cancels.retain(|_, cancel| cancel.agent != agent || same);
+        self.resume_tries(now, agent, same, out);
+        self.compare_generation(agent, hello.generation, out);
+        self.flush(now, out);
+        agent
+    }
+
+    /// The connection to an agent was lost.
+    pub fn agent_lost(&mut self, now: Duration, agent: AgentKey, out: &mut Vec<EntryAction>) {
+        let Some(view) = self.view.get_mut(agent) else { return };
+        if !view.connected {
+            return;
+        }
+        view.connected = false;
+        view.open_calls = 0;
+        self.record_agent(agent, Decision::AgentLost, out);
+        for key in self.requests.keys().collect::<Vec<_>>() {
+            self.lose_agent(now, key, agent, out);
+        }
+        self.flush(now, out);
+    }
+
+    fn lose_agent(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        agent: AgentKey,
+        out: &mut Vec<EntryAction>,
+    ) {
+        match &self.requests[key].work {
+            Work::Generate(_) => self.generate_lost_agent(now, key, agent, out),
+            Work::Call(_) => self.call_lost_agent(now, key, agent, out),
+        }
+    }
+
+    /// A message of an agent.
+    pub fn from_agent(
+        &mut self,
+        now: Duration,
+        agent: AgentKey,
+        message: ToEntry,
+        out: &mut Vec<EntryAction>,
+    ) {
+        match message {
+            ToEntry::Hello(_) => {}
+            ToEntry::Heartbeat(beat) => self.on_heartbeat(now, agent, &beat, out),
+            ToEntry::Manifest(copy) => self.on_manifest_copy(now, &copy, out),
+            ToEntry::ManifestPull(pull) => self.on_manifest_pull(agent, &pull, out),
+            ToEntry::Cancelled(cancelled) => {
+                self.cancels.remove(&cancelled.id.unwrap_or_default());
+            }
+            ToEntry::ReserveReply(reply) => self.on_reserve_reply(now, agent, &reply, out),
+            ToEntry::SlotReady(ready) => self.on_slot_ready(now, ready.id.unwrap_or_default(), out),
+            ToEntry::PrefillReply(reply) => self.on_prefill_reply(now, agent, reply, out),
+            ToEntry::Imported(imported) => {
+                self.on_imported(now, imported.id.unwrap_or_default(), out)
+            }
+            ToEntry::Chunk(chunk) => self.on_chunk(now, agent, chunk, out),
+            ToEntry::StreamFailed(failed) => self.on_stream_failed(now, agent, &failed, out),
+            ToEntry::Rejected(rejected) => self.on_rejected(now, agent, &rejected, out),
+            ToEntry::CallReply(reply) => self.on_call_reply(now, agent, reply, out),
+            ToEntry::AbandonReply(reply) => self.on_abandon_reply(now, &reply, out),
+        }
+        self.flush(now, out);
+    }
+
+    fn on_heartbeat(
+        &mut self,
+        now: Duration,
+        agent: AgentKey,
+        beat: &wire::AgentHeartbeat,
+        out: &mut Vec<EntryAction>,
+    ) {
+        if let Some(view) = self.view.get_mut(agent) {
+            view.leaving |= beat.leaving;
+        }
+        self.report(now, agent, beat.load.as_ref());
+        self.compare_generation(agent, beat.generation, out);
+    }
+
+    fn report(&mut self, now: Duration, agent: AgentKey, load: Option<&Load>) {
+        if let (Some(view), Some(load)) = (self.view.get_mut(agent), load) {
+            view.report(now, load);
+        }
+    }
+
+    /// Asks for a planned stop: nothing new is taken up, what runs goes on.
+    pub fn leave(&mut self, now: Duration, out: &mut Vec<EntryAction>) {
+        self.leaving = true;
+        self.flush(now, out);
+    }
+
+    /// Time has passed.
+    pub fn tick(&mut self, now: Duration, out: &mut Vec<EntryAction>) {
+        while let Some(key) = self.timers.pop_due(now) {
+            self.on_timer(now, key, out);
+        }
+        self.retry_cancels(now, out);
+        self.beat(now, out);
+        self.carry(now, out);
+        self.flush(now, out);
+    }
+
+    /// When the core wants to be called again at the latest.
+    pub fn next_wakeup(&self, now: Duration) -> Duration {
+        let mut next = self.beat_due;
+        if !self.cancels.is_empty() {
+            next = next.min(self.cancel_due);
+        }
+        if let Some(timer) = self.timers.next() {
+            next = next.min(timer);
+        }
+        next.max(now)
+    }
+
+    fn on_timer(&mut self, now: Duration, key: RequestKey, out: &mut Vec<EntryAction>) {
+        let Some(request) = self.requests.get(key) else { return };
+        if request.timer.is_none_or(|timer| now < timer) {
+            return;
+        }
+        self.requests[key].timer = None;
+        match self.requests[key].work {
+            Work::Generate(_) => self.generate_timer(now, key, out),
+            Work::Call(_) => self.call_timer(now, key, out),
+        }
+    }
+
+    fn set_timer(&mut self, key: RequestKey, at: Duration) {
+        if let Some(request) = self.requests.get_mut(key) {
+            let at = at.min(request.deadline.max(request.arrived));
+            request.timer = Some(at);
+            self.timers.push(at, key);
+        }
+    }
+
+    fn beat(&mut self, now: Duration, out: &mut Vec<EntryAction>) {
+        if now < self.beat_due {
+            return;
+        }
+        self.beat_due = now + self.config.heartbeat;
+        let beat = wire::EntryHeartbeat { generation: self.generation() };
+        for (agent, view) in self.view.iter() {
+            if view.connected {
+                out.push(EntryAction::Send { agent, message: ToAgent::Heartbeat(beat) });
+            }
+        }
+    }
+
+    fn retry_cancels(&mut self, now: Duration, out: &mut Vec<EntryAction>) {
+        if now < self.cancel_due {
+            return;
+        }
+        self.cancel_due = now + CANCEL_RETRY;
+        for (&id, cancel) in &self.cancels {
+            let connected = self.view.get(cancel.agent).is_some_and(|agent| agent.connected);
+            if connected {
+                let message = ToAgent::Cancel(wire::Cancel { id: Some(id) });
+                out.push(EntryAction::Send { agent: cancel.agent, message });
+            }
+        }
+    }
+
+    fn cancel(&mut self, agent: AgentKey, id: AttemptId, out: &mut Vec<EntryAction>) {
+        let Some(view) = self.view.get(agent) else { return };
+        self.cancels.insert(id, PendingCancel { agent });
+        if view.connected {
+            let message = ToAgent::Cancel(wire::Cancel { id: Some(id) });
+            out.push(EntryAction::Send { agent, message });
+        }
+    }
+
+    fn cancel_tries(&mut self, key: RequestKey, out: &mut Vec<EntryAction>) {
+        for (agent, id) in self.requests[key].open_tries(self.config.incarnation, key) {
+            self.cancel(agent, id, out);
+        }
+        if let Work::Generate(generate) = &mut self.requests[key].work {
+            generate.decode = None;
+            generate.prefill = None;
+        }
+    }
+
+    /// Gives the final refusal; the request is gone afterwards.
+    fn refuse(&mut self, key: RequestKey, refusal: Refusal, out: &mut Vec<EntryAction>) {
+        self.cancel_tries(key, out);
+        let detail = format!("outcome {}", refusal.outcome);
+        self.record(key, Decision::Refused(refusal.reason), None, detail, out);
+        out.push(EntryAction::Answer { request: key, answer: Answer::Refused(refusal) });
+        self.remove(key);
+    }
+
+    /// A refusal that says whether the request may have run.
+    fn give_up(&mut self, key: RequestKey, reason: RefusalReason, out: &mut Vec<EntryAction>) {
+        let outcome = self.requests[key].outcome();
+        let retry_after = (outcome == Outcome::NotRun).then_some(CANCEL_RETRY);
+        let refusal = Refusal { reason, outcome, retry_after, detail: String::new() };
+        self.refuse(key, refusal, out);
+    }
+
+    fn remove(&mut self, key: RequestKey) {
+        self.requests.remove(key);
+    }
+
+    /// Hands out what has gathered, and the exit once nothing is in flight.
+    fn flush(&mut self, _now: Duration, out: &mut Vec<EntryAction>) {
+        if !self.claim_queue.claims.is_empty() || !self.claim_queue.completions.is_empty() {
+            out.push(EntryAction::AppendClaims(std::mem::take(&mut self.claim_queue)));
+        }
+        if self.leaving && !self.exited && self.requests.is_empty() && self.cancels.is_empty() {
+            self.exited = true;
+            out.push(EntryAction::Exit);
+        }
+    }
+
+    fn attempt_id(&self, key: RequestKey, attempt: u32) -> AttemptId {
+        attempt_id(self.config.incarnation, key, attempt)
+    }
+
+    fn key_of(&self, id: AttemptId) -> Option<RequestKey> {
+        let key = RequestKey::from(KeyData::from_ffi(id.request));
+        let ours = id.entry == self.config.incarnation && self.requests.contains_key(key);
+        ours.then_some(key)
+    }
+
+    fn limits(&self) -> Option<Limits> {
+        self.fold.in_force().map(|snapshot| Limits::from(policy_of(snapshot)))
+    }
+
+    fn blame(&mut self, now: Duration, agent: AgentKey) {
+        if let Some(limits) = self.limits() {
+            self.view.fail(now, agent, &limits);
+        }
+    }
+
+    fn praise(&mut self, agent: AgentKey) {
+        if let Some(view) = self.view.get_mut(agent) {
+            view.health.succeed();
+        }
+    }
+
+    fn record(
+        &self,
+        key: RequestKey,
+        what: Decision,
+        agent: Option<AgentKey>,
+        detail: String,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let request = &self.requests[key];
+        let agent = agent.and_then(|agent| self.view.get(agent));
+        out.push(EntryAction::Record(EntryRecord {
+            request_id: request.request_id.clone(),
+            attempt: request.attempt,
+            id: Some(self.attempt_id(key, request.attempt)),
+            generation: request.snapshot.as_ref().map_or(0, |snapshot| snapshot.generation),
+            what,
+            agent: agent.map(|agent| agent.name.clone()).unwrap_or_default(),
+            detail,
+        }));
+    }
+
+    fn record_agent(&self, agent: AgentKey, what: Decision, out: &mut Vec<EntryAction>) {
+        let name = self.view.get(agent).map(|agent| agent.name.clone()).unwrap_or_default();
+        out.push(EntryAction::Record(EntryRecord {
+            request_id: CompactString::default(),
+            attempt: 0,
+            id: None,
+            generation: self.generation(),
+            what,
+            agent: name,
+            detail: String::new(),
+        }));
+    }
+}
+
+/// The name of one try on the wire.
+pub fn attempt_id(entry: u64, key: RequestKey, attempt: u32) -> AttemptId {
+    AttemptId { entry, request: key.data().as_ffi(), attempt }
+}
--- /dev/null
+++ b/src/entry/calls.rs
@@ -0,0 +1,609 @@
+//! Calls to plain services: sent once where they may not be repeated, and
+//! claimed in the log where the caller gave an idempotency key.
+
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::clock::as_ms_u32;
+use crate::clock::from_ms;
+use crate::entry::Answer;
+use crate::entry::Decision;
+use crate::entry::EntryAction;
+use crate::entry::EntryCore;
+use crate::entry::attempt_id;
+use crate::entry::claims::ClaimKey;
+use crate::entry::claims::Owner;
+use crate::entry::request::Call;
+use crate::entry::request::CallArrival;
+use crate::entry::request::CallPhase;
+use crate::entry::request::RequestKey;
+use crate::entry::request::Try;
+use crate::entry::request::Work;
+use crate::outcome::Outcome;
+use crate::outcome::Refusal;
+use crate::outcome::RefusalReason;
+use crate::outcome::RetryReason;
+use crate::policy::placement::Search;
+use crate::policy::retry::with_jitter;
+use crate::policy::view::AgentKey;
+use crate::schema::record::Claim;
+use crate::schema::record::ClaimBatch;
+use crate::schema::record::Completion;
+use crate::schema::wire;
+use crate::schema::wire::AttemptId;
+use crate::schema::wire::to_agent::Kind as ToAgent;
+
+const REPLY_GRACE: Duration = Duration::from_millis(300);
+const LOG_DOWN_RETRY: Duration = Duration::from_secs(2);
+const IN_PROGRESS_RETRY: Duration = Duration::from_secs(1);
+
+impl EntryCore {
+    fn call(&self, key: RequestKey) -> &Call {
+        match &self.requests[key].work {
+            Work::Call(call) => call,
+            Work::Generate(_) => unreachable!("only calls get here"),
+        }
+    }
+
+    fn call_mut(&mut self, key: RequestKey) -> &mut Call {
+        match &mut self.requests[key].work {
+            Work::Call(call) => call,
+            Work::Generate(_) => unreachable!("only calls get here"),
+        }
+    }
+
+    fn call_of(&self, id: AttemptId) -> Option<RequestKey> {
+        let key = self.key_of(id)?;
+        let Work::Call(call) = &self.requests[key].work else { return None };
+        call.sent.is_some_and(|one| one.attempt == id.attempt).then_some(key)
+    }
+
+    pub(super) fn start_call(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let snapshot = self.requests[key].snapshot();
+        let arrival = &self.call(key).arrival;
+        if snapshot.service(&arrival.service).is_none() {
+            self.refuse(key, Refusal::not_run(RefusalReason::UnknownService, None), out);
+            return;
+        }
+        let rule = snapshot.non_idempotent_call(&arrival.service, &arrival.method, &arrival.path);
+        let caller_key = arrival.idempotency_key.clone();
+        let service = arrival.service.clone();
+        if rule.is_some_and(|rule| rule.key_required) && caller_key.is_none() {
+            self.refuse(key, Refusal::not_run(RefusalReason::KeyRequired, None), out);
+            return;
+        }
+        self.record(key, Decision::Admitted, None, String::new(), out);
+        match caller_key {
+            Some(text) if rule.is_some() => {
+                let account = self.requests[key].account.clone();
+                self.call_mut(key).key = Some(ClaimKey::new(&account, &service, &text));
+                self.claim_or_refuse(now, key, out);
+            }
+            _ => self.send_call(now, key, out),
+        }
+    }
+
+    /// Looks at who owns the key, and claims it if nobody does.
+    fn claim_or_refuse(&mut self, now: Duration, key: RequestKey, out: &mut Vec<EntryAction>) {
+        let Some(claim_key) = self.call(key).key else { return };
+        if !self.log_up {
+            let again = Some(with_jitter(LOG_DOWN_RETRY, &mut self.rng));
+            self.refuse(key, Refusal::not_run(RefusalReason::LogUnavailable, again), out);
+            return;
+        }
+        match self.claims.owner(claim_key).cloned() {
+            None => self.claim(now, key, 0, out),
+            Some(owner) => self.meet_owner(now, key, &owner, out),
+        }
+    }
+
+    /// Another request owns the key: it has run, or it runs, or its owner is
+    /// gone and its agent can tell that it never started.
+    fn meet_owner(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        owner: &Owner,
+        out: &mut Vec<EntryAction>,
+    ) {
+        if owner.digest != digest(&self.call(key).arrival) {
+            self.refuse(key, Refusal::not_run(RefusalReason::KeyReused, None), out);
+            return;
+        }
+        if let Some(status) = owner.status {
+            let mut refusal = Refusal::with_outcome(RefusalReason::KeyCompleted, Outcome::Ran);
+            refusal.detail = format!("the first request with this key ended with status {status}");
+            self.refuse(key, refusal, out);
+            return;
+        }
+        let agent = self.view.named(&owner.agent).filter(|&agent| {
+            let view = self.view.get(agent);
+            view.is_some_and(|view| view.connected && view.incarnation == owner.agent_incarnation)
+        });
+        let here = owner.id.entry == self.config.incarnation && self.key_of(owner.id).is_some();
+        let Some(agent) = agent.filter(|_| !here) else {
+            self.refuse_in_progress(key, out);
+            return;
+        };
+        let call = self.call_mut(key);
+        call.phase = CallPhase::FencingOther { offset: owner.offset };
+        call.other = Some(owner.id);
+        let abandon = wire::Abandon { id: Some(owner.id), incarnation: owner.agent_incarnation };
+        out.push(EntryAction::Send { agent, message: ToAgent::Abandon(abandon) });
+        self.set_timer(key, now + self.config.reply_timeout);
+    }
+
+    fn refuse_in_progress(&mut self, key: RequestKey, out: &mut Vec<EntryAction>) {
+        let mut refusal = Refusal::with_outcome(RefusalReason::KeyInProgress, Outcome::Unknown);
+        refusal.retry_after = Some(with_jitter(IN_PROGRESS_RETRY, &mut self.rng));
+        self.refuse(key, refusal, out);
+    }
+
+    /// Appends a claim that names the one agent the call may be sent to.
+    fn claim(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        takes_over: u64,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let Some(agent) = self.choose_service(now, key) else {
+            self.refuse_no_service(key, out);
+            return;
+        };
+        let attempt = self.requests[key].next_attempt();
+        let view = self.view.get(agent).expect("was just chosen");
+        let (name, incarnation) = (view.name.to_string(), view.incarnation);
+        let id = self.attempt_id(key, attempt);
+        let call = self.call_mut(key);
+        let Some(claim_key) = call.key else { return };
+        call.phase = CallPhase::Claiming;
+        call.incarnation = incarnation;
+        let claim = Claim {
+            key_high: claim_key.high,
+            key_low: claim_key.low,
+            entry: id.entry,
+            request: id.request,
+            attempt,
+            agent: name,
+            agent_incarnation: incarnation,
+            digest: digest(&call.arrival),
+            takes_over,
+        };
+        self.claim_queue.claims.push(claim);
+        self.record(key, Decision::Claiming, Some(agent), String::new(), out);
+        self.set_timer(key, now + self.config.claim_timeout);
+    }
+
+    /// A record of the stream of claims, `age` after it was appended.
+    pub fn on_claim_record(
+        &mut self,
+        now: Duration,
+        offset: u64,
+        age: Duration,
+        batch: &ClaimBatch,
+        out: &mut Vec<EntryAction>,
+    ) {
+        self.log_up = true;
+        self.claims.apply(offset, now.saturating_sub(age), batch);
+        let window = self.fold.in_force().map(|snapshot| snapshot.idempotency_window());
+        if let Some(window) = window {
+            self.claims.forget_before(now.saturating_sub(window));
+        }
+        for claim in &batch.claims {
+            if claim.entry == self.config.incarnation {
+                self.own_claim_seen(now, offset, claim, out);
+            }
+        }
+        self.flush(now, out);
+    }
+
+    fn own_claim_seen(
+        &mut self,
+        now: Duration,
+        offset: u64,
+        claim: &Claim,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let id = AttemptId { entry: claim.entry, request: claim.request, attempt: claim.attempt };
+        let claim_key = ClaimKey { high: claim.key_high, low: claim.key_low };
+        let Some(owner) = self.claims.owner(claim_key).cloned() else { return };
+        let won = owner.id == id && owner.offset == offset;
+        let waiting = self.key_of(id).filter(|&key| self.waits_for_claim(key, id.attempt));
+        match waiting {
+            Some(key) if won => self.claim_won(now, key, &owner, out),
+            Some(key) => self.meet_owner(now, key, &owner, out),
+            // The request was refused as not run while its claim was on the
+            // way. Nothing was sent, so the key is free again.
+            None if won && self.key_of(id).is_none() => self.complete_claim(claim_key, id, 0, true),
+            None => {}
+        }
+    }
+
+    fn waits_for_claim(&self, key: RequestKey, attempt: u32) -> bool {
+        match &self.requests[key].work {
+            Work::Call(call) => {
+                call.phase == CallPhase::Claiming && self.requests[key].attempt == attempt
+            }
+            Work::Generate(_) => false,
+        }
+    }
+
+    fn claim_won(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        owner: &Owner,
+        out: &mut Vec<EntryAction>,
+    ) {
+        self.record(key, Decision::Claimed, None, format!("offset {}", owner.offset), out);
+        let agent = self.view.named(&owner.agent).filter(|&agent| {
+            let view = self.view.get(agent);
+            let same = view.is_some_and(|view| view.incarnation == owner.agent_incarnation);
+            same && view.is_some_and(|view| view.takes_work(now))
+        });
+        match agent {
+            Some(agent) => self.send_call_to(now, key, agent, owner.id.attempt, out),
+            // Nothing was sent, so this request may take its own claim over.
+            None => self.claim(now, key, owner.offset + 1, out),
+        }
+    }
+
+    fn complete_claim(&mut self, claim_key: ClaimKey, id: AttemptId, status: u32, not_run: bool) {
+        self.claim_queue.completions.push(Completion {
+            key_high: claim_key.high,
+            key_low: claim_key.low,
+            entry: id.entry,
+            request: id.request,
+            status,
+            not_run,
+        });
+    }
+
+    /// Whether the log can be reached.
+    pub fn set_log_up(&mut self, up: bool) {
+        self.log_up = up;
+    }
+
+    /// A batch of claims could not be appended, or its answer was lost. The
+    /// claims in it may still turn up, so only their timers decide.
+    pub fn claims_not_appended(
+        &mut self,
+        now: Duration,
+        batch: ClaimBatch,
+        out: &mut Vec<EntryAction>,
+    ) {
+        self.log_up = false;
+        let wanted = batch.claims.into_iter().filter(|claim| {
+            let id =
+                AttemptId { entry: claim.entry, request: claim.request, attempt: claim.attempt };
+            self.key_of(id).is_some_and(|key| self.waits_for_claim(key, id.attempt))
+        });
+        // Appending twice is harmless: it is the same attempt.
+        let retried = ClaimBatch { claims: wanted.collect(), completions: batch.completions };
+        if !retried.claims.is_empty() || !retried.completions.is_empty() {
+            out.push(EntryAction::AppendClaims(retried));
+        }
+        self.flush(now, out);
+    }
+
+    fn choose_service(&mut self, now: Duration, key: RequestKey) -> Option<AgentKey> {
+        let snapshot = self.requests[key].snapshot();
+        let Work::Call(call) = &self.requests[key].work else { return None };
+        let search = Search {
+            view: &self.view,
+            snapshot: &snapshot,
+            place: &self.config.place,
+            now,
+            tried: &call.tried,
+        };
+        let found = search.service(&call.pool, &mut self.rng);
+        found.first().map(|candidate| candidate.agent)
+    }
+
+    fn refuse_no_service(&mut self, key: RequestKey, out: &mut Vec<EntryAction>) {
+        let outcome = self.requests[key].outcome();
+        let retry_after = Some(with_jitter(self.config.heartbeat, &mut self.rng));
+        let reason = RefusalReason::NoUpstream;
+        self.refuse(key, Refusal { reason, outcome, retry_after, detail: String::new() }, out);
+    }
+
+    fn send_call(&mut self, now: Duration, key: RequestKey, out: &mut Vec<EntryAction>) {
+        let Some(agent) = self.choose_service(now, key) else {
+            self.refuse_no_service(key, out);
+            return;
+        };
+        let attempt = self.requests[key].next_attempt();
+        self.send_call_to(now, key, agent, attempt, out);
+    }
+
+    fn send_call_to(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        agent: AgentKey,
+        attempt: u32,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let id = self.attempt_id(key, attempt);
+        let incarnation = self.view.get(agent).map_or(0, |view| view.incarnation);
+        self.requests[key].may_have_run = true;
+        let call = self.call_mut(key);
+        call.phase = CallPhase::Sent;
+        call.sent = Some(Try { agent, attempt });
+        call.incarnation = incarnation;
+        let message = wire::Call {
+            id: Some(id),
+            incarnation,
+            rank: call.rank,
+            method: call.arrival.method.to_string(),
+            path: call.arrival.path.clone(),
+            headers: call.arrival.headers.clone(),
+            body: call.arrival.body.clone(),
+            timeout_ms: as_ms_u32(call.timeout),
+        };
+        let timeout = call.timeout;
+        out.push(EntryAction::Send { agent, message: ToAgent::Call(message) });
+        if let Some(view) = self.view.get_mut(agent) {
+            view.open_calls += 1;
+        }
+        self.record(key, Decision::Calling, Some(agent), String::new(), out);
+        self.set_timer(key, now + timeout + REPLY_GRACE);
+    }
+
+    fn call_closed(&mut self, agent: AgentKey) {
+        if let Some(view) = self.view.get_mut(agent) {
+            view.open_calls = view.open_calls.saturating_sub(1);
+        }
+    }
+
+    pub(super) fn on_call_reply(
+        &mut self,
+        now: Duration,
+        agent: AgentKey,
+        reply: wire::CallReply,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let id = reply.id.unwrap_or_default();
+        let Some(key) = self.call_of(id) else { return };
+        self.call_closed(agent);
+        if reply.not_run {
+            self.call_not_run(now, key, agent, Duration::ZERO, out);
+        } else if reply.error.is_empty() {
+            self.call_answered(key, agent, id, reply, out);
+        } else {
+            self.blame(now, agent);
+            self.call_failed(now, key, agent, RefusalReason::UpstreamFailed, out);
+        }
+    }
+
+    fn call_answered(
+        &mut self,
+        key: RequestKey,
+        agent: AgentKey,
+        id: AttemptId,
+        reply: wire::CallReply,
+        out: &mut Vec<EntryAction>,
+    ) {
+        self.praise(agent);
+        self.earn(key);
+        if let Some(claim_key) = self.call(key).key {
+            self.complete_claim(claim_key, id, reply.status, false);
+        }
+        self.record(key, Decision::Finished, Some(agent), format!("status {}", reply.status), out);
+        out.push(EntryAction::Answer { request: key, answer: Answer::Reply(reply) });
+        self.remove(key);
+    }
+
+    /// The call may have run: only an idempotent one is sent again.
+    fn call_failed(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        agent: AgentKey,
+        reason: RefusalReason,
+        out: &mut Vec<EntryAction>,
+    ) {
+        if !self.call(key).idempotent {
+            self.call_mut(key).sent = None;
+            self.give_up(key, reason, out);
+            return;
+        }
+        self.call_mut(key).tried.push(agent);
+        self.cancel_call(key, out);
+        if self.may_retry(now, key, RetryReason::CallFailed, out) {
+            self.send_call(now, key, out);
+        }
+    }
+
+    fn cancel_call(&mut self, key: RequestKey, out: &mut Vec<EntryAction>) {
+        if let Some(one) = self.call_mut(key).sent.take() {
+            self.call_closed(one.agent);
+            self.cancel(one.agent, attempt_id(self.config.incarnation, key, one.attempt), out);
+        }
+    }
+
+    /// The agent has fenced the call: it never ran and never will.
+    fn call_not_run(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        agent: AgentKey,
+        retry_after: Duration,
+        out: &mut Vec<EntryAction>,
+    ) {
+        self.requests[key].may_have_run =
+            self.call(key).idempotent && self.requests[key].retries > 0;
+        let call = self.call_mut(key);
+        call.sent = None;
+        call.tried.push(agent);
+        if let Some(claim_key) = call.key {
+            self.reclaim(now, key, claim_key, out);
+            return;
+        }
+        if self.choose_service(now, key).is_none() {
+            let outcome = self.requests[key].outcome();
+            let wait = retry_after.max(self.config.reply_timeout);
+            let retry_after = Some(with_jitter(wait, &mut self.rng));
+            let reason = RefusalReason::Overloaded;
+            self.refuse(key, Refusal { reason, outcome, retry_after, detail: String::new() }, out);
+            return;
+        }
+        if self.may_retry(now, key, RetryReason::CallNotRun, out) {
+            self.send_call(now, key, out);
+        }
+    }
+
+    fn reclaim(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        claim_key: ClaimKey,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let offset = self.claims.owner(claim_key).map(|owner| owner.offset);
+        let others = self.choose_service(now, key).is_some();
+        if let Some(offset) = offset.filter(|_| others)
+            && self.may_retry(now, key, RetryReason::CallNotRun, out)
+        {
+            self.claim(now, key, offset + 1, out);
+            return;
+        }
+        if self.requests.contains_key(key) {
+            let id = self.attempt_id(key, self.requests[key].attempt);
+            self.complete_claim(claim_key, id, 0, true);
+            self.refuse_no_service(key, out);
+        }
+    }
+
+    pub(super) fn call_rejected(
+        &mut self,
+        now: Duration,
+        id: AttemptId,
+        agent: AgentKey,
+        rejected: &wire::Rejected,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let Some(key) = self.call_of(id) else { return };
+        self.call_closed(agent);
+        self.call_not_run(now, key, agent, from_ms(rejected.retry_after_ms), out);
+    }
+
+    pub(super) fn on_abandon_reply(
+        &mut self,
+        now: Duration,
+        reply: &wire::AbandonReply,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let id = reply.id.unwrap_or_default();
+        if let Some(key) = self.call_of(id) {
+            let Some(one) = self.call(key).sent else { return };
+            if self.call(key).phase != CallPhase::Abandoning {
+                return;
+            }
+            self.call_closed(one.agent);
+            if reply.fenced {
+                self.call_not_run(now, key, one.agent, Duration::ZERO, out);
+            } else {
+                self.call_failed(now, key, one.agent, RefusalReason::UpstreamLost, out);
+            }
+            return;
+        }
+        let waiting = self.requests.iter().find(|(_, request)| match &request.work {
+            Work::Call(call) => call.other == Some(id),
+            Work::Generate(_) => false,
+        });
+        let Some(key) = waiting.map(|(key, _)| key) else { return };
+        let CallPhase::FencingOther { offset } = self.call(key).phase else { return };
+        self.call_mut(key).other = None;
+        if reply.fenced {
+            self.claim(now, key, offset + 1, out);
+        } else {
+            self.refuse_in_progress(key, out);
+        }
+    }
+
+    pub(super) fn call_lost_agent(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        agent: AgentKey,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let call = self.call(key);
+        if call.sent.is_none_or(|one| one.agent != agent) {
+            return;
+        }
+        if call.idempotent {
+            self.call_failed(now, key, agent, RefusalReason::UpstreamLost, out);
+            return;
+        }
+        self.call_mut(key).phase = CallPhase::Resuming;
+        self.set_timer(key, now + self.config.resume_wait);
+    }
+
+    /// The agent of a call came back: it can say whether the call started.
+    pub(super) fn call_agent_back(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        agent: AgentKey,
+        same_incarnation: bool,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let call = self.call(key);
+        let Some(one) = call.sent.filter(|one| one.agent == agent) else { return };
+        if call.phase != CallPhase::Resuming {
+            return;
+        }
+        if !same_incarnation {
+            self.call_failed(now, key, agent, RefusalReason::UpstreamLost, out);
+            return;
+        }
+        self.abandon(now, key, one, out);
+    }
+
+    fn abandon(&mut self, now: Duration, key: RequestKey, one: Try, out: &mut Vec<EntryAction>) {
+        let id = self.attempt_id(key, one.attempt);
+        let call = self.call_mut(key);
+        call.phase = CallPhase::Abandoning;
+        let abandon = wire::Abandon { id: Some(id), incarnation: call.incarnation };
+        out.push(EntryAction::Send { agent: one.agent, message: ToAgent::Abandon(abandon) });
+        self.set_timer(key, now + self.config.reply_timeout);
+    }
+
+    pub(super) fn call_timer(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let call = self.call(key);
+        let sent = call.sent;
+        match (call.phase, sent) {
+            (CallPhase::Claiming, _) => {
+                let again = Some(with_jitter(LOG_DOWN_RETRY, &mut self.rng));
+                self.refuse(key, Refusal::not_run(RefusalReason::LogUnavailable, again), out);
+            }
+            (CallPhase::FencingOther { .. }, _) => self.refuse_in_progress(key, out),
+            (CallPhase::Sent, Some(one)) => self.abandon(now, key, one, out),
+            (_, Some(one)) => {
+                self.blame(now, one.agent);
+                self.call_failed(now, key, one.agent, RefusalReason::UpstreamLost, out);
+            }
+            (_, None) => self.give_up(key, RefusalReason::DeadlineExceeded, out),
+        }
+    }
+}
+
+fn digest(arrival: &CallArrival) -> u64 {
+    let mut text = format!("{}\0{}\0", arrival.method, arrival.path).into_bytes();
+    text.extend_from_slice(&arrival.body);
+    xxh3_64(&text)
+}
--- /dev/null
+++ b/src/entry/configuration.rs
@@ -0,0 +1,166 @@
+//! How the manifest reaches the entry, goes on to its agents, and outlives
+//! the log's retention.
+
+use std::time::Duration;
+
+use rand::RngExt;
+
+use crate::clock::from_ms;
+use crate::entry::Decision;
+use crate::entry::EntryAction;
+use crate::entry::EntryCore;
+use crate::entry::EntryRecord;
+use crate::manifest::Snapshot;
+use crate::manifest::fold::Verdict;
+use crate::manifest::fold::carry_record;
+use crate::policy::view::AgentKey;
+use crate::schema::wire;
+use crate::schema::wire::to_agent::Kind as ToAgent;
+
+const CARRY_RETRY: Duration = Duration::from_secs(5);
+const SPREAD_PARTS: u32 = 8;
+
+/// When the manifest in force is written to the log again.
+#[derive(Debug, Default)]
+pub(super) struct Carrying {
+    newest_copy_at: Option<Duration>,
+    spread: f64,
+    tried_at: Option<Duration>,
+}
+
+impl EntryCore {
+    /// The log's records that follow begin at this offset.
+    pub fn on_manifest_start(&mut self, first_offset: u64) {
+        self.fold.start_at(first_offset);
+    }
+
+    /// Offset of the manifest record to read next.
+    pub fn next_manifest_offset(&self) -> u64 {
+        self.fold.next_offset().unwrap_or(0)
+    }
+
+    /// A record of the stream of manifests, `age` after it was appended.
+    pub fn on_manifest_record(
+        &mut self,
+        now: Duration,
+        offset: u64,
+        age: Duration,
+        record: &str,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let before = self.generation();
+        let verdict = self.fold.apply(offset, record);
+        let is_copy = match &verdict {
+            Verdict::Accepted { .. } => true,
+            Verdict::Ignored(reason) => {
+                let detail = format!("offset {offset}: {reason}");
+                self.record_manifest(Decision::ManifestIgnored, detail, out);
+                self.is_current_carry(record)
+            }
+        };
+        if is_copy {
+            self.carrying.newest_copy_at = Some(now.saturating_sub(age));
+            self.carrying.spread = self.rng.random_range(0.0..1.0);
+        }
+        self.after_manifest(now, before, out);
+    }
+
+    fn is_current_carry(&self, record: &str) -> bool {
+        use crate::schema::record::manifest_record::Kind;
+        let parsed = serde_json::from_str::<crate::schema::record::ManifestRecord>(record);
+        matches!(parsed.map(|record| record.kind), Ok(Some(Kind::Carry(carry)))
+            if carry.generation == self.generation())
+    }
+
+    fn after_manifest(&mut self, now: Duration, before: u64, out: &mut Vec<EntryAction>) {
+        if self.generation() <= before {
+            return;
+        }
+        self.record_manifest(Decision::ManifestAdopted, self.generation().to_string(), out);
+        // Tell every agent now; those that are behind ask for the body.
+        self.beat_due = now;
+        self.beat(now, out);
+    }
+
+    pub(super) fn on_manifest_copy(
+        &mut self,
+        now: Duration,
+        copy: &wire::ManifestCopy,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let before = self.generation();
+        if copy.generation <= before || copy.body.len() > self.config.max_manifest_bytes {
+            return;
+        }
+        match Snapshot::parse(copy.generation, &copy.body) {
+            Ok(snapshot) => {
+                self.fold.adopt(snapshot);
+                self.carrying.newest_copy_at.get_or_insert(now);
+            }
+            Err(findings) => {
+                let detail = findings.first().map(ToString::to_string).unwrap_or_default();
+                self.record_manifest(Decision::ManifestIgnored, detail, out);
+            }
+        }
+        self.after_manifest(now, before, out);
+    }
+
+    pub(super) fn on_manifest_pull(
+        &self,
+        agent: AgentKey,
+        pull: &wire::ManifestPull,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let Some(snapshot) = self.fold.in_force() else { return };
+        if snapshot.generation > pull.have_generation {
+            let copy = wire::ManifestCopy {
+                generation: snapshot.generation,
+                body: snapshot.body.to_string(),
+            };
+            out.push(EntryAction::Send { agent, message: ToAgent::Manifest(copy) });
+        }
+    }
+
+    pub(super) fn compare_generation(
+        &self,
+        agent: AgentKey,
+        theirs: u64,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let ours = self.generation();
+        if theirs > ours {
+            let pull = wire::ManifestPull { have_generation: ours };
+            out.push(EntryAction::Send { agent, message: ToAgent::ManifestPull(pull) });
+        }
+    }
+
+    /// Writes the manifest again once its newest copy is half as old as the
+    /// log keeps records, each entry after a wait of its own.
+    pub(super) fn carry(&mut self, now: Duration, out: &mut Vec<EntryAction>) {
+        let Some(snapshot) = self.fold.in_force_shared() else { return };
+        let Some(copied_at) = self.carrying.newest_copy_at else { return };
+        let retention = from_ms(snapshot.manifest.log_retention_ms);
+        let spread = (retention / SPREAD_PARTS).mul_f64(self.carrying.spread);
+        let due = copied_at + retention / 2 + spread;
+        let waiting = self.carrying.tried_at.is_some_and(|at| now < at + CARRY_RETRY);
+        if now < due || waiting || !self.fold.is_anchored() {
+            return;
+        }
+        self.carrying.tried_at = Some(now);
+        let record = carry_record(&snapshot, self.next_manifest_offset());
+        let text = serde_json::to_string(&record).expect("a record is plain data");
+        out.push(EntryAction::AppendManifest(text));
+    }
+
+    fn record_manifest(&self, what: Decision, detail: String, out: &mut Vec<EntryAction>) {
+        out.push(EntryAction::Record(EntryRecord {
+            request_id: compact_str::CompactString::default(),
+            attempt: 0,
+            id: None,
+            generation: self.generation(),
+            what,
+            agent: compact_str::CompactString::default(),
+            detail,
+        }));
+    }
+}
