--- /dev/null
+++ b/src/entry/generate.rs
@@ -0,0 +1,604 @@
+//! A generated answer up to the end of its prefill: admission, the decode
+//! slot, and the prefill that is started just in time for it.
+
+use std::time::Duration;
+
+use crate::clock::as_ms_u32;
+use crate::clock::from_ms;
+use crate::entry::Decision;
+use crate::entry::EntryAction;
+use crate::entry::EntryCore;
+use crate::entry::request::Generate;
+use crate::entry::request::Phase;
+use crate::entry::request::PrefillResult;
+use crate::entry::request::RequestKey;
+use crate::entry::request::Try;
+use crate::entry::request::Work;
+use crate::manifest::Snapshot;
+use crate::outcome::Refusal;
+use crate::outcome::RefusalReason;
+use crate::outcome::RetryReason;
+use crate::policy::PolicyKind;
+use crate::policy::admission;
+use crate::policy::admission::Admission;
+use crate::policy::admission::Prediction;
+use crate::policy::baseline;
+use crate::policy::placement::Candidate;
+use crate::policy::placement::PrefillNeed;
+use crate::policy::placement::Search;
+use crate::policy::placement::policy_of;
+use crate::policy::prefix::CachedPrefixes;
+use crate::policy::retry::with_jitter;
+use crate::policy::view::AgentKey;
+use crate::schema::manifest::Model;
+use crate::schema::wire;
+use crate::schema::wire::AttemptId;
+use crate::schema::wire::to_agent::Kind as ToAgent;
+
+const US_PER_MS: u32 = 1_000;
+const DEFAULT_OUTPUT_SHARE: f64 = 0.6;
+const DECODE_TOKEN_WEIGHT: u32 = 4;
+const START_TOLERANCE: Duration = Duration::from_millis(2);
+const LATE_GRACE: Duration = Duration::from_secs(2);
+const PREFILL_SILENCE: Duration = Duration::from_secs(1);
+const PREFILL_SILENCE_FACTOR: u32 = 4;
+const NO_ROOM_RETRY: Duration = Duration::from_millis(100);
+
+impl EntryCore {
+    pub(super) fn generate(&self, key: RequestKey) -> &Generate {
+        match &self.requests[key].work {
+            Work::Generate(generate) => generate,
+            Work::Call(_) => unreachable!("only generated answers get here"),
+        }
+    }
+
+    pub(super) fn generate_mut(&mut self, key: RequestKey) -> &mut Generate {
+        match &mut self.requests[key].work {
+            Work::Generate(generate) => generate,
+            Work::Call(_) => unreachable!("only generated answers get here"),
+        }
+    }
+
+    /// The request of a try, if the try is the one that is waited for.
+    pub(super) fn decode_of(&self, id: AttemptId) -> Option<RequestKey> {
+        let key = self.key_of(id)?;
+        let Work::Generate(generate) = &self.requests[key].work else { return None };
+        generate.decode.is_some_and(|one| one.attempt == id.attempt).then_some(key)
+    }
+
+    pub(super) fn prefill_of(&self, id: AttemptId) -> Option<RequestKey> {
+        let key = self.key_of(id)?;
+        let Work::Generate(generate) = &self.requests[key].work else { return None };
+        generate.prefill.is_some_and(|one| one.attempt == id.attempt).then_some(key)
+    }
+
+    pub(super) fn start_generate(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let snapshot = self.requests[key].snapshot();
+        let Some(model) = snapshot.model(&self.generate(key).model) else {
+            self.refuse(key, Refusal::not_run(RefusalReason::UnknownModel, None), out);
+            return;
+        };
+        if self.generate(key).prompt_tokens > model.max_prompt_tokens {
+            self.refuse(key, Refusal::not_run(RefusalReason::PromptTooLong, None), out);
+            return;
+        }
+        let account = self.requests[key].account.clone();
+        let weight = snapshot.account_weight(&account);
+        if weight.is_none() && !snapshot.manifest.client_accounts.is_empty() {
+            self.refuse(key, Refusal::not_run(RefusalReason::UnknownAccount, None), out);
+            return;
+        }
+        let expected = self.expected_output(key);
+        let generate = self.generate_mut(key);
+        generate.max_tokens = generate.max_tokens.clamp(1, model.max_output_tokens);
+        let cost = generate.prompt_tokens + DECODE_TOKEN_WEIGHT * expected;
+        if self.config.policy.admits() && !self.admit(now, key, model, &snapshot, out) {
+            return;
+        }
+        self.fair.admit(now, &account, weight.unwrap_or(1), cost);
+        self.record(key, Decision::Admitted, None, String::new(), out);
+        self.begin(now, key, out);
+    }
+
+    /// Refuses at once what cannot meet its target. True if admitted.
+    fn admit(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        model: &Model,
+        snapshot: &Snapshot,
+        out: &mut Vec<EntryAction>,
+    ) -> bool {
+        let percent = policy_of(snapshot).admit_at_target_percent;
+        let target = self.generate(key).target;
+        let Some(prediction) = self.predict(now, key, model, snapshot) else {
+            let again = Some(with_jitter(self.config.heartbeat, &mut self.rng));
+            self.refuse(key, Refusal::not_run(RefusalReason::NoUpstream, again), out);
+            return false;
+        };
+        if let Admission::Refuse { retry_after } = admission::admit(&prediction, target, percent) {
+            let again = Some(with_jitter(retry_after, &mut self.rng));
+            self.refuse(key, Refusal::not_run(RefusalReason::Overloaded, again), out);
+            return false;
+        }
+        let pressure = admission::pressure(&prediction, target, percent);
+        let account = self.requests[key].account.clone();
+        if self.fair.is_over(now, &account, pressure) {
+            let again = Some(with_jitter(target, &mut self.rng));
+            self.refuse(key, Refusal::not_run(RefusalReason::FairShare, again), out);
+            return false;
+        }
+        true
+    }
+
+    fn predict(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        model: &Model,
+        snapshot: &Snapshot,
+    ) -> Option<Prediction> {
+        let blocks = self.blocks_needed(key, snapshot);
+        let candidates = self.decode_candidates(now, key, snapshot, blocks);
+        let decode = candidates.first()?;
+        let view = self.view.get(decode.agent)?;
+        let zone = view.zone.clone();
+        let pool = snapshot.pool(&model.decode_pool);
+        let step_us = view.load.step_us.max(pool.map_or(0, |pool| pool.step_us(1)));
+        let prefill = self.prefill_candidate(now, key, snapshot, Some(&zone))?;
+        Some(Prediction {
+            decode_wait: decode.time,
+            prefill: prefill.time,
+            step: from_ms(step_us / US_PER_MS),
+        })
+    }
+
+    fn blocks_needed(&self, key: RequestKey, snapshot: &Snapshot) -> u32 {
+        let generate = self.generate(key);
+        let pool =
+            snapshot.model(&generate.model).and_then(|model| snapshot.pool(&model.decode_pool));
+        pool.map_or(0, |pool| pool.blocks_for(generate.prompt_tokens + generate.max_tokens))
+    }
+
+    pub(super) fn expected_output(&self, key: RequestKey) -> u32 {
+        let generate = self.generate(key);
+        let share = self.stats.get(&generate.model).and_then(|stats| stats.output_share);
+        let tokens = f64::from(generate.max_tokens) * share.unwrap_or(DEFAULT_OUTPUT_SHARE);
+        (tokens as u32).saturating_sub(generate.next_index).max(1)
+    }
+
+    /// Starts a try from its first step.
+    pub(super) fn begin(&mut self, now: Duration, key: RequestKey, out: &mut Vec<EntryAction>) {
+        let generate = self.generate_mut(key);
+        generate.result = None;
+        generate.alternate = None;
+        if self.config.policy.reserves_first() {
+            self.find_slot(now, key, out);
+        } else {
+            self.start_prefill(now, key, out);
+        }
+    }
+
+    pub(super) fn find_slot(&mut self, now: Duration, key: RequestKey, out: &mut Vec<EntryAction>) {
+        let snapshot = self.requests[key].snapshot();
+        let blocks = self.blocks_needed(key, &snapshot);
+        let candidates = self.decode_candidates(now, key, &snapshot, blocks);
+        let Some(first) = candidates.first() else {
+            self.no_room(now, key, RefusalReason::NoUpstream, self.config.heartbeat, out);
+            return;
+        };
+        self.generate_mut(key).alternate = candidates.get(1).map(|candidate| candidate.agent);
+        self.ask_slot(now, key, first.agent, blocks, out);
+    }
+
+    fn ask_slot(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        agent: AgentKey,
+        blocks: u32,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let attempt = self.requests[key].next_attempt();
+        let expected_tokens = self.expected_output(key);
+        let max_wait = self.slot_wait_allowed(now, key);
+        let rank = self.rank_of(key);
+        let generate = self.generate_mut(key);
+        generate.phase = Phase::Reserving;
+        generate.decode = Some(Try { agent, attempt });
+        if let Some(view) = self.view.get_mut(agent) {
+            view.sent_blocks += blocks;
+            view.sent_streams += 1;
+        }
+        let reserve = wire::Reserve {
+            id: Some(self.attempt_id(key, attempt)),
+            blocks,
+            expected_tokens,
+            max_wait_ms: as_ms_u32(max_wait),
+            rank,
+        };
+        out.push(EntryAction::Send { agent, message: ToAgent::Reserve(reserve) });
+        self.record(key, Decision::Reserving, Some(agent), String::new(), out);
+        self.set_timer(key, now + self.config.reply_timeout);
+    }
+
+    /// What was begun goes before what is new.
+    pub(super) fn rank_of(&self, key: RequestKey) -> u32 {
+        let generate = self.generate(key);
+        if generate.next_index > 0 { 0 } else { generate.rank }
+    }
+
+    fn slot_wait_allowed(&self, now: Duration, key: RequestKey) -> Duration {
+        let request = &self.requests[key];
+        let generate = self.generate(key);
+        let until_deadline = request.deadline.saturating_sub(now);
+        if !self.config.policy.admits() {
+            return until_deadline;
+        }
+        if let Some(result) = &generate.result {
+            return result.lives_until.saturating_sub(now);
+        }
+        let left = (request.arrived + generate.target).saturating_sub(now);
+        if request.retries > 0 { LATE_GRACE.max(left).min(until_deadline) } else { left }
+    }
+
+    pub(super) fn on_reserve_reply(
+        &mut self,
+        now: Duration,
+        agent: AgentKey,
+        reply: &wire::ReserveReply,
+        out: &mut Vec<EntryAction>,
+    ) {
+        self.report(now, agent, reply.load.as_ref());
+        let id = reply.id.unwrap_or_default();
+        let Some(key) =
+            self.decode_of(id).filter(|&key| self.generate(key).phase == Phase::Reserving)
+        else {
+            // A slot that nobody waits for any more goes back at once.
+            if reply.granted && self.decode_of(id).is_none() {
+                self.cancel(agent, id, out);
+            }
+            return;
+        };
+        if !reply.granted {
+            self.slot_refused(now, key, agent, from_ms(reply.wait_ms), out);
+            return;
+        }
+        let generate = self.generate_mut(key);
+        generate.slot_at = now + from_ms(reply.wait_ms);
+        let has_result = generate.result.is_some();
+        self.record(
+            key,
+            Decision::Reserved,
+            Some(agent),
+            format!("wait_ms {}", reply.wait_ms),
+            out,
+        );
+        if has_result {
+            self.send_decode(now, key, out);
+        } else {
+            self.schedule_prefill(now, key, out);
+        }
+    }
+
+    fn slot_refused(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        agent: AgentKey,
+        wait: Duration,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let snapshot = self.requests[key].snapshot();
+        let generate = self.generate_mut(key);
+        generate.decode = None;
+        generate.tried_decode.push(agent);
+        let Some(other) = generate.alternate.take() else {
+            self.no_room(now, key, RefusalReason::Overloaded, wait, out);
+            return;
+        };
+        self.record(
+            key,
+            Decision::Retried(RetryReason::DecodeFull),
+            Some(agent),
+            String::new(),
+            out,
+        );
+        let blocks = self.blocks_needed(key, &snapshot);
+        self.ask_slot(now, key, other, blocks, out);
+    }
+
+    /// No upstream has room: a new request is refused, one whose answer has
+    /// begun asks again until its deadline.
+    pub(super) fn no_room(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        reason: RefusalReason,
+        wait: Duration,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let generate = self.generate_mut(key);
+        generate.decode = None;
+        if generate.next_index == 0 {
+            let outcome = self.requests[key].outcome();
+            let retry_after = Some(with_jitter(wait, &mut self.rng));
+            let refusal = Refusal { reason, outcome, retry_after, detail: String::new() };
+            self.refuse(key, refusal, out);
+            return;
+        }
+        generate.phase = Phase::Reserving;
+        generate.tried_decode.clear();
+        generate.tried_prefill.clear();
+        let again = with_jitter(NO_ROOM_RETRY, &mut self.rng);
+        self.set_timer(key, now + again);
+    }
+
+    /// The slot is free earlier or later than promised.
+    pub(super) fn on_slot_ready(
+        &mut self,
+        now: Duration,
+        id: AttemptId,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let Some(key) = self.decode_of(id) else { return };
+        self.generate_mut(key).slot_at = now;
+        if self.generate(key).phase == Phase::Scheduled {
+            self.start_prefill(now, key, out);
+        }
+    }
+
+    /// Starts the prefill so that its result is there when the slot is free:
+    /// earlier it would be evicted, later the slot would lie idle.
+    fn schedule_prefill(&mut self, now: Duration, key: RequestKey, out: &mut Vec<EntryAction>) {
+        let snapshot = self.requests[key].snapshot();
+        let zone = self.decode_zone(key);
+        let candidate = self.prefill_candidate(now, key, &snapshot, zone.as_deref());
+        let takes = candidate.map_or(Duration::ZERO, |candidate| candidate.time);
+        let margin = from_ms(policy_of(&snapshot).prefill_margin_ms);
+        let start_at = self.generate(key).slot_at.saturating_sub(takes + margin);
+        if start_at <= now + START_TOLERANCE {
+            self.start_prefill(now, key, out);
+            return;
+        }
+        self.generate_mut(key).phase = Phase::Scheduled;
+        self.set_timer(key, start_at);
+    }
+
+    fn decode_zone(&self, key: RequestKey) -> Option<compact_str::CompactString> {
+        let decode = self.generate(key).decode?;
+        self.view.get(decode.agent).map(|view| view.zone.clone())
+    }
+
+    pub(super) fn start_prefill(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let snapshot = self.requests[key].snapshot();
+        let zone = self.decode_zone(key);
+        let Some(candidate) = self.prefill_candidate(now, key, &snapshot, zone.as_deref()) else {
+            self.release_slot(key, out);
+            self.no_room(now, key, RefusalReason::NoUpstream, self.config.heartbeat, out);
+            return;
+        };
+        let attempt = self.requests[key].next_attempt();
+        let deadline = self.prefill_deadline(now, key, candidate.time);
+        let rank = self.rank_of(key);
+        let request = &mut self.requests[key];
+        request.may_have_run = true;
+        let generate = self.generate_mut(key);
+        generate.phase = Phase::Prefilling;
+        generate.prefill = Some(Try { agent: candidate.agent, attempt });
+        let prefill = wire::Prefill {
+            id: None,
+            model: generate.model.to_string(),
+            prompt: generate.prompt.clone(),
+            continued: generate.text.clone().into(),
+            prompt_tokens: generate.tokens_to_prefill(),
+            prefixes: generate.prefixes.clone(),
+            rank,
+            deadline_ms: as_ms_u32(deadline.saturating_sub(now)),
+        };
+        let id = Some(self.attempt_id(key, attempt));
+        if let Some(view) = self.view.get_mut(candidate.agent) {
+            view.sent_prefill_tokens += u64::from(prefill.prompt_tokens);
+        }
+        let message = ToAgent::Prefill(wire::Prefill { id, ..prefill });
+        out.push(EntryAction::Send { agent: candidate.agent, message });
+        let detail = format!("predicted_ms {}", candidate.time.as_millis());
+        self.record(key, Decision::Prefilling, Some(candidate.agent), detail, out);
+        self.set_timer(key, now + candidate.time * PREFILL_SILENCE_FACTOR + PREFILL_SILENCE);
+    }
+
+    fn prefill_deadline(&self, now: Duration, key: RequestKey, predicted: Duration) -> Duration {
+        let request = &self.requests[key];
+        if !self.config.policy.admits() {
+            return request.deadline;
+        }
+        let on_time = request.arrived + self.generate(key).target;
+        if now + predicted <= on_time { on_time } else { now + predicted + LATE_GRACE }
+    }
+
+    fn release_slot(&mut self, key: RequestKey, out: &mut Vec<EntryAction>) {
+        if let Some(decode) = self.generate_mut(key).decode.take() {
+            let id = self.attempt_id(key, decode.attempt);
+            self.cancel(decode.agent, id, out);
+        }
+    }
+
+    pub(super) fn on_prefill_reply(
+        &mut self,
+        now: Duration,
+        agent: AgentKey,
+        reply: wire::PrefillReply,
+        out: &mut Vec<EntryAction>,
+    ) {
+        self.report(now, agent, reply.load.as_ref());
+        let id = reply.id.unwrap_or_default();
+        let Some(key) = self.prefill_of(id) else {
+            let used = wire::PrefillUsed { id: Some(id) };
+            out.push(EntryAction::Send { agent, message: ToAgent::PrefillUsed(used) });
+            return;
+        };
+        if self.generate(key).phase != Phase::Prefilling {
+            return;
+        }
+        self.praise(agent);
+        let prefixes = std::mem::take(&mut self.generate_mut(key).prefixes);
+        self.prefixes.correct(&prefixes, agent, reply.cached_tokens);
+        self.prefixes.insert(now, &prefixes, agent);
+        let generate = self.generate_mut(key);
+        generate.prefixes = prefixes;
+        generate.result = Some(PrefillResult {
+            handle: reply.handle,
+            kv_bytes: reply.kv_bytes,
+            lives_until: now + from_ms(reply.lives_ms),
+        });
+        let has_slot = generate.decode.is_some();
+        self.record(
+            key,
+            Decision::Prefilled,
+            Some(agent),
+            format!("cached {}", reply.cached_tokens),
+            out,
+        );
+        if has_slot {
+            self.send_decode(now, key, out);
+        } else {
+            self.find_slot(now, key, out);
+        }
+    }
+
+    /// An agent did not take an order up. Nothing ran there.
+    pub(super) fn on_rejected(
+        &mut self,
+        now: Duration,
+        agent: AgentKey,
+        rejected: &wire::Rejected,
+        out: &mut Vec<EntryAction>,
+    ) {
+        self.report(now, agent, rejected.load.as_ref());
+        let id = rejected.id.unwrap_or_default();
+        if let Some(key) = self.prefill_of(id) {
+            self.prefill_rejected(now, key, agent, rejected, out);
+        } else if let Some(key) = self.decode_of(id) {
+            self.generate_mut(key).decode = None;
+            self.generate_mut(key).tried_decode.push(agent);
+            self.retry(now, key, RetryReason::AgentLeaving, out);
+        } else {
+            self.call_rejected(now, id, agent, rejected, out);
+        }
+    }
+
+    fn prefill_rejected(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        agent: AgentKey,
+        rejected: &wire::Rejected,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let snapshot = self.requests[key].snapshot();
+        let max_attempts = policy_of(&snapshot).max_attempts as usize;
+        let generate = self.generate_mut(key);
+        generate.prefill = None;
+        generate.tried_prefill.push(agent);
+        let tries = generate.tried_prefill.len();
+        let begun = generate.next_index > 0;
+        // Only this prefill was sent and it did not run.
+        self.requests[key].may_have_run = begun || self.requests[key].retries > 0;
+        let others = self.prefill_candidate(now, key, &snapshot, None).is_some();
+        if tries < max_attempts && others {
+            self.record(
+                key,
+                Decision::Retried(RetryReason::PrefillBusy),
+                Some(agent),
+                String::new(),
+                out,
+            );
+            self.start_prefill(now, key, out);
+            return;
+        }
+        self.release_slot(key, out);
+        self.no_room(now, key, RefusalReason::Overloaded, from_ms(rejected.retry_after_ms), out);
+    }
+
+    pub(super) fn decode_candidates(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        snapshot: &Snapshot,
+        blocks: u32,
+    ) -> Vec<Candidate> {
+        let Work::Generate(generate) = &self.requests[key].work else { return Vec::new() };
+        let Some(model) = snapshot.model(&generate.model) else { return Vec::new() };
+        let (pool, tried) = (&model.decode_pool, &generate.tried_decode);
+        let one = match self.config.policy {
+            PolicyKind::Reserve | PolicyKind::PrefillFirst => {
+                let search =
+                    Search { view: &self.view, snapshot, place: &self.config.place, now, tried };
+                return search.decode(pool, blocks, &mut self.rng);
+            }
+            PolicyKind::RoundRobin => {
+                self.turn += 1;
+                baseline::round_robin(&self.view, pool, now, tried, self.turn)
+            }
+            PolicyKind::LeastLoaded => baseline::least_loaded_decode(&self.view, pool, now, tried),
+        };
+        one.map(plain_candidate).into_iter().collect()
+    }
+
+    fn prefill_candidate(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        snapshot: &Snapshot,
+        decode_zone: Option<&str>,
+    ) -> Option<Candidate> {
+        let Work::Generate(generate) = &self.requests[key].work else { return None };
+        let model = snapshot.model(&generate.model)?;
+        let (pool, tried) = (&model.prefill_pool, &generate.tried_prefill);
+        match self.config.policy {
+            PolicyKind::Reserve | PolicyKind::PrefillFirst => {
+                let cached = self.prefixes.lookup(now, &generate.prefixes);
+                let need = prefill_need(generate, model, &cached, decode_zone);
+                Search { view: &self.view, snapshot, place: &self.config.place, now, tried }
+                    .prefill(&need)
+            }
+            PolicyKind::RoundRobin => {
+                self.turn += 1;
+                baseline::round_robin(&self.view, pool, now, tried, self.turn).map(plain_candidate)
+            }
+            PolicyKind::LeastLoaded => {
+                baseline::least_loaded_prefill(&self.view, pool, now, tried).map(plain_candidate)
+            }
+        }
+    }
+}
+
+fn prefill_need<'a>(
+    generate: &Generate,
+    model: &'a Model,
+    cached: &'a CachedPrefixes,
+    decode_zone: Option<&'a str>,
+) -> PrefillNeed<'a> {
+    let tokens = generate.tokens_to_prefill();
+    PrefillNeed {
+        pool: &model.prefill_pool,
+        tokens,
+        kv_bytes: u64::from(tokens) * u64::from(model.kv_bytes_per_token),
+        cached,
+        decode_zone,
+    }
+}
+
+fn plain_candidate(agent: AgentKey) -> Candidate {
+    Candidate { agent, time: Duration::ZERO, cost: Duration::ZERO }
+}
--- /dev/null
+++ b/src/policy/view.rs
@@ -0,0 +1,226 @@
+//! What an entry knows of each agent.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use slotmap::SlotMap;
+use slotmap::new_key_type;
+
+use crate::clock::as_ms;
+use crate::clock::from_ms;
+use crate::policy::ejection::Health;
+use crate::schema::wire::AgentHello;
+use crate::schema::wire::Load;
+
+new_key_type! {
+    /// Names an agent within one entry.
+    pub struct AgentKey;
+}
+
+/// What an entry knows of one agent.
+#[derive(Debug, Clone)]
+pub struct AgentView {
+    /// Name of the instance.
+    pub name: CompactString,
+    /// Pool it belongs to.
+    pub pool: CompactString,
+    /// Region it runs in.
+    pub region: CompactString,
+    /// Availability zone it runs in.
+    pub zone: CompactString,
+    /// Address of the upstream beside it.
+    pub upstream: CompactString,
+    /// Changes with each start of the agent.
+    pub incarnation: u64,
+    /// True while there is a connection to it.
+    pub connected: bool,
+    /// The agent said that it is leaving.
+    pub leaving: bool,
+    /// The incarnation that the instance list said is leaving.
+    pub listed_leaving: Option<u64>,
+    /// Its last load report.
+    pub load: Load,
+    /// When that report came in.
+    pub load_at: Duration,
+    /// Prefill tokens sent since the report.
+    pub sent_prefill_tokens: u64,
+    /// Blocks asked for since the report.
+    pub sent_blocks: u32,
+    /// Reservations asked for since the report.
+    pub sent_streams: u32,
+    /// Calls sent and not answered.
+    pub open_calls: u32,
+    /// Failures in a row, and ejection.
+    pub health: Health,
+}
+
+impl AgentView {
+    /// True if new work may be sent.
+    pub fn takes_work(&self, now: Duration) -> bool {
+        self.connected && !self.is_leaving() && !self.health.is_ejected(now)
+    }
+
+    /// True if the agent or the instance list says that this incarnation leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving || self.listed_leaving == Some(self.incarnation)
+    }
+
+    /// Takes over a load report, unless a newer one is known.
+    pub fn report(&mut self, now: Duration, load: &Load) {
+        if load.at_ms < self.load.at_ms {
+            return;
+        }
+        self.load = *load;
+        self.load_at = now;
+        self.sent_prefill_tokens = 0;
+        self.sent_blocks = 0;
+        self.sent_streams = 0;
+    }
+
+    /// Predicted time until the prefill queue is empty.
+    pub fn prefill_wait(&self, now: Duration) -> Duration {
+        let rate = u64::from(self.load.prefill_tokens_per_s.max(1));
+        let age_ms = as_ms(now.saturating_sub(self.load_at));
+        let drained = rate * age_ms / MS_PER_S;
+        let queued = self.load.queued_prefill_tokens + self.sent_prefill_tokens;
+        from_ms(queued.saturating_sub(drained) * MS_PER_S / rate)
+    }
+
+    /// Predicted time until a decode slot with `blocks` blocks is free.
+    pub fn decode_wait(&self, now: Duration, blocks: u32) -> Duration {
+        let load = &self.load;
+        let streams = load.streams + load.waiting + self.sent_streams;
+        let fits = load.waiting == 0
+            && streams < load.stream_limit
+            && load.free_blocks >= blocks + self.sent_blocks;
+        if fits {
+            return Duration::ZERO;
+        }
+        let age = now.saturating_sub(self.load_at);
+        let per_slot_ms = u64::from(load.wait_ms) / u64::from(load.waiting + 1);
+        let wait = from_ms(u64::from(load.wait_ms) + u64::from(self.sent_streams) * per_slot_ms);
+        wait.saturating_sub(age)
+    }
+
+    /// Share of the decode slots in use, in thousandths.
+    pub fn decode_use_permille(&self) -> u32 {
+        let limit = self.load.stream_limit.max(1);
+        let streams = self.load.streams + self.load.waiting + self.sent_streams;
+        streams * PERMILLE / limit
+    }
+}
+
+const MS_PER_S: u64 = 1_000;
+const PERMILLE: u32 = 1_000;
+
+/// The agents that an entry knows, in the arena and by pool.
+#[derive(Debug, Default)]
+pub struct View {
+    agents: SlotMap<AgentKey, AgentView>,
+    by_name: BTreeMap<CompactString, AgentKey>,
+    by_pool: BTreeMap<CompactString, Vec<AgentKey>>,
+}
+
+impl View {
+    /// Adds the agent that said hello, or brings it up to date.
+    pub fn connect(&mut self, now: Duration, hello: &AgentHello) -> AgentKey {
+        let key = match self.by_name.get(hello.name.as_str()) {
+            Some(&key) => key,
+            None => self.add(hello),
+        };
+        let agent = &mut self.agents[key];
+        if agent.incarnation != hello.incarnation {
+            agent.incarnation = hello.incarnation;
+            agent.health = Health::default();
+            agent.load = Load::default();
+        }
+        agent.upstream = hello.upstream.as_str().into();
+        agent.connected = true;
+        agent.leaving = hello.leaving;
+        if let Some(load) = &hello.load {
+            agent.report(now, load);
+        }
+        key
+    }
+
+    fn add(&mut self, hello: &AgentHello) -> AgentKey {
+        let name = CompactString::from(hello.name.as_str());
+        let pool = CompactString::from(hello.pool.as_str());
+        let key = self.agents.insert(AgentView {
+            name: name.clone(),
+            pool: pool.clone(),
+            region: hello.region.as_str().into(),
+            zone: hello.zone.as_str().into(),
+            upstream: hello.upstream.as_str().into(),
+            incarnation: hello.incarnation,
+            connected: false,
+            leaving: false,
+            listed_leaving: None,
+            load: Load::default(),
+            load_at: Duration::ZERO,
+            sent_prefill_tokens: 0,
+            sent_blocks: 0,
+            sent_streams: 0,
+            open_calls: 0,
+            health: Health::default(),
+        });
+        self.by_name.insert(name, key);
+        self.by_pool.entry(pool).or_default().push(key);
+        key
+    }
+
+    /// Forgets an agent that the instance list no longer holds.
+    pub fn remove(&mut self, key: AgentKey) {
+        let Some(agent) = self.agents.remove(key) else { return };
+        self.by_name.remove(&agent.name);
+        if let Some(pool) = self.by_pool.get_mut(&agent.pool) {
+            pool.retain(|&other| other != key);
+        }
+    }
+
+    /// The agent behind a key.
+    pub fn get(&self, key: AgentKey) -> Option<&AgentView> {
+        self.agents.get(key)
+    }
+
+    /// The agent behind a key, to change.
+    pub fn get_mut(&mut self, key: AgentKey) -> Option<&mut AgentView> {
+        self.agents.get_mut(key)
+    }
+
+    /// The agent of that name.
+    pub fn named(&self, name: &str) -> Option<AgentKey> {
+        self.by_name.get(name).copied()
+    }
+
+    /// Every agent.
+    pub fn iter(&self) -> impl Iterator<Item = (AgentKey, &AgentView)> {
+        self.agents.iter()
+    }
+
+    /// Every agent of a pool.
+    pub fn pool(&self, pool: &str) -> &[AgentKey] {
+        self.by_pool.get(pool).map_or(&[], Vec::as_slice)
+    }
+
+    /// The agents of a pool that take new work.
+    pub fn working<'a>(
+        &'a self,
+        pool: &str,
+        now: Duration,
+    ) -> impl Iterator<Item = (AgentKey, &'a AgentView)> + 'a {
+        let agents = self.pool(pool).iter().map(|&key| (key, &self.agents[key]));
+        agents.filter(move |(_, agent)| agent.takes_work(now))
+    }
+
+    /// Records a failure of `key` and ejects it if the pool's cap allows.
+    pub fn fail(&mut self, now: Duration, key: AgentKey, limits: &crate::policy::ejection::Limits) {
+        let Some(agent) = self.agents.get(key) else { return };
+        let pool = self.pool(&agent.pool);
+        let ejected =
+            pool.iter().filter(|&&other| self.agents[other].health.is_ejected(now)).count();
+        let may_eject = limits.may_eject(ejected, pool.len());
+        self.agents[key].health.fail(now, limits, may_eject);
+    }
+}
--- /dev/null
+++ b/standins/src/engine.rs
@@ -0,0 +1,475 @@
+//! Stand-in of a model engine, for prefill and decode.
+//!
+//! Tokens are made from the prompt and the index alone, so that any engine
+//! continues an answer with the same bytes.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use serde::Deserialize;
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::faults::Switch;
+use crate::server;
+use crate::server::Body;
+
+const BYTES_PER_TOKEN: usize = 4;
+const WORDS: [&str; 16] = [
+    "ovelha ",
+    "preço ",
+    "feira ",
+    "lote ",
+    "arroba ",
+    "cordeiro ",
+    "raça ",
+    "alta ",
+    "film ",
+    "reel ",
+    "splice ",
+    "frame ",
+    "scan ",
+    "archive ",
+    "grain ",
+    "fade ",
+];
+
+/// Sizes and speeds of an engine.
+#[derive(Debug, Clone)]
+pub struct EngineConfig {
+    /// KV cache blocks.
+    pub blocks: u32,
+    /// Tokens in a block.
+    pub block_tokens: u32,
+    /// Prefill speed.
+    pub prefill_tokens_per_s: u32,
+    /// Time of a decode step with one stream.
+    pub step_base: Duration,
+    /// Added to it for each stream.
+    pub step_per_stream: Duration,
+    /// How long a prefill result is kept.
+    pub kv_eviction: Duration,
+    /// KV cache of one token.
+    pub kv_bytes_per_token: u32,
+    /// Refuse orders with an older fencing number.
+    pub checks_fencing: bool,
+}
+
+impl Default for EngineConfig {
+    fn default() -> Self {
+        Self {
+            blocks: 4_000,
+            block_tokens: 16,
+            prefill_tokens_per_s: 20_000,
+            step_base: Duration::from_millis(5),
+            step_per_stream: Duration::from_micros(250),
+            kv_eviction: Duration::from_millis(800),
+            kv_bytes_per_token: 64,
+            checks_fencing: true,
+        }
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Kv {
+    prompt_hash: u64,
+    tokens: u32,
+    evicted_at: Instant,
+}
+
+#[derive(Debug, Clone)]
+struct Stream {
+    prompt_hash: u64,
+    blocks: u32,
+    max_tokens: Option<u32>,
+    stopped: bool,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    next_handle: u64,
+    results: HashMap<String, Kv>,
+    results_by_id: HashMap<String, String>,
+    streams: HashMap<String, Stream>,
+    prefilled_tokens: u64,
+    prefills: u64,
+    decodes: Vec<String>,
+    model: String,
+    fence: (u64, u64),
+    prefilling_until: Option<Instant>,
+}
+
+/// The engine, shared between the server and the test.
+#[derive(Debug)]
+pub struct Engine {
+    config: EngineConfig,
+    state: Mutex<State>,
+    client: Client<hyper_util::client::legacy::connect::HttpConnector, Full<Bytes>>,
+    /// Prefills fail.
+    pub fail_prefill: Switch,
+    /// Transfers into this engine never end.
+    pub stall_import: Switch,
+    /// The next transfer into this engine never ends.
+    pub stall_next_import: Switch,
+    /// The next stream breaks off after a few tokens, but runs on.
+    pub cut_next_stream: Switch,
+    /// Cancels are not answered.
+    pub lose_cancels: Switch,
+    /// Streams give no more tokens.
+    pub freeze_streams: Switch,
+}
+
+#[derive(Deserialize)]
+struct PrefillBody {
+    id: String,
+    prompt: String,
+    continued: String,
+}
+
+#[derive(Serialize)]
+struct PrefillAnswer {
+    handle: String,
+    cached_tokens: u32,
+    kv_bytes: u64,
+}
+
+#[derive(Deserialize)]
+struct ImportBody {
+    id: String,
+    handle: String,
+    source: String,
+}
+
+#[derive(Serialize, Deserialize)]
+struct ExportAnswer {
+    prompt_hash: u64,
+    tokens: u32,
+}
+
+#[derive(Deserialize)]
+struct DecodeBody {
+    id: String,
+    from_index: u32,
+    max_tokens: u32,
+}
+
+#[derive(Deserialize)]
+struct CancelBody {
+    id: String,
+}
+
+#[derive(Deserialize)]
+struct OrderBody {
+    model: String,
+    fence_incarnation: u64,
+    fence_generation: u64,
+}
+
+#[derive(Serialize)]
+struct StateAnswer {
+    model: String,
+    fence_incarnation: u64,
+    fence_generation: u64,
+}
+
+#[derive(Serialize)]
+struct StreamList {
+    streams: Vec<ListedStream>,
+}
+
+#[derive(Serialize)]
+struct ListedStream {
+    id: String,
+    blocks: u32,
+}
+
+#[derive(Serialize)]
+struct Done {}
+
+/// The text of token `index` of the answer to `prompt`.
+pub fn token_text(prompt_hash: u64, index: u32) -> &'static str {
+    let mixed = xxh3_64(&[prompt_hash.to_le_bytes(), u64::from(index).to_le_bytes()].concat());
+    WORDS[(mixed % WORDS.len() as u64) as usize]
+}
+
+/// Tokens that the answer to `prompt` has when nothing limits it.
+pub fn answer_tokens(prompt_hash: u64) -> u32 {
+    20 + (prompt_hash % 60) as u32
+}
+
+/// The whole answer to `prompt` with at most `max_tokens` tokens.
+pub fn answer(prompt: &str, max_tokens: u32) -> String {
+    let hash = xxh3_64(prompt.as_bytes());
+    let tokens = answer_tokens(hash).min(max_tokens);
+    (0..tokens).map(|index| token_text(hash, index)).collect()
+}
+
+impl Engine {
+    /// Starts an engine on a free port.
+    pub async fn start(config: EngineConfig) -> (Arc<Self>, SocketAddr) {
+        let engine = Arc::new(Self {
+            config,
+            state: Mutex::default(),
+            client: Client::builder(TokioExecutor::new()).build_http(),
+            fail_prefill: Switch::default(),
+            stall_import: Switch::default(),
+            stall_next_import: Switch::default(),
+            cut_next_stream: Switch::default(),
+            lose_cancels: Switch::default(),
+            freeze_streams: Switch::default(),
+        });
+        let served = engine.clone();
+        let address = server::serve(move |request| served.clone().handle(request)).await;
+        (engine, address)
+    }
+
+    /// Blocks held by streams.
+    pub fn held_blocks(&self) -> u32 {
+        self.state().streams.values().map(|stream| stream.blocks).sum()
+    }
+
+    /// Streams that run.
+    pub fn streams(&self) -> usize {
+        self.state().streams.len()
+    }
+
+    /// Tokens that were prefilled, and prefills.
+    pub fn prefilled(&self) -> (u64, u64) {
+        let state = self.state();
+        (state.prefilled_tokens, state.prefills)
+    }
+
+    /// Names of the streams that were started, in order.
+    pub fn decodes(&self) -> Vec<String> {
+        self.state().decodes.clone()
+    }
+
+    /// Model that is loaded.
+    pub fn model(&self) -> String {
+        self.state().model.clone()
+    }
+
+    fn state(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().expect("no holder panics")
+    }
+
+    async fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Result<Response<Body>, std::io::Error> {
+        let path = request.uri().path().to_string();
+        match (request.method().clone(), path.as_str()) {
+            (Method::POST, "/v1/prefill") => self.prefill(request).await,
+            (Method::POST, "/v1/kv/import") => self.import(request).await,
+            (Method::POST, "/v1/decode") => self.decode(request).await,
+            (Method::POST, "/v1/cancel") => self.cancel(request).await,
+            (Method::POST, "/v1/orders") => self.order(request).await,
+            (Method::GET, "/v1/streams") => Ok(self.list_streams()),
+            (Method::GET, "/v1/state") => Ok(self.state_answer(StatusCode::OK)),
+            (Method::GET, path) if path.starts_with("/v1/kv/") => Ok(self.export(path)),
+            _ => Ok(server::json(StatusCode::NOT_FOUND, &"no such path")),
+        }
+    }
+
+    async fn prefill(&self, request: Request<Incoming>) -> Result<Response<Body>, std::io::Error> {
+        let Some(body) = server::read_json::<PrefillBody>(request).await else {
+            return Ok(server::json(StatusCode::BAD_REQUEST, &"malformed"));
+        };
+        if self.fail_prefill.is_on() {
+            return Ok(server::json(StatusCode::INTERNAL_SERVER_ERROR, &"prefill failed"));
+        }
+        let tokens = (body.prompt.len() + body.continued.len()).div_ceil(BYTES_PER_TOKEN) as u32;
+        let takes = Duration::from_secs_f64(
+            f64::from(tokens) / f64::from(self.config.prefill_tokens_per_s),
+        );
+        let done_at = {
+            let mut state = self.state();
+            let start = state.prefilling_until.unwrap_or_else(Instant::now).max(Instant::now());
+            state.prefilling_until = Some(start + takes);
+            start + takes
+        };
+        tokio::time::sleep_until(done_at.into()).await;
+        let mut state = self.state();
+        state.next_handle += 1;
+        state.prefilled_tokens += u64::from(tokens);
+        state.prefills += 1;
+        let handle = format!("kv-{}", state.next_handle);
+        let kv = Kv {
+            prompt_hash: xxh3_64(body.prompt.as_bytes()),
+            tokens,
+            evicted_at: Instant::now() + self.config.kv_eviction,
+        };
+        state.results.insert(handle.clone(), kv);
+        state.results_by_id.insert(body.id, handle.clone());
+        let kv_bytes = u64::from(tokens) * u64::from(self.config.kv_bytes_per_token);
+        Ok(server::json(StatusCode::OK, &PrefillAnswer { handle, cached_tokens: 0, kv_bytes }))
+    }
+
+    fn export(&self, path: &str) -> Response<Body> {
+        let handle = path.trim_start_matches("/v1/kv/");
+        let mut state = self.state();
+        let now = Instant::now();
+        state.results.retain(|_, kv| now < kv.evicted_at);
+        match state.results.get(handle) {
+            None => server::json(StatusCode::GONE, &"evicted"),
+            Some(kv) => {
+                let answer = ExportAnswer { prompt_hash: kv.prompt_hash, tokens: kv.tokens };
+                server::json(StatusCode::OK, &answer)
+            }
+        }
+    }
+
+    async fn import(&self, request: Request<Incoming>) -> Result<Response<Body>, std::io::Error> {
+        let Some(body) = server::read_json::<ImportBody>(request).await else {
+            return Ok(server::json(StatusCode::BAD_REQUEST, &"malformed"));
+        };
+        if self.stall_import.is_on() || self.stall_next_import.take() {
+            std::future::pending::<()>().await;
+        }
+        let uri = format!("http://{}/v1/kv/{}", body.source, body.handle);
+        let Ok(uri) = uri.parse() else {
+            return Ok(server::json(StatusCode::BAD_REQUEST, &"malformed source"));
+        };
+        let Ok(response) = self.client.get(uri).await else {
+            return Ok(server::json(StatusCode::BAD_GATEWAY, &"source unreachable"));
+        };
+        if response.status() != StatusCode::OK {
+            return Ok(server::json(StatusCode::GONE, &"evicted"));
+        }
+        let bytes = response.into_body().collect().await.map_err(|_| server::lost())?.to_bytes();
+        let kv: ExportAnswer = serde_json::from_slice(&bytes).map_err(|_| server::lost())?;
+        let blocks = kv.tokens.div_ceil(self.config.block_tokens);
+        let mut state = self.state();
+        let used: u32 = state.streams.values().map(|stream| stream.blocks).sum();
+        if used + blocks > self.config.blocks {
+            return Ok(server::json(StatusCode::INSUFFICIENT_STORAGE, &"no blocks"));
+        }
+        let stream =
+            Stream { prompt_hash: kv.prompt_hash, blocks, max_tokens: None, stopped: false };
+        state.streams.insert(body.id, stream);
+        Ok(server::json(StatusCode::OK, &Done {}))
+    }
+
+    async fn decode(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Result<Response<Body>, std::io::Error> {
+        let Some(body) = server::read_json::<DecodeBody>(request).await else {
+            return Ok(server::json(StatusCode::BAD_REQUEST, &"malformed"));
+        };
+        let prompt_hash = {
+            let mut state = self.state();
+            let Some(stream) = state.streams.get_mut(&body.id) else {
+                return Ok(server::json(StatusCode::NOT_FOUND, &"no such stream"));
+            };
+            // A resumed stream keeps the limit that it was started with.
+            if body.max_tokens > 0 {
+                stream.max_tokens = Some(body.max_tokens);
+            }
+            let prompt_hash = stream.prompt_hash;
+            state.decodes.push(body.id.clone());
+            prompt_hash
+        };
+        let cut_at = self.cut_next_stream.take().then_some(body.from_index + 3);
+        let start = Some((self, body.id, body.from_index));
+        let tokens = futures_util::stream::unfold(start, move |state| async move {
+            let (engine, id, index) = state?;
+            if cut_at == Some(index) {
+                return Some((Err(server::lost()), None));
+            }
+            engine.step().await;
+            let line = engine.token(&id, prompt_hash, index)?;
+            let next = (!line.1).then_some((engine, id, index + 1));
+            Some((Ok(line.0), next))
+        });
+        Ok(server::stream(tokens))
+    }
+
+    async fn step(&self) {
+        while self.freeze_streams.is_on() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        let streams = self.streams() as u32;
+        tokio::time::sleep(self.config.step_base + self.config.step_per_stream * streams).await;
+    }
+
+    fn token(&self, id: &str, prompt_hash: u64, index: u32) -> Option<(Bytes, bool)> {
+        let mut state = self.state();
+        let stream = state.streams.get(id).filter(|stream| !stream.stopped)?;
+        let tokens = answer_tokens(prompt_hash);
+        let limit = stream.max_tokens.unwrap_or(u32::MAX);
+        let last = index + 1 >= tokens.min(limit);
+        let text = token_text(prompt_hash, index);
+        let mut line = serde_json::json!({ "index": index, "text": text });
+        if last {
+            line["finish_reason"] = if limit < tokens { "length".into() } else { "stop".into() };
+            state.streams.remove(id);
+        }
+        Some((Bytes::from(format!("{line}\n")), last))
+    }
+
+    async fn cancel(&self, request: Request<Incoming>) -> Result<Response<Body>, std::io::Error> {
+        let Some(body) = server::read_json::<CancelBody>(request).await else {
+            return Ok(server::json(StatusCode::BAD_REQUEST, &"malformed"));
+        };
+        if self.lose_cancels.is_on() {
+            return Err(server::lost());
+        }
+        let mut state = self.state();
+        state.streams.remove(&body.id);
+        if let Some(handle) = state.results_by_id.remove(&body.id) {
+            state.results.remove(&handle);
+        }
+        Ok(server::json(StatusCode::OK, &Done {}))
+    }
+
+    async fn order(&self, request: Request<Incoming>) -> Result<Response<Body>, std::io::Error> {
+        let Some(body) = server::read_json::<OrderBody>(request).await else {
+            return Ok(server::json(StatusCode::BAD_REQUEST, &"malformed"));
+        };
+        let fence = (body.fence_incarnation, body.fence_generation);
+        {
+            let mut state = self.state();
+            if self.config.checks_fencing && fence < state.fence {
+                drop(state);
+                return Ok(self.state_answer(StatusCode::CONFLICT));
+            }
+            state.fence = fence;
+            state.model = body.model;
+        }
+        Ok(self.state_answer(StatusCode::OK))
+    }
+
+    fn state_answer(&self, status: StatusCode) -> Response<Body> {
+        let state = self.state();
+        let answer = StateAnswer {
+            model: state.model.clone(),
+            fence_incarnation: state.fence.0,
+            fence_generation: state.fence.1,
+        };
+        server::json(status, &answer)
+    }
+
+    fn list_streams(&self) -> Response<Body> {
+        let state = self.state();
+        let listed = state
+            .streams
+            .iter()
+            .map(|(id, stream)| ListedStream { id: id.clone(), blocks: stream.blocks });
+        server::json(StatusCode::OK, &StreamList { streams: listed.collect() })
+    }
+}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,10 @@
+//! Small stand-ins of the platform and the upstreams, with switches for the
+//! faults that they are known to have. For tests and examples only.
+
+pub mod caller;
+pub mod engine;
+pub mod faults;
+pub mod list;
+pub mod log;
+pub mod server;
+pub mod service;
--- /dev/null
+++ b/standins/src/log.rs
@@ -0,0 +1,170 @@
+//! Stand-in of the platform's append-only log.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::sync::Notify;
+
+use crate::faults::Delay;
+use crate::faults::Switch;
+use crate::server;
+use crate::server::Body;
+
+const MAX_READ: usize = 1_000;
+
+#[derive(Debug, Clone)]
+struct Kept {
+    at: Instant,
+    record: String,
+}
+
+#[derive(Debug, Default)]
+struct Stream {
+    first_offset: u64,
+    records: Vec<Kept>,
+}
+
+/// The log, shared between the server and the test.
+#[derive(Debug, Default)]
+pub struct Log {
+    streams: Mutex<HashMap<String, Stream>>,
+    appended: Notify,
+    /// Neither reads nor appends work.
+    pub down: Switch,
+    /// Every exchange takes so long.
+    pub slow: Delay,
+    /// The next append takes effect, but its answer is lost.
+    pub lose_next_answer: Switch,
+    /// Appends take effect, but their answers are lost.
+    pub lose_answers: Switch,
+}
+
+#[derive(Deserialize)]
+struct Append {
+    record: String,
+}
+
+#[derive(Serialize)]
+struct Appended {
+    offset: u64,
+}
+
+#[derive(Serialize)]
+struct Read {
+    first_offset: u64,
+    next_offset: u64,
+    records: Vec<ReadRecord>,
+}
+
+#[derive(Serialize)]
+struct ReadRecord {
+    offset: u64,
+    age_ms: u64,
+    record: String,
+}
+
+impl Log {
+    /// Starts a log on a free port.
+    pub async fn start() -> (Arc<Self>, SocketAddr) {
+        let log = Arc::new(Self::default());
+        let served = log.clone();
+        let address = server::serve(move |request| served.clone().handle(request)).await;
+        (log, address)
+    }
+
+    /// Appends as a client would, and returns the offset.
+    pub fn append(&self, stream: &str, record: &str) -> u64 {
+        let mut streams = self.streams.lock().expect("no holder panics");
+        let stream = streams.entry(stream.to_string()).or_default();
+        stream.records.push(Kept { at: Instant::now(), record: record.to_string() });
+        self.appended.notify_waiters();
+        stream.first_offset + stream.records.len() as u64 - 1
+    }
+
+    /// Forgets the records before `offset`, as retention does.
+    pub fn trim(&self, stream: &str, offset: u64) {
+        let mut streams = self.streams.lock().expect("no holder panics");
+        let stream = streams.entry(stream.to_string()).or_default();
+        while stream.first_offset < offset && !stream.records.is_empty() {
+            stream.records.remove(0);
+            stream.first_offset += 1;
+        }
+    }
+
+    /// Every record that is still held.
+    pub fn records(&self, stream: &str) -> Vec<String> {
+        let streams = self.streams.lock().expect("no holder panics");
+        let held = streams.get(stream);
+        held.map_or(Vec::new(), |held| {
+            held.records.iter().map(|kept| kept.record.clone()).collect()
+        })
+    }
+
+    async fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Result<Response<Body>, std::io::Error> {
+        self.slow.wait().await;
+        if self.down.is_on() {
+            return Ok(server::json(StatusCode::SERVICE_UNAVAILABLE, &"down"));
+        }
+        let path = request.uri().path().to_string();
+        let stream = path.trim_start_matches("/streams/").trim_end_matches("/records").to_string();
+        if request.method() == Method::POST {
+            let Some(append) = server::read_json::<Append>(request).await else {
+                return Ok(server::json(StatusCode::BAD_REQUEST, &"expected {record}"));
+            };
+            let offset = self.append(&stream, &append.record);
+            if self.lose_next_answer.take() || self.lose_answers.is_on() {
+                return Err(server::lost());
+            }
+            return Ok(server::json(StatusCode::OK, &Appended { offset }));
+        }
+        let from = server::query_number(&request, "from");
+        let wait = Duration::from_millis(server::query_number(&request, "wait_ms"));
+        Ok(server::json(StatusCode::OK, &self.read(&stream, from, wait).await))
+    }
+
+    async fn read(&self, stream: &str, from: u64, wait: Duration) -> Read {
+        let deadline = Instant::now() + wait;
+        loop {
+            let appended = self.appended.notified();
+            let read = self.read_now(stream, from);
+            let left = deadline.saturating_duration_since(Instant::now());
+            if !read.records.is_empty() || left.is_zero() || self.down.is_on() {
+                return read;
+            }
+            // Notifications may come between two polls; look again from time
+            // to time rather than trust them alone.
+            let _ = tokio::time::timeout(left.min(Duration::from_millis(100)), appended).await;
+        }
+    }
+
+    fn read_now(&self, stream: &str, from: u64) -> Read {
+        let mut streams = self.streams.lock().expect("no holder panics");
+        let stream = streams.entry(stream.to_string()).or_default();
+        let skip = from.saturating_sub(stream.first_offset) as usize;
+        let records = stream.records.iter().enumerate().skip(skip).take(MAX_READ);
+        let records = records.map(|(position, kept)| ReadRecord {
+            offset: stream.first_offset + position as u64,
+            age_ms: kept.at.elapsed().as_millis() as u64,
+            record: kept.record.clone(),
+        });
+        Read {
+            first_offset: stream.first_offset,
+            next_offset: stream.first_offset + stream.records.len() as u64,
+            records: records.collect(),
+        }
+    }
+}
--- /dev/null
+++ b/tests/processes/main.rs
@@ -0,0 +1,4 @@
+//! Tests that start the real programs as separate processes.
+
+mod answers;
+mod fleet;
