Replay in virtual time, and the promises under kills, freezes and outages

Found, with a test that failed first: a lookup whose answer both services lost was refused with no-upstream (503) after two tries, though the services were there. Cause: an upstream that was tried is never tried again. Ruled out: ejection (one failure each, the limit is five). Now an idempotent call goes back to one that was tried when no other is left; the tries stay counted. Before: 503 after 2 runs; after: 200 on the third.

--- a/src/bin/bamboodoor/arguments.rs
+++ b/src/bin/bamboodoor/arguments.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 
 use argh::FromArgs;
+use bamboodoor::policy::PolicyKind;
 
 /// Publishes manifests and tells what the fleet did.
 ///
@@ -26,6 +27,8 @@
     Publish(Publish),
     Status(Status),
     Explain(Explain),
+    Replay(Replay),
+    Synthesize(Synthesize),
 }
 
 /// Check a manifest as every process will.
@@ -87,3 +90,45 @@
     #[argh(switch)]
     pub json: bool,
 }
+
+/// Replay a recorded trace through the decision core, in virtual time.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "replay")]
+pub struct Replay {
+    /// file with the trace, JSON lines
+    #[argh(positional)]
+    pub trace: PathBuf,
+    /// manifest to use instead of the one that the trace names
+    #[argh(option)]
+    pub manifest: Option<PathBuf>,
+    /// reserve (default), round-robin, least-loaded or prefill-first
+    #[argh(option, default = "PolicyKind::default()")]
+    pub policy: PolicyKind,
+    /// seed of every random choice; default 1
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Make a trace for one of the users' sizes and mixes, from a seed.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "synthesize")]
+pub struct Synthesize {
+    /// associacao or qayrawan
+    #[argh(positional)]
+    pub user: String,
+    /// manifest of that user
+    #[argh(option)]
+    pub manifest: PathBuf,
+    /// arrivals as a multiple of what the fleet can carry; default 1.0
+    #[argh(option, default = "1.0")]
+    pub load: f64,
+    /// length of the trace; default 60000
+    #[argh(option, default = "60_000")]
+    pub duration_ms: u64,
+    /// seed of every random choice; default 1
+    #[argh(option, default = "1")]
+    pub seed: u64,
+}
--- a/src/bin/bamboodoor/main.rs
+++ b/src/bin/bamboodoor/main.rs
@@ -18,6 +18,11 @@
 use bamboodoor::edge::platform::LogClient;
 use bamboodoor::error::Error;
 use bamboodoor::error::Result;
+use bamboodoor::manifest::Snapshot;
+use bamboodoor::replay;
+use bamboodoor::replay::ReplayConfig;
+use bamboodoor::replay::synthesis;
+use bamboodoor::replay::synthesis::Synthesis;
 
 /// The command did its work, but the answer is no.
 const EXIT_NO: u8 = 1;
@@ -64,6 +69,8 @@
         Command::Publish(arguments) => run_publish(&arguments),
         Command::Status(arguments) => run_status(&arguments),
         Command::Explain(arguments) => run_explain(&arguments),
+        Command::Replay(arguments) => run_replay(&arguments),
+        Command::Synthesize(arguments) => run_synthesize(&arguments),
     }
 }
 
@@ -108,3 +115,32 @@
     output::steps(&steps, arguments.json);
     Ok(!steps.is_empty())
 }
+
+fn run_replay(arguments: &arguments::Replay) -> Result<bool> {
+    let config =
+        ReplayConfig { policy: arguments.policy, seed: arguments.seed, ..ReplayConfig::default() };
+    let summary = replay::replay_file(&arguments.trace, arguments.manifest.as_deref(), &config)?;
+    output::summary(&summary, arguments.json);
+    Ok(summary.violations.is_empty())
+}
+
+fn run_synthesize(arguments: &arguments::Synthesize) -> Result<bool> {
+    let Some(mix) = synthesis::mix_of(&arguments.user) else {
+        eprintln!("no user {}: expected associacao or qayrawan", arguments.user);
+        return Ok(false);
+    };
+    let body = check::check(&arguments.manifest)?;
+    let file = arguments.manifest.display().to_string();
+    let snapshot =
+        Snapshot::parse(0, &body).map_err(|findings| Error::Invalid { file, findings })?;
+    let synthesis = Synthesis {
+        seed: arguments.seed,
+        duration_ms: arguments.duration_ms,
+        load: arguments.load,
+        ..Synthesis::default()
+    };
+    let trace = synthesis::synthesize(&mix, &snapshot, &synthesis);
+    let write = |source| Error::Io { action: "write the trace", source };
+    trace.write(std::io::stdout().lock()).map_err(write)?;
+    Ok(true)
+}
--- a/src/bin/bamboodoor/output.rs
+++ b/src/bin/bamboodoor/output.rs
@@ -4,6 +4,7 @@
 
 use bamboodoor::command::explain::Step;
 use bamboodoor::command::status::ProcessStatus;
+use bamboodoor::replay::judge::Summary;
 use serde::Serialize;
 
 fn print_json(value: &impl Serialize) {
@@ -50,3 +51,32 @@
         println!("{step}");
     }
 }
+
+pub fn summary(summary: &Summary, json: bool) {
+    if json {
+        print_json(&summary);
+        return;
+    }
+    println!(
+        "drafts            {} (admitted {}, whole {})",
+        summary.drafts, summary.admitted, summary.whole
+    );
+    println!("within targets    {:.1} % of admitted", summary.within_targets_percent);
+    println!("goodput           {:.2} answers/s", summary.goodput_per_s);
+    println!("wasted prefill    {:.2} % of prefill tokens", summary.wasted_prefill_percent);
+    println!(
+        "first token       p50 {} ms  p95 {} ms",
+        summary.first_token_p50_ms, summary.first_token_p95_ms
+    );
+    println!("between tokens    p95 {} ms", summary.between_tokens_p95_ms);
+    println!(
+        "calls             {} of {} answered, p95 {} ms",
+        summary.calls_answered, summary.calls, summary.call_p95_ms
+    );
+    println!("refusals          {:?}", summary.refusals);
+    println!("retries           {:?}", summary.retries);
+    println!("held at the end   {}", summary.held_at_end);
+    for violation in &summary.violations {
+        println!("VIOLATION         {violation}");
+    }
+}
--- a/src/entry/calls.rs
+++ b/src/entry/calls.rs
@@ -315,7 +315,13 @@
     }
 
     fn send_call(&mut self, now: Duration, key: RequestKey, out: &mut Vec<EntryAction>) {
-        let Some(agent) = self.choose_service(now, key) else {
+        let mut chosen = self.choose_service(now, key);
+        if chosen.is_none() && self.call(key).idempotent {
+            // One that failed before is better than none; the tries are counted.
+            self.call_mut(key).tried.clear();
+            chosen = self.choose_service(now, key);
+        }
+        let Some(agent) = chosen else {
             self.refuse_no_service(key, out);
             return;
         };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod manifest;
 pub mod outcome;
 pub mod policy;
+pub mod replay;
 pub mod schema;
 pub mod settings;
--- /dev/null
+++ b/tests/processes/configuration.rs
@@ -0,0 +1,88 @@
+//! The manifest in force, everywhere and never an older one.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::fleet::Fleet;
+use crate::fleet::FleetConfig;
+use crate::fleet::eventually;
+use crate::fleet::manifest;
+use bamboodoor::manifest::fold::publish_record;
+
+const IN_FORCE_BOUND: Duration = Duration::from_secs(4);
+
+async fn generations(fleet: &Fleet) -> Vec<u64> {
+    let mut generations = Vec::new();
+    for process in fleet.entries.iter().chain(&fleet.agents) {
+        generations.push(process.status().await["generation"].as_u64().unwrap_or(0));
+    }
+    generations
+}
+
+async fn in_force_everywhere(fleet: &Fleet, generation: u64) -> bool {
+    generations(fleet).await.iter().all(|held| *held == generation)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_accepted_manifest_is_in_force_everywhere_in_time() {
+    let fleet = Fleet::start(FleetConfig { entries: 2, ..FleetConfig::default() }).await;
+    let generation = fleet.publish(&manifest(6), 1);
+    let started = Instant::now();
+    eventually("it is in force", async || in_force_everywhere(&fleet, generation).await).await;
+    assert!(started.elapsed() < IN_FORCE_BOUND, "took {:?}", started.elapsed());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn of_racing_operators_the_first_in_the_log_wins_everywhere() {
+    let fleet = Fleet::start(FleetConfig { entries: 2, ..FleetConfig::default() }).await;
+    let winner = fleet.publish(&manifest(6), 1);
+    fleet.publish(&manifest(7), 1);
+    fleet.publish(&manifest(5), 1);
+    eventually("the first is in force", async || in_force_everywhere(&fleet, winner).await).await;
+    let next = fleet.publish(&manifest(4), winner);
+    eventually("the next is in force", async || in_force_everywhere(&fleet, next).await).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_corrupted_or_invalid_manifest_changes_nothing() {
+    let fleet = Fleet::start(FleetConfig::default()).await;
+    let mut record = serde_json::to_value(publish_record("bad", "test", 1, &manifest(6)))
+        .expect("is plain data");
+    record["publish"]["sha256"] = "0000".into();
+    fleet.log.append("manifest", &record.to_string());
+    fleet.publish("{ \"name\": \"no pools\" }", 1);
+    fleet.log.append("manifest", "not JSON");
+    let next = fleet.publish(&manifest(6), 1);
+    eventually("only the valid one is in force", async || in_force_everywhere(&fleet, next).await)
+        .await;
+    let log = fleet.entries[0].log().join("\n");
+    for reason in ["digest-mismatch", "invalid", "malformed"] {
+        assert!(log.contains(reason), "the log names {reason}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_starts_in_an_outage_learns_the_newest_from_agents() {
+    let mut fleet = Fleet::start(FleetConfig::default()).await;
+    let generation = fleet.publish(&manifest(6), 1);
+    eventually("it is in force", async || in_force_everywhere(&fleet, generation).await).await;
+    fleet.log.down.set(true);
+    fleet.entries[0].kill();
+    fleet.entries.clear();
+    fleet.add_entry(1);
+    eventually("the new entry has it", async || in_force_everywhere(&fleet, generation).await)
+        .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_process_frozen_across_two_changes_ends_at_the_newest() {
+    let fleet = Fleet::start(FleetConfig { entries: 2, ..FleetConfig::default() }).await;
+    fleet.entries[0].signal("STOP");
+    fleet.agents[0].signal("STOP");
+    let second = fleet.publish(&manifest(6), 1);
+    let third = fleet.publish(&manifest(5), second);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    fleet.entries[0].signal("CONT");
+    fleet.agents[0].signal("CONT");
+    eventually("the newest is in force", async || in_force_everywhere(&fleet, third).await).await;
+}
--- /dev/null
+++ b/tests/processes/drains.rs
@@ -0,0 +1,105 @@
+//! Planned stops, and upstreams that leave.
+
+use std::time::Duration;
+
+use crate::fleet::Fleet;
+use crate::fleet::FleetConfig;
+use crate::fleet::eventually;
+use standins::caller::Streamed;
+use standins::engine::EngineConfig;
+use tokio::task::JoinHandle;
+
+const MAX_TOKENS: u32 = 60;
+const REQUESTS: usize = 6;
+
+fn slow_engine() -> EngineConfig {
+    EngineConfig {
+        step_base: Duration::from_millis(15),
+        kv_eviction: Duration::from_secs(5),
+        ..EngineConfig::default()
+    }
+}
+
+fn prompt(number: usize) -> String {
+    format!("caption reel {number}\n{}", "frame of sheep\n".repeat(40))
+}
+
+fn ask(fleet: &Fleet) -> Vec<JoinHandle<(String, Streamed)>> {
+    (0..REQUESTS)
+        .map(|number| {
+            let caller = fleet.caller(0);
+            tokio::spawn(async move {
+                let prompt = prompt(number);
+                let answer = caller.stream_completion("redator", &prompt, MAX_TOKENS, "any").await;
+                (prompt, answer)
+            })
+        })
+        .collect()
+}
+
+async fn all_whole(asked: Vec<JoinHandle<(String, Streamed)>>) {
+    for one in asked {
+        let (prompt, answer) = one.await.expect("the caller does not panic");
+        assert_eq!(answer.text, standins::engine::answer(&prompt, MAX_TOKENS));
+        assert!(answer.done, "the end of the stream came");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_stops_as_planned_cuts_off_nothing() {
+    let mut fleet =
+        Fleet::start(FleetConfig { engine: slow_engine(), ..FleetConfig::default() }).await;
+    let asked = ask(&fleet);
+    eventually("streams run", async || fleet.held_blocks() > 0).await;
+    fleet.entries[0].signal("TERM");
+    all_whole(asked).await;
+    assert!(fleet.entries[0].wait_exit(), "the entry exits by itself");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_agent_that_stops_as_planned_cuts_off_nothing() {
+    let mut fleet =
+        Fleet::start(FleetConfig { engine: slow_engine(), ..FleetConfig::default() }).await;
+    let asked = ask(&fleet);
+    eventually("streams run", async || fleet.held_blocks() > 0).await;
+    let agent =
+        fleet.agents.iter().position(|agent| agent.name == "decode-0").expect("was started");
+    fleet.agents[agent].signal("TERM");
+    all_whole(asked).await;
+    assert!(fleet.agents[agent].wait_exit(), "the agent exits by itself");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_agent_that_leaves_gets_no_new_work() {
+    let mut fleet =
+        Fleet::start(FleetConfig { engine: slow_engine(), ..FleetConfig::default() }).await;
+    let agent =
+        fleet.agents.iter().position(|agent| agent.name == "decode-0").expect("was started");
+    fleet.agents[agent].signal("TERM");
+    assert!(fleet.agents[agent].wait_exit(), "an idle agent exits at once");
+    let before = fleet.decodes[0].decodes().len();
+    all_whole(ask(&fleet)).await;
+    assert_eq!(fleet.decodes[0].decodes().len(), before);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_upstream_that_the_list_calls_leaving_gets_no_new_work() {
+    let fleet = Fleet::start(FleetConfig { engine: slow_engine(), ..FleetConfig::default() }).await;
+    fleet.list.set_leaving("decode-0", true);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let before = fleet.decodes[0].decodes().len();
+    all_whole(ask(&fleet)).await;
+    assert_eq!(fleet.decodes[0].decodes().len(), before);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_empty_or_failed_list_empties_no_pool() {
+    let fleet = Fleet::start(FleetConfig { engine: slow_engine(), ..FleetConfig::default() }).await;
+    fleet.list.empty.set(true);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    all_whole(ask(&fleet)).await;
+    fleet.list.empty.set(false);
+    fleet.list.down.set(true);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    all_whole(ask(&fleet)).await;
+}
--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -138,6 +138,7 @@
     pub entries: Vec<Process>,
     pub log_address: SocketAddr,
     list_address: SocketAddr,
+    upstreams: Vec<(String, SocketAddr)>,
     dir: TempDir,
 }
 
@@ -161,6 +162,7 @@
             entries: Vec::new(),
             log_address,
             list_address,
+            upstreams: Vec::new(),
             dir: TempDir::new().expect("a temporary directory can be made"),
         };
         fleet.publish(&manifest(8), 0);
@@ -195,6 +197,7 @@
     /// Starts an agent for the upstream at `upstream` and puts it on the list.
     pub fn add_agent(&mut self, pool: &str, number: usize, upstream: SocketAddr) -> usize {
         let name = format!("{pool}-{number}");
+        self.upstreams.push((name.clone(), upstream));
         let settings = serde_json::json!({
             "name": name, "listen": "127.0.0.1:0", "region": REGION, "zone": ZONE, "pool": pool,
             "upstream": upstream.to_string(), "heartbeat_ms": HEARTBEAT_MS,
@@ -268,6 +271,11 @@
         entry.status().await["generation"].as_u64().unwrap_or(0)
     }
 
+    /// Address of the upstream beside an agent.
+    pub fn upstream_of(&self, name: &str) -> SocketAddr {
+        self.upstreams.iter().find(|(agent, _)| agent == name).expect("was started").1
+    }
+
     pub fn caller(&self, entry: usize) -> Caller {
         Caller::new(self.entries[entry].address)
     }
