Ask three decode agents for a slot, take the first that is free

Cause of the misses at 1.3 and 2.0 times capacity: a request queued at one engine, whose next free slot is foretold from 20 uncertain ends. The slot came later than foretold, the prefill result was evicted (transfer-failed 53 and 81 times) and the first token was late. Ruled out: links (no transfer waited for its bucket), prefill queues (prefill-busy 54 of 2950).

Change: when no engine has a free slot, three are asked and the first that is free is taken, the others get theirs back; a request that can no longer meet its target and has not been prefilled is refused as not run. prefill_lead_ms says how long before its foretold slot a prefill may end; 0 waits for the slot.

Not good yet: most refusals at 2.0x come late (95 in 100 within 847 ms).

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -10,6 +10,7 @@
 mod generate;
 pub mod membership;
 pub mod request;
+mod slots;
 mod timers;
 
 use std::collections::HashMap;
@@ -564,6 +565,7 @@
             self.cancel(agent, id, out);
         }
         if let Work::Generate(generate) = &mut self.requests[key].work {
+            generate.tied.clear();
             generate.decode = None;
             generate.prefill = None;
         }
--- a/src/entry/decoding.rs
+++ b/src/entry/decoding.rs
@@ -223,6 +223,8 @@
                 RetryReason::StreamFailed
             };
             self.retry(now, key, reason, out);
+        } else if let Some(key) = self.slot_of(id) {
+            self.slot_rejected(now, key, agent, id, out);
         } else if let Some(key) = self.prefill_of(id) {
             self.prefill_lost(now, key, agent, RetryReason::PrefillFailed, out);
         }
@@ -274,6 +276,8 @@
             self.retry(now, key, RetryReason::AgentLost, out);
         } else if is_prefill && generate.phase == Phase::Prefilling {
             self.prefill_lost(now, key, agent, RetryReason::AgentLost, out);
+        } else {
+            self.drop_tied(now, key, |one| one.agent == agent, out);
         }
     }
 
@@ -319,15 +323,9 @@
         let generate = self.generate(key);
         let (decode, prefill) = (generate.decode, generate.prefill);
         match generate.phase {
-            Phase::Reserving => match decode {
-                Some(one) => {
-                    self.blame(now, one.agent);
-                    self.generate_mut(key).tried_decode.push(one.agent);
-                    self.retry(now, key, RetryReason::AgentSilent, out);
-                }
-                None => self.begin(now, key, out),
-            },
-            Phase::Scheduled => self.start_prefill(now, key, out),
+            Phase::Reserving => self.reserve_timer(now, key, out),
+            Phase::Scheduled => self.scheduled_timer(now, key, out),
+            Phase::AwaitingSlot => self.result_evicted(now, key, out),
             Phase::Prefilling => {
                 if let Some(one) = prefill {
                     self.prefill_lost(now, key, one.agent, RetryReason::AgentSilent, out);
@@ -344,6 +342,22 @@
         }
     }
 
+    /// No agent answered in time, or a pause before another try is over.
+    fn reserve_timer(&mut self, now: Duration, key: RequestKey, out: &mut Vec<EntryAction>) {
+        let generate = self.generate(key);
+        let silent: Vec<AgentKey> =
+            generate.tied.iter().chain(&generate.decode).map(|one| one.agent).collect();
+        if silent.is_empty() {
+            self.begin(now, key, out);
+            return;
+        }
+        for agent in silent {
+            self.blame(now, agent);
+            self.generate_mut(key).tried_decode.push(agent);
+        }
+        self.retry(now, key, RetryReason::AgentSilent, out);
+    }
+
     fn check_stall(&mut self, now: Duration, key: RequestKey, out: &mut Vec<EntryAction>) {
         let generate = self.generate(key);
         let stalled_at = generate.last_token_at + STALL;
--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -23,6 +23,7 @@
 use crate::policy::admission::Admission;
 use crate::policy::admission::Prediction;
 use crate::policy::baseline;
+use crate::policy::placement::CHOICES;
 use crate::policy::placement::Candidate;
 use crate::policy::placement::PrefillNeed;
 use crate::policy::placement::Search;
@@ -38,8 +39,7 @@
 const US_PER_MS: u32 = 1_000;
 const DEFAULT_OUTPUT_SHARE: f64 = 0.6;
 const DECODE_TOKEN_WEIGHT: u32 = 4;
-const START_TOLERANCE: Duration = Duration::from_millis(2);
-const LATE_GRACE: Duration = Duration::from_secs(2);
+pub(super) const LATE_GRACE: Duration = Duration::from_secs(2);
 const PREFILL_SILENCE: Duration = Duration::from_secs(1);
 const PREFILL_SILENCE_FACTOR: u32 = 4;
 const NO_ROOM_RETRY: Duration = Duration::from_millis(100);
@@ -59,7 +59,7 @@
         }
     }
 
-    /// The request of a try, if the try is the one that is waited for.
+    /// The request of a try, if the try holds the slot that was taken.
     pub(super) fn decode_of(&self, id: AttemptId) -> Option<RequestKey> {
         let key = self.key_of(id)?;
         let Work::Generate(generate) = &self.requests[key].work else { return None };
@@ -144,7 +144,7 @@
         snapshot: &Snapshot,
     ) -> Option<Prediction> {
         let blocks = self.blocks_needed(key, snapshot);
-        let candidates = self.decode_candidates(now, key, snapshot, blocks);
+        let candidates = self.decode_candidates(now, key, snapshot, blocks, CHOICES);
         let decode = candidates.first()?;
         let view = self.view.get(decode.agent)?;
         let zone = view.zone.clone();
@@ -158,7 +158,7 @@
         })
     }
 
-    fn blocks_needed(&self, key: RequestKey, snapshot: &Snapshot) -> u32 {
+    pub(super) fn blocks_needed(&self, key: RequestKey, snapshot: &Snapshot) -> u32 {
         let generate = self.generate(key);
         let pool =
             snapshot.model(&generate.model).and_then(|model| snapshot.pool(&model.decode_pool));
@@ -177,6 +177,7 @@
         let generate = self.generate_mut(key);
         generate.result = None;
         generate.alternate = None;
+        generate.speculated = false;
         if self.config.policy.reserves_first() {
             self.find_slot(now, key, out);
         } else {
@@ -184,135 +185,12 @@
         }
     }
 
-    pub(super) fn find_slot(&mut self, now: Duration, key: RequestKey, out: &mut Vec<EntryAction>) {
-        let snapshot = self.requests[key].snapshot();
-        let blocks = self.blocks_needed(key, &snapshot);
-        let candidates = self.decode_candidates(now, key, &snapshot, blocks);
-        let Some(first) = candidates.first() else {
-            self.no_room(now, key, RefusalReason::NoUpstream, self.config.heartbeat, out);
-            return;
-        };
-        self.generate_mut(key).alternate = candidates.get(1).map(|candidate| candidate.agent);
-        self.ask_slot(now, key, first.agent, blocks, out);
-    }
-
-    fn ask_slot(
-        &mut self,
-        now: Duration,
-        key: RequestKey,
-        agent: AgentKey,
-        blocks: u32,
-        out: &mut Vec<EntryAction>,
-    ) {
-        let attempt = self.requests[key].next_attempt();
-        let expected_tokens = self.expected_output(key);
-        let max_wait = self.slot_wait_allowed(now, key);
-        let rank = self.rank_of(key);
-        let generate = self.generate_mut(key);
-        generate.phase = Phase::Reserving;
-        generate.decode = Some(Try { agent, attempt });
-        if let Some(view) = self.view.get_mut(agent) {
-            view.sent_blocks += blocks;
-            view.sent_streams += 1;
-        }
-        let reserve = wire::Reserve {
-            id: Some(self.attempt_id(key, attempt)),
-            blocks,
-            expected_tokens,
-            max_wait_ms: as_ms_u32(max_wait),
-            rank,
-        };
-        out.push(EntryAction::Send { agent, message: ToAgent::Reserve(reserve) });
-        self.record(key, Decision::Reserving, Some(agent), String::new(), out);
-        self.set_timer(key, now + self.config.reply_timeout);
-    }
-
     /// What was begun goes before what is new.
     pub(super) fn rank_of(&self, key: RequestKey) -> u32 {
         let generate = self.generate(key);
         if generate.next_index > 0 { 0 } else { generate.rank }
     }
 
-    fn slot_wait_allowed(&self, now: Duration, key: RequestKey) -> Duration {
-        let request = &self.requests[key];
-        let generate = self.generate(key);
-        let until_deadline = request.deadline.saturating_sub(now);
-        if !self.config.policy.admits() {
-            return until_deadline;
-        }
-        if let Some(result) = &generate.result {
-            return result.lives_until.saturating_sub(now);
-        }
-        let left = (request.arrived + generate.target).saturating_sub(now);
-        if request.retries > 0 { LATE_GRACE.max(left).min(until_deadline) } else { left }
-    }
-
-    pub(super) fn on_reserve_reply(
-        &mut self,
-        now: Duration,
-        agent: AgentKey,
-        reply: &wire::ReserveReply,
-        out: &mut Vec<EntryAction>,
-    ) {
-        self.report(now, agent, reply.load.as_ref());
-        let id = reply.id.unwrap_or_default();
-        let Some(key) =
-            self.decode_of(id).filter(|&key| self.generate(key).phase == Phase::Reserving)
-        else {
-            // A slot that nobody waits for any more goes back at once.
-            if reply.granted && self.decode_of(id).is_none() {
-                self.cancel(agent, id, out);
-            }
-            return;
-        };
-        if !reply.granted {
-            self.slot_refused(now, key, agent, from_ms(reply.wait_ms), out);
-            return;
-        }
-        let generate = self.generate_mut(key);
-        generate.slot_at = now + from_ms(reply.wait_ms);
-        let has_result = generate.result.is_some();
-        self.record(
-            key,
-            Decision::Reserved,
-            Some(agent),
-            format!("wait_ms {}", reply.wait_ms),
-            out,
-        );
-        if has_result {
-            self.send_decode(now, key, out);
-        } else {
-            self.schedule_prefill(now, key, out);
-        }
-    }
-
-    fn slot_refused(
-        &mut self,
-        now: Duration,
-        key: RequestKey,
-        agent: AgentKey,
-        wait: Duration,
-        out: &mut Vec<EntryAction>,
-    ) {
-        let snapshot = self.requests[key].snapshot();
-        let generate = self.generate_mut(key);
-        generate.decode = None;
-        generate.tried_decode.push(agent);
-        let Some(other) = generate.alternate.take() else {
-            self.no_room(now, key, RefusalReason::Overloaded, wait, out);
-            return;
-        };
-        self.record(
-            key,
-            Decision::Retried(RetryReason::DecodeFull),
-            Some(agent),
-            String::new(),
-            out,
-        );
-        let blocks = self.blocks_needed(key, &snapshot);
-        self.ask_slot(now, key, other, blocks, out);
-    }
-
     /// No upstream has room: a new request is refused, one whose answer has
     /// begun asks again until its deadline.
     pub(super) fn no_room(
@@ -339,42 +217,6 @@
         self.set_timer(key, now + again);
     }
 
-    /// The slot is free earlier or later than promised.
-    pub(super) fn on_slot_ready(
-        &mut self,
-        now: Duration,
-        id: AttemptId,
-        out: &mut Vec<EntryAction>,
-    ) {
-        let Some(key) = self.decode_of(id) else { return };
-        self.generate_mut(key).slot_at = now;
-        if self.generate(key).phase == Phase::Scheduled {
-            self.start_prefill(now, key, out);
-        }
-    }
-
-    /// Starts the prefill so that its result is there when the slot is free:
-    /// earlier it would be evicted, later the slot would lie idle.
-    fn schedule_prefill(&mut self, now: Duration, key: RequestKey, out: &mut Vec<EntryAction>) {
-        let snapshot = self.requests[key].snapshot();
-        let zone = self.decode_zone(key);
-        let candidate = self.prefill_candidate(now, key, &snapshot, zone.as_deref());
-        let takes = candidate.map_or(Duration::ZERO, |candidate| candidate.time);
-        let margin = from_ms(policy_of(&snapshot).prefill_margin_ms);
-        let start_at = self.generate(key).slot_at.saturating_sub(takes + margin);
-        if start_at <= now + START_TOLERANCE {
-            self.start_prefill(now, key, out);
-            return;
-        }
-        self.generate_mut(key).phase = Phase::Scheduled;
-        self.set_timer(key, start_at);
-    }
-
-    fn decode_zone(&self, key: RequestKey) -> Option<compact_str::CompactString> {
-        let decode = self.generate(key).decode?;
-        self.view.get(decode.agent).map(|view| view.zone.clone())
-    }
-
     pub(super) fn start_prefill(
         &mut self,
         now: Duration,
@@ -384,7 +226,7 @@
         let snapshot = self.requests[key].snapshot();
         let zone = self.decode_zone(key);
         let Some(candidate) = self.prefill_candidate(now, key, &snapshot, zone.as_deref()) else {
-            self.release_slot(key, out);
+            self.release_slots(key, out);
             self.no_room(now, key, RefusalReason::NoUpstream, self.config.heartbeat, out);
             return;
         };
@@ -426,13 +268,6 @@
         if now + predicted <= on_time { on_time } else { now + predicted + LATE_GRACE }
     }
 
-    fn release_slot(&mut self, key: RequestKey, out: &mut Vec<EntryAction>) {
-        if let Some(decode) = self.generate_mut(key).decode.take() {
-            let id = self.attempt_id(key, decode.attempt);
-            self.cancel(decode.agent, id, out);
-        }
-    }
-
     pub(super) fn on_prefill_reply(
         &mut self,
         now: Duration,
@@ -461,7 +296,6 @@
             kv_bytes: reply.kv_bytes,
             lives_until: now + from_ms(reply.lives_ms),
         });
-        let has_slot = generate.decode.is_some();
         self.record(
             key,
             Decision::Prefilled,
@@ -469,11 +303,7 @@
             format!("cached {}", reply.cached_tokens),
             out,
         );
-        if has_slot {
-            self.send_decode(now, key, out);
-        } else {
-            self.find_slot(now, key, out);
-        }
+        self.prefill_ready(now, key, out);
     }
 
     /// An agent did not take an order up. Nothing ran there.
@@ -488,10 +318,8 @@
         let id = rejected.id.unwrap_or_default();
         if let Some(key) = self.prefill_of(id) {
             self.prefill_rejected(now, key, agent, rejected, out);
-        } else if let Some(key) = self.decode_of(id) {
-            self.generate_mut(key).decode = None;
-            self.generate_mut(key).tried_decode.push(agent);
-            self.retry(now, key, RetryReason::AgentLeaving, out);
+        } else if let Some(key) = self.slot_of(id) {
+            self.slot_rejected(now, key, agent, id, out);
         } else {
             self.call_rejected(now, id, agent, rejected, out);
         }
@@ -526,7 +354,7 @@
             self.start_prefill(now, key, out);
             return;
         }
-        self.release_slot(key, out);
+        self.release_slots(key, out);
         self.no_room(now, key, RefusalReason::Overloaded, from_ms(rejected.retry_after_ms), out);
     }
 
@@ -536,6 +364,7 @@
         key: RequestKey,
         snapshot: &Snapshot,
         blocks: u32,
+        count: usize,
     ) -> Vec<Candidate> {
         let Work::Generate(generate) = &self.requests[key].work else { return Vec::new() };
         let Some(model) = snapshot.model(&generate.model) else { return Vec::new() };
@@ -544,7 +373,7 @@
             PolicyKind::Reserve | PolicyKind::PrefillFirst => {
                 let search =
                     Search { view: &self.view, snapshot, place: &self.config.place, now, tried };
-                return search.decode(pool, blocks, &mut self.rng);
+                return search.decode(pool, blocks, count, &mut self.rng);
             }
             PolicyKind::RoundRobin => {
                 self.turn += 1;
@@ -555,7 +384,7 @@
         one.map(plain_candidate).into_iter().collect()
     }
 
-    fn prefill_candidate(
+    pub(super) fn prefill_candidate(
         &mut self,
         now: Duration,
         key: RequestKey,
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -101,10 +101,12 @@
 pub(super) enum Phase {
     /// A decode agent was asked for a slot.
     Reserving,
-    /// A slot is promised; the prefill starts later.
+    /// Slots are promised; the prefill starts later.
     Scheduled,
     /// A prefill agent has the prompt.
     Prefilling,
+    /// The prefill result waits for a slot.
+    AwaitingSlot,
     /// The decode agent has the order, the KV cache is on its way.
     Transferring,
     /// Tokens come.
@@ -138,6 +140,9 @@
     pub(super) idempotent: bool,
     pub(super) rank: u32,
     pub(super) phase: Phase,
+    /// Slots that were asked for; the first that is free is taken.
+    pub(super) tied: Vec<Try>,
+    /// The slot that was taken.
     pub(super) decode: Option<Try>,
     pub(super) prefill: Option<Try>,
     pub(super) result: Option<PrefillResult>,
@@ -145,6 +150,8 @@
     pub(super) tried_decode: Vec<AgentKey>,
     pub(super) tried_prefill: Vec<AgentKey>,
     pub(super) slot_at: Duration,
+    /// A prefill was started before its slot was free.
+    pub(super) speculated: bool,
     pub(super) target: Duration,
     /// Index of the token that the caller gets next.
     pub(super) next_index: u32,
@@ -230,12 +237,14 @@
 
     /// Tries that agents may still hold something for.
     pub(super) fn open_tries(&self, entry: u64, key: RequestKey) -> Vec<(AgentKey, AttemptId)> {
-        let tries = match &self.work {
-            Work::Generate(generate) => [generate.decode, generate.prefill],
-            Work::Call(call) => [call.sent, None],
-        };
         let named = |one: Try| (one.agent, attempt_id(entry, key, one.attempt));
-        tries.into_iter().flatten().map(named).collect()
+        match &self.work {
+            Work::Generate(generate) => {
+                let tied = generate.tied.iter().copied();
+                tied.chain(generate.decode).chain(generate.prefill).map(named).collect()
+            }
+            Work::Call(call) => call.sent.into_iter().map(named).collect(),
+        }
     }
 }
 
@@ -254,6 +263,7 @@
         idempotent: rule.is_none(),
         rank: rank.unwrap_or(crate::manifest::DEFAULT_RANK),
         phase: Phase::Reserving,
+        tied: Vec::new(),
         decode: None,
         prefill: None,
         result: None,
@@ -261,6 +271,7 @@
         tried_decode: Vec::new(),
         tried_prefill: Vec::new(),
         slot_at: Duration::ZERO,
+        speculated: false,
         target,
         next_index: 0,
         text: Vec::new(),
--- /dev/null
+++ b/src/entry/slots.rs
@@ -0,0 +1,386 @@
+//! Decode slots: asked for at a few agents at once, the first that is free is
+//! taken, and the prefill is started in time for it.
+
+use std::time::Duration;
+
+use compact_str::CompactString;
+
+use crate::clock::as_ms_u32;
+use crate::clock::from_ms;
+use crate::entry::Decision;
+use crate::entry::EntryAction;
+use crate::entry::EntryCore;
+use crate::entry::generate::LATE_GRACE;
+use crate::entry::request::Phase;
+use crate::entry::request::RequestKey;
+use crate::entry::request::Try;
+use crate::entry::request::Work;
+use crate::outcome::RefusalReason;
+use crate::outcome::RetryReason;
+use crate::policy::PolicyKind;
+use crate::policy::admission;
+use crate::policy::placement::policy_of;
+use crate::policy::view::AgentKey;
+use crate::schema::wire;
+use crate::schema::wire::AttemptId;
+use crate::schema::wire::to_agent::Kind as ToAgent;
+
+/// Agents that are asked at once when none has a free slot.
+const TIES: usize = 3;
+const START_TOLERANCE: Duration = Duration::from_millis(2);
+const EVICTION_MARGIN: Duration = Duration::from_millis(50);
+
+impl EntryCore {
+    /// The request of a try, if the try is a slot that was asked for or taken.
+    pub(super) fn slot_of(&self, id: AttemptId) -> Option<RequestKey> {
+        let key = self.key_of(id)?;
+        let Work::Generate(generate) = &self.requests[key].work else { return None };
+        let mut slots = generate.tied.iter().copied().chain(generate.decode);
+        slots.any(|one| one.attempt == id.attempt).then_some(key)
+    }
+
+    pub(super) fn find_slot(&mut self, now: Duration, key: RequestKey, out: &mut Vec<EntryAction>) {
+        let snapshot = self.requests[key].snapshot();
+        let blocks = self.blocks_needed(key, &snapshot);
+        let mut candidates = self.decode_candidates(now, key, &snapshot, blocks, TIES);
+        if candidates.is_empty() && !self.generate(key).tried_decode.is_empty() {
+            // One that failed before is better than none; the tries are counted.
+            self.generate_mut(key).tried_decode.clear();
+            candidates = self.decode_candidates(now, key, &snapshot, blocks, TIES);
+        }
+        let Some(first) = candidates.first().copied() else {
+            self.no_room(now, key, RefusalReason::NoUpstream, self.config.heartbeat, out);
+            return;
+        };
+        let generate = self.generate_mut(key);
+        generate.phase = Phase::Reserving;
+        generate.slot_at = Duration::MAX;
+        generate.alternate = candidates.get(1).map(|candidate| candidate.agent);
+        if first.time.is_zero() || self.config.policy != PolicyKind::Reserve {
+            self.ask_slot(now, key, first.agent, blocks, out);
+        } else {
+            for candidate in &candidates {
+                self.ask_slot(now, key, candidate.agent, blocks, out);
+            }
+        }
+        self.set_timer(key, now + self.config.reply_timeout);
+    }
+
+    fn ask_slot(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        agent: AgentKey,
+        blocks: u32,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let attempt = self.requests[key].next_attempt();
+        let expected_tokens = self.expected_output(key);
+        let max_wait = self.slot_wait_allowed(now, key);
+        let rank = self.rank_of(key);
+        self.generate_mut(key).tied.push(Try { agent, attempt });
+        if let Some(view) = self.view.get_mut(agent) {
+            view.sent_blocks += blocks;
+            view.sent_streams += 1;
+        }
+        let reserve = wire::Reserve {
+            id: Some(self.attempt_id(key, attempt)),
+            blocks,
+            expected_tokens,
+            max_wait_ms: as_ms_u32(max_wait),
+            rank,
+        };
+        out.push(EntryAction::Send { agent, message: ToAgent::Reserve(reserve) });
+        self.record(key, Decision::Reserving, Some(agent), String::new(), out);
+    }
+
+    fn slot_wait_allowed(&self, now: Duration, key: RequestKey) -> Duration {
+        let request = &self.requests[key];
+        let generate = self.generate(key);
+        let until_deadline = request.deadline.saturating_sub(now);
+        if !self.config.policy.admits() {
+            return until_deadline;
+        }
+        if let Some(result) = &generate.result {
+            return result.lives_until.saturating_sub(now);
+        }
+        let left = (request.arrived + generate.target).saturating_sub(now);
+        if request.retries > 0 { LATE_GRACE.max(left).min(until_deadline) } else { left }
+    }
+
+    pub(super) fn on_reserve_reply(
+        &mut self,
+        now: Duration,
+        agent: AgentKey,
+        reply: &wire::ReserveReply,
+        out: &mut Vec<EntryAction>,
+    ) {
+        self.report(now, agent, reply.load.as_ref());
+        let id = reply.id.unwrap_or_default();
+        let Some(key) = self.slot_of(id) else {
+            // A slot that nobody waits for any more goes back at once.
+            if reply.granted {
+                self.cancel(agent, id, out);
+            }
+            return;
+        };
+        let detail = format!("granted {} wait_ms {}", reply.granted, reply.wait_ms);
+        self.record(key, Decision::Reserved, Some(agent), detail, out);
+        let wait = from_ms(reply.wait_ms);
+        if !reply.granted {
+            self.slot_refused(now, key, agent, id, wait, out);
+        } else if wait.is_zero() || !self.config.policy.reserves_first() {
+            self.generate_mut(key).slot_at = now + wait;
+            self.take_slot(now, key, id, out);
+        } else {
+            let generate = self.generate_mut(key);
+            generate.slot_at = generate.slot_at.min(now + wait);
+            if matches!(generate.phase, Phase::Reserving | Phase::Scheduled) {
+                self.schedule_prefill(now, key, out);
+            }
+        }
+    }
+
+    /// A slot that was promised is free now.
+    pub(super) fn on_slot_ready(
+        &mut self,
+        now: Duration,
+        id: AttemptId,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let Some(key) = self.slot_of(id) else { return };
+        if self.generate(key).decode.is_none() {
+            self.generate_mut(key).slot_at = now;
+            self.take_slot(now, key, id, out);
+        }
+    }
+
+    /// Takes the slot and gives the others back.
+    fn take_slot(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        id: AttemptId,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let tied = std::mem::take(&mut self.generate_mut(key).tied);
+        for one in tied {
+            if one.attempt == id.attempt {
+                self.generate_mut(key).decode = Some(one);
+            } else {
+                let other = self.attempt_id(key, one.attempt);
+                self.cancel(one.agent, other, out);
+            }
+        }
+        let generate = self.generate(key);
+        match generate.phase {
+            Phase::Reserving | Phase::Scheduled if generate.result.is_none() => {
+                self.start_prefill(now, key, out);
+            }
+            Phase::Reserving | Phase::AwaitingSlot => self.send_decode(now, key, out),
+            _ => {}
+        }
+    }
+
+    /// The prefill result is there: it goes to the slot, or waits for one.
+    pub(super) fn prefill_ready(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let generate = self.generate_mut(key);
+        if generate.decode.is_some() {
+            self.send_decode(now, key, out);
+        } else if generate.tied.is_empty() {
+            self.find_slot(now, key, out);
+        } else {
+            generate.phase = Phase::AwaitingSlot;
+            let lives_until = generate.result.as_ref().map_or(now, |result| result.lives_until);
+            self.set_timer(key, lives_until.saturating_sub(EVICTION_MARGIN));
+        }
+    }
+
+    /// No slot came free while the prefill result lived.
+    pub(super) fn result_evicted(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let detail = format!("tokens {} evicted", self.generate(key).tokens_to_prefill());
+        self.record(key, Decision::PrefillWasted, None, detail, out);
+        let generate = self.generate_mut(key);
+        generate.result = None;
+        generate.phase = Phase::Scheduled;
+        if let Some(prefill) = generate.prefill.take() {
+            let used = wire::PrefillUsed { id: Some(self.attempt_id(key, prefill.attempt)) };
+            out.push(EntryAction::Send {
+                agent: prefill.agent,
+                message: ToAgent::PrefillUsed(used),
+            });
+        }
+        // From now on only a free slot starts a prefill.
+        self.set_timer(key, now + LATE_GRACE);
+    }
+
+    fn slot_refused(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        agent: AgentKey,
+        id: AttemptId,
+        wait: Duration,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let snapshot = self.requests[key].snapshot();
+        let generate = self.generate_mut(key);
+        generate.tied.retain(|one| one.attempt != id.attempt);
+        generate.tried_decode.push(agent);
+        let waits = !generate.tied.is_empty() || generate.decode.is_some();
+        if waits || generate.phase == Phase::Prefilling {
+            return;
+        }
+        let other =
+            generate.alternate.take().filter(|other| !generate.tried_decode.contains(other));
+        let Some(other) = other else {
+            self.no_room(now, key, RefusalReason::Overloaded, wait, out);
+            return;
+        };
+        self.record(
+            key,
+            Decision::Retried(RetryReason::DecodeFull),
+            Some(agent),
+            String::new(),
+            out,
+        );
+        let blocks = self.blocks_needed(key, &snapshot);
+        self.generate_mut(key).phase = Phase::Reserving;
+        self.ask_slot(now, key, other, blocks, out);
+        self.set_timer(key, now + self.config.reply_timeout);
+    }
+
+    /// The agent leaves, or does not know the slot any more.
+    pub(super) fn slot_rejected(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        agent: AgentKey,
+        id: AttemptId,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let generate = self.generate_mut(key);
+        generate.tried_decode.push(agent);
+        if generate.decode.is_some_and(|one| one.attempt == id.attempt) {
+            generate.decode = None;
+            self.retry(now, key, RetryReason::AgentLeaving, out);
+            return;
+        }
+        self.drop_tied(now, key, |one| one.attempt == id.attempt, out);
+    }
+
+    /// Drops slots that will not come; looks for others if none is left.
+    pub(super) fn drop_tied(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        is_gone: impl Fn(&Try) -> bool,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let generate = self.generate_mut(key);
+        let before = generate.tied.len();
+        generate.tied.retain(|one| !is_gone(one));
+        let dropped = generate.tied.len() < before;
+        if !dropped || !generate.tied.is_empty() || generate.decode.is_some() {
+            return;
+        }
+        let phase = generate.phase;
+        match phase {
+            Phase::AwaitingSlot => self.find_slot(now, key, out),
+            Phase::Reserving | Phase::Scheduled
+                if self.may_retry(now, key, RetryReason::AgentLeaving, out) =>
+            {
+                self.find_slot(now, key, out);
+            }
+            _ => {}
+        }
+    }
+
+    /// Starts the prefill so that its result is there when the slot is free:
+    /// earlier it may be evicted, later the slot lies idle.
+    fn schedule_prefill(&mut self, now: Duration, key: RequestKey, out: &mut Vec<EntryAction>) {
+        let snapshot = self.requests[key].snapshot();
+        let policy = policy_of(&snapshot);
+        let zone = self.decode_zone(key);
+        let candidate = self.prefill_candidate(now, key, &snapshot, zone.as_deref());
+        let takes = candidate.map_or(Duration::ZERO, |candidate| candidate.time);
+        let lead = from_ms(policy.prefill_lead_ms);
+        let generate = self.generate_mut(key);
+        generate.phase = Phase::Scheduled;
+        let start_at = if lead.is_zero() || generate.speculated {
+            Duration::MAX
+        } else {
+            generate.slot_at.saturating_sub(takes + lead)
+        };
+        let give_up_at = self.latest_start(key, takes);
+        if start_at <= now + START_TOLERANCE && now <= give_up_at {
+            self.generate_mut(key).speculated = true;
+            self.start_prefill(now, key, out);
+            return;
+        }
+        self.set_timer(key, start_at.min(give_up_at).max(now + START_TOLERANCE));
+    }
+
+    /// After this time a prefill can no longer meet the request's target.
+    fn latest_start(&self, key: RequestKey, takes: Duration) -> Duration {
+        let request = &self.requests[key];
+        let percent = policy_of(&request.snapshot()).admit_at_target_percent;
+        let target = admission::usable(self.generate(key).target, percent);
+        (request.arrived + target).saturating_sub(takes)
+    }
+
+    /// Time to look again at a request that waits for a slot.
+    pub(super) fn scheduled_timer(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let snapshot = self.requests[key].snapshot();
+        let zone = self.decode_zone(key);
+        let candidate = self.prefill_candidate(now, key, &snapshot, zone.as_deref());
+        let takes = candidate.map_or(Duration::ZERO, |candidate| candidate.time);
+        let is_new = !self.requests[key].may_have_run && self.generate(key).next_index == 0;
+        if is_new && now >= self.latest_start(key, takes) {
+            let wait = self.generate(key).slot_at.saturating_sub(now);
+            self.release_slots(key, out);
+            self.no_room(
+                now,
+                key,
+                RefusalReason::Overloaded,
+                wait.max(self.config.reply_timeout),
+                out,
+            );
+        } else if is_new {
+            self.schedule_prefill(now, key, out);
+        } else {
+            self.set_timer(key, now + LATE_GRACE);
+        }
+    }
+
+    pub(super) fn decode_zone(&self, key: RequestKey) -> Option<CompactString> {
+        let generate = self.generate(key);
+        let likely = generate.decode.or(generate.tied.first().copied())?;
+        self.view.get(likely.agent).map(|view| view.zone.clone())
+    }
+
+    pub(super) fn release_slots(&mut self, key: RequestKey, out: &mut Vec<EntryAction>) {
+        let generate = self.generate_mut(key);
+        let tied = std::mem::take(&mut generate.tied);
+        let held = tied.into_iter().chain(generate.decode.take()).collect::<Vec<_>>();
+        for one in held {
+            let id = self.attempt_id(key, one.attempt);
+            self.cancel(one.agent, id, out);
+        }
+    }
+}
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -16,7 +16,8 @@
 
 const MS_PER_S: u64 = 1_000;
 const PERMILLE_PER_MS: u32 = 20;
-const CHOICES: usize = 2;
+/// Agents that are drawn when a choice by load is made: power of two choices.
+pub const CHOICES: usize = 2;
 const MIN_PREFILL_RATE: u64 = 1;
 
 /// Where the deciding entry stands.
@@ -75,8 +76,14 @@
         distance_cost(policy_of(self.snapshot), self.place, &agent.region, &agent.zone)
     }
 
-    /// Two decode agents, the cheaper first: power of two choices.
-    pub fn decode(&self, pool: &str, blocks: u32, rng: &mut impl Rng) -> Vec<Candidate> {
+    /// A few decode agents, the cheapest first.
+    pub fn decode(
+        &self,
+        pool: &str,
+        blocks: u32,
+        count: usize,
+        rng: &mut impl Rng,
+    ) -> Vec<Candidate> {
         let all: Vec<Candidate> = self
             .working(pool)
             .map(|(key, agent)| self.decode_candidate(key, agent, blocks))
@@ -86,7 +93,7 @@
         // the draw; it keeps entries with the same report from all choosing one.
         let slack = best + from_ms(CHOICE_SLACK_MS);
         let near = all.iter().filter(|candidate| candidate.time <= slack);
-        let mut chosen: Vec<Candidate> = near.copied().sample(rng, CHOICES);
+        let mut chosen: Vec<Candidate> = near.copied().sample(rng, count);
         chosen.sort_by_key(|candidate| candidate.cost);
         chosen
     }
--- a/src/replay/judge.rs
+++ b/src/replay/judge.rs
@@ -34,6 +34,7 @@
     finals: u32,
     finished: bool,
     refusal: Option<Refusal>,
+    refused_after: Option<Duration>,
     runs: u32,
     prefilled_tokens: u64,
     useful_tokens: u64,
@@ -82,6 +83,10 @@
     pub calls_answered: u64,
     /// Time to the answer of a call for 95 in 100.
     pub call_p95_ms: u64,
+    /// Time to a refusal, for 95 in 100 and at most.
+    pub refusal_p95_ms: u64,
+    /// See above.
+    pub refusal_max_ms: u64,
     /// Refusals by reason.
     pub refusals: BTreeMap<String, u64>,
     /// Retries by reason.
@@ -187,6 +192,7 @@
             Answer::Refused(refusal) => {
                 seen.finals += 1;
                 seen.refusal = Some(refusal.clone());
+                seen.refused_after = Some(now.saturating_sub(seen.arrived));
                 *self.refusals.entry(refusal.reason.to_string()).or_default() += 1;
             }
         }
@@ -252,6 +258,7 @@
             .map(|seen| seen.useful_tokens)
             .sum();
         let first = histogram(admitted.iter().filter_map(|seen| first_token(seen)));
+        let refused = histogram(drafts.iter().filter_map(|seen| seen.refused_after));
         let calls: Vec<&Seen> =
             self.seen.iter().filter(|seen| seen.is_call && !seen.lost).collect();
         let call_times = histogram(
@@ -274,6 +281,8 @@
             calls: calls.len() as u64,
             calls_answered: calls.iter().filter(|seen| seen.finished).count() as u64,
             call_p95_ms: call_times.value_at_percentile(P95),
+            refusal_p95_ms: refused.value_at_percentile(P95),
+            refusal_max_ms: refused.max(),
             refusals: self.refusals,
             retries: self.retries,
             held_at_end: held as u64,
--- a/src/schema/bamboodoor.manifest.serde.rs
+++ b/src/schema/bamboodoor.manifest.serde.rs
@@ -1005,7 +1005,7 @@
         if self.ejection_ms != 0 {
             len += 1;
         }
-        if self.prefill_margin_ms != 0 {
+        if self.prefill_lead_ms != 0 {
             len += 1;
         }
         if self.cross_zone_cost_ms != 0 {
@@ -1033,8 +1033,8 @@
         if self.ejection_ms != 0 {
             struct_ser.serialize_field("ejection_ms", &self.ejection_ms)?;
         }
-        if self.prefill_margin_ms != 0 {
-            struct_ser.serialize_field("prefill_margin_ms", &self.prefill_margin_ms)?;
+        if self.prefill_lead_ms != 0 {
+            struct_ser.serialize_field("prefill_lead_ms", &self.prefill_lead_ms)?;
         }
         if self.cross_zone_cost_ms != 0 {
             struct_ser.serialize_field("cross_zone_cost_ms", &self.cross_zone_cost_ms)?;
@@ -1065,8 +1065,8 @@
             "ejectionFailures",
             "ejection_ms",
             "ejectionMs",
-            "prefill_margin_ms",
-            "prefillMarginMs",
+            "prefill_lead_ms",
+            "prefillLeadMs",
             "cross_zone_cost_ms",
             "crossZoneCostMs",
             "cross_region_cost_ms",
@@ -1082,7 +1082,7 @@
             EjectionCapPercent,
             EjectionFailures,
             EjectionMs,
-            PrefillMarginMs,
+            PrefillLeadMs,
             CrossZoneCostMs,
             CrossRegionCostMs,
             MaxAttempts,
@@ -1112,7 +1112,7 @@
                             "ejectionCapPercent" | "ejection_cap_percent" => Ok(GeneratedField::EjectionCapPercent),
                             "ejectionFailures" | "ejection_failures" => Ok(GeneratedField::EjectionFailures),
                             "ejectionMs" | "ejection_ms" => Ok(GeneratedField::EjectionMs),
-                            "prefillMarginMs" | "prefill_margin_ms" => Ok(GeneratedField::PrefillMarginMs),
+                            "prefillLeadMs" | "prefill_lead_ms" => Ok(GeneratedField::PrefillLeadMs),
                             "crossZoneCostMs" | "cross_zone_cost_ms" => Ok(GeneratedField::CrossZoneCostMs),
                             "crossRegionCostMs" | "cross_region_cost_ms" => Ok(GeneratedField::CrossRegionCostMs),
                             "maxAttempts" | "max_attempts" => Ok(GeneratedField::MaxAttempts),
@@ -1140,7 +1140,7 @@
                 let mut ejection_cap_percent__ = None;
                 let mut ejection_failures__ = None;
                 let mut ejection_ms__ = None;
-                let mut prefill_margin_ms__ = None;
+                let mut prefill_lead_ms__ = None;
                 let mut cross_zone_cost_ms__ = None;
                 let mut cross_region_cost_ms__ = None;
                 let mut max_attempts__ = None;
@@ -1186,11 +1186,11 @@
                                 Some(map_.next_value::<::pbjson::private::NumberDeserialize<_>>()?.0)
                             ;
                         }
-                        GeneratedField::PrefillMarginMs => {
-                            if prefill_margin_ms__.is_some() {
-                                return Err(serde::de::Error::duplicate_field("prefillMarginMs"));
+                        GeneratedField::PrefillLeadMs => {
+                            if prefill_lead_ms__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("prefillLeadMs"));
                             }
-                            prefill_margin_ms__ = 
+                            prefill_lead_ms__ = 
                                 Some(map_.next_value::<::pbjson::private::NumberDeserialize<_>>()?.0)
                             ;
                         }
@@ -1226,7 +1226,7 @@
                     ejection_cap_percent: ejection_cap_percent__.unwrap_or_default(),
                     ejection_failures: ejection_failures__.unwrap_or_default(),
                     ejection_ms: ejection_ms__.unwrap_or_default(),
-                    prefill_margin_ms: prefill_margin_ms__.unwrap_or_default(),
+                    prefill_lead_ms: prefill_lead_ms__.unwrap_or_default(),
                     cross_zone_cost_ms: cross_zone_cost_ms__.unwrap_or_default(),
                     cross_region_cost_ms: cross_region_cost_ms__.unwrap_or_default(),
                     max_attempts: max_attempts__.unwrap_or_default(),
