--- a/src/entry/decoding.rs
+++ b/src/entry/decoding.rs
@@ -324,8 +324,7 @@
         let (decode, prefill) = (generate.decode, generate.prefill);
         match generate.phase {
             Phase::Reserving => self.reserve_timer(now, key, out),
-            Phase::Scheduled => self.scheduled_timer(now, key, out),
-            Phase::AwaitingSlot => self.result_evicted(now, key, out),
+            Phase::Waiting => self.waiting_timer(now, key, out),
             Phase::Prefilling => {
                 if let Some(one) = prefill {
                     self.prefill_lost(now, key, one.agent, RetryReason::AgentSilent, out);
--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -177,7 +177,6 @@
         let generate = self.generate_mut(key);
         generate.result = None;
         generate.alternate = None;
-        generate.speculated = false;
         if self.config.policy.reserves_first() {
             self.find_slot(now, key, out);
         } else {
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -101,12 +101,10 @@
 pub(super) enum Phase {
     /// A decode agent was asked for a slot.
     Reserving,
-    /// Slots are promised; the prefill starts later.
-    Scheduled,
+    /// Slots are promised; the first that is free is taken.
+    Waiting,
     /// A prefill agent has the prompt.
     Prefilling,
-    /// The prefill result waits for a slot.
-    AwaitingSlot,
     /// The decode agent has the order, the KV cache is on its way.
     Transferring,
     /// Tokens come.
@@ -150,8 +148,6 @@
     pub(super) tried_decode: Vec<AgentKey>,
     pub(super) tried_prefill: Vec<AgentKey>,
     pub(super) slot_at: Duration,
-    /// A prefill was started before its slot was free.
-    pub(super) speculated: bool,
     pub(super) target: Duration,
     /// Index of the token that the caller gets next.
     pub(super) next_index: u32,
@@ -271,7 +267,6 @@
         tried_decode: Vec::new(),
         tried_prefill: Vec::new(),
         slot_at: Duration::ZERO,
-        speculated: false,
         target,
         next_index: 0,
         text: Vec::new(),
--- a/src/entry/slots.rs
+++ b/src/entry/slots.rs
@@ -1,5 +1,5 @@
-//! Decode slots: asked for at a few agents at once, the first that is free is
-//! taken, and the prefill is started in time for it.
+//! Decode slots: asked for at a few agents at once, and the first that is free
+//! is taken. The prefill starts once the slot is in hand.
 
 use std::time::Duration;
 
@@ -27,8 +27,7 @@
 
 /// Agents that are asked at once when none has a free slot.
 const TIES: usize = 3;
-const START_TOLERANCE: Duration = Duration::from_millis(2);
-const EVICTION_MARGIN: Duration = Duration::from_millis(50);
+const MIN_TIMER: Duration = Duration::from_millis(2);
 
 impl EntryCore {
     /// The request of a try, if the try is a slot that was asked for or taken.
@@ -135,8 +134,9 @@
         } else {
             let generate = self.generate_mut(key);
             generate.slot_at = generate.slot_at.min(now + wait);
-            if matches!(generate.phase, Phase::Reserving | Phase::Scheduled) {
-                self.schedule_prefill(now, key, out);
+            if generate.phase == Phase::Reserving {
+                generate.phase = Phase::Waiting;
+                self.waiting_timer(now, key, out);
             }
         }
     }
@@ -174,54 +174,26 @@
         }
         let generate = self.generate(key);
         match generate.phase {
-            Phase::Reserving | Phase::Scheduled if generate.result.is_none() => {
+            Phase::Reserving | Phase::Waiting if generate.result.is_none() => {
                 self.start_prefill(now, key, out);
             }
-            Phase::Reserving | Phase::AwaitingSlot => self.send_decode(now, key, out),
+            Phase::Reserving => self.send_decode(now, key, out),
             _ => {}
         }
     }
 
-    /// The prefill result is there: it goes to the slot, or waits for one.
+    /// The prefill result is there: it goes to the slot, or one is looked for.
     pub(super) fn prefill_ready(
         &mut self,
         now: Duration,
         key: RequestKey,
         out: &mut Vec<EntryAction>,
     ) {
-        let generate = self.generate_mut(key);
-        if generate.decode.is_some() {
+        if self.generate(key).decode.is_some() {
             self.send_decode(now, key, out);
-        } else if generate.tied.is_empty() {
-            self.find_slot(now, key, out);
         } else {
-            generate.phase = Phase::AwaitingSlot;
-            let lives_until = generate.result.as_ref().map_or(now, |result| result.lives_until);
-            self.set_timer(key, lives_until.saturating_sub(EVICTION_MARGIN));
-        }
-    }
-
-    /// No slot came free while the prefill result lived.
-    pub(super) fn result_evicted(
-        &mut self,
-        now: Duration,
-        key: RequestKey,
-        out: &mut Vec<EntryAction>,
-    ) {
-        let detail = format!("tokens {} evicted", self.generate(key).tokens_to_prefill());
-        self.record(key, Decision::PrefillWasted, None, detail, out);
-        let generate = self.generate_mut(key);
-        generate.result = None;
-        generate.phase = Phase::Scheduled;
-        if let Some(prefill) = generate.prefill.take() {
-            let used = wire::PrefillUsed { id: Some(self.attempt_id(key, prefill.attempt)) };
-            out.push(EntryAction::Send {
-                agent: prefill.agent,
-                message: ToAgent::PrefillUsed(used),
-            });
+            self.find_slot(now, key, out);
         }
-        // From now on only a free slot starts a prefill.
-        self.set_timer(key, now + LATE_GRACE);
     }
 
     fn slot_refused(
@@ -296,8 +268,7 @@
         }
         let phase = generate.phase;
         match phase {
-            Phase::AwaitingSlot => self.find_slot(now, key, out),
-            Phase::Reserving | Phase::Scheduled
+            Phase::Reserving | Phase::Waiting
                 if self.may_retry(now, key, RetryReason::AgentLeaving, out) =>
             {
                 self.find_slot(now, key, out);
@@ -306,31 +277,6 @@
         }
     }
 
-    /// Starts the prefill so that its result is there when the slot is free:
-    /// earlier it may be evicted, later the slot lies idle.
-    fn schedule_prefill(&mut self, now: Duration, key: RequestKey, out: &mut Vec<EntryAction>) {
-        let snapshot = self.requests[key].snapshot();
-        let policy = policy_of(&snapshot);
-        let zone = self.decode_zone(key);
-        let candidate = self.prefill_candidate(now, key, &snapshot, zone.as_deref());
-        let takes = candidate.map_or(Duration::ZERO, |candidate| candidate.time);
-        let lead = from_ms(policy.prefill_lead_ms);
-        let generate = self.generate_mut(key);
-        generate.phase = Phase::Scheduled;
-        let start_at = if lead.is_zero() || generate.speculated {
-            Duration::MAX
-        } else {
-            generate.slot_at.saturating_sub(takes + lead)
-        };
-        let give_up_at = self.latest_start(key, takes);
-        if start_at <= now + START_TOLERANCE && now <= give_up_at {
-            self.generate_mut(key).speculated = true;
-            self.start_prefill(now, key, out);
-            return;
-        }
-        self.set_timer(key, start_at.min(give_up_at).max(now + START_TOLERANCE));
-    }
-
     /// After this time a prefill can no longer meet the request's target.
     fn latest_start(&self, key: RequestKey, takes: Duration) -> Duration {
         let request = &self.requests[key];
@@ -339,33 +285,31 @@
         (request.arrived + target).saturating_sub(takes)
     }
 
-    /// Time to look again at a request that waits for a slot.
-    pub(super) fn scheduled_timer(
+    /// Refuses a request that waits for a slot once it can no longer meet its
+    /// target, or sets the time for that.
+    pub(super) fn waiting_timer(
         &mut self,
         now: Duration,
         key: RequestKey,
         out: &mut Vec<EntryAction>,
     ) {
+        let is_new = !self.requests[key].may_have_run && self.generate(key).next_index == 0;
+        if !is_new {
+            self.set_timer(key, now + LATE_GRACE);
+            return;
+        }
         let snapshot = self.requests[key].snapshot();
         let zone = self.decode_zone(key);
         let candidate = self.prefill_candidate(now, key, &snapshot, zone.as_deref());
         let takes = candidate.map_or(Duration::ZERO, |candidate| candidate.time);
-        let is_new = !self.requests[key].may_have_run && self.generate(key).next_index == 0;
-        if is_new && now >= self.latest_start(key, takes) {
-            let wait = self.generate(key).slot_at.saturating_sub(now);
-            self.release_slots(key, out);
-            self.no_room(
-                now,
-                key,
-                RefusalReason::Overloaded,
-                wait.max(self.config.reply_timeout),
-                out,
-            );
-        } else if is_new {
-            self.schedule_prefill(now, key, out);
-        } else {
-            self.set_timer(key, now + LATE_GRACE);
+        let give_up_at = self.latest_start(key, takes);
+        if now < give_up_at {
+            self.set_timer(key, give_up_at.max(now + MIN_TIMER));
+            return;
         }
+        let wait = self.generate(key).slot_at.saturating_sub(now).max(self.config.reply_timeout);
+        self.release_slots(key, out);
+        self.no_room(now, key, RefusalReason::Overloaded, wait, out);
     }
 
     pub(super) fn decode_zone(&self, key: RequestKey) -> Option<CompactString> {
--- a/src/manifest/check.rs
+++ b/src/manifest/check.rs
@@ -16,7 +16,6 @@
     ejection_cap_percent: 50,
     ejection_failures: 5,
     ejection_ms: 2_000,
-    prefill_lead_ms: 0,
     cross_zone_cost_ms: 5,
     cross_region_cost_ms: 60,
     max_attempts: 4,
--- a/src/schema/bamboodoor.manifest.rs
+++ b/src/schema/bamboodoor.manifest.rs
@@ -199,10 +199,6 @@
     pub ejection_failures: u32,
     #[prost(uint32, tag = "5")]
     pub ejection_ms: u32,
-    /// How long before its predicted decode slot a prefill may end. 0 starts no
-    /// prefill before the slot is free, which wastes the least.
-    #[prost(uint32, tag = "6")]
-    pub prefill_lead_ms: u32,
     /// Cost added for leaving the zone, and for leaving the region.
     #[prost(uint32, tag = "7")]
     pub cross_zone_cost_ms: u32,
--- a/src/schema/bamboodoor.manifest.serde.rs
+++ b/src/schema/bamboodoor.manifest.serde.rs
@@ -1005,9 +1005,6 @@
         if self.ejection_ms != 0 {
             len += 1;
         }
-        if self.prefill_lead_ms != 0 {
-            len += 1;
-        }
         if self.cross_zone_cost_ms != 0 {
             len += 1;
         }
@@ -1033,9 +1030,6 @@
         if self.ejection_ms != 0 {
             struct_ser.serialize_field("ejection_ms", &self.ejection_ms)?;
         }
-        if self.prefill_lead_ms != 0 {
-            struct_ser.serialize_field("prefill_lead_ms", &self.prefill_lead_ms)?;
-        }
         if self.cross_zone_cost_ms != 0 {
             struct_ser.serialize_field("cross_zone_cost_ms", &self.cross_zone_cost_ms)?;
         }
@@ -1065,8 +1059,6 @@
             "ejectionFailures",
             "ejection_ms",
             "ejectionMs",
-            "prefill_lead_ms",
-            "prefillLeadMs",
             "cross_zone_cost_ms",
             "crossZoneCostMs",
             "cross_region_cost_ms",
@@ -1082,7 +1074,6 @@
             EjectionCapPercent,
             EjectionFailures,
             EjectionMs,
-            PrefillLeadMs,
             CrossZoneCostMs,
             CrossRegionCostMs,
             MaxAttempts,
@@ -1112,7 +1103,6 @@
                             "ejectionCapPercent" | "ejection_cap_percent" => Ok(GeneratedField::EjectionCapPercent),
                             "ejectionFailures" | "ejection_failures" => Ok(GeneratedField::EjectionFailures),
                             "ejectionMs" | "ejection_ms" => Ok(GeneratedField::EjectionMs),
-                            "prefillLeadMs" | "prefill_lead_ms" => Ok(GeneratedField::PrefillLeadMs),
                             "crossZoneCostMs" | "cross_zone_cost_ms" => Ok(GeneratedField::CrossZoneCostMs),
                             "crossRegionCostMs" | "cross_region_cost_ms" => Ok(GeneratedField::CrossRegionCostMs),
                             "maxAttempts" | "max_attempts" => Ok(GeneratedField::MaxAttempts),
@@ -1140,7 +1130,6 @@
                 let mut ejection_cap_percent__ = None;
                 let mut ejection_failures__ = None;
                 let mut ejection_ms__ = None;
-                let mut prefill_lead_ms__ = None;
                 let mut cross_zone_cost_ms__ = None;
                 let mut cross_region_cost_ms__ = None;
                 let mut max_attempts__ = None;
@@ -1186,14 +1175,6 @@
                                 Some(map_.next_value::<::pbjson::private::NumberDeserialize<_>>()?.0)
                             ;
                         }
-                        GeneratedField::PrefillLeadMs => {
-                            if prefill_lead_ms__.is_some() {
-                                return Err(serde::de::Error::duplicate_field("prefillLeadMs"));
-                            }
-                            prefill_lead_ms__ = 
-                                Some(map_.next_value::<::pbjson::private::NumberDeserialize<_>>()?.0)
-                            ;
-                        }
                         GeneratedField::CrossZoneCostMs => {
                             if cross_zone_cost_ms__.is_some() {
                                 return Err(serde::de::Error::duplicate_field("crossZoneCostMs"));
@@ -1226,7 +1207,6 @@
                     ejection_cap_percent: ejection_cap_percent__.unwrap_or_default(),
                     ejection_failures: ejection_failures__.unwrap_or_default(),
                     ejection_ms: ejection_ms__.unwrap_or_default(),
-                    prefill_lead_ms: prefill_lead_ms__.unwrap_or_default(),
                     cross_zone_cost_ms: cross_zone_cost_ms__.unwrap_or_default(),
                     cross_region_cost_ms: cross_region_cost_ms__.unwrap_or_default(),
                     max_attempts: max_attempts__.unwrap_or_default(),
