Refuse at once by the entry's own queue; look past silent agents

Cause of late refusals: the wait was foretold from the agents' reports, which are up to a heartbeat old; with 12 agents one always looked free.

Now the budget has room for 50, and an agent silent for three heartbeats gets no new work.

Also: the slow-tenth fault slowed no engine of a pool below ten; now at least one. Late reports delay the load and no longer the heartbeat itself.

--- /dev/null
+++ b/examples/measure.rs
@@ -0,0 +1,156 @@
+//! Replays the whole set of loads, faults, policies and seeds, prints the
+//! table of docs/MEASUREMENTS.md and draws the goodput of each policy.
+//!
+//! `cargo run --release --example measure -- [OUT_DIR]`
+
+#[path = "measure/plot.rs"]
+mod plot;
+
+use std::path::PathBuf;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use bamboodoor::manifest::Snapshot;
+use bamboodoor::policy::PolicyKind;
+use bamboodoor::replay::ReplayConfig;
+use bamboodoor::replay::judge::Summary;
+use bamboodoor::replay::replay;
+use bamboodoor::replay::synthesis;
+use bamboodoor::replay::synthesis::Mix;
+use bamboodoor::replay::synthesis::Synthesis;
+use bamboodoor::replay::trace::Fault;
+use strum::IntoEnumIterator;
+
+const LOADS: [f64; 4] = [0.7, 1.0, 1.3, 2.0];
+const SEEDS: [u64; 3] = [1, 2, 3];
+const FAULT_AT_MS: u64 = 15_000;
+
+/// One cell of the table.
+pub struct Case {
+    user: &'static str,
+    fault: &'static str,
+    load: f64,
+    policy: PolicyKind,
+    runs: Vec<Summary>,
+}
+
+struct User {
+    mix: Mix,
+    snapshot: Snapshot,
+}
+
+fn users() -> Vec<User> {
+    let user = |mix: Mix, body: &str| {
+        let snapshot = Snapshot::parse(1, body).expect("the example is valid");
+        User { mix, snapshot }
+    };
+    vec![
+        user(synthesis::associacao(), include_str!("associacao.jsonc")),
+        user(synthesis::qayrawan(), include_str!("qayrawan.jsonc")),
+    ]
+}
+
+fn faults(mix: &Mix) -> Vec<(&'static str, Option<Fault>)> {
+    vec![
+        ("none", None),
+        ("zone lost", Some(Fault::ZoneLost { zone: mix.zones[2].into() })),
+        ("tenth slow", Some(Fault::SlowEngines { share: 0.1, factor: 2.0 })),
+        ("transfers stall", Some(Fault::StalledTransfers { share: 0.05 })),
+        ("reports 5 s late", Some(Fault::LateReports { lag_ms: 5_000 })),
+    ]
+}
+
+fn main() {
+    let out_dir =
+        std::env::args().nth(1).map_or_else(|| PathBuf::from("target/measure"), PathBuf::from);
+    std::fs::create_dir_all(&out_dir).expect("the directory can be made");
+    let mut cases = Vec::new();
+    for user in users() {
+        cases.extend(measure(&user));
+    }
+    print_table(&cases);
+    plot::goodput(&cases, &out_dir);
+}
+
+fn measure(user: &User) -> Vec<Case> {
+    let mut grid = Vec::new();
+    for (name, fault) in faults(&user.mix) {
+        for load in LOADS {
+            for policy in PolicyKind::iter() {
+                grid.push((name, fault.clone(), load, policy));
+            }
+        }
+    }
+    let next = AtomicUsize::new(0);
+    let done = Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for _ in 0..std::thread::available_parallelism().map_or(1, usize::from) {
+            scope.spawn(|| {
+                while let Some((name, fault, load, policy)) =
+                    grid.get(next.fetch_add(1, Ordering::Relaxed))
+                {
+                    let runs = run(user, fault.as_ref(), *load, *policy);
+                    let case = Case {
+                        user: user.mix.name,
+                        fault: name,
+                        load: *load,
+                        policy: *policy,
+                        runs,
+                    };
+                    done.lock().expect("no holder panics").push(case);
+                }
+            });
+        }
+    });
+    let mut cases = done.into_inner().expect("no holder panics");
+    let place = |case: &Case| {
+        grid.iter()
+            .position(|cell| (cell.0, cell.2, cell.3) == (case.fault, case.load, case.policy))
+    };
+    cases.sort_by_key(place);
+    cases
+}
+
+fn run(user: &User, fault: Option<&Fault>, load: f64, policy: PolicyKind) -> Vec<Summary> {
+    let replay_seed = |seed| {
+        let faults = fault.map(|fault| (FAULT_AT_MS, fault.clone())).into_iter().collect();
+        let synthesis = Synthesis { seed, load, faults, ..Synthesis::default() };
+        let trace = synthesis::synthesize(&user.mix, &user.snapshot, &synthesis);
+        let config = ReplayConfig { policy, seed, ..ReplayConfig::default() };
+        replay(&trace, &user.snapshot, &config).expect("the trace fits the manifest")
+    };
+    SEEDS.into_iter().map(replay_seed).collect()
+}
+
+impl Case {
+    /// Mean over the seeds.
+    pub fn mean(&self, value: impl Fn(&Summary) -> f64) -> f64 {
+        self.runs.iter().map(value).sum::<f64>() / self.runs.len() as f64
+    }
+}
+
+fn print_table(cases: &[Case]) {
+    println!(
+        "| user | fault | load | policy | goodput/s | within targets % | settled % | wasted prefill % | first token p95 ms | between p95 ms | refused at once % | calls p95 ms | not whole | violations |"
+    );
+    println!(
+        "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |"
+    );
+    for case in cases {
+        let Case { user, fault, load, policy, .. } = case;
+        println!(
+            "| {user} | {fault} | {load} | {policy} | {:.1} | {:.1} | {:.1} | {:.2} | {:.0} | {:.0} | {:.0} | {:.0} | {:.0} | {:.0} |",
+            case.mean(|run| run.goodput_per_s),
+            case.mean(|run| run.within_targets_percent),
+            case.mean(|run| run.settled_within_targets_percent),
+            case.mean(|run| run.wasted_prefill_percent),
+            case.mean(|run| run.first_token_p95_ms as f64),
+            case.mean(|run| run.between_tokens_p95_ms as f64),
+            case.mean(|run| run.refused_at_once_percent),
+            case.mean(|run| run.call_p95_ms as f64),
+            case.mean(|run| (run.admitted - run.whole) as f64),
+            case.mean(|run| run.violations.len() as f64),
+        );
+    }
+}
--- /dev/null
+++ b/examples/measure/plot.rs
@@ -0,0 +1,49 @@
+//! Goodput against load, a line for each policy.
+
+use std::path::Path;
+
+use bamboodoor::policy::PolicyKind;
+use plotters::prelude::*;
+use strum::IntoEnumIterator;
+
+use crate::Case;
+
+const SIZE: (u32, u32) = (720, 440);
+
+/// Draws a plot for each user, without faults.
+pub fn goodput(cases: &[Case], out_dir: &Path) {
+    for user in ["associacao", "qayrawan"] {
+        let file = out_dir.join(format!("goodput-{user}.svg"));
+        let ours: Vec<&Case> =
+            cases.iter().filter(|case| case.user == user && case.fault == "none").collect();
+        draw(&ours, user, &file).expect("the plot can be drawn");
+    }
+}
+
+fn draw(cases: &[&Case], user: &str, file: &Path) -> Result<(), Box<dyn std::error::Error>> {
+    let top = cases.iter().map(|case| case.mean(|run| run.goodput_per_s)).fold(1.0, f64::max);
+    let root = SVGBackend::new(file, SIZE).into_drawing_area();
+    root.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&root)
+        .caption(format!("{user}: answers/s within both targets"), ("sans-serif", 18))
+        .margin(12)
+        .x_label_area_size(36)
+        .y_label_area_size(44)
+        .build_cartesian_2d(0.6..2.1, 0.0..top * 1.15)?;
+    chart.configure_mesh().x_desc("load, times capacity").y_desc("answers/s").draw()?;
+    for (index, policy) in PolicyKind::iter().enumerate() {
+        let color = Palette99::pick(index).to_rgba();
+        let points: Vec<(f64, f64)> = cases
+            .iter()
+            .filter(|case| case.policy == policy)
+            .map(|case| (case.load, case.mean(|run| run.goodput_per_s)))
+            .collect();
+        chart
+            .draw_series(LineSeries::new(points, color.stroke_width(2)))?
+            .label(policy.to_string())
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 20, y)], color));
+    }
+    chart.configure_series_labels().border_style(BLACK).background_style(WHITE.mix(0.8)).draw()?;
+    root.present()?;
+    Ok(())
+}
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -45,6 +45,7 @@
 use crate::policy::placement::Place;
 use crate::policy::placement::policy_of;
 use crate::policy::prefix::PrefixIndex;
+use crate::policy::queue::SlotQueue;
 use crate::policy::retry::RetryBudget;
 use crate::policy::view::AgentKey;
 use crate::policy::view::View;
@@ -256,6 +257,7 @@
     cancels: HashMap<AttemptId, PendingCancel>,
     prefixes: PrefixIndex,
     fair: FairShare,
+    queues: HashMap<CompactString, SlotQueue>,
     budgets: HashMap<CompactString, RetryBudget>,
     stats: HashMap<CompactString, ModelStats>,
     claims: ClaimIndex,
@@ -274,6 +276,8 @@
     agent: AgentKey,
 }
 
+/// Heartbeats that may fail to come before an agent gets no new work.
+const SILENT_HEARTBEATS: u32 = 3;
 const CANCEL_RETRY: Duration = Duration::from_millis(200);
 
 impl EntryCore {
@@ -282,13 +286,14 @@
         Self {
             fold: ManifestFold::new(config.max_manifest_bytes),
             carrying: Carrying::default(),
-            view: View::default(),
+            view: View::new(config.heartbeat * SILENT_HEARTBEATS),
             membership: Membership::default(),
             requests: SlotMap::with_key(),
             timers: Timers::default(),
             cancels: HashMap::new(),
             prefixes: PrefixIndex::default(),
             fair: FairShare::default(),
+            queues: HashMap::new(),
             budgets: HashMap::new(),
             stats: HashMap::new(),
             claims: ClaimIndex::default(),
@@ -432,6 +437,7 @@
         message: ToEntry,
         out: &mut Vec<EntryAction>,
     ) {
+        self.view.heard(now, agent);
         match message {
             ToEntry::Hello(_) => {}
             ToEntry::Heartbeat(beat) => self.on_heartbeat(now, agent, &beat, out),
--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -146,16 +146,22 @@
         let blocks = self.blocks_needed(key, snapshot);
         let candidates = self.decode_candidates(now, key, snapshot, blocks, CHOICES);
         let decode = candidates.first()?;
+        let decode_time = decode.time;
         let view = self.view.get(decode.agent)?;
         let zone = view.zone.clone();
         let pool = snapshot.pool(&model.decode_pool);
         let step_us = view.load.step_us.max(pool.map_or(0, |pool| pool.step_us(1)));
         let prefill = self.prefill_candidate(now, key, snapshot, Some(&zone))?;
-        Some(Prediction {
-            decode_wait: decode.time,
-            prefill: prefill.time,
-            step: from_ms(step_us / US_PER_MS),
-        })
+        let decode_wait = match self.config.policy {
+            PolicyKind::Reserve => self.queue_wait(&model.name),
+            _ => decode_time,
+        };
+        Some(Prediction { decode_wait, prefill: prefill.time, step: from_ms(step_us / US_PER_MS) })
+    }
+
+    fn queue_wait(&self, model: &str) -> Duration {
+        let waiting = self.waiting_for_slot(model);
+        self.queues.get(model).map_or(Duration::ZERO, |queue| queue.wait(waiting))
     }
 
     pub(super) fn blocks_needed(&self, key: RequestKey, snapshot: &Snapshot) -> u32 {
--- a/src/entry/slots.rs
+++ b/src/entry/slots.rs
@@ -12,6 +12,7 @@
 use crate::entry::EntryCore;
 use crate::entry::generate::LATE_GRACE;
 use crate::entry::request::Phase;
+use crate::entry::request::Request;
 use crate::entry::request::RequestKey;
 use crate::entry::request::Try;
 use crate::entry::request::Work;
@@ -26,7 +27,7 @@
 use crate::schema::wire::to_agent::Kind as ToAgent;
 
 /// Agents that are asked at once when none has a free slot.
-const TIES: usize = 3;
+const TIES: usize = 2;
 const MIN_TIMER: Duration = Duration::from_millis(2);
 
 impl EntryCore {
@@ -172,6 +173,9 @@
                 self.cancel(one.agent, other, out);
             }
         }
+        if self.generate(key).phase == Phase::Waiting {
+            self.note_wait_ended(now, key);
+        }
         let generate = self.generate(key);
         match generate.phase {
             Phase::Reserving | Phase::Waiting if generate.result.is_none() => {
@@ -196,6 +200,21 @@
         }
     }
 
+    fn note_wait_ended(&mut self, now: Duration, key: RequestKey) {
+        let model = self.generate(key).model.clone();
+        let others = self.waiting_for_slot(&model) - 1;
+        self.queues.entry(model).or_default().taken(now, others);
+    }
+
+    /// Requests of a model that wait here for a slot.
+    pub(super) fn waiting_for_slot(&self, model: &str) -> usize {
+        let waits = |request: &&Request| match &request.work {
+            Work::Generate(generate) => generate.phase == Phase::Waiting && generate.model == model,
+            Work::Call(_) => false,
+        };
+        self.requests.values().filter(waits).count()
+    }
+
     fn slot_refused(
         &mut self,
         now: Duration,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -8,6 +8,7 @@
 pub mod fair;
 pub mod placement;
 pub mod prefix;
+pub mod queue;
 pub mod retry;
 pub mod subset;
 pub mod view;
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -21,7 +21,7 @@
 impl Prediction {
     /// Predicted time to the first token.
     pub fn first_token(&self) -> Duration {
-        self.decode_wait.max(self.prefill) + self.step
+        self.decode_wait + self.prefill + self.step
     }
 }
 
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -6,7 +6,8 @@
 use rand::RngExt;
 
 const PERCENT: f64 = 100.0;
-const MAX_TOKENS: f64 = 10.0;
+/// Room for the requests that one lost zone leaves behind.
+const MAX_TOKENS: f64 = 50.0;
 
 /// Retries a pool may still spend: a share of its recent successes.
 #[derive(Debug, Clone, PartialEq)]
--- a/src/policy/view.rs
+++ b/src/policy/view.rs
@@ -39,6 +39,10 @@
     pub leaving: bool,
     /// The incarnation that the instance list said is leaving.
     pub listed_leaving: Option<u64>,
+    /// When it was last heard of.
+    pub heard_at: Duration,
+    /// An agent silent for so long gets no new work.
+    pub silence: Duration,
     /// Its last load report.
     pub load: Load,
     /// When that report came in.
@@ -58,7 +62,8 @@
 impl AgentView {
     /// True if new work may be sent.
     pub fn takes_work(&self, now: Duration) -> bool {
-        self.connected && !self.is_leaving() && !self.health.is_ejected(now)
+        let silent = now >= self.heard_at + self.silence;
+        self.connected && !silent && !self.is_leaving() && !self.health.is_ejected(now)
     }
 
     /// True if the agent or the instance list says that this incarnation leaves.
@@ -115,14 +120,32 @@
 const PERMILLE: u32 = 1_000;
 
 /// The agents that an entry knows, in the arena and by pool.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct View {
+    silence: Duration,
     agents: SlotMap<AgentKey, AgentView>,
     by_name: BTreeMap<CompactString, AgentKey>,
     by_pool: BTreeMap<CompactString, Vec<AgentKey>>,
 }
 
 impl View {
+    /// No agents. One that is silent for `silence` will get no new work.
+    pub fn new(silence: Duration) -> Self {
+        Self {
+            silence,
+            agents: SlotMap::with_key(),
+            by_name: BTreeMap::new(),
+            by_pool: BTreeMap::new(),
+        }
+    }
+
+    /// Notes that an agent was heard of.
+    pub fn heard(&mut self, now: Duration, key: AgentKey) {
+        if let Some(agent) = self.agents.get_mut(key) {
+            agent.heard_at = now;
+        }
+    }
+
     /// Adds the agent that said hello, or brings it up to date.
     pub fn connect(&mut self, now: Duration, hello: &AgentHello) -> AgentKey {
         let key = match self.by_name.get(hello.name.as_str()) {
@@ -137,6 +160,7 @@
         }
         agent.upstream = hello.upstream.as_str().into();
         agent.connected = true;
+        agent.heard_at = now;
         agent.leaving = hello.leaving;
         if let Some(load) = &hello.load {
             agent.report(now, load);
@@ -157,6 +181,8 @@
             connected: false,
             leaving: false,
             listed_leaving: None,
+            heard_at: Duration::ZERO,
+            silence: self.silence,
             load: Load::default(),
             load_at: Duration::ZERO,
             sent_prefill_tokens: 0,
--- a/src/replay/judge.rs
+++ b/src/replay/judge.rs
@@ -16,6 +16,7 @@
 use crate::replay::trace::Event;
 use crate::replay::trace::Trace;
 
+const AT_ONCE: Duration = Duration::from_millis(10);
 const LATE_SHARE: f64 = 0.05;
 const PERCENT: f64 = 100.0;
 const P50: f64 = 50.0;
@@ -83,9 +84,9 @@
     pub calls_answered: u64,
     /// Time to the answer of a call for 95 in 100.
     pub call_p95_ms: u64,
-    /// Time to a refusal, for 95 in 100 and at most.
-    pub refusal_p95_ms: u64,
-    /// See above.
+    /// Refusals given within 10 ms of the arrival, in percent of all.
+    pub refused_at_once_percent: f64,
+    /// Longest time to a refusal.
     pub refusal_max_ms: u64,
     /// Refusals by reason.
     pub refusals: BTreeMap<String, u64>,
@@ -259,6 +260,8 @@
             .sum();
         let first = histogram(admitted.iter().filter_map(|seen| first_token(seen)));
         let refused = histogram(drafts.iter().filter_map(|seen| seen.refused_after));
+        let at_once = drafts.iter().filter_map(|seen| seen.refused_after);
+        let at_once = at_once.filter(|after| *after <= AT_ONCE).count();
         let calls: Vec<&Seen> =
             self.seen.iter().filter(|seen| seen.is_call && !seen.lost).collect();
         let call_times = histogram(
@@ -281,7 +284,7 @@
             calls: calls.len() as u64,
             calls_answered: calls.iter().filter(|seen| seen.finished).count() as u64,
             call_p95_ms: call_times.value_at_percentile(P95),
-            refusal_p95_ms: refused.value_at_percentile(P95),
+            refused_at_once_percent: percent(at_once, refused.len() as usize),
             refusal_max_ms: refused.max(),
             refusals: self.refusals,
             retries: self.retries,
--- a/src/replay/world.rs
+++ b/src/replay/world.rs
@@ -3,6 +3,7 @@
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BinaryHeap;
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -122,6 +123,7 @@
     upstream: CompactString,
     up: bool,
     wakes_at: Option<Duration>,
+    reports: VecDeque<(Duration, wire::Load)>,
 }
 
 struct EntryNode {
@@ -208,6 +210,7 @@
                     upstream: name,
                     up: true,
                     wakes_at: None,
+                    reports: VecDeque::new(),
                 };
                 self.agents.push(node);
                 let agent = self.agents.len() - 1;
@@ -401,7 +404,7 @@
                 let mut seen: BTreeMap<CompactString, f64> = BTreeMap::new();
                 for node in &mut self.agents {
                     let pool = node.upstream.rsplit_once('-').map_or("", |(pool, _)| pool);
-                    let owed = seen.entry(pool.into()).or_default();
+                    let owed = seen.entry(pool.into()).or_insert(1.0 - share);
                     *owed += share;
                     if *owed >= 1.0 {
                         *owed -= 1.0;
@@ -541,12 +544,9 @@
         match action {
             AgentAction::Send { entry, message } => {
                 let Some(entry) = entry.checked_sub(FIRST_ENTRY_INCARNATION) else { return };
-                let lag = match message {
-                    ToEntry::Heartbeat(_) => self.report_lag,
-                    _ => Duration::ZERO,
-                };
+                let message = self.with_late_load(agent, message);
                 let entry = entry as usize;
-                self.at(now + HOP + lag, Happening::ToEntry { entry, agent, message });
+                self.at(now + HOP, Happening::ToEntry { entry, agent, message });
             }
             AgentAction::Prefill(prefill) => self.prefill(agent, &prefill),
             AgentAction::Import { decode, timeout } => {
@@ -574,6 +574,21 @@
         }
     }
 
+    /// Heartbeats come on time, but the load in them may be an old one.
+    fn with_late_load(&mut self, agent: usize, message: ToEntry) -> ToEntry {
+        let ToEntry::Heartbeat(mut beat) = message else { return message };
+        if let Some(load) = beat.load {
+            let reports = &mut self.agents[agent].reports;
+            reports.push_back((self.now, load));
+            let horizon = self.now.saturating_sub(self.report_lag);
+            while reports.len() > 1 && reports[1].0 <= horizon {
+                reports.pop_front();
+            }
+            beat.load = reports.front().map(|(_, load)| *load);
+        }
+        ToEntry::Heartbeat(beat)
+    }
+
     fn prefill(&mut self, agent: usize, prefill: &wire::Prefill) {
         let request = index_of(&prefill.prompt);
         let engine = &mut self.agents[agent].engine;
