--- /dev/null
+++ b/tests/core/claims.rs
@@ -0,0 +1,76 @@
+//! Claims of idempotency keys: one owner a key, in every order.
+
+use std::time::Duration;
+
+use bamboodoor::entry::claims::ClaimIndex;
+use bamboodoor::entry::claims::ClaimKey;
+use bamboodoor::schema::record::Claim;
+use bamboodoor::schema::record::ClaimBatch;
+use bamboodoor::schema::record::Completion;
+
+const NOW: Duration = Duration::from_secs(100);
+
+fn key() -> ClaimKey {
+    ClaimKey::new("summaries", "archive-desk", "slot-9")
+}
+
+fn claim(entry: u64, takes_over: u64) -> ClaimBatch {
+    let claim = Claim {
+        key_high: key().high,
+        key_low: key().low,
+        entry,
+        request: 1,
+        attempt: 1,
+        takes_over,
+        ..Claim::default()
+    };
+    ClaimBatch { claims: vec![claim], completions: Vec::new() }
+}
+
+fn completion(entry: u64, status: u32, not_run: bool) -> ClaimBatch {
+    let completion =
+        Completion { key_high: key().high, key_low: key().low, entry, request: 1, status, not_run };
+    ClaimBatch { claims: Vec::new(), completions: vec![completion] }
+}
+
+fn owner_after(batches: &[ClaimBatch]) -> Option<(u64, Option<u32>)> {
+    let mut index = ClaimIndex::default();
+    for (offset, batch) in batches.iter().enumerate() {
+        index.apply(offset as u64, NOW, batch);
+    }
+    index.owner(key()).map(|owner| (owner.id.entry, owner.status))
+}
+
+macro_rules! owners {
+    ($($name:ident: $batches:expr => $owner:expr;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                assert_eq!(owner_after(&$batches), $owner);
+            }
+        )+
+    };
+}
+
+owners! {
+    the_lowest_offset_wins: [claim(1, 0), claim(2, 0)] => Some((1, None));
+    a_claim_that_landed_twice_is_the_same_claim: [claim(1, 0), claim(1, 0)] => Some((1, None));
+    a_takeover_names_the_claim_that_it_takes_over: [claim(1, 0), claim(2, 1)] => Some((2, None));
+    a_takeover_of_another_claim_is_void: [claim(1, 0), claim(2, 1), claim(3, 1)] => Some((2, None));
+    a_completed_claim_is_not_taken_over:
+        [claim(1, 0), completion(1, 200, false), claim(2, 1)] => Some((1, Some(200)));
+    a_claim_that_never_ran_frees_the_key:
+        [claim(1, 0), completion(1, 0, true), claim(2, 0)] => Some((2, None));
+    a_completion_of_another_owner_is_void:
+        [claim(1, 0), claim(2, 1), completion(1, 0, true)] => Some((2, None));
+}
+
+#[test]
+fn a_key_is_forgotten_after_the_window_and_not_before() {
+    let mut index = ClaimIndex::default();
+    index.apply(0, NOW, &claim(1, 0));
+    index.forget_before(NOW);
+    assert!(index.owner(key()).is_some());
+    index.forget_before(NOW + Duration::from_millis(1));
+    assert!(index.owner(key()).is_none());
+}
--- /dev/null
+++ b/tests/core/ledger.rs
@@ -0,0 +1,115 @@
+//! Slots and blocks of a decode engine.
+
+use std::time::Duration;
+
+use bamboodoor::agent::ledger::Ledger;
+use bamboodoor::agent::ledger::ReserveOutcome;
+use bamboodoor::schema::manifest::Pool;
+use bamboodoor::schema::wire::AttemptId;
+use bamboodoor::schema::wire::Load;
+use bamboodoor::schema::wire::Reserve;
+use proptest::prelude::*;
+
+const NOW: Duration = Duration::from_secs(1);
+
+fn pool() -> Pool {
+    Pool {
+        blocks: 100,
+        block_tokens: 16,
+        max_streams: 4,
+        step_base_us: 20_000,
+        step_per_stream_us: 1_000,
+        ..Pool::default()
+    }
+}
+
+fn ledger() -> Ledger {
+    let mut ledger = Ledger::default();
+    ledger.configure(&pool(), 52);
+    ledger
+}
+
+fn reserve(request: u64, blocks: u32, rank: u32) -> Reserve {
+    Reserve {
+        id: Some(AttemptId { entry: 1, request, attempt: 1 }),
+        blocks,
+        expected_tokens: 100,
+        max_wait_ms: 10_000,
+        rank,
+    }
+}
+
+fn id(request: u64) -> AttemptId {
+    AttemptId { entry: 1, request, attempt: 1 }
+}
+
+#[test]
+fn a_free_slot_is_granted_at_once() {
+    assert_eq!(
+        ledger().reserve(NOW, 1, &reserve(1, 10, 0)),
+        ReserveOutcome::Granted(Duration::ZERO)
+    );
+}
+
+#[test]
+fn a_repeated_request_holds_one_slot() {
+    let mut ledger = ledger();
+    ledger.reserve(NOW, 1, &reserve(1, 10, 0));
+    ledger.reserve(NOW, 1, &reserve(1, 10, 0));
+    assert_eq!((ledger.len(), ledger.held_blocks()), (1, 10));
+}
+
+#[test]
+fn a_wait_beyond_what_is_allowed_is_refused_and_holds_nothing() {
+    let mut ledger = ledger();
+    ledger.reserve(NOW, 1, &reserve(1, 100, 0));
+    let hasty = Reserve { max_wait_ms: 1, ..reserve(2, 10, 0) };
+    assert!(
+        matches!(ledger.reserve(NOW, 1, &hasty), ReserveOutcome::Refused(wait) if !wait.is_zero())
+    );
+    assert_eq!(ledger.len(), 1);
+}
+
+#[test]
+fn the_urgent_goes_before_the_earlier() {
+    let mut ledger = ledger();
+    ledger.reserve(NOW, 1, &reserve(1, 100, 0));
+    ledger.reserve(NOW, 1, &reserve(2, 60, 10));
+    ledger.reserve(NOW, 1, &reserve(3, 60, 0));
+    ledger.release(id(1));
+    assert_eq!(ledger.grant_waiting(NOW), vec![id(3)]);
+}
+
+#[test]
+fn a_slow_engine_gets_fewer_streams() {
+    let mut ledger = ledger();
+    let before = ledger.stream_limit();
+    for _ in 0..200 {
+        ledger.observe_step(Duration::from_millis(46));
+    }
+    assert!(ledger.stream_limit() < before, "{} < {before}", ledger.stream_limit());
+    assert!(ledger.stream_limit() >= 1);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 256, rng_seed: proptest::test_runner::RngSeed::Fixed(1), ..ProptestConfig::default() })]
+
+    #[test]
+    fn blocks_and_streams_are_never_overbooked(
+        steps in prop::collection::vec((0_u64..30, 1_u32..80, any::<bool>()), 1..200),
+    ) {
+        let mut ledger = ledger();
+        for (request, blocks, frees) in steps {
+            if frees {
+                ledger.release(id(request));
+            } else {
+                ledger.reserve(NOW, 1, &reserve(request, blocks, 0));
+            }
+            ledger.grant_waiting(NOW);
+            let mut load = Load::default();
+            ledger.report(NOW, &mut load);
+            prop_assert!(ledger.held_blocks() <= pool().blocks);
+            prop_assert!(load.streams <= pool().max_streams);
+        }
+    }
+}
--- /dev/null
+++ b/tests/core/parsing.rs
@@ -0,0 +1,118 @@
+//! Settings, manifests and frames: every error at once, and no panic.
+
+use bamboodoor::edge::body;
+use bamboodoor::edge::body::Form;
+use bamboodoor::edge::frames;
+use bamboodoor::edge::upstream::id_text;
+use bamboodoor::edge::upstream::parse_id;
+use bamboodoor::manifest::Snapshot;
+use bamboodoor::outcome::RefusalReason;
+use bamboodoor::schema::wire;
+use bamboodoor::settings;
+use proptest::prelude::*;
+use prost::Message;
+
+fn example() -> Snapshot {
+    Snapshot::parse(1, include_str!("../../examples/associacao.jsonc")).expect("is valid")
+}
+
+#[test]
+fn both_examples_are_valid() {
+    example();
+    Snapshot::parse(1, include_str!("../../examples/qayrawan.jsonc")).expect("is valid");
+}
+
+#[test]
+fn every_error_of_a_manifest_is_told_with_its_place() {
+    let body = "{\n  \"name\": \"m\",\n  \"pols\": [],\n  \"pools\": [{ \"name\": \"a\", \"role\": 7.5 }],\n  \"drain_bound_ms\": \"soon\"\n}";
+    let findings = Snapshot::parse(1, body).expect_err("is wrong");
+    let places: Vec<(usize, &str)> =
+        findings.iter().map(|finding| (finding.line, finding.field.as_str())).collect();
+    assert!(places.contains(&(3, "pols")), "{places:?}");
+    assert!(places.contains(&(4, "pools[0].role")), "{places:?}");
+    assert!(places.contains(&(5, "drain_bound_ms")), "{places:?}");
+}
+
+#[test]
+fn a_window_beyond_the_retention_is_refused() {
+    let body = include_str!("../../examples/associacao.jsonc")
+        .replace("\"idempotency_window_ms\": 86400000", "\"idempotency_window_ms\": 999999999");
+    let findings = Snapshot::parse(1, &body).expect_err("is wrong");
+    assert_eq!(findings[0].field, "idempotency_window_ms");
+}
+
+#[test]
+fn settings_name_every_field_that_is_wrong() {
+    let findings =
+        settings::parse_entry("{ \"listen\": \"here\", \"lease_ttl_ms\": 10, \"name\": \"e\" }")
+            .expect_err("is wrong");
+    let fields: Vec<&str> = findings.iter().map(|finding| finding.field.as_str()).collect();
+    for field in ["listen", "lease_ttl_ms", "region", "zone", "log", "instance_list"] {
+        assert!(fields.contains(&field), "{field} in {fields:?}");
+    }
+}
+
+macro_rules! refused_bodies {
+    ($($name:ident: $form:expr, $body:expr => $reason:expr, $field:expr;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                let refusal = body::read($form, $body.as_bytes(), &example()).expect_err("is refused");
+                assert_eq!(refusal.reason, $reason);
+                assert!(refusal.detail.contains($field), "{}", refusal.detail);
+            }
+        )+
+    };
+}
+
+refused_bodies! {
+    a_body_that_is_not_json: Form::Completion, "{" => RefusalReason::MalformedJson, "";
+    a_prompt_of_the_wrong_type: Form::Completion, r#"{"model":"redator","prompt":7}"#
+        => RefusalReason::InvalidField, "prompt";
+    messages_of_the_wrong_type: Form::Chat, r#"{"model":"redator","messages":[{"role":"user"}]}"#
+        => RefusalReason::InvalidField, "messages[0]";
+    no_tokens_wanted: Form::Completion, r#"{"model":"redator","prompt":"p","max_tokens":0}"#
+        => RefusalReason::InvalidField, "max_tokens";
+    an_unknown_model: Form::Completion, r#"{"model":"nobody","prompt":"p"}"#
+        => RefusalReason::UnknownModel, "model";
+    a_prompt_above_the_limit: Form::Completion,
+        format!(r#"{{"model":"redator","prompt":"{}"}}"#, "x".repeat(60_000))
+        => RefusalReason::PromptTooLong, "prompt";
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 512, rng_seed: proptest::test_runner::RngSeed::Fixed(1), ..ProptestConfig::default() })]
+
+    #[test]
+    fn text_of_any_kind_is_no_panic(text in "\\PC{0,200}") {
+        let _ = Snapshot::parse(1, &text);
+        let _ = settings::parse_entry(&text);
+        let _ = settings::parse_agent(&text);
+        let _ = body::read(Form::Completion, text.as_bytes(), &example());
+        let _ = body::read(Form::Chat, text.as_bytes(), &example());
+        let _ = parse_id(&text);
+    }
+
+    #[test]
+    fn a_manifest_with_a_piece_cut_out_is_no_panic(start in 0_usize..4_000, length in 0_usize..200) {
+        let whole = include_str!("../../examples/associacao.jsonc");
+        let cut: String = whole.chars().take(start).chain(whole.chars().skip(start + length)).collect();
+        let _ = Snapshot::parse(1, &cut);
+    }
+
+    #[test]
+    fn bytes_of_any_kind_are_no_panic(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let _ = frames::decode::<wire::ToAgent>(&bytes);
+        let _ = frames::decode::<wire::ToEntry>(&bytes);
+    }
+
+    #[test]
+    fn a_message_comes_back_as_it_went(entry: u64, request: u64, attempt: u32, index: u32) {
+        let id = wire::AttemptId { entry, request, attempt };
+        let chunk = wire::Chunk { id: Some(id), index, ..wire::Chunk::default() };
+        let message = wire::ToEntry { kind: Some(wire::to_entry::Kind::Chunk(chunk)) };
+        let read = frames::decode::<wire::ToEntry>(&message.encode_to_vec()).expect("is a message");
+        prop_assert_eq!(read, message);
+        prop_assert_eq!(parse_id(&id_text(&id)), Some(id));
+    }
+}
--- /dev/null
+++ b/tests/core/policies.rs
@@ -0,0 +1,150 @@
+//! Subsets, fair share, retry budget, ejection, prefix index, links.
+
+use std::time::Duration;
+
+use bamboodoor::agent::link::LinkSchedule;
+use bamboodoor::manifest::Snapshot;
+use bamboodoor::policy::ejection::Health;
+use bamboodoor::policy::ejection::Limits;
+use bamboodoor::policy::fair::FairShare;
+use bamboodoor::policy::prefix::PREFIX_TOKENS;
+use bamboodoor::policy::prefix::PrefixIndex;
+use bamboodoor::policy::prefix::prefix_hashes;
+use bamboodoor::policy::retry::RetryBudget;
+use bamboodoor::policy::subset::Member;
+use bamboodoor::policy::subset::subset;
+use bamboodoor::policy::view::AgentKey;
+use bamboodoor::schema::wire::AttemptId;
+use slotmap::KeyData;
+
+const NOW: Duration = Duration::from_secs(10);
+
+fn member(name: String, place: usize) -> Member {
+    Member {
+        region: format!("r{}", place / 3).into(),
+        zone: format!("z{place}").into(),
+        name: name.into(),
+    }
+}
+
+fn members(prefix: &str, count: usize) -> Vec<Member> {
+    (0..count).map(|number| member(format!("{prefix}-{number:03}"), number % 9)).collect()
+}
+
+/// Entries that each agent is connected to, as all entries decide for themselves.
+fn entries_by_agent(entries: usize, agents: usize, per_agent: usize) -> Vec<usize> {
+    let (entries, agents) = (members("entry", entries), members("agent", agents));
+    let mut counts = vec![0; agents.len()];
+    for entry in &entries {
+        for agent in subset(&entry.name, &entries, &agents, per_agent) {
+            counts[agent] += 1;
+        }
+    }
+    counts
+}
+
+#[test]
+fn every_agent_gets_as_many_entries() {
+    let counts = entries_by_agent(410, 75, 20);
+    assert!(counts.iter().all(|count| *count == 20), "{counts:?}");
+}
+
+#[test]
+fn a_small_fleet_connects_everything() {
+    assert_eq!(entries_by_agent(3, 18, 0), vec![3; 18]);
+    assert_eq!(entries_by_agent(3, 18, 20), vec![3; 18]);
+}
+
+#[test]
+fn an_agent_prefers_entries_of_its_zone() {
+    let (entries, agents) = (members("entry", 90), members("agent", 9));
+    let near = entries.iter().filter(|entry| entry.zone == agents[0].zone);
+    for entry in near {
+        assert!(subset(&entry.name, &entries, &agents, 10).contains(&0));
+    }
+}
+
+#[test]
+fn an_account_over_its_share_is_held_back_only_under_pressure() {
+    let mut fair = FairShare::default();
+    for _ in 0..50 {
+        fair.admit(NOW, "greedy", 1, 1_000);
+        fair.admit(NOW, "modest", 1, 100);
+    }
+    let later = NOW + Duration::from_millis(300);
+    assert!(!fair.is_over(later, "greedy", 0.2));
+    assert!(fair.is_over(later, "greedy", 1.0));
+    assert!(!fair.is_over(later, "modest", 1.0));
+}
+
+#[test]
+fn retries_are_a_share_of_successes() {
+    let mut budget = RetryBudget::default();
+    while budget.spend() {}
+    for _ in 0..100 {
+        budget.earn(10);
+    }
+    let allowed = std::iter::from_fn(|| budget.spend().then_some(())).take(100).count();
+    assert!((9..=10).contains(&allowed), "{allowed} for 100 successes at 10 %");
+}
+
+fn limits() -> Limits {
+    Limits { failures: 3, ejection: Duration::from_secs(1), cap_percent: 50 }
+}
+
+#[test]
+fn an_upstream_is_ejected_returns_and_is_ejected_longer() {
+    let mut health = Health::default();
+    (0..3).for_each(|_| health.fail(NOW, &limits(), true));
+    assert!(health.is_ejected(NOW));
+    let back = NOW + Duration::from_secs(1);
+    assert!(!health.is_ejected(back));
+    health.fail(back, &limits(), true);
+    assert!(health.is_ejected(back + Duration::from_millis(1_900)), "twice as long");
+    let again = back + Duration::from_secs(2);
+    health.succeed();
+    health.fail(again, &limits(), true);
+    assert!(!health.is_ejected(again), "a success forgives");
+}
+
+#[test]
+fn no_more_than_the_cap_is_ejected() {
+    assert!(limits().may_eject(0, 2));
+    assert!(!limits().may_eject(1, 2));
+    assert!(!limits().may_eject(0, 1));
+}
+
+fn agent(number: u64) -> AgentKey {
+    AgentKey::from(KeyData::from_ffi((1 << 32) | number))
+}
+
+#[test]
+fn the_prefix_index_ages_and_is_corrected() {
+    let prompt = vec![b'x'; 4 * 4 * PREFIX_TOKENS as usize];
+    let hashes = prefix_hashes(&prompt, 4);
+    let mut index = PrefixIndex::default();
+    index.insert(NOW, &hashes, agent(1));
+    assert_eq!(index.lookup(NOW, &hashes).tokens(agent(1)), 4 * PREFIX_TOKENS);
+    index.correct(&hashes, agent(1), PREFIX_TOKENS);
+    assert_eq!(index.lookup(NOW, &hashes).tokens(agent(1)), PREFIX_TOKENS);
+    let much_later = NOW + Duration::from_secs(120);
+    assert_eq!(index.lookup(much_later, &hashes).tokens(agent(1)), 0);
+}
+
+#[test]
+fn transfers_start_by_deadline_and_wait_for_the_link() {
+    let snapshot =
+        Snapshot::parse(1, include_str!("../../examples/associacao.jsonc")).expect("is valid");
+    let pool = snapshot.pool("redator-decode").expect("is there");
+    let mut links = LinkSchedule::default();
+    links.configure(&snapshot, pool, "petrolina");
+    let id = |request| AttemptId { entry: 1, request, attempt: 1 };
+    let bytes = 4_000_000_000;
+    links.push(id(1), "juazeiro", bytes, NOW + Duration::from_secs(3));
+    links.push(id(2), "juazeiro", bytes, NOW + Duration::from_secs(1));
+    let first: Vec<AttemptId> = links.start(NOW).iter().map(|start| start.id).collect();
+    assert_eq!(first, vec![id(2)], "the earliest deadline, and then the link is in debt");
+    let ready = links.next_wakeup().expect("one waits");
+    assert!(links.start(ready - Duration::from_millis(1)).is_empty());
+    assert_eq!(links.start(ready).len(), 1);
+}
--- /dev/null
+++ b/tests/core/replays.rs
@@ -0,0 +1,144 @@
+//! Short seeded replays with bounds from the stated targets.
+
+use bamboodoor::manifest::Snapshot;
+use bamboodoor::policy::PolicyKind;
+use bamboodoor::replay::ReplayConfig;
+use bamboodoor::replay::judge::Summary;
+use bamboodoor::replay::replay;
+use bamboodoor::replay::synthesis;
+use bamboodoor::replay::synthesis::Mix;
+use bamboodoor::replay::synthesis::Synthesis;
+use bamboodoor::replay::trace::Event;
+use bamboodoor::replay::trace::Fault;
+
+const DURATION_MS: u64 = 30_000;
+const FAULT_AT_MS: u64 = 8_000;
+const WITHIN_TARGETS_PERCENT: f64 = 95.0;
+const NO_COLLAPSE: f64 = 0.95;
+const WASTE_WITHOUT_FAULT_PERCENT: f64 = 1.0;
+const WASTE_WITH_FAULT_PERCENT: f64 = 3.0;
+const LOOKUP_TARGET_MS: u64 = 100;
+
+fn user(name: &str) -> (Mix, Snapshot) {
+    let body = match name {
+        "associacao" => include_str!("../../examples/associacao.jsonc"),
+        _ => include_str!("../../examples/qayrawan.jsonc"),
+    };
+    let mix = synthesis::mix_of(name).expect("is a user");
+    (mix, Snapshot::parse(1, body).expect("is valid"))
+}
+
+fn run(name: &str, load: f64, fault: Option<Fault>, policy: PolicyKind) -> Summary {
+    let (mix, snapshot) = user(name);
+    let faults = fault.map(|fault| (FAULT_AT_MS, fault)).into_iter().collect();
+    let synthesis = Synthesis { load, faults, duration_ms: DURATION_MS, ..Synthesis::default() };
+    let trace = synthesis::synthesize(&mix, &snapshot, &synthesis);
+    let config = ReplayConfig { policy, ..ReplayConfig::default() };
+    replay(&trace, &snapshot, &config).expect("the trace fits the manifest")
+}
+
+fn holds_what_must_always_hold(summary: &Summary) {
+    assert_eq!(summary.violations, Vec::<String>::new());
+    assert_eq!(summary.held_at_end, 0, "blocks are held at the end");
+}
+
+fn meets_the_targets(summary: &Summary, waste_percent: f64) {
+    holds_what_must_always_hold(summary);
+    assert!(summary.within_targets_percent >= WITHIN_TARGETS_PERCENT, "{summary:?}");
+    assert!(summary.wasted_prefill_percent <= waste_percent, "{summary:?}");
+    assert_eq!(summary.calls, summary.calls_answered, "{summary:?}");
+    assert!(summary.call_p95_ms <= LOOKUP_TARGET_MS, "{summary:?}");
+}
+
+macro_rules! targets {
+    ($($name:ident: $user:expr, $load:expr, $fault:expr, $waste:expr;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                meets_the_targets(&run($user, $load, $fault, PolicyKind::Reserve), $waste);
+            }
+        )+
+    };
+}
+
+targets! {
+    associacao_at_0_7: "associacao", 0.7, None, WASTE_WITHOUT_FAULT_PERCENT;
+    associacao_at_1_3: "associacao", 1.3, None, WASTE_WITHOUT_FAULT_PERCENT;
+    associacao_at_2_0: "associacao", 2.0, None, WASTE_WITHOUT_FAULT_PERCENT;
+    qayrawan_at_0_7: "qayrawan", 0.7, None, WASTE_WITHOUT_FAULT_PERCENT;
+    qayrawan_at_1_3: "qayrawan", 1.3, None, WASTE_WITHOUT_FAULT_PERCENT;
+    qayrawan_at_2_0: "qayrawan", 2.0, None, WASTE_WITHOUT_FAULT_PERCENT;
+    a_tenth_of_the_engines_slow: "associacao", 1.3,
+        Some(Fault::SlowEngines { share: 0.1, factor: 2.0 }), WASTE_WITH_FAULT_PERCENT;
+    transfers_that_stall: "qayrawan", 1.3,
+        Some(Fault::StalledTransfers { share: 0.05 }), WASTE_WITH_FAULT_PERCENT;
+    reports_that_come_late: "associacao", 1.3,
+        Some(Fault::LateReports { lag_ms: 5_000 }), WASTE_WITH_FAULT_PERCENT;
+}
+
+#[test]
+fn goodput_does_not_collapse() {
+    for name in ["associacao", "qayrawan"] {
+        let full = run(name, 1.0, None, PolicyKind::Reserve);
+        let double = run(name, 2.0, None, PolicyKind::Reserve);
+        assert!(double.goodput_per_s >= NO_COLLAPSE * full.goodput_per_s, "{name}");
+    }
+}
+
+#[test]
+fn beyond_capacity_the_policy_is_above_every_baseline() {
+    for name in ["associacao", "qayrawan"] {
+        let ours = run(name, 2.0, None, PolicyKind::Reserve);
+        for baseline in [PolicyKind::RoundRobin, PolicyKind::LeastLoaded, PolicyKind::PrefillFirst]
+        {
+            let theirs = run(name, 2.0, None, baseline);
+            holds_what_must_always_hold(&theirs);
+            assert!(ours.goodput_per_s > theirs.goodput_per_s, "{name}: {baseline}");
+        }
+    }
+}
+
+#[test]
+fn a_lost_zone_loses_no_answer_and_settles_within_ten_seconds() {
+    let summary = run(
+        "associacao",
+        1.0,
+        Some(Fault::ZoneLost { zone: "caruaru".into() }),
+        PolicyKind::Reserve,
+    );
+    holds_what_must_always_hold(&summary);
+    assert_eq!(summary.whole, summary.admitted, "{summary:?}");
+    assert!(summary.settled_within_targets_percent >= WITHIN_TARGETS_PERCENT, "{summary:?}");
+}
+
+#[test]
+fn waste_with_a_zone_lost_at_twice_the_capacity() {
+    let (mix, snapshot) = user("associacao");
+    let faults = vec![(15_000, Fault::ZoneLost { zone: "caruaru".into() })];
+    let synthesis = Synthesis { load: 2.0, faults, ..Synthesis::default() };
+    let trace = synthesis::synthesize(&mix, &snapshot, &synthesis);
+    let summary = replay(&trace, &snapshot, &ReplayConfig::default()).expect("fits the manifest");
+    holds_what_must_always_hold(&summary);
+    assert!(summary.wasted_prefill_percent <= WASTE_WITH_FAULT_PERCENT, "{summary:?}");
+}
+
+#[test]
+fn callers_that_go_away_leave_nothing_behind() {
+    let (mix, snapshot) = user("associacao");
+    let synthesis = Synthesis { load: 1.3, duration_ms: DURATION_MS, ..Synthesis::default() };
+    let mut trace = synthesis::synthesize(&mix, &snapshot, &synthesis);
+    for (index, line) in trace.lines.iter_mut().enumerate() {
+        if let Event::Generate(generate) = &mut line.event {
+            // Some go at once, some in the prefill, some in the stream.
+            generate.gone_after_ms = Some((index as u64 * 37) % 3_000);
+        }
+    }
+    let summary = replay(&trace, &snapshot, &ReplayConfig::default()).expect("fits the manifest");
+    holds_what_must_always_hold(&summary);
+}
+
+#[test]
+fn the_same_seed_gives_the_same_summary() {
+    let run = || format!("{:?}", run("qayrawan", 1.3, None, PolicyKind::Reserve));
+    assert_eq!(run(), run());
+}
