--- a/tests/core/orders.rs
+++ b/tests/core/orders.rs
@@ -5,6 +5,7 @@
 use bamboodoor::agent::AgentAction;
 use bamboodoor::agent::orders::EngineState;
 use bamboodoor::agent::orders::Fence;
+use bamboodoor::agent::orders::Order;
 use bamboodoor::agent::orders::Orders;
 
 /// An engine that takes orders as its kind does.
@@ -14,15 +15,17 @@
 }
 
 impl Engine {
+    fn take(&mut self, order: Order) {
+        if !self.checks_fencing || order.fence >= self.state.fence {
+            self.state = EngineState { model: order.model, fence: order.fence };
+        }
+    }
+
     fn carry_out(&mut self, orders: &mut Orders, actions: &mut Vec<AgentAction>) {
         while let Some(action) = (!actions.is_empty()).then(|| actions.remove(0)) {
             match action {
                 AgentAction::ReadState => orders.on_state(&self.state.clone(), actions),
-                AgentAction::Order(order) => {
-                    if !self.checks_fencing || order.fence >= self.state.fence {
-                        self.state = EngineState { model: order.model, fence: order.fence };
-                    }
-                }
+                AgentAction::Order(order) => self.take(order),
                 _ => {}
             }
         }
--- a/tests/core/simulation/sim.rs
+++ b/tests/core/simulation/sim.rs
@@ -419,12 +419,7 @@
                     self.later(agent, 5, UpstreamEvent::StreamLost { id, reason });
                 }
             }
-            AgentAction::Stop { id } => {
-                if !self.chance(self.faults.lose_cancel) {
-                    self.agents[agent].engine.stop(id);
-                    self.later(agent, 5, UpstreamEvent::Stopped { id });
-                }
-            }
+            AgentAction::Stop { id } => self.stop(agent, id),
             AgentAction::Call(call) => self.call(agent, &call),
             AgentAction::ListStreams => {
                 let streams = self.agents[agent].engine.running();
@@ -434,6 +429,14 @@
         }
     }
 
+    fn stop(&mut self, agent: usize, id: wire::AttemptId) {
+        if self.chance(self.faults.lose_cancel) {
+            return;
+        }
+        self.agents[agent].engine.stop(id);
+        self.later(agent, 5, UpstreamEvent::Stopped { id });
+    }
+
     fn import(&mut self, agent: usize, decode: &wire::Decode, timeout: Duration) {
         let id = decode.id.unwrap_or_default();
         let source: usize = decode.source.parse().unwrap_or_default();
