Four faults that random orders found, and a cheaper decision

Ruled out: lost cancels. The agent now lists the engine's streams three times a lease and stops what no reservation stands for. 2. The flag was cleared instead of set back. Now what held before the send is kept. 3. The limit now comes with the resume. 4. The slow tenth of a trace rounded up to two of twelve engines; now to nearest.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -33,6 +33,9 @@
 use crate::schema::wire::to_agent::Kind as ToAgent;
 use crate::schema::wire::to_entry::Kind as ToEntry;
 
+/// Times that the engine is asked for its streams within one lease.
+const LISTS_PER_LEASE: u32 = 3;
+
 /// What an agent is told at its start.
 #[derive(Debug, Clone)]
 pub struct AgentConfig {
@@ -326,6 +329,8 @@
     finished: HashMap<AttemptId, Finished>,
     fenced: HashMap<AttemptId, Duration>,
     engine: EngineKnowledge,
+    listed_at: Duration,
+    known_since: Option<Duration>,
     leaving_since: Option<Duration>,
     drain_reported: bool,
     exited: bool,
@@ -347,6 +352,8 @@
             finished: HashMap::new(),
             fenced: HashMap::new(),
             engine: EngineKnowledge::Unknown,
+            listed_at: Duration::ZERO,
+            known_since: None,
             leaving_since: None,
             drain_reported: false,
             exited: false,
@@ -531,22 +538,34 @@
             UpstreamEvent::StreamLost { id, reason } => self.on_stream_lost(now, id, reason, out),
             UpstreamEvent::Stopped { id } => self.on_stopped(now, id, out),
             UpstreamEvent::CallDone { id, reply } => self.on_call_done(now, id, reply, out),
-            UpstreamEvent::Running { streams } => self.on_running(now, streams),
+            UpstreamEvent::Running { streams } => self.on_running(now, &streams),
             UpstreamEvent::State(state) => self.orders.on_state(&state, out),
         }
     }
 
-    fn on_running(&mut self, now: Duration, streams: Vec<RunningStream>) {
-        let cancel_at = now + self.config.lease_ttl;
-        for stream in streams {
-            if !self.ledger.holds(stream.id) {
-                self.orphans.insert(stream.id, Orphan { cancel_at, blocks: stream.blocks });
-            }
+    /// Streams at the engine that no reservation stands for are orphans: an
+    /// earlier agent left them, or they arrived after they were stopped.
+    /// Entries have one lease from the first listing to claim theirs.
+    fn on_running(&mut self, now: Duration, streams: &[RunningStream]) {
+        let known_since = *self.known_since.get_or_insert(now);
+        let cancel_at = now.max(known_since + self.config.lease_ttl);
+        self.orphans.retain(|id, _| streams.iter().any(|stream| stream.id == *id));
+        for stream in streams.iter().filter(|stream| !self.ledger.holds(stream.id)) {
+            let orphan = Orphan { cancel_at, blocks: stream.blocks };
+            self.orphans.entry(stream.id).or_insert(orphan);
         }
         self.engine = EngineKnowledge::Known;
         self.count_orphans();
     }
 
+    fn list_again(&mut self, now: Duration, out: &mut Vec<AgentAction>) {
+        let due = self.listed_at + self.config.lease_ttl / LISTS_PER_LEASE;
+        if self.engine == EngineKnowledge::Known && now >= due {
+            self.listed_at = now;
+            out.push(AgentAction::ListStreams);
+        }
+    }
+
     fn count_orphans(&mut self) {
         let blocks = self.orphans.values().map(|orphan| orphan.blocks).sum();
         self.ledger.set_orphans(self.orphans.len() as u32, blocks);
@@ -565,6 +584,7 @@
         for entry in self.sessions.lapsed(now) {
             self.lapse(now, entry, out);
         }
+        self.list_again(now, out);
         self.sweep_orphans(now, out);
         self.fenced.retain(|_, until| now < *until);
         self.finished.retain(|_, finished| now < finished.until);
--- a/src/agent/decode.rs
+++ b/src/agent/decode.rs
@@ -336,7 +336,7 @@
         let id = point.id.unwrap_or_default();
         if let Some(orphan) = self.orphans.remove(&id) {
             self.count_orphans();
-            self.ledger.adopt_orphan(now, id, orphan.blocks, point.next_index);
+            self.ledger.adopt_orphan(now, orphan.blocks, point);
             out.push(AgentAction::Decode {
                 id,
                 from_index: point.next_index,
--- a/src/agent/ledger.rs
+++ b/src/agent/ledger.rs
@@ -11,6 +11,7 @@
 use crate::schema::wire::Decode;
 use crate::schema::wire::Load;
 use crate::schema::wire::Reserve;
+use crate::schema::wire::ResumePoint;
 
 /// Time between two tries to stop a stream.
 pub const STOP_RETRY: Duration = Duration::from_millis(200);
@@ -161,11 +162,18 @@
     }
 
     /// Takes over a stream that an earlier agent left at the engine.
-    pub fn adopt_orphan(&mut self, now: Duration, id: AttemptId, blocks: u32, next_index: u32) {
-        let reserve = Reserve { id: Some(id), blocks, ..Reserve::default() };
+    pub fn adopt_orphan(&mut self, now: Duration, blocks: u32, point: &ResumePoint) {
+        let id = point.id.unwrap_or_default();
+        let reserve = Reserve { id: Some(id), blocks, rank: point.rank, ..Reserve::default() };
         self.insert(now, id.entry, &reserve, Stage::Decoding);
         let held = self.held.get_mut(&id).expect("was just inserted");
-        held.decode = Some(Decode { id: Some(id), first_index: next_index, ..Decode::default() });
+        held.decode = Some(Decode {
+            id: Some(id),
+            first_index: point.next_index,
+            max_tokens: point.max_tokens,
+            rank: point.rank,
+            ..Decode::default()
+        });
     }
 
     /// The reservation of a try.
--- a/src/entry/calls.rs
+++ b/src/entry/calls.rs
@@ -339,7 +339,7 @@
     ) {
         let id = self.attempt_id(key, attempt);
         let incarnation = self.view.get(agent).map_or(0, |view| view.incarnation);
-        self.requests[key].may_have_run = true;
+        self.requests[key].work_sent();
         let call = self.call_mut(key);
         call.phase = CallPhase::Sent;
         call.sent = Some(Try { agent, attempt });
@@ -444,8 +444,7 @@
         retry_after: Duration,
         out: &mut Vec<EntryAction>,
     ) {
-        self.requests[key].may_have_run =
-            self.call(key).idempotent && self.requests[key].retries > 0;
+        self.requests[key].work_rejected();
         let call = self.call_mut(key);
         call.sent = None;
         call.tried.push(agent);
--- a/src/entry/decoding.rs
+++ b/src/entry/decoding.rs
@@ -299,7 +299,9 @@
                         continue;
                     };
                     let id = Some(self.attempt_id(key, one.attempt));
-                    points.push(wire::ResumePoint { id, next_index: generate.next_index });
+                    let (next_index, max_tokens) = (generate.next_index, generate.max_tokens);
+                    let rank = self.rank_of(key);
+                    points.push(wire::ResumePoint { id, next_index, max_tokens, rank });
                     self.generate_mut(key).phase = Phase::Decoding;
                     self.generate_mut(key).last_token_at = now;
                     self.set_timer(key, now + STALL);
--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -14,6 +14,7 @@
 use crate::entry::request::RequestKey;
 use crate::entry::request::Try;
 use crate::entry::request::Work;
+use crate::entry::slots::TIES;
 use crate::manifest::Snapshot;
 use crate::outcome::Refusal;
 use crate::outcome::RefusalReason;
@@ -23,7 +24,6 @@
 use crate::policy::admission::Admission;
 use crate::policy::admission::Prediction;
 use crate::policy::baseline;
-use crate::policy::placement::CHOICES;
 use crate::policy::placement::Candidate;
 use crate::policy::placement::PrefillNeed;
 use crate::policy::placement::Search;
@@ -97,12 +97,21 @@
         let generate = self.generate_mut(key);
         generate.max_tokens = generate.max_tokens.clamp(1, model.max_output_tokens);
         let cost = generate.prompt_tokens + DECODE_TOKEN_WEIGHT * expected;
-        if self.config.policy.admits() && !self.admit(now, key, model, &snapshot, out) {
-            return;
+        let mut candidates = Vec::new();
+        if self.config.policy.admits() {
+            let blocks = self.blocks_needed(key, &snapshot);
+            candidates = self.decode_candidates(now, key, &snapshot, blocks, TIES);
+            if !self.admit(now, key, model, &snapshot, candidates.first(), out) {
+                return;
+            }
         }
         self.fair.admit(now, &account, weight.unwrap_or(1), cost);
         self.record(key, Decision::Admitted, None, String::new(), out);
-        self.begin(now, key, out);
+        if self.config.policy.reserves_first() {
+            self.ask_slots(now, key, &candidates, out);
+        } else {
+            self.begin(now, key, out);
+        }
     }
 
     /// Refuses at once what cannot meet its target. True if admitted.
@@ -112,11 +121,13 @@
         key: RequestKey,
         model: &Model,
         snapshot: &Snapshot,
+        decode: Option<&Candidate>,
         out: &mut Vec<EntryAction>,
     ) -> bool {
         let percent = policy_of(snapshot).admit_at_target_percent;
         let target = self.generate(key).target;
-        let Some(prediction) = self.predict(now, key, model, snapshot) else {
+        let prediction = decode.and_then(|decode| self.predict(now, key, model, snapshot, decode));
+        let Some(prediction) = prediction else {
             let again = Some(with_jitter(self.config.heartbeat, &mut self.rng));
             self.refuse(key, Refusal::not_run(RefusalReason::NoUpstream, again), out);
             return false;
@@ -142,11 +153,8 @@
         key: RequestKey,
         model: &Model,
         snapshot: &Snapshot,
+        decode: &Candidate,
     ) -> Option<Prediction> {
-        let blocks = self.blocks_needed(key, snapshot);
-        let candidates = self.decode_candidates(now, key, snapshot, blocks, CHOICES);
-        let decode = candidates.first()?;
-        let decode_time = decode.time;
         let view = self.view.get(decode.agent)?;
         let zone = view.zone.clone();
         let pool = snapshot.pool(&model.decode_pool);
@@ -154,7 +162,7 @@
         let prefill = self.prefill_candidate(now, key, snapshot, Some(&zone))?;
         let decode_wait = match self.config.policy {
             PolicyKind::Reserve => self.queue_wait(&model.name),
-            _ => decode_time,
+            _ => decode.time,
         };
         Some(Prediction { decode_wait, prefill: prefill.time, step: from_ms(step_us / US_PER_MS) })
     }
@@ -196,8 +204,14 @@
         if generate.next_index > 0 { 0 } else { generate.rank }
     }
 
-    /// No upstream has room: a new request is refused, one whose answer has
-    /// begun asks again until its deadline.
+    /// True while no work was done for the request, so that it can be refused
+    /// as not run.
+    pub(super) fn is_new(&self, key: RequestKey) -> bool {
+        !self.requests[key].may_have_run && self.generate(key).next_index == 0
+    }
+
+    /// No upstream has room: a new request is refused, one that work was done
+    /// for asks again until its deadline.
     pub(super) fn no_room(
         &mut self,
         now: Duration,
@@ -206,15 +220,13 @@
         wait: Duration,
         out: &mut Vec<EntryAction>,
     ) {
-        let generate = self.generate_mut(key);
-        generate.decode = None;
-        if generate.next_index == 0 {
-            let outcome = self.requests[key].outcome();
+        if self.is_new(key) {
             let retry_after = Some(with_jitter(wait, &mut self.rng));
-            let refusal = Refusal { reason, outcome, retry_after, detail: String::new() };
-            self.refuse(key, refusal, out);
+            self.refuse(key, Refusal::not_run(reason, retry_after), out);
             return;
         }
+        let generate = self.generate_mut(key);
+        generate.decode = None;
         generate.phase = Phase::Reserving;
         generate.tried_decode.clear();
         generate.tried_prefill.clear();
@@ -238,8 +250,7 @@
         let attempt = self.requests[key].next_attempt();
         let deadline = self.prefill_deadline(now, key, candidate.time);
         let rank = self.rank_of(key);
-        let request = &mut self.requests[key];
-        request.may_have_run = true;
+        self.requests[key].work_sent();
         let generate = self.generate_mut(key);
         generate.phase = Phase::Prefilling;
         generate.prefill = Some(Try { agent: candidate.agent, attempt });
@@ -344,9 +355,7 @@
         generate.prefill = None;
         generate.tried_prefill.push(agent);
         let tries = generate.tried_prefill.len();
-        let begun = generate.next_index > 0;
-        // Only this prefill was sent and it did not run.
-        self.requests[key].may_have_run = begun || self.requests[key].retries > 0;
+        self.requests[key].work_rejected();
         let others = self.prefill_candidate(now, key, &snapshot, None).is_some();
         if tries < max_attempts && others {
             self.record(
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -87,6 +87,8 @@
     pub(super) retries: u32,
     /// True once work was sent that was not rejected.
     pub(super) may_have_run: bool,
+    /// The same before the newest work was sent, for when that is rejected.
+    pub(super) had_run_before: bool,
     pub(super) work: Work,
 }
 
@@ -213,6 +215,7 @@
             attempt: 0,
             retries: 0,
             may_have_run: false,
+            had_run_before: false,
             work,
         }
     }
@@ -231,6 +234,17 @@
         self.attempt
     }
 
+    /// Work is sent: from now on it may have run.
+    pub(super) fn work_sent(&mut self) {
+        self.had_run_before = self.may_have_run;
+        self.may_have_run = true;
+    }
+
+    /// The work that was sent last did not run.
+    pub(super) fn work_rejected(&mut self) {
+        self.may_have_run = self.had_run_before;
+    }
+
     /// Tries that agents may still hold something for.
     pub(super) fn open_tries(&self, entry: u64, key: RequestKey) -> Vec<(AgentKey, AttemptId)> {
         let named = |one: Try| (one.agent, attempt_id(entry, key, one.attempt));
--- a/src/entry/slots.rs
+++ b/src/entry/slots.rs
@@ -20,6 +20,7 @@
 use crate::outcome::RetryReason;
 use crate::policy::PolicyKind;
 use crate::policy::admission;
+use crate::policy::placement::Candidate;
 use crate::policy::placement::policy_of;
 use crate::policy::view::AgentKey;
 use crate::schema::wire;
@@ -27,7 +28,7 @@
 use crate::schema::wire::to_agent::Kind as ToAgent;
 
 /// Agents that are asked at once when none has a free slot.
-const TIES: usize = 2;
+pub(super) const TIES: usize = 2;
 const MIN_TIMER: Duration = Duration::from_millis(2);
 
 impl EntryCore {
@@ -48,6 +49,19 @@
             self.generate_mut(key).tried_decode.clear();
             candidates = self.decode_candidates(now, key, &snapshot, blocks, TIES);
         }
+        self.ask_slots(now, key, &candidates, out);
+    }
+
+    /// Asks one agent if it has a free slot by its report, else a few at once.
+    pub(super) fn ask_slots(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        candidates: &[Candidate],
+        out: &mut Vec<EntryAction>,
+    ) {
+        let snapshot = self.requests[key].snapshot();
+        let blocks = self.blocks_needed(key, &snapshot);
         let Some(first) = candidates.first().copied() else {
             self.no_room(now, key, RefusalReason::NoUpstream, self.config.heartbeat, out);
             return;
@@ -59,7 +73,7 @@
         if first.time.is_zero() || self.config.policy != PolicyKind::Reserve {
             self.ask_slot(now, key, first.agent, blocks, out);
         } else {
-            for candidate in &candidates {
+            for candidate in candidates {
                 self.ask_slot(now, key, candidate.agent, blocks, out);
             }
         }
@@ -312,8 +326,7 @@
         key: RequestKey,
         out: &mut Vec<EntryAction>,
     ) {
-        let is_new = !self.requests[key].may_have_run && self.generate(key).next_index == 0;
-        if !is_new {
+        if !self.is_new(key) {
             self.set_timer(key, now + LATE_GRACE);
             return;
         }
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -106,9 +106,9 @@
 
     /// The prefill agent with the lowest cost: queue, uncached tokens, transfer.
     pub fn prefill(&self, need: &PrefillNeed<'_>) -> Option<Candidate> {
+        let transfers = TransferTimes::new(self.snapshot, need);
         let candidates = self.working(need.pool).map(|(key, agent)| {
-            let time = prefill_time(key, agent, need, self.now);
-            let time = time + transfer_time(self.snapshot, agent, need);
+            let time = prefill_time(key, agent, need, self.now) + transfers.from(&agent.zone);
             Candidate { agent: key, time, cost: time + self.distance(agent) }
         });
         candidates.min_by_key(|candidate| candidate.cost)
@@ -154,11 +154,29 @@
     agent.prefill_wait(now) + from_ms(u64::from(uncached) * MS_PER_S / rate)
 }
 
-/// Time that `kv_bytes` take over the link from `agent` to the decode zone.
-pub fn transfer_time(snapshot: &Snapshot, agent: &AgentView, need: &PrefillNeed<'_>) -> Duration {
-    let Some(decode_zone) = need.decode_zone else { return Duration::ZERO };
-    let rate = snapshot.link_bytes_per_s(&agent.zone, decode_zone);
-    rate.map_or(Duration::ZERO, |rate| from_ms(need.kv_bytes * MS_PER_S / rate.max(1)))
+/// Times that a result takes from each zone to the decode engine's. Looked up
+/// once a decision, because the links are many and the zones few.
+struct TransferTimes<'a> {
+    from_zones: Vec<(&'a str, Duration)>,
+}
+
+impl<'a> TransferTimes<'a> {
+    fn new(snapshot: &'a Snapshot, need: &PrefillNeed<'_>) -> Self {
+        let links = snapshot.manifest.links.iter();
+        let into_zone = links.filter(|link| Some(link.to_zone.as_str()) == need.decode_zone);
+        let from_zones = into_zone
+            .map(|link| {
+                let ms = need.kv_bytes * MS_PER_S / link.bytes_per_s.max(1);
+                (link.from_zone.as_str(), from_ms(ms))
+            })
+            .collect();
+        Self { from_zones }
+    }
+
+    fn from(&self, zone: &str) -> Duration {
+        let found = self.from_zones.iter().find(|(from_zone, _)| *from_zone == zone);
+        found.map_or(Duration::ZERO, |&(_, time)| time)
+    }
 }
 
 /// The policy section, which the check fills in.
--- a/src/replay.rs
+++ b/src/replay.rs
@@ -29,11 +29,13 @@
     pub seed: u64,
     /// Entries that share the arrivals.
     pub entries: usize,
+    /// Entries that each agent is connected to; 0 connects everything.
+    pub entries_per_agent: usize,
 }
 
 impl Default for ReplayConfig {
     fn default() -> Self {
-        Self { policy: PolicyKind::default(), seed: 1, entries: 3 }
+        Self { policy: PolicyKind::default(), seed: 1, entries: 3, entries_per_agent: 0 }
     }
 }
 
--- a/src/replay/engine.rs
+++ b/src/replay/engine.rs
@@ -6,6 +6,7 @@
 
 use lru::LruCache;
 
+use crate::agent::RunningStream;
 use crate::policy::prefix::PREFIX_TOKENS;
 use crate::schema::manifest::Pool;
 use crate::schema::wire::AttemptId;
@@ -166,6 +167,12 @@
         }
     }
 
+    /// The tries that streams or imported KV caches are held for.
+    pub fn running(&self) -> Vec<RunningStream> {
+        let held = self.streams.keys().chain(self.imported.keys());
+        held.map(|&id| RunningStream { id, blocks: 1 }).collect()
+    }
+
     /// Streams and imported KV caches that are held.
     pub fn held(&self) -> usize {
         self.streams.len() + self.imported.len()
--- a/src/replay/world.rs
+++ b/src/replay/world.rs
@@ -34,6 +34,8 @@
 use crate::policy::placement::Place;
 use crate::policy::prefix::MAX_PREFIXES;
 use crate::policy::prefix::PREFIX_TOKENS;
+use crate::policy::subset::Member;
+use crate::policy::subset::subset;
 use crate::policy::view::AgentKey;
 use crate::replay::ReplayConfig;
 use crate::replay::engine::Engine;
@@ -53,6 +55,7 @@
 const WARM_UP: Duration = Duration::from_secs(2);
 const DRAIN: Duration = Duration::from_secs(40);
 const SETTLE: Duration = Duration::from_secs(10);
+const ROUND_TO_NEAREST: f64 = 0.5;
 const LOG_LATENCY: Duration = Duration::from_millis(10);
 const HOP: Duration = Duration::from_micros(300);
 const FIRST_ENTRY_INCARNATION: u64 = 1_000;
@@ -119,6 +122,7 @@
 struct AgentNode {
     core: AgentCore,
     engine: Engine,
+    pool: CompactString,
     zone: CompactString,
     upstream: CompactString,
     up: bool,
@@ -206,6 +210,7 @@
                 let node = AgentNode {
                     core: AgentCore::new(config),
                     engine: Engine::new(pool),
+                    pool: pool.name.as_str().into(),
                     zone,
                     upstream: name,
                     up: true,
@@ -249,17 +254,46 @@
                 wakes_at: None,
             };
             self.entries.push(node);
-            self.connect(number);
         }
+        for number in 0..config.entries {
+            self.connect(number, config.entries_per_agent);
+        }
+    }
+
+    fn member(&self, zone: &CompactString, name: &CompactString) -> Member {
+        let region = self.trace.header.region.clone();
+        Member { region, zone: zone.clone(), name: name.clone() }
+    }
+
+    /// The agents that an entry connects to, chosen for each pool by itself.
+    fn subset_of(&self, entry: usize, entries_per_agent: usize) -> Vec<usize> {
+        let entries: Vec<Member> = (0..self.entries.len())
+            .map(|number| {
+                self.member(&self.entries[number].zone, &format!("entry-{number}").into())
+            })
+            .collect();
+        let mut chosen = Vec::new();
+        for pool in &self.snapshot.manifest.pools {
+            let of_pool: Vec<usize> = (0..self.agents.len())
+                .filter(|&agent| self.agents[agent].pool == pool.name.as_str())
+                .collect();
+            let members: Vec<Member> = of_pool
+                .iter()
+                .map(|&agent| self.member(&self.agents[agent].zone, &self.agents[agent].upstream))
+                .collect();
+            let mine = subset(&entries[entry].name, &entries, &members, entries_per_agent);
+            chosen.extend(mine.into_iter().map(|index| of_pool[index]));
+        }
+        chosen
     }
 
-    fn connect(&mut self, entry: usize) {
+    fn connect(&mut self, entry: usize, entries_per_agent: usize) {
         let hello = wire::EntryHello {
             entry: FIRST_ENTRY_INCARNATION + entry as u64,
             name: format!("entry-{entry}"),
             generation: 1,
         };
-        for agent in 0..self.agents.len() {
+        for agent in self.subset_of(entry, entries_per_agent) {
             let greeting = self.agents[agent].core.hello(self.now);
             let ToEntry::Hello(greeting) = greeting else { continue };
             let mut out = Vec::new();
@@ -404,7 +438,7 @@
                 let mut seen: BTreeMap<CompactString, f64> = BTreeMap::new();
                 for node in &mut self.agents {
                     let pool = node.upstream.rsplit_once('-').map_or("", |(pool, _)| pool);
-                    let owed = seen.entry(pool.into()).or_insert(1.0 - share);
+                    let owed = seen.entry(pool.into()).or_insert(ROUND_TO_NEAREST);
                     *owed += share;
                     if *owed >= 1.0 {
                         *owed -= 1.0;
@@ -567,7 +601,7 @@
                 self.at(now + takes, Happening::Called { agent, id, request });
             }
             AgentAction::ListStreams => {
-                let event = UpstreamEvent::Running { streams: Vec::new() };
+                let event = UpstreamEvent::Running { streams: self.agents[agent].engine.running() };
                 self.at(now, Happening::Upstream { agent, event });
             }
             _ => {}
--- a/src/schema/bamboodoor.wire.rs
+++ b/src/schema/bamboodoor.wire.rs
@@ -360,6 +360,11 @@
     pub id: ::core::option::Option<AttemptId>,
     #[prost(uint32, tag = "2")]
     pub next_index: u32,
+    /// As in the decode order, which a new agent has not seen.
+    #[prost(uint32, tag = "3")]
+    pub max_tokens: u32,
+    #[prost(uint32, tag = "4")]
+    pub rank: u32,
 }
 /// The agent did not take the order up; nothing ran.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -1,10 +1,16 @@
 //! Tests of the decision core, without sockets and in virtual time.
 
+#[path = "../../examples/capacity/fleet.rs"]
+#[allow(dead_code, reason = "shared with the measurements")]
+mod fleet;
+
 mod claims;
 mod fold;
 mod ledger;
+mod messages;
 mod orders;
 mod parsing;
 mod policies;
 mod replays;
 mod simulation;
+mod traces;
--- a/tests/core/simulation/sim.rs
+++ b/tests/core/simulation/sim.rs
@@ -103,6 +103,7 @@
     entries: Vec<Entry>,
     links: BTreeMap<(usize, usize), Link>,
     due: Vec<Due>,
+    arriving: BTreeMap<(u64, u64, u32), Number>,
     log: Vec<ClaimBatch>,
     log_down_until: Duration,
     appends: Vec<(Duration, usize, u64, ClaimBatch)>,
@@ -121,6 +122,7 @@
             entries: Vec::new(),
             links: BTreeMap::new(),
             due: Vec::new(),
+            arriving: BTreeMap::new(),
             log: Vec::new(),
             log_down_until: Duration::ZERO,
             appends: Vec::new(),
@@ -413,11 +415,7 @@
             }
             AgentAction::Import { decode, timeout } => self.import(agent, &decode, timeout),
             AgentAction::Decode { id, from_index, max_tokens, .. } => {
-                let end = if max_tokens == 0 { 1 } else { max_tokens };
-                if !self.agents[agent].engine.decode(id, from_index, end) {
-                    let reason = "no such stream".to_string();
-                    self.later(agent, 5, UpstreamEvent::StreamLost { id, reason });
-                }
+                self.decode(agent, id, from_index, max_tokens);
             }
             AgentAction::Stop { id } => self.stop(agent, id),
             AgentAction::Call(call) => self.call(agent, &call),
@@ -429,6 +427,13 @@
         }
     }
 
+    fn decode(&mut self, agent: usize, id: wire::AttemptId, from_index: u32, max_tokens: u32) {
+        if !self.agents[agent].engine.decode(id, from_index, max_tokens) {
+            let reason = "no such stream".to_string();
+            self.later(agent, 5, UpstreamEvent::StreamLost { id, reason });
+        }
+    }
+
     fn stop(&mut self, agent: usize, id: wire::AttemptId) {
         if self.chance(self.faults.lose_cancel) {
             return;
@@ -447,8 +452,10 @@
         }
         match self.agents[source].engine.result(&decode.handle) {
             Some(number) => {
-                self.agents[agent].engine.import(id, number);
-                self.later(agent, 10, UpstreamEvent::Imported { id });
+                // The cache arrives later, also when the try was stopped since.
+                let after_ms = self.rng.random_range(5..40);
+                self.later(agent, after_ms, UpstreamEvent::Imported { id });
+                self.arriving.insert((id.entry, id.request, id.attempt), number);
             }
             None => self.later(agent, 5, UpstreamEvent::ImportFailed { id, gone: true }),
         }
@@ -475,6 +482,11 @@
             std::mem::take(&mut self.due).into_iter().partition(|due| due.at <= self.now);
         self.due = rest;
         for due in due {
+            if let UpstreamEvent::Imported { id } = due.event
+                && let Some(number) = self.arriving.remove(&(id.entry, id.request, id.attempt))
+            {
+                self.agents[due.agent].engine.import(id, number);
+            }
             if self.agents[due.agent].incarnation == due.incarnation {
                 self.agent_event(due.agent, AgentEvent::Upstream(due.event));
             }
--- /dev/null
+++ b/tests/processes/limits.rs
@@ -0,0 +1,126 @@
+//! What callers get for requests that are not taken up.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
+use std::time::Duration;
+
+use crate::fleet::Fleet;
+use crate::fleet::FleetConfig;
+use crate::fleet::eventually;
+use crate::fleet::manifest;
+
+const COMPLETIONS: &str = "/v1/completions";
+
+async fn refused(fleet: &Fleet, method: &str, path: &str, body: &str) -> (u16, String, String) {
+    let (status, answer) = fleet.caller(0).call(method, path, None, body).await;
+    let json: serde_json::Value = serde_json::from_str(&answer).unwrap_or_default();
+    let text = |field: &str| json[field].as_str().unwrap_or_default().to_string();
+    assert_eq!(text("outcome"), "not-run", "{answer}");
+    assert_eq!(json["status"], status);
+    assert!(!text("request_id").is_empty(), "the request id is echoed");
+    (status, text("reason"), text("detail"))
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_are_wrong_name_the_field() {
+    let fleet = Fleet::start(FleetConfig::default()).await;
+    let long = format!(r#"{{"model":"redator","prompt":"{}"}}"#, "x".repeat(20_000));
+    let cases = [
+        (COMPLETIONS, "{", 400, "malformed-json", ""),
+        (COMPLETIONS, r#"{"model":"redator","prompt":[]}"#, 400, "invalid-field", "prompt"),
+        (COMPLETIONS, r#"{"model":"nobody","prompt":"p"}"#, 404, "unknown-model", "model"),
+        (COMPLETIONS, &long, 400, "prompt-too-long", "prompt"),
+        ("/services/nothing/x", "", 404, "unknown-service", ""),
+        ("/nowhere", "", 404, "unknown-service", "/nowhere"),
+    ];
+    for (path, body, status, reason, field) in cases {
+        let (got_status, got_reason, detail) = refused(&fleet, "POST", path, body).await;
+        assert_eq!((got_status, got_reason.as_str()), (status, reason));
+        assert!(detail.contains(field), "{detail} names {field}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_is_too_large_is_refused() {
+    let fleet = Fleet::start(FleetConfig::default()).await;
+    let (status, reason, _) = refused(&fleet, "POST", COMPLETIONS, &"x".repeat(5 << 20)).await;
+    assert_eq!((status, reason.as_str()), (413, "body-too-large"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_comes_too_slowly_is_refused() {
+    let fleet = Fleet::start(FleetConfig::default()).await;
+    let address = fleet.entries[0].address;
+    let read = tokio::task::spawn_blocking(move || {
+        let mut stream = TcpStream::connect(address).expect("the entry listens");
+        stream.set_read_timeout(Some(Duration::from_secs(15))).expect("can be set");
+        let head = "POST /v1/completions HTTP/1.1\r\nhost: x\r\ncontent-length: 100\r\n\r\n{";
+        stream.write_all(head.as_bytes()).expect("is sent");
+        let mut answer = vec![0; 4_096];
+        let read = stream.read(&mut answer).expect("an answer comes");
+        String::from_utf8_lossy(&answer[..read]).into_owned()
+    });
+    let answer = read.await.expect("does not panic");
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_manifest_change_is_obeyed_without_a_restart() {
+    let fleet = Fleet::start(FleetConfig::default()).await;
+    let stricter = manifest(8)
+        .replace(
+            "\"path_prefix\": \"/bookings\"",
+            "\"path_prefix\": \"/bookings\", \"key_required\": true",
+        )
+        .replace(
+            "\"policy\":",
+            "\"client_accounts\": [{ \"name\": \"known\", \"weight\": 1 }], \"policy\":",
+        );
+    let generation = fleet.publish(&stricter, 1);
+    eventually("it is in force", async || {
+        fleet.entries[0].status().await["generation"] == generation
+    })
+    .await;
+    let (status, reason, _) = refused(&fleet, "POST", "/services/desk/bookings", "slot").await;
+    assert_eq!((status, reason.as_str()), (400, "key-required"));
+    let (status, reason, _) =
+        refused(&fleet, "POST", COMPLETIONS, r#"{"model":"redator","prompt":"p"}"#).await;
+    assert_eq!((status, reason.as_str()), (403, "unknown-account"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_without_a_manifest_is_not_ready_and_says_so() {
+    let mut fleet = Fleet::start(FleetConfig {
+        prefills: 0,
+        decodes: 0,
+        services: 0,
+        ..FleetConfig::default()
+    })
+    .await;
+    fleet.log.down.set(true);
+    fleet.entries.clear();
+    fleet.add_entry(1);
+    let (status, reason, _) =
+        refused(&fleet, "POST", COMPLETIONS, r#"{"model":"redator","prompt":"p"}"#).await;
+    assert_eq!((status, reason.as_str()), (503, "not-ready"));
+    let operators = standins::caller::Caller::new(fleet.entries[0].operators_address);
+    assert_eq!(operators.call("GET", "/readyz", None, "").await.0, 503);
+    assert_eq!(operators.call("GET", "/healthz", None, "").await.0, 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_upstream_is_refused_at_once_with_when_to_come_back() {
+    let fleet = Fleet::start(FleetConfig {
+        prefills: 0,
+        decodes: 0,
+        services: 0,
+        ..FleetConfig::default()
+    })
+    .await;
+    let body = r#"{"model":"redator","prompt":"p"}"#;
+    let (status, answer) = fleet.caller(0).call("POST", COMPLETIONS, None, body).await;
+    let json: serde_json::Value = serde_json::from_str(&answer).expect("is JSON");
+    assert_eq!((status, &json["reason"]), (503, &"no-upstream".into()));
+    assert!(json["retry_after_ms"].as_u64() > Some(0), "{answer}");
+}
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -5,4 +5,5 @@
 mod drains;
 mod fleet;
 mod kills;
+mod limits;
 mod repeats;
