--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -4,9 +4,13 @@
 pub mod entry;
 
 use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::ExitCode;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use argh::FromArgs;
 use tokio::net::TcpListener;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -14,6 +18,42 @@
 use crate::error::Error;
 use crate::error::Result;
 
+const EXIT_SETTINGS: u8 = 2;
+
+/// Runs one daemon of bamboodoor until a planned stop.
+///
+/// Exit codes: 0 stopped as planned, 2 the arguments or settings are not valid
+/// or an address cannot be opened.
+#[derive(Debug, FromArgs)]
+struct Arguments {
+    /// file with the settings, JSON with comments
+    #[argh(option)]
+    settings: Option<PathBuf>,
+    /// print the version and exit
+    #[argh(switch)]
+    version: bool,
+}
+
+/// Reads the command line of a daemon, runs it, and returns its exit code.
+pub fn run_program(program: &str, run: impl Fn(&Path) -> Result<()>) -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    if arguments.version {
+        println!("{program} {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let Some(path) = arguments.settings else {
+        eprintln!("{program}: expected --settings FILE");
+        return ExitCode::from(EXIT_SETTINGS);
+    };
+    match run(&path) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{program}: {error}");
+            ExitCode::from(EXIT_SETTINGS)
+        }
+    }
+}
+
 /// A number that differs between starts and grows with each.
 pub fn new_incarnation() -> u64 {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
--- a/src/edge/caller.rs
+++ b/src/edge/caller.rs
@@ -113,7 +113,7 @@
                 continue;
             };
             let Ok(slot) = slots.clone().try_acquire_owned() else {
-                server.telemetry.count("connection_refused", "too-many-connections");
+                tokio::spawn(server.clone().refuse_connection(stream));
                 continue;
             };
             let server = server.clone();
@@ -126,6 +126,23 @@
         open.wait().await;
     }
 
+    /// Answers one request with a refusal and closes.
+    async fn refuse_connection(self: Arc<Self>, stream: TcpStream) {
+        let reason = RefusalReason::TooManyConnections;
+        self.telemetry.count("refused", &reason.to_string());
+        let service = service_fn(move |request: Request<Incoming>| {
+            let refusal = Refusal::not_run(reason, Some(NOT_READY_RETRY));
+            let response = problem::response(&refusal, &request_id(request.headers()));
+            async move { Ok::<_, Infallible>(response) }
+        });
+        let connection = hyper::server::conn::http1::Builder::new()
+            .keep_alive(false)
+            .timer(TokioTimer::new())
+            .header_read_timeout(NOT_READY_RETRY)
+            .serve_connection(TokioIo::new(stream), service);
+        let _ = tokio::time::timeout(NOT_READY_RETRY * 2, connection).await;
+    }
+
     async fn serve_connection(self: Arc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let server = self.clone();
--- a/src/edge/problem.rs
+++ b/src/edge/problem.rs
@@ -42,7 +42,8 @@
         RefusalReason::KeyInProgress | RefusalReason::KeyCompleted => StatusCode::CONFLICT,
         RefusalReason::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
         RefusalReason::FairShare => StatusCode::TOO_MANY_REQUESTS,
-        RefusalReason::LogUnavailable
+        RefusalReason::TooManyConnections
+        | RefusalReason::LogUnavailable
         | RefusalReason::Overloaded
         | RefusalReason::NoUpstream
         | RefusalReason::RetryBudget
--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -220,9 +220,12 @@
         wait: Duration,
         out: &mut Vec<EntryAction>,
     ) {
-        if self.is_new(key) {
+        // A baseline that prefills first has nothing to wait for: it gives up.
+        let gives_up = !self.config.policy.reserves_first() && self.generate(key).next_index == 0;
+        if self.is_new(key) || gives_up {
             let retry_after = Some(with_jitter(wait, &mut self.rng));
-            self.refuse(key, Refusal::not_run(reason, retry_after), out);
+            let outcome = self.requests[key].outcome();
+            self.refuse(key, Refusal { reason, outcome, retry_after, detail: String::new() }, out);
             return;
         }
         let generate = self.generate_mut(key);
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -38,6 +38,8 @@
     BodyTooLarge,
     /// The body came too slowly.
     BodyTimeout,
+    /// The entry has as many connections as the settings allow.
+    TooManyConnections,
     /// A call that may not be repeated came without an idempotency key.
     KeyRequired,
     /// The idempotency key was used for another request.
--- a/tests/core/messages.rs
+++ b/tests/core/messages.rs
@@ -7,6 +7,7 @@
 use bamboodoor::agent::AgentConfig;
 use bamboodoor::agent::AgentCore;
 use bamboodoor::agent::AgentEvent;
+use bamboodoor::agent::UpstreamEvent;
 use bamboodoor::entry::EntryAction;
 use bamboodoor::manifest::Snapshot;
 use bamboodoor::policy::view::AgentKey;
@@ -219,3 +220,49 @@
     two_abandons_say_the_same:
         vec![abandon(INCARNATION), abandon(INCARNATION)] => started 0, fenced vec![true, true], rejected 0;
 }
+
+/// The agent's own word: what it does with each kind of new work once it leaves.
+fn leaving_agent_does(pool: &str, message: ToAgent) -> (usize, usize) {
+    let mut core = AgentCore::new(AgentConfig {
+        pool: pool.into(),
+        incarnation: INCARNATION,
+        ..AgentConfig::default()
+    });
+    let mut out = Vec::new();
+    core.adopt(Arc::new(Snapshot::parse(1, MANIFEST).expect("is valid")), &mut out);
+    core.handle(
+        NOW,
+        AgentEvent::Upstream(UpstreamEvent::Running { streams: Vec::new() }),
+        &mut out,
+    );
+    let hello = wire::EntryHello { entry: 1, ..wire::EntryHello::default() };
+    core.handle(NOW, AgentEvent::EntryConnected(hello), &mut out);
+    core.handle(NOW, AgentEvent::Leave, &mut out);
+    out.clear();
+    core.handle(NOW, AgentEvent::FromEntry { entry: 1, message }, &mut out);
+    let started =
+        |action: &&AgentAction| matches!(action, AgentAction::Call(_) | AgentAction::Prefill(_));
+    let refused = |action: &&AgentAction| {
+        matches!(action, AgentAction::Send { message: ToEntry::Rejected(_), .. })
+    };
+    (out.iter().filter(started).count(), out.iter().filter(refused).count())
+}
+
+macro_rules! leaving {
+    ($($name:ident: $pool:expr, $message:expr;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                assert_eq!(leaving_agent_does($pool, $message), (0, 1));
+            }
+        )+
+    };
+}
+
+leaving! {
+    a_leaving_agent_grants_no_slot: "decode",
+        ToAgent::Reserve(wire::Reserve { id: Some(CALL), blocks: 1, ..wire::Reserve::default() });
+    a_leaving_agent_starts_no_prefill: "prefill",
+        ToAgent::Prefill(wire::Prefill { id: Some(CALL), deadline_ms: 100, ..wire::Prefill::default() });
+    a_leaving_agent_starts_no_call: "desk", call(INCARNATION);
+}
--- a/tests/core/policies.rs
+++ b/tests/core/policies.rs
@@ -16,6 +16,7 @@
 use bamboodoor::policy::view::AgentKey;
 use bamboodoor::schema::wire::AttemptId;
 use slotmap::KeyData;
+use test_case::test_case;
 
 const NOW: Duration = Duration::from_secs(10);
 
@@ -43,10 +44,12 @@
     counts
 }
 
-#[test]
-fn every_agent_gets_as_many_entries() {
-    let counts = entries_by_agent(410, 75, 20);
-    assert!(counts.iter().all(|count| *count == 20), "{counts:?}");
+#[test_case(410, 75, 22; "at_the_target_size")]
+#[test_case(30, 12, 4; "in_a_small_fleet")]
+#[test_case(9, 600, 2; "with_many_agents")]
+fn every_agent_gets_as_many_entries(entries: usize, agents: usize, per_agent: usize) {
+    let counts = entries_by_agent(entries, agents, per_agent);
+    assert!(counts.iter().all(|count| *count == per_agent), "{counts:?}");
 }
 
 #[test]
--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -23,6 +23,7 @@
 
 pub const HEARTBEAT_MS: u64 = 100;
 pub const LEASE_TTL_MS: u64 = 1_000;
+pub const MAX_CONNECTIONS: usize = 40;
 const REGION: &str = "nordeste";
 const ZONE: &str = "petrolina";
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -229,6 +230,7 @@
             "name": name, "listen": "127.0.0.1:0", "region": REGION, "zone": ZONE,
             "log": self.log_address.to_string(), "instance_list": self.list_address.to_string(),
             "heartbeat_ms": HEARTBEAT_MS, "lease_ttl_ms": LEASE_TTL_MS, "list_poll_ms": 100,
+            "max_connections": MAX_CONNECTIONS,
         });
         let program = env!("CARGO_BIN_EXE_bamboodoor-entry");
         let entry = Process::start(program, &name, &settings.to_string(), &self.dir);
--- a/tests/processes/limits.rs
+++ b/tests/processes/limits.rs
@@ -7,6 +7,7 @@
 
 use crate::fleet::Fleet;
 use crate::fleet::FleetConfig;
+use crate::fleet::MAX_CONNECTIONS;
 use crate::fleet::eventually;
 use crate::fleet::manifest;
 
@@ -124,3 +125,21 @@
     assert_eq!((status, &json["reason"]), (503, &"no-upstream".into()));
     assert!(json["retry_after_ms"].as_u64() > Some(0), "{answer}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_connection_too_many_is_refused_with_a_status() {
+    let fleet = Fleet::start(FleetConfig::default()).await;
+    let address = fleet.entries[0].address;
+    let held: Vec<TcpStream> =
+        (0..MAX_CONNECTIONS).map(|_| TcpStream::connect(address).expect("is accepted")).collect();
+    eventually("the next is refused", async || {
+        let (status, body) = fleet.caller(0).call("GET", "/services/desk/reels", None, "").await;
+        status == 503 && body.contains("too-many-connections")
+    })
+    .await;
+    drop(held);
+    eventually("there is room again", async || {
+        fleet.caller(0).call("GET", "/services/desk/reels", None, "").await.0 == 200
+    })
+    .await;
+}
