--- /dev/null
+++ b/examples/process_costs.rs
@@ -0,0 +1,218 @@
+//! Measures what real processes cost: memory at rest, processor time for each
+//! request and token, and how long a manifest takes to be in force everywhere.
+//!
+//! `cargo build --release && cargo run --release --example process_costs`
+
+#[path = "capacity/fit.rs"]
+mod fit;
+#[path = "process_costs/process.rs"]
+mod process;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bamboodoor::manifest::fold::publish_record;
+use fit::Points;
+use process::Process;
+use standins::caller::Caller;
+use standins::engine::Engine;
+use standins::engine::EngineConfig;
+use standins::list::List;
+use standins::list::Listed;
+use standins::log::Log;
+
+const MANIFEST: &str = include_str!("associacao.jsonc");
+const POLL: Duration = Duration::from_millis(20);
+const REST: Duration = Duration::from_secs(10);
+
+struct Fleet {
+    log: Arc<Log>,
+    log_address: SocketAddr,
+    list: Arc<List>,
+    list_address: SocketAddr,
+    agents: Vec<Process>,
+    entry: Option<Process>,
+    generation: u64,
+}
+
+impl Fleet {
+    async fn start(prefills: usize, decodes: usize) -> Self {
+        let (log, log_address) = Log::start().await;
+        let (list, list_address) = List::start().await;
+        let mut fleet = Self {
+            log,
+            log_address,
+            list,
+            list_address,
+            agents: Vec::new(),
+            entry: None,
+            generation: 0,
+        };
+        fleet.publish(MANIFEST);
+        for number in 0..prefills {
+            fleet.add_agent("redator-prefill", number).await;
+        }
+        for number in 0..decodes {
+            fleet.add_agent("redator-decode", number).await;
+        }
+        let settings = serde_json::json!({
+            "name": "entry-0", "listen": "127.0.0.1:0", "region": "nordeste", "zone": "petrolina",
+            "log": log_address.to_string(), "instance_list": list_address.to_string(),
+            "log_level": "warn",
+        });
+        let operators = process::free_address();
+        let callers = process::free_address();
+        fleet.entry = Some(Process::start("bamboodoor-entry", &settings, callers, operators));
+        fleet.wait_in_force().await;
+        fleet
+    }
+
+    fn publish(&mut self, manifest: &str) {
+        let record =
+            publish_record(&self.generation.to_string(), "costs", self.generation, manifest);
+        let text = serde_json::to_string(&record).expect("is plain data");
+        self.generation = self.log.append("manifest", &text) + 1;
+    }
+
+    async fn add_agent(&mut self, pool: &str, number: usize) {
+        let engine = EngineConfig { step_per_stream: Duration::ZERO, ..EngineConfig::default() };
+        let (_engine, upstream) = Engine::start(engine).await;
+        let name = format!("{pool}-{number}");
+        let settings = serde_json::json!({
+            "name": name, "region": "nordeste", "zone": "petrolina", "pool": pool,
+            "upstream": upstream.to_string(), "log_level": "warn",
+        });
+        let (entries, operators) = (process::free_address(), process::free_address());
+        let agent = Process::start("bamboodoor-agent", &settings, entries, operators);
+        self.list.put(Listed {
+            kind: "agent",
+            name,
+            region: "nordeste".to_string(),
+            zone: "petrolina".to_string(),
+            pool: pool.to_string(),
+            address: entries.to_string(),
+            leaving: false,
+        });
+        self.agents.push(agent);
+    }
+
+    fn entry(&self) -> &Process {
+        self.entry.as_ref().expect("was started")
+    }
+
+    async fn wait_in_force(&self) {
+        let _ = (self.log_address, self.list_address);
+        let wanted = format!("\"generation\":{},", self.generation);
+        for process in self.agents.iter().chain(&self.entry) {
+            loop {
+                let caller = Caller::new(process.operators);
+                if caller.call("GET", "/status", None, "").await.1.contains(&wanted) {
+                    break;
+                }
+                tokio::time::sleep(POLL).await;
+            }
+        }
+    }
+
+    /// Sends streamed requests and returns how many tokens came.
+    async fn load(&self, requests: usize, max_tokens: u32) -> usize {
+        let mut tasks = Vec::new();
+        for number in 0..requests {
+            let caller = Caller::new(self.entry().address);
+            tasks.push(tokio::spawn(async move {
+                let prompt = format!("boletim {number} {}", "lote 14 ovelha 38 kg\n".repeat(60));
+                let answer =
+                    caller.stream_completion("redator", &prompt, max_tokens, "boletim").await;
+                answer.gaps.len() + usize::from(!answer.text.is_empty())
+            }));
+            tokio::time::sleep(Duration::from_millis(12)).await;
+        }
+        let mut tokens = 0;
+        for task in tasks {
+            tokens += task.await.expect("does not panic");
+        }
+        tokens
+    }
+}
+
+#[tokio::main]
+async fn main() {
+    println!("| what | sizes | values | slope | fixed part | residual |");
+    println!("| --- | --- | --- | --- | --- | --- |");
+    at_rest().await;
+    by_tokens().await;
+    spread().await;
+}
+
+/// Memory and processor time without requests, over the agents.
+async fn at_rest() {
+    let sizes = [4, 10, 20, 40];
+    let mut memory = Vec::new();
+    let mut time = Vec::new();
+    let mut agent_memory = Vec::new();
+    let mut agent_time = Vec::new();
+    for agents in sizes {
+        let fleet = Fleet::start(agents / 2, agents - agents / 2).await;
+        let (entry, agent) = (fleet.entry().cpu_ms(), fleet.agents[0].cpu_ms());
+        tokio::time::sleep(REST).await;
+        time.push((fleet.entry().cpu_ms() - entry) / REST.as_secs_f64());
+        agent_time.push((fleet.agents[0].cpu_ms() - agent) / REST.as_secs_f64());
+        memory.push(fleet.entry().resident_mb());
+        agent_memory.push(fleet.agents[0].resident_mb());
+    }
+    let print = |what, unit, values| {
+        let sizes = sizes.iter().map(|&size| size as f64).collect();
+        Points { what, unit, sizes, values }.print();
+    };
+    print("entry process at rest", "MB resident over agents", memory);
+    print("entry process at rest", "ms a second over agents", time);
+    print("agent process at rest", "MB resident over agents", agent_memory);
+    print("agent process at rest", "ms a second over agents", agent_time);
+}
+
+/// Processor time of entry and agents under load, over the tokens.
+async fn by_tokens() {
+    let fleet = Fleet::start(4, 8).await;
+    fleet.load(50, 16).await;
+    let requests = 300;
+    let mut tokens = Vec::new();
+    let mut entry_ms = Vec::new();
+    let mut agents_ms = Vec::new();
+    for max_tokens in [8, 24, 48, 72] {
+        let agents = || fleet.agents.iter().map(Process::cpu_ms).sum::<f64>();
+        let (entry_before, agents_before) = (fleet.entry().cpu_ms(), agents());
+        let came = fleet.load(requests, max_tokens).await;
+        tokens.push(came as f64);
+        entry_ms.push(fleet.entry().cpu_ms() - entry_before);
+        agents_ms.push(agents() - agents_before);
+    }
+    let (what, unit) = ("entry process, 300 requests", "ms over tokens");
+    Points { what, unit, sizes: tokens.clone(), values: entry_ms }.print();
+    let what = "agent processes, 300 requests";
+    Points { what, unit, sizes: tokens, values: agents_ms }.print();
+    let memory = fleet.entry().resident_mb();
+    println!("| entry process after the load (MB resident) | | {memory:.1} | | | |");
+}
+
+/// Time until a new manifest is in force at every process, over the agents.
+async fn spread() {
+    let sizes = [5, 20, 40, 80];
+    let mut values = Vec::new();
+    for agents in sizes {
+        let mut fleet = Fleet::start(agents / 2, agents - agents / 2).await;
+        let mut longest: f64 = 0.0;
+        for change in 0..5 {
+            let name = format!("\"name\": \"associacao-{change}\"");
+            let started = Instant::now();
+            fleet.publish(&MANIFEST.replace("\"name\": \"associacao\"", &name));
+            fleet.wait_in_force().await;
+            longest = longest.max(started.elapsed().as_secs_f64() * 1e3);
+        }
+        values.push(longest);
+    }
+    let sizes = sizes.iter().map(|&size| size as f64).collect();
+    let (what, unit) = ("manifest in force, longest of 5", "ms over agents");
+    Points { what, unit, sizes, values }.print();
+}
