--- a/src/edge.rs
+++ b/src/edge.rs
@@ -2,6 +2,7 @@
 
 pub mod agent_actor;
 pub mod agent_server;
+mod answers;
 pub mod body;
 pub mod caller;
 pub mod entry_actor;
--- /dev/null
+++ b/src/edge/answers.rs
@@ -0,0 +1,147 @@
+//! The answers of a request, as a whole response or as server-sent events.
+
+use std::convert::Infallible;
+
+use bytes::Bytes;
+use futures_util::Stream;
+use futures_util::StreamExt;
+use futures_util::stream;
+use http_body_util::BodyExt;
+use http_body_util::StreamBody;
+use hyper::Response;
+use hyper::body::Frame;
+use kameo::actor::ActorRef;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+use crate::edge::body::Naming;
+use crate::edge::caller::ResponseBody;
+use crate::edge::caller::full;
+use crate::edge::entry_actor::EntryActor;
+use crate::edge::entry_actor::EntryInput;
+use crate::edge::problem;
+use crate::entry::Answer;
+use crate::entry::request::RequestKey;
+use crate::outcome::Refusal;
+use crate::outcome::RefusalReason;
+
+/// The answers of one request. Dropped early, it means the caller is gone.
+pub(super) struct Answers {
+    receiver: UnboundedReceiver<Answer>,
+    key: RequestKey,
+    actor: ActorRef<EntryActor>,
+    ended: bool,
+}
+
+impl Answers {
+    pub(super) fn new(
+        receiver: UnboundedReceiver<Answer>,
+        key: RequestKey,
+        actor: ActorRef<EntryActor>,
+    ) -> Self {
+        Self { receiver, key, actor, ended: false }
+    }
+
+    pub(super) async fn next(&mut self) -> Result<Answer, Refusal> {
+        let Some(answer) = self.receiver.recv().await else {
+            self.ended = true;
+            let outcome = crate::outcome::Outcome::Unknown;
+            return Err(Refusal::with_outcome(RefusalReason::ShuttingDown, outcome));
+        };
+        self.ended = answer.is_final();
+        Ok(answer)
+    }
+}
+
+impl Drop for Answers {
+    fn drop(&mut self) {
+        if !self.ended {
+            let _ = self.actor.tell(EntryInput::CallerGone(self.key)).try_send();
+        }
+    }
+}
+
+/// Gathers the whole answer.
+pub(super) async fn whole_response(
+    naming: &Naming,
+    first: Answer,
+    mut answers: Answers,
+) -> Result<Response<ResponseBody>, Refusal> {
+    let mut text = Vec::new();
+    let mut answer = first;
+    loop {
+        match answer {
+            Answer::Token { text: token, .. } => text.extend_from_slice(&token),
+            Answer::Finished { finish_reason, prompt_tokens, output_tokens } => {
+                let text = String::from_utf8_lossy(&text);
+                let json = naming.whole(&text, &finish_reason, prompt_tokens, output_tokens);
+                let mut response = Response::new(full(json));
+                let json_type = "application/json".parse().expect("is a valid header");
+                response.headers_mut().insert("content-type", json_type);
+                return Ok(response);
+            }
+            Answer::Refused(refusal) => return Err(refusal),
+            Answer::Reply(_) => unreachable!("a generated answer has no reply"),
+        }
+        answer = answers.next().await?;
+    }
+}
+
+/// Passes each token on as it comes.
+pub(super) fn stream_response(
+    naming: Naming,
+    first: Answer,
+    answers: Answers,
+) -> Response<ResponseBody> {
+    let events = events(naming, first, answers);
+    let frames = events.map(|event| Ok::<_, Infallible>(Frame::data(event)));
+    let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
+    let headers = response.headers_mut();
+    headers.insert("content-type", "text/event-stream".parse().expect("is a valid header"));
+    headers.insert("cache-control", "no-store".parse().expect("is a valid header"));
+    response
+}
+
+fn events(naming: Naming, first: Answer, answers: Answers) -> impl Stream<Item = Bytes> {
+    let start = Some((naming, Some(first), answers));
+    stream::unfold(start, |state| async move {
+        let (naming, first, mut answers) = state?;
+        let answer = match first {
+            Some(answer) => answer,
+            None => answers.next().await.unwrap_or_else(Answer::Refused),
+        };
+        let goes_on = !answer.is_final();
+        let event = event(&naming, answer);
+        Some((event, goes_on.then_some((naming, None, answers))))
+    })
+}
+
+fn event(naming: &Naming, answer: Answer) -> Bytes {
+    match answer {
+        Answer::Token { text, .. } => {
+            let text = String::from_utf8_lossy(&text);
+            sse(None, &naming.event(&text, None), false)
+        }
+        Answer::Finished { finish_reason, .. } => {
+            sse(None, &naming.event("", Some(&finish_reason)), true)
+        }
+        Answer::Refused(refusal) => {
+            let problem = problem::body(&refusal, &naming.request_id);
+            sse(Some("error"), &problem, false)
+        }
+        Answer::Reply(_) => unreachable!("a generated answer has no reply"),
+    }
+}
+
+fn sse(name: Option<&str>, data: &[u8], done: bool) -> Bytes {
+    let mut event = Vec::with_capacity(data.len() + 32);
+    if let Some(name) = name {
+        event.extend_from_slice(format!("event: {name}\n").as_bytes());
+    }
+    event.extend_from_slice(b"data: ");
+    event.extend_from_slice(data);
+    event.extend_from_slice(b"\n\n");
+    if done {
+        event.extend_from_slice(b"data: [DONE]\n\n");
+    }
+    event.into()
+}
--- a/src/edge/caller.rs
+++ b/src/edge/caller.rs
@@ -7,18 +7,13 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use compact_str::ToCompactString;
-use futures_util::Stream;
-use futures_util::StreamExt;
-use futures_util::stream;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
-use http_body_util::StreamBody;
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
-use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use hyper::service::service_fn;
@@ -29,11 +24,13 @@
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
-use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::edge::answers::Answers;
+use crate::edge::answers::stream_response;
+use crate::edge::answers::whole_response;
 use crate::edge::body;
 use crate::edge::body::Form;
 use crate::edge::body::Naming;
@@ -46,7 +43,6 @@
 use crate::entry::request::Arrival;
 use crate::entry::request::ArrivalWork;
 use crate::entry::request::CallArrival;
-use crate::entry::request::RequestKey;
 use crate::outcome::Refusal;
 use crate::outcome::RefusalReason;
 use crate::schema::wire;
@@ -274,120 +270,12 @@
         let input = EntryInput::Arrive { arrival, answers, key: key_sender };
         self.actor.tell(input).try_send().map_err(|_| shutting_down())?;
         let key = key.await.map_err(|_| shutting_down())?;
-        Ok(Answers { receiver, key, actor: self.actor.clone(), ended: false })
+        Ok(Answers::new(receiver, key, self.actor.clone()))
     }
 }
 
 const NOT_READY_RETRY: Duration = Duration::from_millis(500);
 
-/// The answers of one request. Dropped early, it means the caller is gone.
-struct Answers {
-    receiver: UnboundedReceiver<Answer>,
-    key: RequestKey,
-    actor: ActorRef<EntryActor>,
-    ended: bool,
-}
-
-impl Answers {
-    async fn next(&mut self) -> Result<Answer, Refusal> {
-        let Some(answer) = self.receiver.recv().await else {
-            self.ended = true;
-            let outcome = crate::outcome::Outcome::Unknown;
-            return Err(Refusal::with_outcome(RefusalReason::ShuttingDown, outcome));
-        };
-        self.ended = answer.is_final();
-        Ok(answer)
-    }
-}
-
-impl Drop for Answers {
-    fn drop(&mut self) {
-        if !self.ended {
-            let _ = self.actor.tell(EntryInput::CallerGone(self.key)).try_send();
-        }
-    }
-}
-
-async fn whole_response(
-    naming: &Naming,
-    first: Answer,
-    mut answers: Answers,
-) -> Result<Response<ResponseBody>, Refusal> {
-    let mut text = Vec::new();
-    let mut answer = first;
-    loop {
-        match answer {
-            Answer::Token { text: token, .. } => text.extend_from_slice(&token),
-            Answer::Finished { finish_reason, prompt_tokens, output_tokens } => {
-                let text = String::from_utf8_lossy(&text);
-                let json = naming.whole(&text, &finish_reason, prompt_tokens, output_tokens);
-                let mut response = Response::new(full(json));
-                let json_type = "application/json".parse().expect("is a valid header");
-                response.headers_mut().insert("content-type", json_type);
-                return Ok(response);
-            }
-            Answer::Refused(refusal) => return Err(refusal),
-            Answer::Reply(_) => unreachable!("a generated answer has no reply"),
-        }
-        answer = answers.next().await?;
-    }
-}
-
-fn stream_response(naming: Naming, first: Answer, answers: Answers) -> Response<ResponseBody> {
-    let events = events(naming, first, answers);
-    let frames = events.map(|event| Ok::<_, Infallible>(Frame::data(event)));
-    let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
-    let headers = response.headers_mut();
-    headers.insert("content-type", "text/event-stream".parse().expect("is a valid header"));
-    headers.insert("cache-control", "no-store".parse().expect("is a valid header"));
-    response
-}
-
-fn events(naming: Naming, first: Answer, answers: Answers) -> impl Stream<Item = Bytes> {
-    let start = Some((naming, Some(first), answers));
-    stream::unfold(start, |state| async move {
-        let (naming, first, mut answers) = state?;
-        let answer = match first {
-            Some(answer) => answer,
-            None => answers.next().await.unwrap_or_else(Answer::Refused),
-        };
-        let goes_on = !answer.is_final();
-        let event = event(&naming, answer);
-        Some((event, goes_on.then_some((naming, None, answers))))
-    })
-}
-
-fn event(naming: &Naming, answer: Answer) -> Bytes {
-    match answer {
-        Answer::Token { text, .. } => {
-            let text = String::from_utf8_lossy(&text);
-            sse(None, &naming.event(&text, None), false)
-        }
-        Answer::Finished { finish_reason, .. } => {
-            sse(None, &naming.event("", Some(&finish_reason)), true)
-        }
-        Answer::Refused(refusal) => {
-            let problem = problem::body(&refusal, &naming.request_id);
-            sse(Some("error"), &problem, false)
-        }
-        Answer::Reply(_) => unreachable!("a generated answer has no reply"),
-    }
-}
-
-fn sse(name: Option<&str>, data: &[u8], done: bool) -> Bytes {
-    let mut event = Vec::with_capacity(data.len() + 32);
-    if let Some(name) = name {
-        event.extend_from_slice(format!("event: {name}\n").as_bytes());
-    }
-    event.extend_from_slice(b"data: ");
-    event.extend_from_slice(data);
-    event.extend_from_slice(b"\n\n");
-    if done {
-        event.extend_from_slice(b"data: [DONE]\n\n");
-    }
-    event.into()
-}
-
 fn call_response(reply: wire::CallReply) -> Response<ResponseBody> {
     let mut response = Response::new(full(reply.body));
     if let Ok(status) = u16::try_from(reply.status).unwrap_or_default().try_into() {
--- a/src/entry/calls.rs
+++ b/src/entry/calls.rs
@@ -1,10 +1,7 @@
-//! Calls to plain services: sent once where they may not be repeated, and
-//! claimed in the log where the caller gave an idempotency key.
+//! Calls to plain services: sent once where they may not be repeated.
 
 use std::time::Duration;
 
-use xxhash_rust::xxh3::xxh3_64;
-
 use crate::clock::as_ms_u32;
 use crate::clock::from_ms;
 use crate::entry::Answer;
@@ -12,41 +9,34 @@
 use crate::entry::EntryAction;
 use crate::entry::EntryCore;
 use crate::entry::attempt_id;
+use crate::entry::claiming::LOG_DOWN_RETRY;
 use crate::entry::claims::ClaimKey;
-use crate::entry::claims::Owner;
 use crate::entry::request::Call;
-use crate::entry::request::CallArrival;
 use crate::entry::request::CallPhase;
 use crate::entry::request::RequestKey;
 use crate::entry::request::Try;
 use crate::entry::request::Work;
-use crate::outcome::Outcome;
 use crate::outcome::Refusal;
 use crate::outcome::RefusalReason;
 use crate::outcome::RetryReason;
 use crate::policy::placement::Search;
 use crate::policy::retry::with_jitter;
 use crate::policy::view::AgentKey;
-use crate::schema::record::Claim;
-use crate::schema::record::ClaimBatch;
-use crate::schema::record::Completion;
 use crate::schema::wire;
 use crate::schema::wire::AttemptId;
 use crate::schema::wire::to_agent::Kind as ToAgent;
 
 const REPLY_GRACE: Duration = Duration::from_millis(300);
-const LOG_DOWN_RETRY: Duration = Duration::from_secs(2);
-const IN_PROGRESS_RETRY: Duration = Duration::from_secs(1);
 
 impl EntryCore {
-    fn call(&self, key: RequestKey) -> &Call {
+    pub(super) fn call(&self, key: RequestKey) -> &Call {
         match &self.requests[key].work {
             Work::Call(call) => call,
             Work::Generate(_) => unreachable!("only calls get here"),
         }
     }
 
-    fn call_mut(&mut self, key: RequestKey) -> &mut Call {
+    pub(super) fn call_mut(&mut self, key: RequestKey) -> &mut Call {
         match &mut self.requests[key].work {
             Work::Call(call) => call,
             Work::Generate(_) => unreachable!("only calls get here"),
@@ -89,211 +79,7 @@
         }
     }
 
-    /// Looks at who owns the key, and claims it if nobody does.
-    fn claim_or_refuse(&mut self, now: Duration, key: RequestKey, out: &mut Vec<EntryAction>) {
-        let Some(claim_key) = self.call(key).key else { return };
-        if !self.log_up {
-            let again = Some(with_jitter(LOG_DOWN_RETRY, &mut self.rng));
-            self.refuse(key, Refusal::not_run(RefusalReason::LogUnavailable, again), out);
-            return;
-        }
-        match self.claims.owner(claim_key).cloned() {
-            None => self.claim(now, key, 0, out),
-            Some(owner) => self.meet_owner(now, key, &owner, out),
-        }
-    }
-
-    /// Another request owns the key: it has run, or it runs, or its owner is
-    /// gone and its agent can tell that it never started.
-    fn meet_owner(
-        &mut self,
-        now: Duration,
-        key: RequestKey,
-        owner: &Owner,
-        out: &mut Vec<EntryAction>,
-    ) {
-        if owner.digest != digest(&self.call(key).arrival) {
-            self.refuse(key, Refusal::not_run(RefusalReason::KeyReused, None), out);
-            return;
-        }
-        if let Some(status) = owner.status {
-            let mut refusal = Refusal::with_outcome(RefusalReason::KeyCompleted, Outcome::Ran);
-            refusal.detail = format!("the first request with this key ended with status {status}");
-            self.refuse(key, refusal, out);
-            return;
-        }
-        let agent = self.view.named(&owner.agent).filter(|&agent| {
-            let view = self.view.get(agent);
-            view.is_some_and(|view| view.connected && view.incarnation == owner.agent_incarnation)
-        });
-        let here = owner.id.entry == self.config.incarnation && self.key_of(owner.id).is_some();
-        let Some(agent) = agent.filter(|_| !here) else {
-            self.refuse_in_progress(key, out);
-            return;
-        };
-        let call = self.call_mut(key);
-        call.phase = CallPhase::FencingOther { offset: owner.offset };
-        call.other = Some(owner.id);
-        let abandon = wire::Abandon { id: Some(owner.id), incarnation: owner.agent_incarnation };
-        out.push(EntryAction::Send { agent, message: ToAgent::Abandon(abandon) });
-        self.set_timer(key, now + self.config.reply_timeout);
-    }
-
-    fn refuse_in_progress(&mut self, key: RequestKey, out: &mut Vec<EntryAction>) {
-        let mut refusal = Refusal::with_outcome(RefusalReason::KeyInProgress, Outcome::Unknown);
-        refusal.retry_after = Some(with_jitter(IN_PROGRESS_RETRY, &mut self.rng));
-        self.refuse(key, refusal, out);
-    }
-
-    /// Appends a claim that names the one agent the call may be sent to.
-    fn claim(
-        &mut self,
-        now: Duration,
-        key: RequestKey,
-        takes_over: u64,
-        out: &mut Vec<EntryAction>,
-    ) {
-        let Some(agent) = self.choose_service(now, key) else {
-            self.refuse_no_service(key, out);
-            return;
-        };
-        let attempt = self.requests[key].next_attempt();
-        let view = self.view.get(agent).expect("was just chosen");
-        let (name, incarnation) = (view.name.to_string(), view.incarnation);
-        let id = self.attempt_id(key, attempt);
-        let call = self.call_mut(key);
-        let Some(claim_key) = call.key else { return };
-        call.phase = CallPhase::Claiming;
-        call.incarnation = incarnation;
-        let claim = Claim {
-            key_high: claim_key.high,
-            key_low: claim_key.low,
-            entry: id.entry,
-            request: id.request,
-            attempt,
-            agent: name,
-            agent_incarnation: incarnation,
-            digest: digest(&call.arrival),
-            takes_over,
-        };
-        self.claim_queue.claims.push(claim);
-        self.record(key, Decision::Claiming, Some(agent), String::new(), out);
-        self.set_timer(key, now + self.config.claim_timeout);
-    }
-
-    /// A record of the stream of claims, `age` after it was appended.
-    pub fn on_claim_record(
-        &mut self,
-        now: Duration,
-        offset: u64,
-        age: Duration,
-        batch: &ClaimBatch,
-        out: &mut Vec<EntryAction>,
-    ) {
-        self.log_up = true;
-        self.claims.apply(offset, now.saturating_sub(age), batch);
-        let window = self.fold.in_force().map(|snapshot| snapshot.idempotency_window());
-        if let Some(window) = window {
-            self.claims.forget_before(now.saturating_sub(window));
-        }
-        for claim in &batch.claims {
-            if claim.entry == self.config.incarnation {
-                self.own_claim_seen(now, offset, claim, out);
-            }
-        }
-        self.flush(now, out);
-    }
-
-    fn own_claim_seen(
-        &mut self,
-        now: Duration,
-        offset: u64,
-        claim: &Claim,
-        out: &mut Vec<EntryAction>,
-    ) {
-        let id = AttemptId { entry: claim.entry, request: claim.request, attempt: claim.attempt };
-        let claim_key = ClaimKey { high: claim.key_high, low: claim.key_low };
-        let Some(owner) = self.claims.owner(claim_key).cloned() else { return };
-        let won = owner.id == id && owner.offset == offset;
-        let waiting = self.key_of(id).filter(|&key| self.waits_for_claim(key, id.attempt));
-        match waiting {
-            Some(key) if won => self.claim_won(now, key, &owner, out),
-            Some(key) => self.meet_owner(now, key, &owner, out),
-            // The request was refused as not run while its claim was on the
-            // way. Nothing was sent, so the key is free again.
-            None if won && self.key_of(id).is_none() => self.complete_claim(claim_key, id, 0, true),
-            None => {}
-        }
-    }
-
-    fn waits_for_claim(&self, key: RequestKey, attempt: u32) -> bool {
-        match &self.requests[key].work {
-            Work::Call(call) => {
-                call.phase == CallPhase::Claiming && self.requests[key].attempt == attempt
-            }
-            Work::Generate(_) => false,
-        }
-    }
-
-    fn claim_won(
-        &mut self,
-        now: Duration,
-        key: RequestKey,
-        owner: &Owner,
-        out: &mut Vec<EntryAction>,
-    ) {
-        self.record(key, Decision::Claimed, None, format!("offset {}", owner.offset), out);
-        let agent = self.view.named(&owner.agent).filter(|&agent| {
-            let view = self.view.get(agent);
-            let same = view.is_some_and(|view| view.incarnation == owner.agent_incarnation);
-            same && view.is_some_and(|view| view.takes_work(now))
-        });
-        match agent {
-            Some(agent) => self.send_call_to(now, key, agent, owner.id.attempt, out),
-            // Nothing was sent, so this request may take its own claim over.
-            None => self.claim(now, key, owner.offset + 1, out),
-        }
-    }
-
-    fn complete_claim(&mut self, claim_key: ClaimKey, id: AttemptId, status: u32, not_run: bool) {
-        self.claim_queue.completions.push(Completion {
-            key_high: claim_key.high,
-            key_low: claim_key.low,
-            entry: id.entry,
-            request: id.request,
-            status,
-            not_run,
-        });
-    }
-
-    /// Whether the log can be reached.
-    pub fn set_log_up(&mut self, up: bool) {
-        self.log_up = up;
-    }
-
-    /// A batch of claims could not be appended, or its answer was lost. The
-    /// claims in it may still turn up, so only their timers decide.
-    pub fn claims_not_appended(
-        &mut self,
-        now: Duration,
-        batch: ClaimBatch,
-        out: &mut Vec<EntryAction>,
-    ) {
-        self.log_up = false;
-        let wanted = batch.claims.into_iter().filter(|claim| {
-            let id =
-                AttemptId { entry: claim.entry, request: claim.request, attempt: claim.attempt };
-            self.key_of(id).is_some_and(|key| self.waits_for_claim(key, id.attempt))
-        });
-        // Appending twice is harmless: it is the same attempt.
-        let retried = ClaimBatch { claims: wanted.collect(), completions: batch.completions };
-        if !retried.claims.is_empty() || !retried.completions.is_empty() {
-            out.push(EntryAction::AppendClaims(retried));
-        }
-        self.flush(now, out);
-    }
-
-    fn choose_service(&mut self, now: Duration, key: RequestKey) -> Option<AgentKey> {
+    pub(super) fn choose_service(&mut self, now: Duration, key: RequestKey) -> Option<AgentKey> {
         let snapshot = self.requests[key].snapshot();
         let Work::Call(call) = &self.requests[key].work else { return None };
         let search = Search {
@@ -307,7 +93,7 @@
         found.first().map(|candidate| candidate.agent)
     }
 
-    fn refuse_no_service(&mut self, key: RequestKey, out: &mut Vec<EntryAction>) {
+    pub(super) fn refuse_no_service(&mut self, key: RequestKey, out: &mut Vec<EntryAction>) {
         let outcome = self.requests[key].outcome();
         let retry_after = Some(with_jitter(self.config.heartbeat, &mut self.rng));
         let reason = RefusalReason::NoUpstream;
@@ -329,7 +115,7 @@
         self.send_call_to(now, key, agent, attempt, out);
     }
 
-    fn send_call_to(
+    pub(super) fn send_call_to(
         &mut self,
         now: Duration,
         key: RequestKey,
@@ -465,28 +251,6 @@
         }
     }
 
-    fn reclaim(
-        &mut self,
-        now: Duration,
-        key: RequestKey,
-        claim_key: ClaimKey,
-        out: &mut Vec<EntryAction>,
-    ) {
-        let offset = self.claims.owner(claim_key).map(|owner| owner.offset);
-        let others = self.choose_service(now, key).is_some();
-        if let Some(offset) = offset.filter(|_| others)
-            && self.may_retry(now, key, RetryReason::CallNotRun, out)
-        {
-            self.claim(now, key, offset + 1, out);
-            return;
-        }
-        if self.requests.contains_key(key) {
-            let id = self.attempt_id(key, self.requests[key].attempt);
-            self.complete_claim(claim_key, id, 0, true);
-            self.refuse_no_service(key, out);
-        }
-    }
-
     pub(super) fn call_rejected(
         &mut self,
         now: Duration,
@@ -606,9 +370,3 @@
         }
     }
 }
-
-fn digest(arrival: &CallArrival) -> u64 {
-    let mut text = format!("{}\0{}\0", arrival.method, arrival.path).into_bytes();
-    text.extend_from_slice(&arrival.body);
-    xxh3_64(&text)
-}
--- a/src/replay/world.rs
+++ b/src/replay/world.rs
@@ -1,5 +1,9 @@
 //! Entries, agents and fakes in virtual time.
 
+mod faults;
+mod setup;
+mod upstreams;
+
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BinaryHeap;
@@ -9,20 +13,16 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::agent::AgentAction;
-use crate::agent::AgentConfig;
 use crate::agent::AgentCore;
 use crate::agent::AgentEvent;
 use crate::agent::UpstreamEvent;
 use crate::entry::Answer;
 use crate::entry::Decision;
 use crate::entry::EntryAction;
-use crate::entry::EntryConfig;
 use crate::entry::EntryCore;
 use crate::entry::request::Arrival;
 use crate::entry::request::ArrivalWork;
@@ -30,12 +30,8 @@
 use crate::entry::request::GenerateArrival;
 use crate::entry::request::RequestKey;
 use crate::manifest::Snapshot;
-use crate::manifest::fold::publish_record;
-use crate::policy::placement::Place;
 use crate::policy::prefix::MAX_PREFIXES;
 use crate::policy::prefix::PREFIX_TOKENS;
-use crate::policy::subset::Member;
-use crate::policy::subset::subset;
 use crate::policy::view::AgentKey;
 use crate::replay::ReplayConfig;
 use crate::replay::engine::Engine;
@@ -43,7 +39,6 @@
 use crate::replay::judge::Summary;
 use crate::replay::links::Links;
 use crate::replay::trace::Event;
-use crate::replay::trace::Fault;
 use crate::replay::trace::GenerateLine;
 use crate::replay::trace::Trace;
 use crate::schema::record::ClaimBatch;
@@ -188,122 +183,6 @@
         world
     }
 
-    fn zone(&self, number: usize) -> CompactString {
-        self.trace.header.zones[number % self.trace.header.zones.len()].clone()
-    }
-
-    fn add_agents(&mut self) {
-        let snapshot = self.snapshot.clone();
-        for pool in &snapshot.manifest.pools {
-            for replica in 0..pool.replicas as usize {
-                let zone = self.zone(replica);
-                let name = CompactString::from(format!("{}-{replica}", pool.name));
-                let config = AgentConfig {
-                    name: name.clone(),
-                    pool: pool.name.as_str().into(),
-                    region: self.trace.header.region.clone(),
-                    zone: zone.clone(),
-                    upstream: name.clone(),
-                    lease_ttl: LEASE_TTL,
-                    ..AgentConfig::default()
-                };
-                let node = AgentNode {
-                    core: AgentCore::new(config),
-                    engine: Engine::new(pool),
-                    pool: pool.name.as_str().into(),
-                    zone,
-                    upstream: name,
-                    up: true,
-                    wakes_at: None,
-                    reports: VecDeque::new(),
-                };
-                self.agents.push(node);
-                let agent = self.agents.len() - 1;
-                let mut out = Vec::new();
-                self.agents[agent].core.adopt(snapshot.clone(), &mut out);
-                self.carry_out_agent(agent, out);
-            }
-        }
-    }
-
-    fn add_entries(&mut self, config: &ReplayConfig) {
-        for number in 0..config.entries {
-            let zone = self.zone(number);
-            let entry_config = EntryConfig {
-                name: format!("entry-{number}").into(),
-                incarnation: FIRST_ENTRY_INCARNATION + number as u64,
-                place: Place { region: self.trace.header.region.clone(), zone: zone.clone() },
-                policy: config.policy,
-                random_seed: config.seed,
-                lease_ttl: LEASE_TTL,
-                ..EntryConfig::default()
-            };
-            let mut core = EntryCore::new(entry_config);
-            let record = publish_record("replay", "replay", 0, &self.snapshot.body);
-            let text = serde_json::to_string(&record).expect("a record is plain data");
-            let mut out = Vec::new();
-            core.set_log_up(true);
-            core.on_manifest_start(0);
-            core.on_manifest_record(self.now, 0, Duration::ZERO, &text, &mut out);
-            let node = EntryNode {
-                core,
-                zone,
-                up: true,
-                agents: BTreeMap::new(),
-                requests: BTreeMap::new(),
-                wakes_at: None,
-            };
-            self.entries.push(node);
-        }
-        for number in 0..config.entries {
-            self.connect(number, config.entries_per_agent);
-        }
-    }
-
-    fn member(&self, zone: &CompactString, name: &CompactString) -> Member {
-        let region = self.trace.header.region.clone();
-        Member { region, zone: zone.clone(), name: name.clone() }
-    }
-
-    /// The agents that an entry connects to, chosen for each pool by itself.
-    fn subset_of(&self, entry: usize, entries_per_agent: usize) -> Vec<usize> {
-        let entries: Vec<Member> = (0..self.entries.len())
-            .map(|number| {
-                self.member(&self.entries[number].zone, &format!("entry-{number}").into())
-            })
-            .collect();
-        let mut chosen = Vec::new();
-        for pool in &self.snapshot.manifest.pools {
-            let of_pool: Vec<usize> = (0..self.agents.len())
-                .filter(|&agent| self.agents[agent].pool == pool.name.as_str())
-                .collect();
-            let members: Vec<Member> = of_pool
-                .iter()
-                .map(|&agent| self.member(&self.agents[agent].zone, &self.agents[agent].upstream))
-                .collect();
-            let mine = subset(&entries[entry].name, &entries, &members, entries_per_agent);
-            chosen.extend(mine.into_iter().map(|index| of_pool[index]));
-        }
-        chosen
-    }
-
-    fn connect(&mut self, entry: usize, entries_per_agent: usize) {
-        let hello = wire::EntryHello {
-            entry: FIRST_ENTRY_INCARNATION + entry as u64,
-            name: format!("entry-{entry}"),
-            generation: 1,
-        };
-        for agent in self.subset_of(entry, entries_per_agent) {
-            let greeting = self.agents[agent].core.hello(self.now);
-            let ToEntry::Hello(greeting) = greeting else { continue };
-            let mut out = Vec::new();
-            let key = self.entries[entry].core.agent_connected(self.now, &greeting, &mut out);
-            self.entries[entry].agents.insert(key, agent);
-            self.carry_out_entry(entry, out);
-            self.agent_event(agent, AgentEvent::EntryConnected(hello.clone()));
-        }
-    }
-
     fn at(&mut self, at: Duration, happening: Happening) {
         self.sequence += 1;
         self.queue.push(Reverse((at.max(self.now), self.sequence)));
@@ -430,63 +309,6 @@
         }
     }
 
-    fn fail(&mut self, fault: &Fault) {
-        self.fault_at = Some(self.now);
-        match fault {
-            Fault::ZoneLost { zone } => self.lose_zone(zone),
-            Fault::SlowEngines { share, factor } => {
-                let mut seen: BTreeMap<CompactString, f64> = BTreeMap::new();
-                for node in &mut self.agents {
-                    let pool = node.upstream.rsplit_once('-').map_or("", |(pool, _)| pool);
-                    let owed = seen.entry(pool.into()).or_insert(ROUND_TO_NEAREST);
-                    *owed += share;
-                    if *owed >= 1.0 {
-                        *owed -= 1.0;
-                        node.engine.slowdown = *factor;
-                    }
-                }
-            }
-            Fault::StalledTransfers { share } => self.stalled_share = *share,
-            Fault::LateReports { lag_ms } => self.report_lag = Duration::from_millis(*lag_ms),
-        }
-    }
-
-    fn lose_zone(&mut self, zone: &CompactString) {
-        for node in self.agents.iter_mut().filter(|node| node.zone == *zone) {
-            node.up = false;
-        }
-        for entry in &mut self.entries {
-            if entry.zone == *zone {
-                entry.up = false;
-                for &request in entry.requests.values() {
-                    self.judge.lost(request);
-                }
-            }
-        }
-        // A lost zone says no goodbye: its connections end by silence.
-        let at = self.now + LEASE_TTL;
-        self.at(at, Happening::SilenceNoticed { zone: zone.clone() });
-    }
-
-    fn notice_silence(&mut self, zone: &CompactString) {
-        for entry in 0..self.entries.len() {
-            if !self.entries[entry].up {
-                continue;
-            }
-            let lost: Vec<AgentKey> = self.entries[entry]
-                .agents
-                .iter()
-                .filter(|(_, agent)| self.agents[**agent].zone == *zone)
-                .map(|(key, _)| *key)
-                .collect();
-            for key in lost {
-                let mut out = Vec::new();
-                self.entries[entry].core.agent_lost(self.now, key, &mut out);
-                self.carry_out_entry(entry, out);
-            }
-        }
-    }
-
     fn append_claims(&mut self, batch: &ClaimBatch) {
         let offset = self.claims_appended;
         self.claims_appended += 1;
@@ -566,153 +388,6 @@
             self.entries[entry].requests.remove(&key);
         }
     }
-
-    fn carry_out_agent(&mut self, agent: usize, actions: Vec<AgentAction>) {
-        for action in actions {
-            self.carry_out_agent_one(agent, action);
-        }
-    }
-
-    fn carry_out_agent_one(&mut self, agent: usize, action: AgentAction) {
-        let now = self.now;
-        match action {
-            AgentAction::Send { entry, message } => {
-                let Some(entry) = entry.checked_sub(FIRST_ENTRY_INCARNATION) else { return };
-                let message = self.with_late_load(agent, message);
-                let entry = entry as usize;
-                self.at(now + HOP, Happening::ToEntry { entry, agent, message });
-            }
-            AgentAction::Prefill(prefill) => self.prefill(agent, &prefill),
-            AgentAction::Import { decode, timeout } => {
-                self.at(now, Happening::Import { agent, decode, until: now + timeout });
-            }
-            AgentAction::Decode { id, from_index, max_tokens, .. } => {
-                self.decode(agent, id, from_index, max_tokens);
-            }
-            AgentAction::Stop { id } => {
-                self.agents[agent].engine.stop(id);
-                let event = UpstreamEvent::Stopped { id };
-                self.at(now + HOP, Happening::Upstream { agent, event });
-            }
-            AgentAction::Call(call) => {
-                let id = call.id.unwrap_or_default();
-                let request = index_of(&call.body);
-                let takes = self.call_time(request);
-                self.at(now + takes, Happening::Called { agent, id, request });
-            }
-            AgentAction::ListStreams => {
-                let event = UpstreamEvent::Running { streams: self.agents[agent].engine.running() };
-                self.at(now, Happening::Upstream { agent, event });
-            }
-            _ => {}
-        }
-    }
-
-    /// Heartbeats come on time, but the load in them may be an old one.
-    fn with_late_load(&mut self, agent: usize, message: ToEntry) -> ToEntry {
-        let ToEntry::Heartbeat(mut beat) = message else { return message };
-        if let Some(load) = beat.load {
-            let reports = &mut self.agents[agent].reports;
-            reports.push_back((self.now, load));
-            let horizon = self.now.saturating_sub(self.report_lag);
-            while reports.len() > 1 && reports[1].0 <= horizon {
-                reports.pop_front();
-            }
-            beat.load = reports.front().map(|(_, load)| *load);
-        }
-        ToEntry::Heartbeat(beat)
-    }
-
-    fn prefill(&mut self, agent: usize, prefill: &wire::Prefill) {
-        let request = index_of(&prefill.prompt);
-        let engine = &mut self.agents[agent].engine;
-        let cached = engine.cache(&prefill.prefixes, prefill.prompt_tokens);
-        let computed = prefill.prompt_tokens - cached;
-        let done = self.now + engine.prefill_time(computed);
-        let model = self.snapshot.model(&prefill.model);
-        let kv_bytes_per_token = model.map_or(0, |model| model.kv_bytes_per_token);
-        let kv_bytes = u64::from(prefill.prompt_tokens) * u64::from(kv_bytes_per_token);
-        let id = prefill.id.unwrap_or_default();
-        self.at(done, Happening::Computed { agent, id, request, computed, cached, kv_bytes });
-    }
-
-    fn import(&mut self, agent: usize, decode: &wire::Decode, until: Duration) {
-        let id = decode.id.unwrap_or_default();
-        let failed = |gone| UpstreamEvent::ImportFailed { id, gone };
-        let source = self.agents.iter().position(|node| node.upstream == decode.source);
-        let Some(source) = source.filter(|&source| self.agents[source].up) else {
-            self.at(until, Happening::Upstream { agent, event: failed(false) });
-            return;
-        };
-        let Some(kv) = self.agents[source].engine.result(self.now, &decode.handle) else {
-            self.at(self.now + HOP, Happening::Upstream { agent, event: failed(true) });
-            return;
-        };
-        if self.rng.random_bool(self.stalled_share) {
-            self.at(until, Happening::Upstream { agent, event: failed(false) });
-            return;
-        }
-        let (from, to) = (self.agents[source].zone.clone(), self.agents[agent].zone.clone());
-        let snapshot = self.snapshot.clone();
-        let done = self.links.transfer(self.now, &snapshot, &from, &to, decode.kv_bytes);
-        if done > until {
-            self.at(until, Happening::Upstream { agent, event: failed(false) });
-        } else if done >= kv.evicted_at {
-            self.at(kv.evicted_at, Happening::Upstream { agent, event: failed(true) });
-        } else {
-            let (request, computed) = (kv.request, kv.computed_tokens);
-            self.at(done, Happening::Imported { agent, id, request, source, computed });
-        }
-    }
-
-    fn decode(&mut self, agent: usize, id: AttemptId, from_index: u32, max_tokens: u32) {
-        let Some(request) = self.agents[agent].engine.request_of(id) else { return };
-        let Event::Generate(generate) = &self.trace.lines[request].event else { return };
-        let end = generate.output_tokens.min(max_tokens);
-        if self.agents[agent].engine.decode(id, from_index, end) {
-            let at = self.now + self.agents[agent].engine.step_time();
-            self.at(at, Happening::Step { agent });
-        }
-    }
-
-    fn step(&mut self, agent: usize) {
-        if !self.agents[agent].up {
-            return;
-        }
-        for token in self.agents[agent].engine.step() {
-            let event = UpstreamEvent::Chunk {
-                id: token.id,
-                index: token.index,
-                text: Bytes::from_static(b"t"),
-                last: token.last,
-                finish_reason: "stop".to_string(),
-            };
-            self.agent_event(agent, AgentEvent::Upstream(event));
-        }
-        if self.agents[agent].engine.steps_on() {
-            let at = self.now + self.agents[agent].engine.step_time();
-            self.at(at, Happening::Step { agent });
-        }
-    }
-
-    fn call_time(&self, request: usize) -> Duration {
-        match &self.trace.lines[request].event {
-            Event::Call(call) => Duration::from_millis(call.takes_ms),
-            _ => Duration::ZERO,
-        }
-    }
-
-    fn called(&mut self, agent: usize, id: AttemptId, request: usize) {
-        if !self.agents[agent].up {
-            return;
-        }
-        if let Event::Call(call) = &self.trace.lines[request].event {
-            let rule = self.snapshot.non_idempotent_call(&call.service, &call.method, &call.path);
-            self.judge.ran(request, rule.is_none());
-        }
-        let reply = wire::CallReply { id: Some(id), status: 200, ..wire::CallReply::default() };
-        self.agent_event(agent, AgentEvent::Upstream(UpstreamEvent::CallDone { id, reply }));
-    }
 }
 
 fn index_bytes(index: usize) -> Bytes {
--- /dev/null
+++ b/src/replay/world/faults.rs
@@ -0,0 +1,72 @@
+//! What fails in a replay.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use compact_str::CompactString;
+
+use crate::policy::view::AgentKey;
+use crate::replay::trace::Fault;
+use crate::replay::world::Happening;
+use crate::replay::world::LEASE_TTL;
+use crate::replay::world::ROUND_TO_NEAREST;
+use crate::replay::world::World;
+
+impl World<'_> {
+    pub(super) fn fail(&mut self, fault: &Fault) {
+        self.fault_at = Some(self.now);
+        match fault {
+            Fault::ZoneLost { zone } => self.lose_zone(zone),
+            Fault::SlowEngines { share, factor } => {
+                let mut seen: BTreeMap<CompactString, f64> = BTreeMap::new();
+                for node in &mut self.agents {
+                    let pool = node.upstream.rsplit_once('-').map_or("", |(pool, _)| pool);
+                    let owed = seen.entry(pool.into()).or_insert(ROUND_TO_NEAREST);
+                    *owed += share;
+                    if *owed >= 1.0 {
+                        *owed -= 1.0;
+                        node.engine.slowdown = *factor;
+                    }
+                }
+            }
+            Fault::StalledTransfers { share } => self.stalled_share = *share,
+            Fault::LateReports { lag_ms } => self.report_lag = Duration::from_millis(*lag_ms),
+        }
+    }
+
+    fn lose_zone(&mut self, zone: &CompactString) {
+        for node in self.agents.iter_mut().filter(|node| node.zone == *zone) {
+            node.up = false;
+        }
+        for entry in &mut self.entries {
+            if entry.zone == *zone {
+                entry.up = false;
+                for &request in entry.requests.values() {
+                    self.judge.lost(request);
+                }
+            }
+        }
+        // A lost zone says no goodbye: its connections end by silence.
+        let at = self.now + LEASE_TTL;
+        self.at(at, Happening::SilenceNoticed { zone: zone.clone() });
+    }
+
+    pub(super) fn notice_silence(&mut self, zone: &CompactString) {
+        for entry in 0..self.entries.len() {
+            if !self.entries[entry].up {
+                continue;
+            }
+            let lost: Vec<AgentKey> = self.entries[entry]
+                .agents
+                .iter()
+                .filter(|(_, agent)| self.agents[**agent].zone == *zone)
+                .map(|(key, _)| *key)
+                .collect();
+            for key in lost {
+                let mut out = Vec::new();
+                self.entries[entry].core.agent_lost(self.now, key, &mut out);
+                self.carry_out_entry(entry, out);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/replay/world/upstreams.rs
@@ -0,0 +1,168 @@
+//! Carries out what agents ask of their upstreams.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use rand::RngExt;
+
+use crate::agent::AgentAction;
+use crate::agent::AgentEvent;
+use crate::agent::UpstreamEvent;
+use crate::replay::trace::Event;
+use crate::replay::world::FIRST_ENTRY_INCARNATION;
+use crate::replay::world::HOP;
+use crate::replay::world::Happening;
+use crate::replay::world::World;
+use crate::replay::world::index_of;
+use crate::schema::wire;
+use crate::schema::wire::AttemptId;
+use crate::schema::wire::to_entry::Kind as ToEntry;
+
+impl World<'_> {
+    pub(super) fn carry_out_agent(&mut self, agent: usize, actions: Vec<AgentAction>) {
+        for action in actions {
+            self.carry_out_agent_one(agent, action);
+        }
+    }
+
+    fn carry_out_agent_one(&mut self, agent: usize, action: AgentAction) {
+        let now = self.now;
+        match action {
+            AgentAction::Send { entry, message } => {
+                let Some(entry) = entry.checked_sub(FIRST_ENTRY_INCARNATION) else { return };
+                let message = self.with_late_load(agent, message);
+                let entry = entry as usize;
+                self.at(now + HOP, Happening::ToEntry { entry, agent, message });
+            }
+            AgentAction::Prefill(prefill) => self.prefill(agent, &prefill),
+            AgentAction::Import { decode, timeout } => {
+                self.at(now, Happening::Import { agent, decode, until: now + timeout });
+            }
+            AgentAction::Decode { id, from_index, max_tokens, .. } => {
+                self.decode(agent, id, from_index, max_tokens);
+            }
+            AgentAction::Stop { id } => {
+                self.agents[agent].engine.stop(id);
+                let event = UpstreamEvent::Stopped { id };
+                self.at(now + HOP, Happening::Upstream { agent, event });
+            }
+            AgentAction::Call(call) => {
+                let id = call.id.unwrap_or_default();
+                let request = index_of(&call.body);
+                let takes = self.call_time(request);
+                self.at(now + takes, Happening::Called { agent, id, request });
+            }
+            AgentAction::ListStreams => {
+                let event = UpstreamEvent::Running { streams: self.agents[agent].engine.running() };
+                self.at(now, Happening::Upstream { agent, event });
+            }
+            _ => {}
+        }
+    }
+
+    /// Heartbeats come on time, but the load in them may be an old one.
+    fn with_late_load(&mut self, agent: usize, message: ToEntry) -> ToEntry {
+        let ToEntry::Heartbeat(mut beat) = message else { return message };
+        if let Some(load) = beat.load {
+            let reports = &mut self.agents[agent].reports;
+            reports.push_back((self.now, load));
+            let horizon = self.now.saturating_sub(self.report_lag);
+            while reports.len() > 1 && reports[1].0 <= horizon {
+                reports.pop_front();
+            }
+            beat.load = reports.front().map(|(_, load)| *load);
+        }
+        ToEntry::Heartbeat(beat)
+    }
+
+    fn prefill(&mut self, agent: usize, prefill: &wire::Prefill) {
+        let request = index_of(&prefill.prompt);
+        let engine = &mut self.agents[agent].engine;
+        let cached = engine.cache(&prefill.prefixes, prefill.prompt_tokens);
+        let computed = prefill.prompt_tokens - cached;
+        let done = self.now + engine.prefill_time(computed);
+        let model = self.snapshot.model(&prefill.model);
+        let kv_bytes_per_token = model.map_or(0, |model| model.kv_bytes_per_token);
+        let kv_bytes = u64::from(prefill.prompt_tokens) * u64::from(kv_bytes_per_token);
+        let id = prefill.id.unwrap_or_default();
+        self.at(done, Happening::Computed { agent, id, request, computed, cached, kv_bytes });
+    }
+
+    pub(super) fn import(&mut self, agent: usize, decode: &wire::Decode, until: Duration) {
+        let id = decode.id.unwrap_or_default();
+        let failed = |gone| UpstreamEvent::ImportFailed { id, gone };
+        let source = self.agents.iter().position(|node| node.upstream == decode.source);
+        let Some(source) = source.filter(|&source| self.agents[source].up) else {
+            self.at(until, Happening::Upstream { agent, event: failed(false) });
+            return;
+        };
+        let Some(kv) = self.agents[source].engine.result(self.now, &decode.handle) else {
+            self.at(self.now + HOP, Happening::Upstream { agent, event: failed(true) });
+            return;
+        };
+        if self.rng.random_bool(self.stalled_share) {
+            self.at(until, Happening::Upstream { agent, event: failed(false) });
+            return;
+        }
+        let (from, to) = (self.agents[source].zone.clone(), self.agents[agent].zone.clone());
+        let snapshot = self.snapshot.clone();
+        let done = self.links.transfer(self.now, &snapshot, &from, &to, decode.kv_bytes);
+        if done > until {
+            self.at(until, Happening::Upstream { agent, event: failed(false) });
+        } else if done >= kv.evicted_at {
+            self.at(kv.evicted_at, Happening::Upstream { agent, event: failed(true) });
+        } else {
+            let (request, computed) = (kv.request, kv.computed_tokens);
+            self.at(done, Happening::Imported { agent, id, request, source, computed });
+        }
+    }
+
+    fn decode(&mut self, agent: usize, id: AttemptId, from_index: u32, max_tokens: u32) {
+        let Some(request) = self.agents[agent].engine.request_of(id) else { return };
+        let Event::Generate(generate) = &self.trace.lines[request].event else { return };
+        let end = generate.output_tokens.min(max_tokens);
+        if self.agents[agent].engine.decode(id, from_index, end) {
+            let at = self.now + self.agents[agent].engine.step_time();
+            self.at(at, Happening::Step { agent });
+        }
+    }
+
+    pub(super) fn step(&mut self, agent: usize) {
+        if !self.agents[agent].up {
+            return;
+        }
+        for token in self.agents[agent].engine.step() {
+            let event = UpstreamEvent::Chunk {
+                id: token.id,
+                index: token.index,
+                text: Bytes::from_static(b"t"),
+                last: token.last,
+                finish_reason: "stop".to_string(),
+            };
+            self.agent_event(agent, AgentEvent::Upstream(event));
+        }
+        if self.agents[agent].engine.steps_on() {
+            let at = self.now + self.agents[agent].engine.step_time();
+            self.at(at, Happening::Step { agent });
+        }
+    }
+
+    fn call_time(&self, request: usize) -> Duration {
+        match &self.trace.lines[request].event {
+            Event::Call(call) => Duration::from_millis(call.takes_ms),
+            _ => Duration::ZERO,
+        }
+    }
+
+    pub(super) fn called(&mut self, agent: usize, id: AttemptId, request: usize) {
+        if !self.agents[agent].up {
+            return;
+        }
+        if let Event::Call(call) = &self.trace.lines[request].event {
+            let rule = self.snapshot.non_idempotent_call(&call.service, &call.method, &call.path);
+            self.judge.ran(request, rule.is_none());
+        }
+        let reply = wire::CallReply { id: Some(id), status: 200, ..wire::CallReply::default() };
+        self.agent_event(agent, AgentEvent::Upstream(UpstreamEvent::CallDone { id, reply }));
+    }
+}
--- a/tests/core/replays.rs
+++ b/tests/core/replays.rs
@@ -37,6 +37,18 @@
     replay(&trace, &snapshot, &config).expect("the trace fits the manifest")
 }
 
+/// Names of the refusals and retries at twice the capacity with a zone lost.
+pub fn reasons_beyond_capacity() -> Vec<String> {
+    let zone_lost = || Some(Fault::ZoneLost { zone: "caruaru".into() });
+    let policies = [PolicyKind::Reserve, PolicyKind::RoundRobin];
+    let runs = policies.map(|policy| run("associacao", 2.0, zone_lost(), policy));
+    let names = runs.iter().flat_map(|summary| {
+        let refusals = summary.refusals.keys().map(|reason| format!("refused-{reason}"));
+        refusals.chain(summary.retries.keys().map(|reason| format!("retry-{reason}")))
+    });
+    names.collect()
+}
+
 fn holds_what_must_always_hold(summary: &Summary) {
     assert_eq!(summary.violations, Vec::<String>::new());
     assert_eq!(summary.held_at_end, 0, "blocks are held at the end");
--- a/tests/core/simulation/judge.rs
+++ b/tests/core/simulation/judge.rs
@@ -107,6 +107,16 @@
         }
     }
 
+    /// Requests that ended without their answer though they may have run, and
+    /// those whose entry was gone.
+    pub fn cut_off(&self) -> Vec<String> {
+        let cut = self.seen.iter().filter(|(_, seen)| {
+            let refusal = seen.end.as_ref().and_then(Option::as_ref);
+            seen.abandoned || refusal.is_some_and(|refusal| refusal.outcome == Outcome::Unknown)
+        });
+        cut.map(|(number, seen)| format!("{number}: {seen:?}")).collect()
+    }
+
     /// Share of the requests that were answered whole.
     pub fn whole_share(&self) -> f64 {
         let whole = self.seen.values().filter(|seen| matches!(seen.end, Some(None)));
--- a/tests/core/simulation/sim.rs
+++ b/tests/core/simulation/sim.rs
@@ -1,6 +1,7 @@
 //! The processes, their connections, the log, and the faults.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
@@ -61,6 +62,9 @@
     pub lose_call_answer: f64,
     pub log_down: f64,
     pub lose_append: f64,
+    pub slow_call: f64,
+    pub stop_agent: f64,
+    pub stop_entry: f64,
 }
 
 struct Agent {
@@ -108,6 +112,9 @@
     log_down_until: Duration,
     appends: Vec<(Duration, usize, u64, ClaimBatch)>,
     judge: Judge,
+    reasons: BTreeSet<String>,
+    stopped_agents: Vec<usize>,
+    stopped_entries: Vec<usize>,
     next_number: Number,
     next_incarnation: u64,
 }
@@ -127,6 +134,9 @@
             log_down_until: Duration::ZERO,
             appends: Vec::new(),
             judge: Judge::default(),
+            reasons: BTreeSet::new(),
+            stopped_agents: Vec::new(),
+            stopped_entries: Vec::new(),
             next_number: 1,
             next_incarnation: 1,
         };
@@ -218,6 +228,16 @@
         broken
     }
 
+    /// Requests that ended without their answer though they may have run.
+    pub fn cut_off(&self) -> Vec<String> {
+        self.judge.cut_off()
+    }
+
+    /// Every decision that was taken, by name.
+    pub fn reasons(&self) -> &BTreeSet<String> {
+        &self.reasons
+    }
+
     pub fn whole_share(&self) -> f64 {
         self.judge.whole_share()
     }
@@ -226,8 +246,27 @@
         probability > 0.0 && self.rng.random_bool(probability)
     }
 
+    /// Successors take the places of those that stopped as planned.
+    fn replace_stopped(&mut self) {
+        for agent in std::mem::take(&mut self.stopped_agents) {
+            for entry in 0..ENTRIES {
+                // What the agent said last still arrives; what was on its way
+                // to it does not.
+                let link = self.links.entry((entry, agent)).or_default();
+                link.closed |= link.connected;
+                link.connected = false;
+                link.to_agent.clear();
+            }
+            self.replace_agent(agent);
+        }
+        for entry in std::mem::take(&mut self.stopped_entries) {
+            self.kill_entry(entry);
+        }
+    }
+
     fn step(&mut self) {
         self.now += STEP;
+        self.replace_stopped();
         self.keep_connected();
         self.run_upstreams();
         self.run_log();
@@ -358,12 +397,19 @@
                         continue;
                     };
                     self.judge.answered(number, &answer, tokens_of(number));
+                    if answer.is_final() {
+                        self.entries[entry].requests.remove(&request);
+                    }
                 }
                 EntryAction::AppendClaims(batch) => {
                     let at = self.now + Duration::from_millis(20);
                     let incarnation = self.entries[entry].incarnation;
                     self.appends.push((at, entry, incarnation, batch));
                 }
+                EntryAction::Exit => self.stopped_entries.push(entry),
+                EntryAction::Record(record) => {
+                    self.reasons.insert(record.what.to_string());
+                }
                 _ => {}
             }
         }
@@ -419,6 +465,7 @@
             }
             AgentAction::Stop { id } => self.stop(agent, id),
             AgentAction::Call(call) => self.call(agent, &call),
+            AgentAction::Exit => self.stopped_agents.push(agent),
             AgentAction::ListStreams => {
                 let streams = self.agents[agent].engine.running();
                 self.later(agent, 5, UpstreamEvent::Running { streams });
@@ -463,17 +510,19 @@
 
     fn call(&mut self, agent: usize, call: &wire::Call) {
         let id = call.id.unwrap_or_default();
-        let number = number_of(&call.body);
+        let number = call.headers.first().map_or(0, |header| number_of(&header.value));
         self.judge.ran(number);
         let lost = self.chance(self.faults.lose_call_answer);
         let reply = wire::CallReply {
             id: Some(id),
             status: 200,
-            body: if lost { Vec::new().into() } else { call.body.clone() },
+            body: if lost { Vec::new().into() } else { number.to_string().into() },
             error: if lost { "answer lost".to_string() } else { String::new() },
             ..wire::CallReply::default()
         };
-        let after_ms = self.rng.random_range(5..1_500);
+        let slow = self.chance(self.faults.slow_call);
+        let after_ms =
+            if slow { self.rng.random_range(1_000..1_500) } else { self.rng.random_range(5..900) };
         self.later(agent, after_ms, UpstreamEvent::CallDone { id, reply });
     }
 
@@ -549,6 +598,16 @@
             let agent = self.rng.random_range(0..self.agents.len());
             self.kill_agent(agent);
         }
+        if self.chance(self.faults.stop_agent) {
+            let agent = self.rng.random_range(0..self.agents.len());
+            self.agent_event(agent, AgentEvent::Leave);
+        }
+        if self.chance(self.faults.stop_entry) {
+            let entry = self.rng.random_range(0..ENTRIES);
+            let mut out = Vec::new();
+            self.entries[entry].core.leave(self.now, &mut out);
+            self.carry_out_entry(entry, out);
+        }
         if self.chance(self.faults.kill_entry) {
             let entry = self.rng.random_range(0..ENTRIES);
             self.kill_entry(entry);
@@ -569,6 +628,10 @@
         for entry in 0..ENTRIES {
             self.cut(entry, agent);
         }
+        self.replace_agent(agent);
+    }
+
+    fn replace_agent(&mut self, agent: usize) {
         let mut engine = std::mem::take(&mut self.agents[agent].engine);
         engine.lose_readers();
         engine.evict();
@@ -647,17 +710,16 @@
         }),
         Kind::Lookup | Kind::Booking(_) => {
             let is_booking = kind != Kind::Lookup;
-            let key = if let Kind::Booking(Some(key)) = kind {
-                Some(key.to_string().into())
-            } else {
-                None
-            };
+            let key = if let Kind::Booking(key) = kind { key } else { None };
+            let header = wire::Header { name: "x-number".to_string(), value: bytes.into() };
             ArrivalWork::Call(CallArrival {
                 service: "desk".into(),
                 method: if is_booking { "POST".into() } else { "GET".into() },
                 path: if is_booking { "/bookings".to_string() } else { "/reels".to_string() },
-                body: bytes.into(),
-                idempotency_key: key,
+                headers: vec![header],
+                // Two bookings with one key are the same booking.
+                body: key.unwrap_or(number).to_string().into(),
+                idempotency_key: key.map(|key| key.to_string().into()),
                 ..CallArrival::default()
             })
         }
