Drains and cut streams are checked for what they cost, too

Taking the wait of a stopping agent away, or the resume of a cut stream, failed no test: the answers were continued elsewhere, whole. The tests now also ask that no answer had to be continued, and that a cut stream was not prefilled again.

--- a/tests/core/simulation/sim.rs
+++ b/tests/core/simulation/sim.rs
@@ -720,7 +720,6 @@
                 // Two bookings with one key are the same booking.
                 body: key.unwrap_or(number).to_string().into(),
                 idempotency_key: key.map(|key| key.to_string().into()),
-                ..CallArrival::default()
             })
         }
     }
--- a/tests/processes/drains.rs
+++ b/tests/processes/drains.rs
@@ -67,6 +67,10 @@
     fleet.agents[agent].signal("TERM");
     all_whole(asked).await;
     assert!(fleet.agents[agent].wait_exit(), "the agent exits by itself");
+    let log = fleet.entries[0].log().join("\n");
+    for reason in ["retry-agent-lost", "retry-stream-failed"] {
+        assert!(!log.contains(reason), "no answer had to be continued elsewhere");
+    }
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/processes/kills.rs
+++ b/tests/processes/kills.rs
@@ -147,6 +147,8 @@
     let answer = fleet.caller(0).stream_completion("redator", &prompt, MAX_TOKENS, "any").await;
     assert_eq!(answer.text, standins::engine::answer(&prompt, MAX_TOKENS));
     assert!(answer.done, "the end of the stream came");
+    let prefills: u64 = fleet.prefills.iter().map(|engine| engine.prefilled().1).sum();
+    assert_eq!(prefills, 1, "the stream was resumed, not made again");
 }
 
 #[tokio::test(flavor = "multi_thread")]
