--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -4,6 +4,7 @@
 #[allow(dead_code, reason = "shared with the measurements")]
 mod fleet;
 
+mod carrying;
 mod claims;
 mod fold;
 mod ledger;
--- a/tests/core/replays.rs
+++ b/tests/core/replays.rs
@@ -123,15 +123,23 @@
     assert!(summary.settled_within_targets_percent >= WITHIN_TARGETS_PERCENT, "{summary:?}");
 }
 
+/// Every seed of the published measurement, beyond capacity, where the target
+/// is missed.
 #[test]
-fn waste_with_a_zone_lost_at_twice_the_capacity() {
+fn waste_with_a_zone_lost_beyond_capacity() {
     let (mix, snapshot) = user("associacao");
-    let faults = vec![(15_000, Fault::ZoneLost { zone: "caruaru".into() })];
-    let synthesis = Synthesis { load: 2.0, faults, ..Synthesis::default() };
-    let trace = synthesis::synthesize(&mix, &snapshot, &synthesis);
-    let summary = replay(&trace, &snapshot, &ReplayConfig::default()).expect("fits the manifest");
-    holds_what_must_always_hold(&summary);
-    assert!(summary.wasted_prefill_percent <= WASTE_WITH_FAULT_PERCENT, "{summary:?}");
+    let mut waste = Vec::new();
+    for (load, seed) in [(1.3, 1), (1.3, 2), (1.3, 3), (2.0, 1), (2.0, 2), (2.0, 3)] {
+        let faults = vec![(15_000, Fault::ZoneLost { zone: "caruaru".into() })];
+        let synthesis = Synthesis { load, seed, faults, ..Synthesis::default() };
+        let trace = synthesis::synthesize(&mix, &snapshot, &synthesis);
+        let config = ReplayConfig { seed, ..ReplayConfig::default() };
+        let summary = replay(&trace, &snapshot, &config).expect("fits the manifest");
+        holds_what_must_always_hold(&summary);
+        waste.push((load, seed, summary.wasted_prefill_percent));
+    }
+    let above = waste.iter().filter(|(_, _, percent)| *percent > WASTE_WITH_FAULT_PERCENT);
+    assert_eq!(above.count(), 0, "{waste:?}");
 }
 
 #[test]
