--- a/src/daemon/agent.rs
+++ b/src/daemon/agent.rs
@@ -86,9 +86,10 @@
 }
 
 async fn report(actor: ActorRef<AgentActor>) -> Report {
-    let json = actor.ask(GetStatus).await.unwrap_or_default();
-    let ready = json.contains("\"leaving\":false");
-    Report { ready, json }
+    match actor.ask(GetStatus).await {
+        Ok(status) => Report::new(!status.leaving, &status),
+        Err(_) => Report::default(),
+    }
 }
 
 fn config(settings: &AgentSettings) -> AgentConfig {
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -104,9 +104,10 @@
 }
 
 async fn report(actor: ActorRef<EntryActor>) -> Report {
-    let json = actor.ask(GetStatus).await.unwrap_or_default();
-    let ready = json.contains("\"ready\":true");
-    Report { ready, json }
+    match actor.ask(GetStatus).await {
+        Ok(status) => Report::new(status.ready, &status),
+        Err(_) => Report::default(),
+    }
 }
 
 fn config(settings: &EntrySettings) -> EntryConfig {
--- a/src/edge/agent_actor.rs
+++ b/src/edge/agent_actor.rs
@@ -67,7 +67,7 @@
 }
 
 /// State of the agent, for operators.
-#[derive(Debug, Clone, serde::Serialize)]
+#[derive(Debug, Clone, serde::Serialize, kameo::Reply)]
 pub struct AgentStatus {
     /// Generation of the manifest, 0 for none.
     pub generation: u64,
@@ -164,17 +164,16 @@
 }
 
 impl Message<GetStatus> for AgentActor {
-    type Reply = String;
+    type Reply = AgentStatus;
 
-    async fn handle(&mut self, _: GetStatus, _ctx: &mut Context<Self, Self::Reply>) -> String {
-        let status = AgentStatus {
+    async fn handle(&mut self, _: GetStatus, _ctx: &mut Context<Self, Self::Reply>) -> AgentStatus {
+        AgentStatus {
             generation: self.core.generation(),
             leaving: self.core.is_leaving(),
             held_blocks: self.core.held_blocks(),
             held_requests: self.core.held_requests(),
             entries: self.connections.len(),
-        };
-        serde_json::to_string(&status).expect("a status is plain data")
+        }
     }
 }
 
--- a/src/edge/entry_actor.rs
+++ b/src/edge/entry_actor.rs
@@ -109,7 +109,7 @@
 }
 
 /// State of the entry, for operators.
-#[derive(Debug, Clone, serde::Serialize)]
+#[derive(Debug, Clone, serde::Serialize, kameo::Reply)]
 pub struct EntryStatus {
     /// True if requests are taken up.
     pub ready: bool,
@@ -189,17 +189,16 @@
 }
 
 impl Message<GetStatus> for EntryActor {
-    type Reply = String;
+    type Reply = EntryStatus;
 
-    async fn handle(&mut self, _: GetStatus, _ctx: &mut Context<Self, Self::Reply>) -> String {
-        let status = EntryStatus {
+    async fn handle(&mut self, _: GetStatus, _ctx: &mut Context<Self, Self::Reply>) -> EntryStatus {
+        EntryStatus {
             ready: self.core.is_ready(),
             generation: self.core.generation(),
             open_requests: self.core.open_requests(),
             agents: self.core.view().iter().filter(|(_, agent)| agent.connected).count(),
             remembered_claims: self.core.remembered_claims(),
-        };
-        serde_json::to_string(&status).expect("a status is plain data")
+        }
     }
 }
 
--- a/src/edge/operators.rs
+++ b/src/edge/operators.rs
@@ -13,6 +13,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
+use serde::Serialize;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
@@ -20,7 +21,7 @@
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 
 /// What the process says of itself.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct Report {
     /// True if it may be given work.
     pub ready: bool,
@@ -28,6 +29,14 @@
     pub json: String,
 }
 
+impl Report {
+    /// The report of a process with that state.
+    pub fn new(ready: bool, status: &impl Serialize) -> Self {
+        let json = serde_json::to_string(status).expect("a status is plain data");
+        Self { ready, json }
+    }
+}
+
 /// Serves reports made by `report` until the token is cancelled.
 pub async fn serve<F, R>(listener: TcpListener, stop: CancellationToken, report: F)
 where
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -60,8 +60,10 @@
 use crate::schema::wire::to_agent::Kind as ToAgent;
 use crate::schema::wire::to_entry::Kind as ToEntry;
 
+/// What was seen of a model's answers.
 #[derive(Debug, Default)]
 struct ModelStats {
+    /// Mean share of the wanted tokens that an answer has.
     output_share: Option<f64>,
 }
 
--- a/src/entry/decoding.rs
+++ b/src/entry/decoding.rs
@@ -8,6 +8,7 @@
 use crate::entry::Decision;
 use crate::entry::EntryAction;
 use crate::entry::EntryCore;
+use crate::entry::generate::DEFAULT_OUTPUT_SHARE;
 use crate::entry::request::Phase;
 use crate::entry::request::RequestKey;
 use crate::entry::request::Work;
@@ -19,10 +20,12 @@
 use crate::schema::wire::AttemptId;
 use crate::schema::wire::to_agent::Kind as ToAgent;
 
+/// Time after the end of a result's life at which a transfer counts as lost,
+/// should its agent not have said so.
 const TRANSFER_GRACE: Duration = Duration::from_secs(1);
+/// A stream without a token for so long counts as lost.
 const STALL: Duration = Duration::from_secs(5);
 const SMOOTHING: f64 = 0.05;
-const INITIAL_SHARE: f64 = 0.6;
 const REASON_TRANSFER: &str = "transfer-failed";
 
 impl EntryCore {
@@ -129,7 +132,7 @@
         let output_tokens = generate.next_index;
         let share = f64::from(output_tokens) / f64::from(generate.max_tokens.max(1));
         let stats = self.stats.entry(model).or_default();
-        let known = stats.output_share.unwrap_or(INITIAL_SHARE);
+        let known = stats.output_share.unwrap_or(DEFAULT_OUTPUT_SHARE);
         stats.output_share = Some(known + SMOOTHING * (share - known));
         self.record(key, Decision::Finished, Some(agent), format!("tokens {output_tokens}"), out);
         let finish_reason = finish_reason.into();
--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -1,5 +1,5 @@
-//! A generated answer up to the end of its prefill: admission, the decode
-//! slot, and the prefill that is started just in time for it.
+//! A generated answer up to the end of its prefill: admission, and the prefill
+//! that is sent once a decode slot is in hand.
 
 use std::time::Duration;
 
@@ -37,11 +37,17 @@
 use crate::schema::wire::to_agent::Kind as ToAgent;
 
 const US_PER_MS: u32 = 1_000;
-const DEFAULT_OUTPUT_SHARE: f64 = 0.6;
+/// Share of the wanted tokens that an answer has, before any was seen.
+pub(super) const DEFAULT_OUTPUT_SHARE: f64 = 0.6;
+/// Prompt tokens that one output token counts for in an account's usage.
 const DECODE_TOKEN_WEIGHT: u32 = 4;
+/// Time that work which is late already may still take at each step.
 pub(super) const LATE_GRACE: Duration = Duration::from_secs(2);
+/// A prefill counts as lost after its predicted time, so many times over, and
+/// this on top.
 const PREFILL_SILENCE: Duration = Duration::from_secs(1);
 const PREFILL_SILENCE_FACTOR: u32 = 4;
+/// Pause before a begun answer asks for room again.
 const NO_ROOM_RETRY: Duration = Duration::from_millis(100);
 
 impl EntryCore {
--- a/src/replay/judge.rs
+++ b/src/replay/judge.rs
@@ -2,7 +2,6 @@
 //! invariants that hold on every replay.
 
 use std::collections::BTreeMap;
-use std::collections::HashMap;
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
@@ -309,6 +308,3 @@
     }
     histogram
 }
-
-/// Requests by their names on the wire.
-pub type RequestsByKey = HashMap<(usize, crate::entry::request::RequestKey), usize>;
--- a/src/schema/bamboodoor.manifest.rs
+++ b/src/schema/bamboodoor.manifest.rs
@@ -197,6 +197,7 @@
     /// Requests that must fail in a row before an upstream is ejected.
     #[prost(uint32, tag = "4")]
     pub ejection_failures: u32,
+    /// Length of the first ejection; each that follows is twice as long.
     #[prost(uint32, tag = "5")]
     pub ejection_ms: u32,
     /// Cost added for leaving the zone, and for leaving the region.
@@ -204,7 +205,7 @@
     pub cross_zone_cost_ms: u32,
     #[prost(uint32, tag = "8")]
     pub cross_region_cost_ms: u32,
-    /// Tries for one prefill result, transfers included.
+    /// Tries of one request, the first included.
     #[prost(uint32, tag = "9")]
     pub max_attempts: u32,
 }
