A fenced owner takes over only its own claim

Trace: entry A claimed the key (offset 14) and its call was stuck in a silent connection; entry B had A's try fenced, took the claim over (offset 15) and ran the booking; A, told that its try was rejected, claimed again over whoever owned the key, which was B's claim (offset 17), so that B's completion was void and a later request ran the booking again. Ruled out: a lost tombstone (A's stray call was rejected), a void takeover that counted (offset 17 named offset 15 rightly). Now a rejected owner claims again only over its own claim; else it meets the new owner like any other request.

New: silent connections with what was on its way arriving late, alone and while agents leave; a rolling replacement of every process under load.

--- a/src/entry/claiming.rs
+++ b/src/entry/claiming.rs
@@ -251,7 +251,15 @@
         claim_key: ClaimKey,
         out: &mut Vec<EntryAction>,
     ) {
-        let offset = self.claims.owner(claim_key).map(|owner| owner.offset);
+        let own = self.attempt_id(key, self.requests[key].attempt);
+        let owner = self.claims.owner(claim_key).cloned();
+        // Whoever fenced this try may have taken its claim over, and may run.
+        let is_own = |owner: &Owner| (owner.id.entry, owner.id.request) == (own.entry, own.request);
+        if let Some(other) = owner.as_ref().filter(|owner| !is_own(owner)) {
+            self.meet_owner(now, key, other, out);
+            return;
+        }
+        let offset = owner.map(|owner| owner.offset);
         let others = self.choose_service(now, key).is_some();
         if let Some(offset) = offset.filter(|_| others)
             && self.may_retry(now, key, RetryReason::CallNotRun, out)
@@ -260,8 +268,7 @@
             return;
         }
         if self.requests.contains_key(key) {
-            let id = self.attempt_id(key, self.requests[key].attempt);
-            self.complete_claim(claim_key, id, 0, true);
+            self.complete_claim(claim_key, own, 0, true);
             self.refuse_no_service(key, out);
         }
     }
--- a/tests/core/simulation.rs
+++ b/tests/core/simulation.rs
@@ -16,7 +16,7 @@
 use sim::Sim;
 use strum::IntoEnumIterator;
 
-const SEEDS: u64 = 40;
+const SEEDS: u64 = 100;
 
 fn holds_under(faults: Faults) {
     for seed in 0..SEEDS {
@@ -52,6 +52,8 @@
     nothing_fails: Faults::default();
     callers_hang_up: Faults { hang_up: 0.02, ..Faults::default() };
     connections_are_cut: Faults { cut: 0.02, ..Faults::default() };
+    connections_are_silent: Faults { partition: 0.03, ..Faults::default() };
+    silent_while_agents_leave: Faults { partition: 0.03, stop_agent: 0.01, ..Faults::default() };
     agents_are_killed: Faults { kill_agent: 0.006, ..Faults::default() };
     entries_are_killed: Faults { kill_entry: 0.004, ..Faults::default() };
     entries_are_frozen_past_their_lease: Faults { freeze_entry: 0.004, ..Faults::default() };
@@ -66,6 +68,7 @@
         stop_entry: 0.002,
         hang_up: 0.01,
         cut: 0.01,
+        partition: 0.005,
         kill_agent: 0.003,
         kill_entry: 0.002,
         freeze_entry: 0.002,
--- a/tests/core/simulation/sim.rs
+++ b/tests/core/simulation/sim.rs
@@ -42,6 +42,7 @@
 const POOLS: [&str; 3] = ["prefill", "decode", "desk"];
 const AGENTS_PER_POOL: usize = 2;
 const ENTRIES: usize = 2;
+const LEASE: Duration = Duration::from_secs(3);
 const FREEZE: Duration = Duration::from_secs(4);
 const RECONNECT: Duration = Duration::from_millis(300);
 const OUTAGE: Duration = Duration::from_millis(800);
@@ -52,6 +53,8 @@
 pub struct Faults {
     pub hang_up: f64,
     pub cut: f64,
+    /// A connection carries nothing for a while, and nobody is told.
+    pub partition: f64,
     pub kill_agent: f64,
     pub kill_entry: f64,
     pub freeze_entry: f64,
@@ -88,6 +91,8 @@
     /// The agent closed it; the entry finds out after what is in the queue.
     closed: bool,
     down_until: Duration,
+    parted_from: Duration,
+    parted_until: Duration,
     to_agent: VecDeque<ToAgent>,
     to_entry: VecDeque<ToEntry>,
 }
@@ -111,6 +116,7 @@
     log: Vec<ClaimBatch>,
     log_down_until: Duration,
     appends: Vec<(Duration, usize, u64, ClaimBatch)>,
+    strays: Vec<(Duration, usize, u64, ToAgent)>,
     judge: Judge,
     reasons: BTreeSet<String>,
     stopped_agents: Vec<usize>,
@@ -133,6 +139,7 @@
             log: Vec::new(),
             log_down_until: Duration::ZERO,
             appends: Vec::new(),
+            strays: Vec::new(),
             judge: Judge::default(),
             reasons: BTreeSet::new(),
             stopped_agents: Vec::new(),
@@ -267,7 +274,15 @@
     fn step(&mut self) {
         self.now += STEP;
         self.replace_stopped();
+        self.deliver_strays();
         self.keep_connected();
+        for entry in 0..ENTRIES {
+            for agent in 0..self.agents.len() {
+                if self.is_awake(entry) {
+                    self.notice_partition(entry, agent);
+                }
+            }
+        }
         self.run_upstreams();
         self.run_log();
         for entry in 0..ENTRIES {
@@ -336,7 +351,37 @@
         }
     }
 
+    /// Both ends wait for a lease before they take a silent connection for lost.
+    /// What was on its way still arrives when the network is back.
+    fn notice_partition(&mut self, entry: usize, agent: usize) {
+        let link = self.links.entry((entry, agent)).or_default();
+        let parted = self.now < link.parted_until;
+        if !parted || self.now < link.parted_from + LEASE || !(link.connected || link.closed) {
+            return;
+        }
+        let back_at = link.parted_until;
+        let incarnation = self.entries[entry].incarnation;
+        for message in std::mem::take(&mut link.to_agent) {
+            self.strays.push((back_at, agent, incarnation, message));
+        }
+        self.notice_closed(entry, agent);
+        self.links.entry((entry, agent)).or_default().down_until = back_at;
+    }
+
+    fn deliver_strays(&mut self) {
+        for (at, agent, entry, message) in std::mem::take(&mut self.strays) {
+            if self.now >= at {
+                self.agent_event(agent, AgentEvent::FromEntry { entry, message });
+            } else {
+                self.strays.push((at, agent, entry, message));
+            }
+        }
+    }
+
     fn deliver(&mut self, entry: usize, agent: usize) {
+        if self.now < self.links.entry((entry, agent)).or_default().parted_until {
+            return;
+        }
         let incarnation = self.entries[entry].incarnation;
         let count = self.rng.random_range(0..6);
         for _ in 0..count {
@@ -594,6 +639,15 @@
                 (self.rng.random_range(0..ENTRIES), self.rng.random_range(0..self.agents.len()));
             self.cut(entry, agent);
         }
+        if self.chance(self.faults.partition) {
+            let (entry, agent) =
+                (self.rng.random_range(0..ENTRIES), self.rng.random_range(0..self.agents.len()));
+            let lasts = Duration::from_millis(self.rng.random_range(500..6_000));
+            let now = self.now;
+            let link = self.links.entry((entry, agent)).or_default();
+            link.parted_from = now;
+            link.parted_until = now + lasts;
+        }
         if self.chance(self.faults.kill_agent) {
             let agent = self.rng.random_range(0..self.agents.len());
             self.kill_agent(agent);
--- a/tests/processes/drains.rs
+++ b/tests/processes/drains.rs
@@ -1,10 +1,16 @@
 //! Planned stops, and upstreams that leave.
 
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use crate::fleet::Fleet;
 use crate::fleet::FleetConfig;
 use crate::fleet::eventually;
+use standins::caller::Caller;
 use standins::caller::Streamed;
 use standins::engine::EngineConfig;
 use tokio::task::JoinHandle;
@@ -107,3 +113,67 @@
     tokio::time::sleep(Duration::from_millis(500)).await;
     all_whole(ask(&fleet)).await;
 }
+
+/// Every process is replaced, one after the other, while callers keep asking.
+/// A caller that is refused as not run asks again, as it is told to.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rolling_replacement_of_everything_cuts_off_nothing() {
+    let config =
+        FleetConfig { prefills: 2, entries: 2, engine: slow_engine(), ..FleetConfig::default() };
+    let mut fleet = Fleet::start(config).await;
+    let addresses = Arc::new(Mutex::new(fleet.entry_addresses()));
+    let stop = Arc::new(AtomicBool::new(false));
+    let callers: Vec<JoinHandle<usize>> = (0..CALLERS)
+        .map(|number| tokio::spawn(keep_asking(number, addresses.clone(), stop.clone())))
+        .collect();
+    for name in ["prefill-0", "prefill-1", "decode-0", "decode-1", "desk-0"] {
+        fleet.replace_agent(name).await;
+    }
+    for number in 0..2 {
+        // The balancer takes the entry out first.
+        addresses.lock().expect("no holder panics").remove(0);
+        fleet.replace_entry(number).await;
+        *addresses.lock().expect("no holder panics") = fleet.entry_addresses();
+    }
+    stop.store(true, Ordering::SeqCst);
+    let mut answered = 0;
+    for caller in callers {
+        answered += caller.await.expect("no answer was cut off");
+    }
+    assert!(answered > CALLERS, "{answered} answers came");
+    eventually("no blocks are held", async || fleet.held_blocks() == 0).await;
+}
+
+const CALLERS: usize = 4;
+
+async fn keep_asking(
+    caller: usize,
+    addresses: Arc<Mutex<Vec<SocketAddr>>>,
+    stop: Arc<AtomicBool>,
+) -> usize {
+    let mut answered = 0;
+    for number in 0.. {
+        if stop.load(Ordering::SeqCst) {
+            break;
+        }
+        let address = {
+            let addresses = addresses.lock().expect("no holder panics");
+            addresses[number % addresses.len()]
+        };
+        let prompt = prompt(caller * 1_000 + number);
+        let body =
+            serde_json::json!({ "model": "redator", "prompt": prompt, "max_tokens": MAX_TOKENS });
+        let (status, answer) =
+            Caller::new(address).call("POST", "/v1/completions", None, &body.to_string()).await;
+        let json: serde_json::Value = serde_json::from_str(&answer).unwrap_or_default();
+        if status == 200 {
+            let expected = standins::engine::answer(&prompt, MAX_TOKENS);
+            assert_eq!(json["choices"][0]["text"], expected);
+            answered += 1;
+        } else {
+            assert_eq!(json["outcome"], "not-run", "status {status}: {answer}");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+    answered
+}
--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -273,6 +273,36 @@
         entry.status().await["generation"].as_u64().unwrap_or(0)
     }
 
+    /// Addresses that callers may use.
+    pub fn entry_addresses(&self) -> Vec<SocketAddr> {
+        self.entries.iter().map(|entry| entry.address).collect()
+    }
+
+    /// Stops an agent as planned and starts its successor in the same slot.
+    pub async fn replace_agent(&mut self, name: &str) {
+        let index = self.agents.iter().position(|agent| agent.name == name).expect("was started");
+        self.agents[index].signal("TERM");
+        let mut old = self.agents.remove(index);
+        let old = tokio::task::spawn_blocking(move || old.wait_exit()).await;
+        assert!(old.expect("does not panic"), "{name} exits by itself");
+        let (pool, number) = name.rsplit_once('-').expect("is pool and number");
+        let number = number.parse().expect("is a number");
+        self.add_agent(pool, number, self.upstream_of(name));
+        self.wait_ready().await;
+    }
+
+    /// Stops an entry as planned and starts its successor.
+    pub async fn replace_entry(&mut self, number: usize) {
+        let name = format!("entry-{number}");
+        let index = self.entries.iter().position(|entry| entry.name == name).expect("was started");
+        self.entries[index].signal("TERM");
+        let mut old = self.entries.remove(index);
+        let old = tokio::task::spawn_blocking(move || old.wait_exit()).await;
+        assert!(old.expect("does not panic"), "{name} exits by itself");
+        self.add_entry(number);
+        self.wait_ready().await;
+    }
+
     /// Address of the upstream beside an agent.
     pub fn upstream_of(&self, name: &str) -> SocketAddr {
         self.upstreams.iter().find(|(agent, _)| agent == name).expect("was started").1
