A refusal whose not-run could not be shown says unknown

Found by reading, not by a run: when the entry's actor ended after a request was handed to it and before it answered with the key, the caller was told not-run, though the core may have taken the request up. Ruled out: the refusal before it, where the hand-over itself failed and nothing was sent, stays not-run. No test provokes it: it needs the actor to end between two messages.

--- a/src/edge/caller.rs
+++ b/src/edge/caller.rs
@@ -43,6 +43,7 @@
 use crate::entry::request::Arrival;
 use crate::entry::request::ArrivalWork;
 use crate::entry::request::CallArrival;
+use crate::outcome::Outcome;
 use crate::outcome::Refusal;
 use crate::outcome::RefusalReason;
 use crate::schema::wire;
@@ -266,10 +267,13 @@
     async fn arrive(&self, arrival: Arrival) -> Result<Answers, Refusal> {
         let (answers, receiver) = mpsc::unbounded_channel();
         let (key_sender, key) = oneshot::channel();
-        let shutting_down = || Refusal::not_run(RefusalReason::ShuttingDown, Some(NOT_READY_RETRY));
+        let reason = RefusalReason::ShuttingDown;
         let input = EntryInput::Arrive { arrival, answers, key: key_sender };
-        self.actor.tell(input).try_send().map_err(|_| shutting_down())?;
-        let key = key.await.map_err(|_| shutting_down())?;
+        let sent = self.actor.tell(input).try_send();
+        sent.map_err(|_| Refusal::not_run(reason, Some(NOT_READY_RETRY)))?;
+        // The core may have taken the request up before it was gone.
+        let taken = key.await;
+        let key = taken.map_err(|_| Refusal::with_outcome(reason, Outcome::Unknown))?;
         Ok(Answers::new(receiver, key, self.actor.clone()))
     }
 }
--- a/tests/processes/kills.rs
+++ b/tests/processes/kills.rs
@@ -117,10 +117,10 @@
     eventually("no blocks are held", async || fleet.held_blocks() == 0).await;
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn an_answer_is_continued_elsewhere_when_its_agent_is_killed() {
-    let mut fleet =
-        Fleet::start(FleetConfig { engine: slow_engine(), ..FleetConfig::default() }).await;
+/// Sends a signal to the decode agent in the middle of its stream, and checks
+/// that the answer comes whole. Returns the fleet and the agent's position.
+async fn answer_despite(signal: &str) -> (Fleet, usize) {
+    let fleet = Fleet::start(FleetConfig { engine: slow_engine(), ..FleetConfig::default() }).await;
     let prompt = long_prompt();
     let caller = fleet.caller(0);
     let sent = prompt.clone();
@@ -133,31 +133,21 @@
     let busy = fleet.decodes.iter().position(|engine| engine.streams() > 0).expect("one streams");
     let name = format!("decode-{busy}");
     let agent = fleet.agents.iter().position(|agent| agent.name == name).expect("was started");
-    fleet.agents[agent].kill();
+    fleet.agents[agent].signal(signal);
     let answer = asked.await.expect("the caller does not panic");
     assert_eq!(answer.text, standins::engine::answer(&prompt, MAX_TOKENS));
     assert!(answer.done, "the end of the stream came");
+    (fleet, agent)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_is_continued_elsewhere_when_its_agent_is_killed() {
+    answer_despite("KILL").await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_is_continued_elsewhere_when_its_agent_is_frozen() {
-    let fleet = Fleet::start(FleetConfig { engine: slow_engine(), ..FleetConfig::default() }).await;
-    let prompt = long_prompt();
-    let caller = fleet.caller(0);
-    let sent = prompt.clone();
-    let asked =
-        tokio::spawn(
-            async move { caller.stream_completion("redator", &sent, MAX_TOKENS, "any").await },
-        );
-    streaming(&fleet).await;
-    tokio::time::sleep(Duration::from_millis(300)).await;
-    let busy = fleet.decodes.iter().position(|engine| engine.streams() > 0).expect("one streams");
-    let name = format!("decode-{busy}");
-    let agent = fleet.agents.iter().position(|agent| agent.name == name).expect("was started");
-    fleet.agents[agent].signal("STOP");
-    let answer = asked.await.expect("the caller does not panic");
-    assert_eq!(answer.text, standins::engine::answer(&prompt, MAX_TOKENS));
-    assert!(answer.done, "the end of the stream came");
+    let (fleet, agent) = answer_despite("STOP").await;
     // Woken past its lease, it frees what nobody waits for any more.
     fleet.agents[agent].signal("CONT");
     eventually("no blocks are held", async || fleet.held_blocks() == 0).await;
