An entry that talks to upstreams itself, on the users' platform

The entry now holds decode room at the engine, has the prompt prefilled, then has the output generated, with no agent on the way.

Ruled out: the present agents on the data path; the service instances have no slot for one, and the engine's own reservation is the serial point that the agent was for.

--- a/src/edge.rs
+++ b/src/edge.rs
@@ -5,6 +5,7 @@
 mod answers;
 pub mod body;
 pub mod caller;
+pub mod direct;
 pub mod entry_actor;
 pub mod entry_peers;
 pub mod frames;
--- /dev/null
+++ b/src/edge/direct.rs
@@ -0,0 +1,12 @@
+//! The sockets of an entry that talks to upstreams itself.
+//!
+//! Everything here runs on one thread: an entry has a fraction of a core, and
+//! each hop between threads or actors is a wake-up that it pays for.
+
+pub mod answer;
+pub mod connections;
+pub mod dispatch;
+pub mod following;
+pub mod server;
+pub mod sse;
+pub mod upstream_client;
--- /dev/null
+++ b/src/edge/direct/following.rs
@@ -0,0 +1,247 @@
+//! Follows the platform's store: configuration and instance list.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use tokio_util::sync::CancellationToken;
+
+use crate::edge::direct::dispatch::Dispatcher;
+use crate::edge::direct::upstream_client::UpstreamClient;
+use crate::router::configuration::RouteTable;
+use crate::router::follow::Cursor;
+use crate::router::follow::Feed;
+use crate::router::follow::Pace;
+use crate::router::follow::Read;
+use crate::router::listing::ListRecord;
+
+/// One record of a feed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoreRecord {
+    /// Key.
+    pub key: CompactString,
+    /// Place in the feed.
+    pub offset: u64,
+    /// What it says; `None` if the key was removed.
+    pub value: Option<Bytes>,
+}
+
+/// A page of the newest record of each key.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct NewestPage {
+    /// The records, by key.
+    pub records: Vec<StoreRecord>,
+    /// More pages follow.
+    pub more: bool,
+    /// Offset that the next record gets.
+    pub end: u64,
+}
+
+/// The records from an offset on.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Changes {
+    /// The records, in order.
+    pub records: Vec<StoreRecord>,
+    /// Offset to read from next.
+    pub end: u64,
+}
+
+/// Why a read of the store failed.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum StoreError {
+    /// The records asked for are gone.
+    #[error("the history is gone")]
+    HistoryLost,
+    /// The store turned the call away.
+    #[error("status {0}")]
+    Refused(u16),
+    /// No answer, or one that cannot be read.
+    #[error("{0}")]
+    Unreachable(String),
+}
+
+/// The platform's store. Each call is made once; nothing is decided here.
+#[allow(async_fn_in_trait, reason = "entries run on one thread")]
+pub trait Store: 'static {
+    /// Reads a page of the newest record of each key, after a key.
+    async fn newest(
+        &self,
+        feed: Feed,
+        after: Option<&str>,
+        timeout: Duration,
+    ) -> Result<NewestPage, StoreError>;
+
+    /// Reads the records from an offset on; the store may hold the answer back
+    /// for `wait` until there is one.
+    async fn changes(
+        &self,
+        feed: Feed,
+        from: u64,
+        wait: Duration,
+        timeout: Duration,
+    ) -> Result<Changes, StoreError>;
+
+    /// Reads a record of the list.
+    fn list_record(&self, record: StoreRecord) -> ListRecord;
+
+    /// Reads a configuration. `None`: the record is about something else.
+    ///
+    /// # Errors
+    /// What is wrong with it.
+    fn route_table(&self, record: &StoreRecord) -> Option<Result<RouteTable, String>>;
+}
+
+/// Follows one feed until the token is cancelled.
+pub async fn follow<S: Store, U: UpstreamClient>(
+    store: Rc<S>,
+    feed: Feed,
+    dispatcher: Rc<Dispatcher<U>>,
+    stop: CancellationToken,
+) {
+    let pace = Pace::of(feed);
+    let mut follower = Follower { store, feed, dispatcher, cursor: Cursor::default(), up: true };
+    while !stop.is_cancelled() {
+        let pause = match follower.read(&pace).await {
+            Ok(()) => follower.reached(&pace),
+            Err(error) => follower.failed(&pace, &error),
+        };
+        tokio::select! {
+            () = stop.cancelled() => {}
+            () = tokio::time::sleep(pause) => {}
+        }
+    }
+}
+
+struct Follower<S, U> {
+    store: Rc<S>,
+    feed: Feed,
+    dispatcher: Rc<Dispatcher<U>>,
+    cursor: Cursor,
+    up: bool,
+}
+
+impl<S: Store, U: UpstreamClient> Follower<S, U> {
+    async fn read(&mut self, pace: &Pace) -> Result<(), StoreError> {
+        match self.cursor.next().clone() {
+            Read::Newest { after } => {
+                let page = self.store.newest(self.feed, after.as_deref(), pace.timeout).await?;
+                self.note_reached();
+                let keys = page.records.iter().map(|record| record.key.clone()).collect();
+                self.take_in(page.records);
+                if let Some((keys, end)) = self.cursor.page(keys, page.more, page.end) {
+                    self.take_whole(&keys, end);
+                }
+            }
+            Read::Changes { from } => {
+                let timeout = pace.wait + pace.timeout;
+                let changes = self.store.changes(self.feed, from, pace.wait, timeout).await?;
+                self.note_reached();
+                self.take_in(changes.records);
+                self.cursor.changed(changes.end);
+            }
+        }
+        Ok(())
+    }
+
+    fn note_reached(&mut self) {
+        let now = self.dispatcher.now();
+        if self.feed == Feed::Upstreams {
+            self.dispatcher.router.borrow_mut().listing().0.reached(now);
+        }
+        if !std::mem::replace(&mut self.up, true) {
+            spdlog::info!("store-reached", kv: { feed: = self.feed });
+        }
+    }
+
+    fn reached(&mut self, pace: &Pace) -> Duration {
+        if self.feed == Feed::Upstreams {
+            let now = self.dispatcher.now();
+            let mut router = self.dispatcher.router.borrow_mut();
+            let (listing, fleet) = router.listing();
+            for id in listing.expire(now, fleet) {
+                spdlog::info!("upstream-lapsed", kv: { upstream: = id });
+            }
+        }
+        match self.cursor.next() {
+            Read::Newest { .. } => Duration::ZERO,
+            Read::Changes { .. } => pace.pause,
+        }
+    }
+
+    fn failed(&mut self, pace: &Pace, error: &StoreError) -> Duration {
+        if *error == StoreError::HistoryLost {
+            spdlog::info!("history-lost", kv: { feed: = self.feed });
+            self.cursor.history_lost();
+            return Duration::ZERO;
+        }
+        if self.feed == Feed::Upstreams {
+            self.dispatcher.router.borrow_mut().listing().0.lost();
+        }
+        if std::mem::replace(&mut self.up, false) {
+            spdlog::warn!("store-lost", kv: { feed: = self.feed, detail: = error });
+        }
+        pace.retry
+    }
+
+    fn take_in(&self, records: Vec<StoreRecord>) {
+        match self.feed {
+            Feed::Configuration => records.iter().for_each(|record| self.configure(record)),
+            Feed::Upstreams => records.into_iter().for_each(|record| self.list(record)),
+        }
+    }
+
+    fn configure(&self, record: &StoreRecord) {
+        match self.store.route_table(record) {
+            Some(Ok(table)) => {
+                let version = table.version;
+                let routes = table.routes.len();
+                let taken = self.dispatcher.router.borrow_mut().configure(table);
+                spdlog::info!("configuration", kv: {
+                    generation = version,
+                    routes = routes,
+                    taken = taken,
+                    offset = record.offset
+                });
+            }
+            Some(Err(error)) => {
+                let offset = record.offset;
+                spdlog::warn!("configuration-unreadable", kv: { offset = offset, detail: = error });
+            }
+            None => {}
+        }
+    }
+
+    fn list(&self, record: StoreRecord) {
+        let now = self.dispatcher.now();
+        let record = self.store.list_record(record);
+        let (id, offset) = (record.id.clone(), record.offset);
+        let what = match &record.entry {
+            crate::router::listing::ListEntry::Present(listed) if listed.leaving => "leaving",
+            crate::router::listing::ListEntry::Present(_) => "present",
+            crate::router::listing::ListEntry::Removed => "removed",
+            crate::router::listing::ListEntry::Unreadable => "unreadable",
+        };
+        let mut router = self.dispatcher.router.borrow_mut();
+        let (listing, fleet) = router.listing();
+        if listing.apply(now, record, fleet) {
+            spdlog::info!("upstream-listed", kv: {
+                upstream: = id,
+                state = what,
+                offset = offset
+            });
+        }
+    }
+
+    fn take_whole(&self, keys: &[CompactString], end: u64) {
+        if self.feed != Feed::Upstreams {
+            return;
+        }
+        let now = self.dispatcher.now();
+        let mut router = self.dispatcher.router.borrow_mut();
+        let (listing, fleet) = router.listing();
+        let gone = listing.whole(now, keys, end, fleet);
+        let listed = fleet.len();
+        spdlog::info!("list-read", kv: { upstreams = listed, gone = gone, offset = end });
+    }
+}
--- a/src/edge/problem.rs
+++ b/src/edge/problem.rs
@@ -38,6 +38,7 @@
         RefusalReason::UnknownAccount => StatusCode::FORBIDDEN,
         RefusalReason::UnknownModel | RefusalReason::UnknownService => StatusCode::NOT_FOUND,
         RefusalReason::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        RefusalReason::HeaderTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
         RefusalReason::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
         RefusalReason::KeyInProgress | RefusalReason::KeyCompleted => StatusCode::CONFLICT,
         RefusalReason::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,5 +17,6 @@
 pub mod outcome;
 pub mod policy;
 pub mod replay;
+pub mod router;
 pub mod schema;
 pub mod settings;
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -36,6 +36,8 @@
     PromptTooLong,
     /// The body is larger than the settings allow.
     BodyTooLarge,
+    /// The head is larger than the configuration allows.
+    HeaderTooLarge,
     /// The body came too slowly.
     BodyTimeout,
     /// The entry has as many connections as the settings allow.
--- /dev/null
+++ b/src/router.rs
@@ -0,0 +1,205 @@
+//! The decision core of an entry that talks to upstreams itself.
+//!
+//! A request is a small state machine: it starts with one [`Step`], and each
+//! [`Event`] that came of a step leads to the next one. Times, random numbers
+//! and events come in; no socket is touched here.
+
+pub mod budget;
+pub mod configuration;
+pub mod fleet;
+pub mod flow;
+pub mod follow;
+mod generate;
+pub mod listing;
+mod plain;
+mod pools;
+pub mod request;
+pub mod room;
+
+pub use flow::Cleanup;
+pub use flow::Event;
+pub use flow::Step;
+pub use flow::Target;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use slotmap::SlotMap;
+
+use crate::outcome::Refusal;
+use crate::outcome::RefusalReason;
+use crate::router::budget::BudgetLimits;
+use crate::router::budget::RetryWindow;
+use crate::router::configuration::RouteTable;
+use crate::router::fleet::Fleet;
+use crate::router::listing::Listing;
+use crate::router::request::Inquiry;
+use crate::router::request::Request;
+use crate::router::request::RequestKey;
+use crate::router::room::RoomQueue;
+
+/// What one entry is told at its start.
+#[derive(Debug, Clone)]
+pub struct RouterConfig {
+    /// Availability zone of this entry.
+    pub zone: CompactString,
+    /// Seed of the random source.
+    pub random_seed: u64,
+    /// Limits of what may be sent to a service beyond the first try.
+    pub budget: BudgetLimits,
+    /// How long entries of the instance list stay usable after they vanished
+    /// while the list could not be read, counted from its return.
+    pub lapse_grace: Duration,
+}
+
+impl Default for RouterConfig {
+    fn default() -> Self {
+        Self {
+            zone: CompactString::default(),
+            random_seed: 0,
+            budget: BudgetLimits::default(),
+            lapse_grace: Duration::from_secs(2),
+        }
+    }
+}
+
+/// The decision core of one entry.
+#[derive(Debug)]
+pub struct Router {
+    config: RouterConfig,
+    table: Option<Arc<RouteTable>>,
+    fleet: Fleet,
+    listing: Listing,
+    requests: SlotMap<RequestKey, Request>,
+    rooms: HashMap<CompactString, RoomQueue>,
+    budgets: HashMap<CompactString, RetryWindow>,
+    woken: Vec<RequestKey>,
+    rng: ChaCha8Rng,
+    leaving: bool,
+}
+
+/// How long a caller is asked to stay away from an entry that cannot serve it
+/// for reasons of its own, when another entry may.
+const ELSEWHERE_RETRY: Duration = Duration::from_millis(300);
+
+impl Router {
+    /// A core without configuration, upstreams or requests.
+    pub fn new(config: RouterConfig) -> Self {
+        Self {
+            table: None,
+            fleet: Fleet::default(),
+            listing: Listing::new(config.lapse_grace),
+            requests: SlotMap::with_key(),
+            rooms: HashMap::new(),
+            budgets: HashMap::new(),
+            woken: Vec::new(),
+            rng: ChaCha8Rng::seed_from_u64(config.random_seed),
+            leaving: false,
+            config,
+        }
+    }
+
+    /// The configuration in force.
+    pub fn table(&self) -> Option<&Arc<RouteTable>> {
+        self.table.as_ref()
+    }
+
+    /// Takes up a configuration, unless one as new is in force. True if taken.
+    pub fn configure(&mut self, table: RouteTable) -> bool {
+        let newer = self.table.as_ref().is_none_or(|known| known.version < table.version);
+        if newer {
+            self.table = Some(Arc::new(table));
+        }
+        newer
+    }
+
+    /// What is known of the upstreams.
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
+    /// The fold of the instance list, with the fleet that it feeds.
+    pub fn listing(&mut self) -> (&mut Listing, &mut Fleet) {
+        (&mut self.listing, &mut self.fleet)
+    }
+
+    /// True if the entry may be given requests.
+    pub fn is_ready(&self) -> bool {
+        self.table.is_some() && !self.leaving
+    }
+
+    /// True once a planned stop was asked for.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Begins a planned stop: the entry is no longer ready.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Requests in flight.
+    pub fn open_requests(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Requests that wait for room and may go on now.
+    pub fn take_woken(&mut self) -> Vec<RequestKey> {
+        std::mem::take(&mut self.woken)
+    }
+
+    /// Takes up a request. Without a key it is refused.
+    ///
+    /// # Errors
+    /// The refusal: no configuration, or no route for host and path.
+    pub fn arrive(&mut self, now: Duration, inquiry: Inquiry) -> Result<RequestKey, Refusal> {
+        let Some(table) = self.table.clone() else {
+            return Err(Refusal::not_run(RefusalReason::NotReady, Some(ELSEWHERE_RETRY)));
+        };
+        let Some(route) = table.route(&inquiry.host, &inquiry.path) else {
+            return Err(Refusal::not_run(RefusalReason::UnknownService, None));
+        };
+        let service = table.routes[route].pick_destination(&mut self.rng);
+        self.budget(&service).request(now);
+        let request = Request::new(now, inquiry, table, route, service);
+        Ok(self.requests.insert(request))
+    }
+
+    /// The request behind a key.
+    pub fn request(&self, key: RequestKey) -> Option<&Request> {
+        self.requests.get(key)
+    }
+
+    /// The first step of a request.
+    pub fn begin(&mut self, now: Duration, key: RequestKey) -> Step {
+        self.advance(now, key, Event::Started)
+    }
+
+    /// The step that follows what came of the one before.
+    pub fn advance(&mut self, now: Duration, key: RequestKey, event: Event) -> Step {
+        if self.requests[key].prompt.is_some() {
+            self.advance_generate(now, key, event)
+        } else {
+            self.advance_plain(now, key, event)
+        }
+    }
+
+    /// The request is over or its caller is gone. Tells what is still held.
+    pub fn finish(&mut self, now: Duration, key: RequestKey) -> Vec<Cleanup> {
+        let Some(request) = self.requests.get_mut(key) else { return Vec::new() };
+        let cleanup = request.take_held();
+        self.leave_room(now, key);
+        self.settle(key);
+        self.requests.remove(key);
+        cleanup
+    }
+
+    fn budget(&mut self, service: &CompactString) -> &mut RetryWindow {
+        let limits = self.config.budget;
+        self.budgets.entry(service.clone()).or_insert_with(|| RetryWindow::new(limits))
+    }
+}
--- /dev/null
+++ b/src/router/budget.rs
@@ -0,0 +1,68 @@
+//! How many sends beyond the first of each request a service may get.
+//!
+//! Entries do not coordinate. Each keeps to the ratio over its own requests and
+//! to its share of the fixed allowance, so the sum keeps to the whole.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Limits of one service, over all entries.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BudgetLimits {
+    /// Extra sends allowed per request.
+    pub ratio: f64,
+    /// Length of the sliding window.
+    pub window: Duration,
+    /// Extra sends allowed beside the ratio, for all entries together.
+    pub allowance: f64,
+    /// Entries that share the allowance.
+    pub entries: u32,
+}
+
+impl Default for BudgetLimits {
+    fn default() -> Self {
+        Self { ratio: 0.2, window: Duration::from_secs(10), allowance: 50.0, entries: 16 }
+    }
+}
+
+/// What one entry sent to one service within the window.
+#[derive(Debug, Clone)]
+pub struct RetryWindow {
+    limits: BudgetLimits,
+    requests: VecDeque<Duration>,
+    extras: VecDeque<Duration>,
+}
+
+impl RetryWindow {
+    /// Nothing sent yet.
+    pub fn new(limits: BudgetLimits) -> Self {
+        Self { limits, requests: VecDeque::new(), extras: VecDeque::new() }
+    }
+
+    /// A request for the service arrived.
+    pub fn request(&mut self, now: Duration) {
+        self.requests.push_back(now);
+        self.expire(now);
+    }
+
+    /// Takes one extra send out of the budget. False if there is none left.
+    pub fn spend(&mut self, now: Duration) -> bool {
+        self.expire(now);
+        let share = self.limits.allowance / f64::from(self.limits.entries.max(1));
+        let allowed = self.limits.ratio * self.requests.len() as f64 + share;
+        if (self.extras.len() + 1) as f64 > allowed {
+            return false;
+        }
+        self.extras.push_back(now);
+        true
+    }
+
+    fn expire(&mut self, now: Duration) {
+        let expired = |sent: &Duration| *sent + self.limits.window <= now;
+        for sends in [&mut self.requests, &mut self.extras] {
+            while sends.front().is_some_and(expired) {
+                sends.pop_front();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/router/follow.rs
@@ -0,0 +1,123 @@
+//! How the records of the platform's store are followed.
+//!
+//! A feed is read whole once, then from the offset that the reading began at.
+//! When the history up to that offset is gone, it is read whole again.
+
+use std::time::Duration;
+
+use compact_str::CompactString;
+
+/// What an entry follows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, strum::Display, strum::EnumIter)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Feed {
+    /// The configuration.
+    Configuration,
+    /// The list of upstreams.
+    Upstreams,
+}
+
+/// How a feed is followed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Pace {
+    /// How long the store may hold a read back until there is a record.
+    pub wait: Duration,
+    /// Pause between two reads.
+    pub pause: Duration,
+    /// Pause after a read that failed.
+    pub retry: Duration,
+    /// How long the answer may take beyond `wait`.
+    pub timeout: Duration,
+}
+
+impl Pace {
+    /// The pace of a feed.
+    pub fn of(feed: Feed) -> Self {
+        match feed {
+            Feed::Configuration => Self { wait: Duration::from_millis(1_000), ..Self::default() },
+            Feed::Upstreams => Self { pause: Duration::from_millis(700), ..Self::default() },
+        }
+    }
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Self {
+            wait: Duration::ZERO,
+            pause: Duration::ZERO,
+            retry: Duration::from_millis(300),
+            timeout: Duration::from_millis(700),
+        }
+    }
+}
+
+/// What to read next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Read {
+    /// A page of the newest record of each key, after a key.
+    Newest {
+        /// The last key of the page before.
+        after: Option<CompactString>,
+    },
+    /// The records from an offset on.
+    Changes {
+        /// The offset.
+        from: u64,
+    },
+}
+
+/// Where the reading of one feed stands.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Cursor {
+    next: Read,
+    /// Keys of the pages read so far, and the end when the first was read.
+    keys: Vec<CompactString>,
+    end: u64,
+}
+
+impl Default for Cursor {
+    fn default() -> Self {
+        Self { next: Read::Newest { after: None }, keys: Vec::new(), end: 0 }
+    }
+}
+
+impl Cursor {
+    /// What to read next.
+    pub fn next(&self) -> &Read {
+        &self.next
+    }
+
+    /// A page of the newest records came. Once all pages are there, returns
+    /// their keys and the offset up to which they are complete.
+    pub fn page(
+        &mut self,
+        keys: Vec<CompactString>,
+        more: bool,
+        end: u64,
+    ) -> Option<(Vec<CompactString>, u64)> {
+        if self.keys.is_empty() {
+            self.end = end;
+        }
+        self.keys.extend(keys);
+        match self.keys.last().filter(|_| more) {
+            Some(last) => {
+                self.next = Read::Newest { after: Some(last.clone()) };
+                None
+            }
+            None => {
+                self.next = Read::Changes { from: self.end };
+                Some((std::mem::take(&mut self.keys), self.end))
+            }
+        }
+    }
+
+    /// Records up to `end` came.
+    pub fn changed(&mut self, end: u64) {
+        self.next = Read::Changes { from: end };
+    }
+
+    /// The records to read are gone: the feed is read whole again.
+    pub fn history_lost(&mut self) {
+        *self = Self::default();
+    }
+}
--- /dev/null
+++ b/src/router/generate.rs
@@ -0,0 +1,302 @@
+//! Model requests: room in a decode engine, then the prefill, then the output.
+//!
+//! Room is taken before the prefill, because a prefill costs as much as many
+//! tokens of output and its result is soon evicted.
+
+use std::time::Duration;
+
+use crate::outcome::RefusalReason;
+use crate::router::Router;
+use crate::router::fleet::PoolRole;
+use crate::router::flow::Event;
+use crate::router::flow::Failure;
+use crate::router::flow::KvSource;
+use crate::router::flow::Step;
+use crate::router::request::Held;
+use crate::router::request::Phase;
+use crate::router::request::RequestKey;
+
+/// How long a reservation lasts: the prefill and the transfer fit in.
+const RESERVATION_TTL: Duration = Duration::from_millis(1_500);
+/// An engine answers a reservation within a few milliseconds.
+const RESERVE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Share of the first-token target that a request may wait for room.
+const ROOM_WAIT_SHARE: f64 = 0.5;
+/// Share of the time left that a request that was refused before may wait.
+const RETURNED_WAIT_SHARE: f64 = 0.5;
+/// Pause between two rounds of asking the engines for room.
+const ROOM_POLL: Duration = Duration::from_millis(40);
+/// An engine that had no room is not asked again so soon.
+const FULL_PAUSE: Duration = Duration::from_millis(30);
+/// Engines asked for room in one round.
+const MAX_ASKED: usize = 6;
+/// When a refused caller may expect room.
+const ROOM_RETRY: Duration = Duration::from_millis(2_500);
+/// Prefills of one request before it is given up.
+const MAX_PREFILLS: u32 = 3;
+const MAX_SENDS: u32 = 5;
+/// Silence after which a stream that may be continued elsewhere is.
+const RESUME_SILENCE: Duration = Duration::from_millis(1_500);
+
+impl Router {
+    pub(super) fn advance_generate(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        event: Event,
+    ) -> Step {
+        match event {
+            Event::Started => self.queue_for_room(now, key),
+            Event::Waited => self.find_room(now, key),
+            Event::Reserved { reservation } => self.reserved(now, key, reservation),
+            Event::NoRoom => self.no_room_here(now, key),
+            Event::Prefilled { handle } => self.prefilled(now, key, handle),
+            Event::Answered { status } => self.generate_answered(key, status),
+            Event::Failed(failure) => self.generate_failed(now, key, failure),
+            Event::BrokeOff { last_event } => self.stream_broke_off(now, key, last_event),
+            Event::DeadlinePassed => self.generate_overdue(key),
+            Event::Relayed => Step::Abort,
+        }
+    }
+
+    fn queue_for_room(&mut self, now: Duration, key: RequestKey) -> Step {
+        let service = self.requests[key].service.clone();
+        self.requests[key].phase = Phase::Reserving;
+        self.rooms.entry(service).or_default().join(key);
+        self.find_room(now, key)
+    }
+
+    fn find_room(&mut self, now: Duration, key: RequestKey) -> Step {
+        let service = self.requests[key].service.clone();
+        let until = self.room_deadline(key);
+        if now >= until {
+            return self.refuse_for_room(now, key);
+        }
+        if !self.rooms.get(&service).is_some_and(|room| room.is_head(key)) {
+            return Step::Wait { until };
+        }
+        if self.fleet.working(&service, PoolRole::Decode, now).is_empty() {
+            return Step::Wait { until: until.min(now + ROOM_POLL) };
+        }
+        self.ask_for_room(now, key)
+    }
+
+    fn ask_for_room(&mut self, now: Duration, key: RequestKey) -> Step {
+        let asked = self.requests[key].tried.len();
+        let next = self.decode_engines(now, key).first().copied();
+        let Some(target) = next.filter(|_| asked < MAX_ASKED).and_then(|next| self.target(next))
+        else {
+            self.requests[key].tried.clear();
+            let until = self.room_deadline(key).min(now + ROOM_POLL);
+            return Step::Wait { until };
+        };
+        let request = &mut self.requests[key];
+        request.current = Some(target.clone());
+        let tokens = request.prompt.map_or(0, |prompt| prompt.expected_tokens());
+        Step::Reserve { target, tokens, ttl: RESERVATION_TTL, timeout: RESERVE_TIMEOUT }
+    }
+
+    /// Until when a request waits for room.
+    fn room_deadline(&self, key: RequestKey) -> Duration {
+        let request = &self.requests[key];
+        let patience = request.deadline.saturating_sub(request.arrived);
+        let wait = if request.returned || request.answering || request.runs > 0 {
+            patience.mul_f64(RETURNED_WAIT_SHARE)
+        } else {
+            request.route().target.mul_f64(ROOM_WAIT_SHARE)
+        };
+        request.arrived + wait.min(patience)
+    }
+
+    fn refuse_for_room(&mut self, now: Duration, key: RequestKey) -> Step {
+        self.leave_room(now, key);
+        if self.requests[key].answering {
+            return Step::Abort;
+        }
+        let service = self.requests[key].service.clone();
+        let none = self.fleet.working(&service, PoolRole::Decode, now).is_empty();
+        let reason = if none { RefusalReason::NoUpstream } else { RefusalReason::Overloaded };
+        Step::Refuse(self.refusal(key, reason, ROOM_RETRY))
+    }
+
+    fn no_room_here(&mut self, now: Duration, key: RequestKey) -> Step {
+        if let Some(target) = self.requests[key].current.clone() {
+            self.requests[key].tried.push(target.key);
+            if let Some(engine) = self.fleet.get_mut(target.key) {
+                engine.full_until = now + FULL_PAUSE;
+            }
+        }
+        self.find_room(now, key)
+    }
+
+    /// The request no longer waits; the next one may ask.
+    pub(super) fn leave_room(&mut self, _now: Duration, key: RequestKey) {
+        let service = &self.requests[key].service;
+        let next = self.rooms.get_mut(service).and_then(|room| room.leave(key));
+        self.woken.extend(next);
+    }
+
+    fn reserved(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        reservation: compact_str::CompactString,
+    ) -> Step {
+        self.leave_room(now, key);
+        let Some(target) = self.requests[key].current.clone() else { return Step::Abort };
+        self.count_at(key, &target);
+        let request = &mut self.requests[key];
+        request.reservation = Some(Held { target, name: reservation });
+        request.tried.clear();
+        self.prefill(now, key)
+    }
+
+    fn prefill(&mut self, now: Duration, key: RequestKey) -> Step {
+        let next = self.prefill_engines(now, key).first().copied();
+        let Some(target) = next.and_then(|next| self.target(next)) else {
+            // The decode engine prefills by itself, more slowly.
+            return self.decode(now, key);
+        };
+        let request = &mut self.requests[key];
+        request.phase = Phase::Prefilling;
+        request.prefills += 1;
+        request.current = Some(target.clone());
+        Step::Prefill { target, deadline: request.left(now) }
+    }
+
+    fn prefilled(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        handle: compact_str::CompactString,
+    ) -> Step {
+        let request = &mut self.requests[key];
+        let Some(target) = request.current.clone() else { return Step::Abort };
+        request.prefilled = Some(Held { target, name: handle });
+        self.decode(now, key)
+    }
+
+    fn decode(&mut self, now: Duration, key: RequestKey) -> Step {
+        let request = &mut self.requests[key];
+        let Some(reservation) = request.reservation.take() else { return Step::Abort };
+        request.phase = Phase::Decoding;
+        request.sends += 1;
+        request.runs += 1;
+        request.current = Some(reservation.target.clone());
+        let source = request
+            .prefilled
+            .as_ref()
+            .map(|held| KvSource { address: held.target.address, handle: held.name.clone() });
+        Step::Decode {
+            target: reservation.target,
+            source,
+            reservation: Some(reservation.name),
+            after_event: request.last_event,
+            priority: request.route().priority,
+            deadline: request.left(now),
+        }
+    }
+
+    fn generate_answered(&mut self, key: RequestKey, status: u16) -> Step {
+        let request = &mut self.requests[key];
+        request.prefilled = None;
+        request.phase = Phase::Relaying;
+        request.answering = true;
+        let silence = if request.route().resumable {
+            RESUME_SILENCE
+        } else {
+            request.deadline.saturating_sub(request.arrived)
+        };
+        let target = request.current.clone();
+        if let Some(target) = target.filter(|_| status < 500) {
+            self.fleet.succeeded(target.key);
+        }
+        Step::Relay { silence }
+    }
+
+    fn generate_failed(&mut self, now: Duration, key: RequestKey, failure: Failure) -> Step {
+        self.note_failure(now, key, failure);
+        match self.requests[key].phase {
+            Phase::Reserving => self.find_room(now, key),
+            Phase::Prefilling => self.prefill_failed(now, key, failure),
+            Phase::Decoding => self.decode_failed(now, key, failure),
+            Phase::Relaying => Step::Abort,
+        }
+    }
+
+    fn prefill_failed(&mut self, now: Duration, key: RequestKey, failure: Failure) -> Step {
+        let reservation = self.requests[key].reservation.as_ref().map(|held| held.target.clone());
+        let service = self.requests[key].service.clone();
+        let few = self.requests[key].prefills < MAX_PREFILLS;
+        let free = failure == Failure::NotSent;
+        if few && (free || self.budget(&service).spend(now)) {
+            self.requests[key].current = reservation;
+            return self.prefill(now, key);
+        }
+        self.decode(now, key)
+    }
+
+    fn decode_failed(&mut self, now: Duration, key: RequestKey, failure: Failure) -> Step {
+        self.settle(key);
+        let request = &mut self.requests[key];
+        request.prefilled = None;
+        if failure.proves_not_run() {
+            request.runs -= 1;
+        } else {
+            request.may_have_run = true;
+        }
+        let repeatable = failure.proves_not_run() || request.route().repeatable();
+        let reason = match failure {
+            Failure::Silent => RefusalReason::DeadlineExceeded,
+            Failure::Broken => RefusalReason::UpstreamLost,
+            Failure::NotRun => RefusalReason::Overloaded,
+            Failure::NotSent | Failure::OtherInstance => RefusalReason::NoUpstream,
+        };
+        if repeatable && self.may_start_over(now, key) {
+            return self.queue_for_room(now, key);
+        }
+        if self.requests[key].answering {
+            return Step::Abort;
+        }
+        Step::Refuse(self.refusal(key, reason, ROOM_RETRY))
+    }
+
+    fn stream_broke_off(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        last_event: Option<u64>,
+    ) -> Step {
+        self.settle(key);
+        let request = &mut self.requests[key];
+        request.last_event = last_event.or(request.last_event);
+        request.may_have_run = true;
+        let resumable = request.route().resumable;
+        if let Some(target) = request.current.clone() {
+            self.requests[key].tried.push(target.key);
+            self.fleet.failed(now, target.key);
+        }
+        if resumable && self.may_start_over(now, key) {
+            return self.queue_for_room(now, key);
+        }
+        Step::Abort
+    }
+
+    /// Takes one more run out of the limits of the route and the budget.
+    fn may_start_over(&mut self, now: Duration, key: RequestKey) -> bool {
+        let request = &self.requests[key];
+        let allowed = request.runs < request.route().max_runs && request.sends < MAX_SENDS;
+        let service = request.service.clone();
+        allowed && self.budget(&service).spend(now)
+    }
+
+    fn generate_overdue(&mut self, key: RequestKey) -> Step {
+        if self.requests[key].answering {
+            return Step::Abort;
+        }
+        if self.requests[key].phase == Phase::Decoding {
+            self.requests[key].may_have_run = true;
+        }
+        Step::Refuse(self.refusal(key, RefusalReason::DeadlineExceeded, ROOM_RETRY))
+    }
+}
--- /dev/null
+++ b/src/router/listing.rs
@@ -0,0 +1,142 @@
+//! The fold of the instance list's records.
+//!
+//! A record that vanished means that the upstream is gone, with one exception:
+//! entries lapse while the list cannot be written, too. What vanished while the
+//! list was away stays usable for a short grace after its return.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use compact_str::CompactString;
+
+use crate::router::fleet::Fleet;
+use crate::router::fleet::ListedUpstream;
+
+/// One record of the list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ListRecord {
+    /// Id of the instance.
+    pub id: CompactString,
+    /// Place of the record in the list's history.
+    pub offset: u64,
+    /// What it says.
+    pub entry: ListEntry,
+}
+
+/// What a record says of its instance.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ListEntry {
+    /// It runs.
+    Present(ListedUpstream),
+    /// It was removed.
+    Removed,
+    /// The record cannot be read and names no upstream.
+    Unreadable,
+}
+
+/// What the records said so far.
+#[derive(Debug)]
+pub struct Listing {
+    grace: Duration,
+    offsets: HashMap<CompactString, u64>,
+    lapsed: HashMap<CompactString, Duration>,
+    /// Until when vanished entries are kept: the list was away a moment ago.
+    lenient_until: Option<Duration>,
+    away: bool,
+}
+
+impl Listing {
+    /// No record yet. `grace` counts from the return of the list.
+    pub fn new(grace: Duration) -> Self {
+        Self {
+            grace,
+            offsets: HashMap::new(),
+            lapsed: HashMap::new(),
+            lenient_until: None,
+            away: false,
+        }
+    }
+
+    /// A read failed: the list is away. True if that is news.
+    pub fn lost(&mut self) -> bool {
+        !std::mem::replace(&mut self.away, true)
+    }
+
+    /// A read succeeded. True if the list had been away.
+    pub fn reached(&mut self, now: Duration) -> bool {
+        let returned = std::mem::replace(&mut self.away, false);
+        if returned {
+            self.lenient_until = Some(now + self.grace);
+        }
+        returned
+    }
+
+    /// Takes in one record, unless a newer one of the same instance is known.
+    /// True if the fleet changed.
+    pub fn apply(&mut self, now: Duration, record: ListRecord, fleet: &mut Fleet) -> bool {
+        let known = self.offsets.get(&record.id).copied();
+        if known.is_some_and(|offset| record.offset <= offset) {
+            return false;
+        }
+        self.offsets.insert(record.id.clone(), record.offset);
+        match record.entry {
+            ListEntry::Present(listed) => {
+                self.lapsed.remove(&record.id);
+                let news = fleet.named(&record.id).is_none_or(|known| known.listed != listed);
+                fleet.upsert(listed);
+                news
+            }
+            ListEntry::Removed => self.vanished(now, &record.id, fleet),
+            ListEntry::Unreadable => {
+                let known = fleet.named(&record.id).is_some();
+                fleet.remove(&record.id);
+                known
+            }
+        }
+    }
+
+    /// Takes in that the list was read as a whole, up to `end` when it began:
+    /// what was known before and is not `present` has vanished.
+    pub fn whole(
+        &mut self,
+        now: Duration,
+        present: &[CompactString],
+        end: u64,
+        fleet: &mut Fleet,
+    ) -> usize {
+        let missing: Vec<CompactString> = self
+            .offsets
+            .iter()
+            .filter(|(id, offset)| **offset < end && !present.contains(id))
+            .map(|(id, _)| id.clone())
+            .collect();
+        missing.iter().filter(|id| self.vanished(now, id, fleet)).count()
+    }
+
+    /// Removes what lapsed and has not come back. Returns the ids.
+    pub fn expire(&mut self, now: Duration, fleet: &mut Fleet) -> Vec<CompactString> {
+        if self.away || self.lapsed.is_empty() {
+            return Vec::new();
+        }
+        let due = self.lapsed.iter().filter(|(_, until)| **until <= now);
+        let due: Vec<CompactString> = due.map(|(id, _)| id.clone()).collect();
+        for id in &due {
+            self.lapsed.remove(id);
+            fleet.remove(id);
+        }
+        due
+    }
+
+    /// True if the fleet changed.
+    fn vanished(&mut self, now: Duration, id: &CompactString, fleet: &mut Fleet) -> bool {
+        if fleet.named(id).is_none() || self.lapsed.contains_key(id) {
+            return false;
+        }
+        if let Some(until) = self.lenient_until.filter(|until| now < *until) {
+            self.lapsed.insert(id.clone(), until);
+            return false;
+        }
+        fleet.remove(id);
+        true
+    }
+}
--- /dev/null
+++ b/src/router/plain.rs
@@ -0,0 +1,135 @@
+//! Calls to plain services.
+
+use std::time::Duration;
+
+use crate::outcome::Outcome;
+use crate::outcome::Refusal;
+use crate::outcome::RefusalReason;
+use crate::router::Router;
+use crate::router::flow::Event;
+use crate::router::flow::Failure;
+use crate::router::flow::Step;
+use crate::router::request::RequestKey;
+
+/// Least wait for an answer before an idempotent call goes to another upstream.
+const MIN_CALL_TIMEOUT: Duration = Duration::from_millis(60);
+/// Share of the target after which an idempotent call goes to another upstream.
+const CALL_TIMEOUT_SHARE: f64 = 0.7;
+/// Longest pause within the body of a plain answer.
+const BODY_SILENCE: Duration = Duration::from_secs(2);
+/// When a caller may come back after a refusal for want of an upstream.
+const NO_UPSTREAM_RETRY: Duration = Duration::from_millis(400);
+const MAX_SENDS: u32 = 4;
+const SERVER_ERROR: u16 = 500;
+
+impl Router {
+    pub(super) fn advance_plain(&mut self, now: Duration, key: RequestKey, event: Event) -> Step {
+        match event {
+            Event::Started | Event::Waited => self.call(now, key),
+            Event::Answered { status } => self.call_answered(now, key, status),
+            Event::Failed(failure) => self.call_failed(now, key, failure),
+            Event::DeadlinePassed => self.call_overdue(now, key),
+            Event::BrokeOff { .. } => Step::Abort,
+            _ => Step::Relay { silence: BODY_SILENCE },
+        }
+    }
+
+    fn call(&mut self, now: Duration, key: RequestKey) -> Step {
+        let Some(target) =
+            self.service_upstream(now, key).and_then(|upstream| self.target(upstream))
+        else {
+            return Step::Refuse(self.refusal(key, RefusalReason::NoUpstream, NO_UPSTREAM_RETRY));
+        };
+        self.count_at(key, &target);
+        let request = &mut self.requests[key];
+        request.sends += 1;
+        request.runs += 1;
+        request.current = Some(target.clone());
+        let left = request.left(now);
+        let route = request.route();
+        let again = route.idempotent && request.runs < route.max_runs;
+        let share = route.target.mul_f64(CALL_TIMEOUT_SHARE).max(MIN_CALL_TIMEOUT);
+        let timeout = if again { share.min(left) } else { left };
+        let fresh_connection = !route.idempotent;
+        Step::Call { target, deadline: left, timeout, fresh_connection }
+    }
+
+    fn call_answered(&mut self, now: Duration, key: RequestKey, status: u16) -> Step {
+        let Some(target) = self.requests[key].current.clone() else { return Step::Abort };
+        if status < SERVER_ERROR {
+            self.fleet.succeeded(target.key);
+            return Step::Relay { silence: BODY_SILENCE };
+        }
+        self.requests[key].tried.push(target.key);
+        if self.may_call_again(now, key) {
+            return self.call(now, key);
+        }
+        Step::Relay { silence: BODY_SILENCE }
+    }
+
+    fn call_failed(&mut self, now: Duration, key: RequestKey, failure: Failure) -> Step {
+        self.note_failure(now, key, failure);
+        if failure.proves_not_run() {
+            self.requests[key].runs -= 1;
+        } else {
+            self.requests[key].may_have_run = true;
+        }
+        let again = failure.proves_not_run() || self.requests[key].route().idempotent;
+        let unsent = failure == Failure::NotSent && self.requests[key].sends < MAX_SENDS;
+        if again && (unsent || self.may_call_again(now, key)) {
+            return self.call(now, key);
+        }
+        let reason = match failure {
+            Failure::NotRun => RefusalReason::Overloaded,
+            Failure::NotSent | Failure::OtherInstance => RefusalReason::NoUpstream,
+            Failure::Silent => RefusalReason::DeadlineExceeded,
+            Failure::Broken => RefusalReason::UpstreamLost,
+        };
+        Step::Refuse(self.refusal(key, reason, NO_UPSTREAM_RETRY))
+    }
+
+    fn call_overdue(&mut self, now: Duration, key: RequestKey) -> Step {
+        if self.requests[key].answering {
+            return Step::Abort;
+        }
+        if self.requests[key].runs > 0 {
+            self.note_failure(now, key, Failure::Silent);
+            self.requests[key].may_have_run = true;
+        }
+        Step::Refuse(self.refusal(key, RefusalReason::DeadlineExceeded, NO_UPSTREAM_RETRY))
+    }
+
+    /// Takes one more send out of the limits of the route and the budget.
+    fn may_call_again(&mut self, now: Duration, key: RequestKey) -> bool {
+        let request = &self.requests[key];
+        let route = request.route();
+        let allowed = request.runs < route.max_runs
+            && request.sends < MAX_SENDS
+            && (route.idempotent || request.runs == 0)
+            && request.left(now) > MIN_CALL_TIMEOUT;
+        let service = request.service.clone();
+        allowed && self.service_upstream(now, key).is_some() && self.budget(&service).spend(now)
+    }
+
+    /// The current upstream did not serve the request.
+    pub(super) fn note_failure(&mut self, now: Duration, key: RequestKey, failure: Failure) {
+        let Some(target) = self.requests[key].current.clone() else { return };
+        self.requests[key].tried.push(target.key);
+        if failure != Failure::NotRun {
+            self.fleet.failed(now, target.key);
+        }
+    }
+
+    /// A refusal that says truly whether the request ran.
+    pub(super) fn refusal(
+        &mut self,
+        key: RequestKey,
+        reason: RefusalReason,
+        retry_after: Duration,
+    ) -> Refusal {
+        let outcome = self.requests[key].outcome();
+        let retry_after = (outcome == Outcome::NotRun)
+            .then(|| crate::policy::retry::with_jitter(retry_after, &mut self.rng));
+        Refusal { reason, outcome, retry_after, detail: String::new() }
+    }
+}
--- /dev/null
+++ b/src/router/pools.rs
@@ -0,0 +1,126 @@
+//! Which upstream a request goes to.
+
+use std::time::Duration;
+
+use rand::RngExt;
+
+use crate::router::Router;
+use crate::router::fleet::PoolRole;
+use crate::router::fleet::UpstreamKey;
+use crate::router::flow::Target;
+use crate::router::request::RequestKey;
+
+/// Cost of another availability zone for a model request, in tokens: the memory
+/// moves at half the speed.
+const ZONE_COST_TOKENS: f64 = 4_000.0;
+/// Cost of another availability zone for a plain call, in requests.
+const ZONE_COST_CALLS: f64 = 0.5;
+/// Spread of the costs, so that entries with the same view part ways.
+const SPREAD_TOKENS: f64 = 2_000.0;
+const SPREAD_CALLS: f64 = 0.3;
+
+impl Router {
+    /// Decode engines for a request, the best first.
+    pub(super) fn decode_engines(&mut self, now: Duration, key: RequestKey) -> Vec<UpstreamKey> {
+        let service = self.requests[key].service.clone();
+        let working = self.fleet.working(&service, PoolRole::Decode, now);
+        let rested: Vec<UpstreamKey> = working
+            .iter()
+            .copied()
+            .filter(|&key| self.fleet.get(key).is_some_and(|engine| engine.full_until <= now))
+            .collect();
+        self.ranked(rested, &self.requests[key].tried.clone(), None)
+    }
+
+    /// Prefill engines for a request, the best first, near the decode engine.
+    pub(super) fn prefill_engines(&mut self, now: Duration, key: RequestKey) -> Vec<UpstreamKey> {
+        let request = &self.requests[key];
+        let decode = request.current.as_ref().and_then(|target| self.fleet.get(target.key));
+        let zone = decode.map(|decode| decode.listed.zone.clone());
+        let tried = request.tried.clone();
+        let service = request.service.clone();
+        let working = self.fleet.working(&service, PoolRole::Prefill, now);
+        self.ranked(working, &tried, zone.as_deref())
+    }
+
+    fn ranked(
+        &mut self,
+        engines: Vec<UpstreamKey>,
+        tried: &[UpstreamKey],
+        zone: Option<&str>,
+    ) -> Vec<UpstreamKey> {
+        let zone = zone.unwrap_or(&self.config.zone);
+        let mut ranked: Vec<(f64, UpstreamKey)> = Vec::with_capacity(engines.len());
+        for key in engines {
+            let Some(engine) = self.fleet.get(key).filter(|_| !tried.contains(&key)) else {
+                continue;
+            };
+            let away = if engine.listed.zone == zone { 0.0 } else { ZONE_COST_TOKENS };
+            let spread = self.rng.random_range(0.0..SPREAD_TOKENS);
+            ranked.push((engine.open_tokens as f64 + away + spread, key));
+        }
+        ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
+        ranked.into_iter().map(|(_, key)| key).collect()
+    }
+
+    /// The plain service's upstream for a call.
+    pub(super) fn service_upstream(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+    ) -> Option<UpstreamKey> {
+        let request = &self.requests[key];
+        let service = request.service.clone();
+        let tried = request.tried.clone();
+        let mut working = self.fleet.working(&service, PoolRole::Service, now);
+        if working.is_empty() {
+            // Engines take plain requests, too.
+            working = self.fleet.working(&service, PoolRole::Decode, now);
+        }
+        let mut best: Option<(f64, UpstreamKey)> = None;
+        for key in working {
+            let Some(upstream) = self.fleet.get(key).filter(|_| !tried.contains(&key)) else {
+                continue;
+            };
+            let away = if upstream.listed.zone == self.config.zone { 0.0 } else { ZONE_COST_CALLS };
+            let cost = f64::from(upstream.open) + away + self.rng.random_range(0.0..SPREAD_CALLS);
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, key));
+            }
+        }
+        best.map(|(_, key)| key)
+    }
+
+    pub(super) fn target(&self, key: UpstreamKey) -> Option<Target> {
+        self.fleet.get(key).map(|upstream| Target {
+            key,
+            id: upstream.listed.id.clone(),
+            address: upstream.listed.address,
+        })
+    }
+
+    /// Counts the request as open at the upstream, and no longer elsewhere.
+    pub(super) fn count_at(&mut self, key: RequestKey, target: &Target) {
+        self.settle(key);
+        let tokens = self.open_tokens(key);
+        if let Some(upstream) = self.fleet.get_mut(target.key) {
+            upstream.open += 1;
+            upstream.open_tokens += tokens;
+            self.requests[key].counted = Some(target.clone());
+        }
+    }
+
+    /// The request is no longer open at any upstream.
+    pub(super) fn settle(&mut self, key: RequestKey) {
+        let tokens = self.open_tokens(key);
+        let Some(target) = self.requests[key].counted.take() else { return };
+        if let Some(upstream) = self.fleet.get_mut(target.key) {
+            upstream.open = upstream.open.saturating_sub(1);
+            upstream.open_tokens = upstream.open_tokens.saturating_sub(tokens);
+        }
+    }
+
+    fn open_tokens(&self, key: RequestKey) -> u64 {
+        self.requests[key].prompt.map_or(0, |prompt| u64::from(prompt.expected_tokens()))
+    }
+}
--- /dev/null
+++ b/src/router/room.rs
@@ -0,0 +1,50 @@
+//! Requests of one service that wait for memory at a decode engine.
+//!
+//! First come, first served: only the request at the head asks the engines, so
+//! that those behind it cost nothing while they wait.
+
+use std::collections::VecDeque;
+
+use crate::router::request::RequestKey;
+
+/// The queue of one service.
+#[derive(Debug, Clone, Default)]
+pub struct RoomQueue {
+    waiting: VecDeque<RequestKey>,
+}
+
+impl RoomQueue {
+    /// Puts a request at the end, unless it waits already.
+    pub fn join(&mut self, key: RequestKey) {
+        if !self.waiting.contains(&key) {
+            self.waiting.push_back(key);
+        }
+    }
+
+    /// Takes a request out. Returns the one that became the head by that.
+    pub fn leave(&mut self, key: RequestKey) -> Option<RequestKey> {
+        let was_head = self.is_head(key);
+        self.waiting.retain(|&other| other != key);
+        if was_head { self.waiting.front().copied() } else { None }
+    }
+
+    /// True if the request may ask for room.
+    pub fn is_head(&self, key: RequestKey) -> bool {
+        self.waiting.front() == Some(&key)
+    }
+
+    /// The request at the head.
+    pub fn head(&self) -> Option<RequestKey> {
+        self.waiting.front().copied()
+    }
+
+    /// Requests that wait.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// True if nobody waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+}
