A request waits for room at most half of its first-token target

What marked a caller as returned (less time than the route's) marked nearly all: callers differ in patience. Ruled out: the engines' queue (12 preemptions).

--- a/src/edge/direct/dispatch.rs
+++ b/src/edge/direct/dispatch.rs
@@ -74,6 +74,7 @@
                 return Reply::Refused(refusal);
             }
         };
+        self.log_arrival(key);
         let (head, reply) = oneshot::channel();
         let drive = Drive {
             dispatcher: self.clone(),
@@ -86,6 +87,20 @@
         reply.await.unwrap_or_else(|_| Reply::Refused(lost()))
     }
 
+    fn log_arrival(&self, key: RequestKey) {
+        let router = self.router.borrow();
+        let Some(request) = router.request(key) else { return };
+        spdlog::info!("arrived", kv: {
+            request_id: = request.id,
+            route: = request.route().name,
+            patience_ms = crate::clock::as_ms(request.left(request.arrived)),
+            prompt_tokens = request.prompt.map_or(0, |prompt| prompt.tokens),
+            max_output_tokens = request.prompt.map_or(0, |prompt| prompt.max_output_tokens),
+            output_hint = request.prompt.and_then(|prompt| prompt.output_hint).unwrap_or(0),
+            generation = request.version()
+        });
+    }
+
     fn wake(&self) {
         let woken = self.router.borrow_mut().take_woken();
         let sleepers = self.sleepers.borrow();
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -22,8 +22,8 @@
 const RESERVE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Share of the first-token target that a request may wait for room.
 const ROOM_WAIT_SHARE: f64 = 0.5;
-/// Share of the time left that a request that was refused before may wait.
-const RETURNED_WAIT_SHARE: f64 = 0.5;
+/// Share of its time that a request that has run before may wait for room.
+const RERUN_WAIT_SHARE: f64 = 0.5;
 /// Pause between two rounds of asking the engines for room.
 const ROOM_POLL: Duration = Duration::from_millis(40);
 /// An engine that had no room is not asked again so soon.
@@ -100,8 +100,8 @@
     fn room_deadline(&self, key: RequestKey) -> Duration {
         let request = &self.requests[key];
         let patience = request.deadline.saturating_sub(request.arrived);
-        let wait = if request.returned || request.answering || request.runs > 0 {
-            patience.mul_f64(RETURNED_WAIT_SHARE)
+        let wait = if request.answering || request.runs > 0 {
+            patience.mul_f64(RERUN_WAIT_SHARE)
         } else {
             request.route().target.mul_f64(ROOM_WAIT_SHARE)
         };
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -102,8 +102,6 @@
     pub prompt: Option<Prompt>,
     pub(super) table: Arc<RouteTable>,
     pub(super) route: usize,
-    /// The caller's time is shorter than the route's: it was refused before.
-    pub(super) returned: bool,
     pub(super) phase: Phase,
     /// Runs that started or may have started.
     pub(super) runs: u32,
@@ -145,7 +143,6 @@
             prompt,
             table,
             route,
-            returned: inquiry.patience.is_some_and(|patience| patience < timeout),
             phase: Phase::default(),
             runs: 0,
             may_have_run: false,
