No decode at an engine that began to leave during the prefill; a stuck prefill moves on

The engine was checked when it was reserved, not when the decode was sent. A prefill had no timeout below the deadline. Ruled out: a list read late (it was read 1.7 s before the send).

Now the engine is checked again before the decode; a reservation that is of no use is released, the prefill result is kept for the next engine, and a prefill that takes three times as long as expected goes to another engine. Tests: an_engine_that_leaves_during_the_prefill_gets_no_decode (failed before), a_prefill_result_outlives_the_engine, a_stuck_prefill_is_given_to_another_engine.

--- a/src/edge/direct/dispatch.rs
+++ b/src/edge/direct/dispatch.rs
@@ -101,7 +101,13 @@
         });
     }
 
-    fn wake(&self) {
+    /// Carries out what the core wants done beside the steps of one request.
+    fn settle(self: &Rc<Self>) {
+        let cleanups = self.router.borrow_mut().take_cleanups();
+        for cleanup in cleanups {
+            let dispatcher = self.clone();
+            tokio::task::spawn_local(async move { dispatcher.upstreams.clean_up(cleanup).await });
+        }
         let woken = self.router.borrow_mut().take_woken();
         let sleepers = self.sleepers.borrow();
         for key in woken {
@@ -168,9 +174,10 @@
             let now = dispatcher.now();
             self.log_event(now, &event);
             step = dispatcher.router.borrow_mut().advance(now, self.key, event);
-            dispatcher.wake();
+            dispatcher.settle();
         }
-        self.finish().await;
+        dispatcher.router.borrow_mut().finish(self.key);
+        dispatcher.settle();
     }
 
     /// Carries a step out. `None` once the request is over.
@@ -223,8 +230,9 @@
                     Err(failure) => Event::Failed(failure),
                 }
             }
-            Step::Prefill { target, deadline } => {
-                match self.dispatcher.upstreams.prefill(&self.request, &target, deadline).await {
+            Step::Prefill { target, deadline, timeout: limit } => {
+                let prefill = self.dispatcher.upstreams.prefill(&self.request, &target, deadline);
+                match timeout(limit, prefill).await.unwrap_or(Err(Failure::Silent)) {
                     Ok(handle) => Event::Prefilled { handle },
                     Err(failure) => Event::Failed(failure),
                 }
@@ -390,15 +398,6 @@
         }
     }
 
-    async fn finish(self) {
-        let now = self.dispatcher.now();
-        let cleanups = self.dispatcher.router.borrow_mut().finish(now, self.key);
-        self.dispatcher.wake();
-        for cleanup in cleanups {
-            self.dispatcher.upstreams.clean_up(cleanup).await;
-        }
-    }
-
     fn log_step(&self, step: &Step) {
         let (what, upstream) = match step {
             Step::Reserve { target, .. } => ("reserving", target.id.as_str()),
--- a/src/router.rs
+++ b/src/router.rs
@@ -11,6 +11,7 @@
 pub mod follow;
 mod generate;
 pub mod listing;
+pub mod pace;
 mod plain;
 mod pools;
 pub mod request;
@@ -37,6 +38,7 @@
 use crate::router::configuration::RouteTable;
 use crate::router::fleet::Fleet;
 use crate::router::listing::Listing;
+use crate::router::pace::PrefillPace;
 use crate::router::request::Inquiry;
 use crate::router::request::Request;
 use crate::router::request::RequestKey;
@@ -77,7 +79,9 @@
     requests: SlotMap<RequestKey, Request>,
     rooms: HashMap<CompactString, RoomQueue>,
     budgets: HashMap<CompactString, RetryWindow>,
+    paces: HashMap<CompactString, PrefillPace>,
     woken: Vec<RequestKey>,
+    cleanups: Vec<Cleanup>,
     rng: ChaCha8Rng,
     leaving: bool,
 }
@@ -96,7 +100,9 @@
             requests: SlotMap::with_key(),
             rooms: HashMap::new(),
             budgets: HashMap::new(),
+            paces: HashMap::new(),
             woken: Vec::new(),
+            cleanups: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(config.random_seed),
             leaving: false,
             config,
@@ -152,6 +158,11 @@
         std::mem::take(&mut self.woken)
     }
 
+    /// What is no longer needed at upstreams and is to be freed there.
+    pub fn take_cleanups(&mut self) -> Vec<Cleanup> {
+        std::mem::take(&mut self.cleanups)
+    }
+
     /// Takes up a request. Without a key it is refused.
     ///
     /// # Errors
@@ -188,14 +199,15 @@
         }
     }
 
-    /// The request is over or its caller is gone. Tells what is still held.
-    pub fn finish(&mut self, now: Duration, key: RequestKey) -> Vec<Cleanup> {
-        let Some(request) = self.requests.get_mut(key) else { return Vec::new() };
-        let cleanup = request.take_held();
-        self.leave_room(now, key);
+    /// The request is over or its caller is gone. What is still held for it is
+    /// to be freed.
+    pub fn finish(&mut self, key: RequestKey) {
+        let Some(request) = self.requests.get_mut(key) else { return };
+        let held = request.take_held();
+        self.cleanups.extend(held);
+        self.leave_room(key);
         self.settle(key);
         self.requests.remove(key);
-        cleanup
     }
 
     fn budget(&mut self, service: &CompactString) -> &mut RetryWindow {
--- a/src/router/fleet.rs
+++ b/src/router/fleet.rs
@@ -146,6 +146,11 @@
         if sound.is_empty() { listed.into_iter().map(|(key, _)| key).collect() } else { sound }
     }
 
+    /// True if the upstream is listed and does not leave.
+    pub fn takes_work(&self, key: UpstreamKey) -> bool {
+        self.upstreams.get(key).is_some_and(|upstream| !upstream.listed.leaving)
+    }
+
     /// Upstreams in the list.
     pub fn len(&self) -> usize {
         self.upstreams.len()
--- a/src/router/flow.rs
+++ b/src/router/flow.rs
@@ -49,6 +49,8 @@
         target: Target,
         /// Time the engine may take.
         deadline: Duration,
+        /// How long to wait for the answer; beyond it the engine is stuck.
+        timeout: Duration,
     },
     /// Have the output generated, and wait for the head of the answer.
     Decode {
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -8,6 +8,7 @@
 use crate::outcome::RefusalReason;
 use crate::router::Router;
 use crate::router::fleet::PoolRole;
+use crate::router::flow::Cleanup;
 use crate::router::flow::Event;
 use crate::router::flow::Failure;
 use crate::router::flow::KvSource;
@@ -22,8 +23,8 @@
 const RESERVE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Share of the first-token target that a request may wait for room.
 const ROOM_WAIT_SHARE: f64 = 0.5;
-/// Share of its time that a request that has run before may wait for room.
-const RERUN_WAIT_SHARE: f64 = 0.5;
+/// Share of its time that a request may wait for room once it was prefilled.
+const BEGUN_WAIT_SHARE: f64 = 0.5;
 /// Pause between two rounds of asking the engines for room.
 const ROOM_POLL: Duration = Duration::from_millis(40);
 /// An engine that had no room is not asked again so soon.
@@ -32,6 +33,10 @@
 const MAX_ASKED: usize = 6;
 /// When a refused caller may expect room.
 const ROOM_RETRY: Duration = Duration::from_millis(2_500);
+/// A prefill that takes so many times longer than expected is stuck.
+const PREFILL_PATIENCE: u32 = 3;
+/// Allowance for the queue of an engine and for small prompts.
+const PREFILL_SLACK: Duration = Duration::from_millis(250);
 /// Prefills of one request before it is given up.
 const MAX_PREFILLS: u32 = 3;
 const MAX_SENDS: u32 = 5;
@@ -100,8 +105,8 @@
     fn room_deadline(&self, key: RequestKey) -> Duration {
         let request = &self.requests[key];
         let patience = request.deadline.saturating_sub(request.arrived);
-        let wait = if request.answering || request.runs > 0 {
-            patience.mul_f64(RERUN_WAIT_SHARE)
+        let wait = if request.answering || request.prefills > 0 {
+            patience.mul_f64(BEGUN_WAIT_SHARE)
         } else {
             request.route().target.mul_f64(ROOM_WAIT_SHARE)
         };
@@ -109,7 +114,7 @@
     }
 
     fn refuse_for_room(&mut self, now: Duration, key: RequestKey) -> Step {
-        self.leave_room(now, key);
+        self.leave_room(key);
         if self.requests[key].answering {
             return Step::Abort;
         }
@@ -130,7 +135,7 @@
     }
 
     /// The request no longer waits; the next one may ask.
-    pub(super) fn leave_room(&mut self, _now: Duration, key: RequestKey) {
+    pub(super) fn leave_room(&mut self, key: RequestKey) {
         let service = &self.requests[key].service;
         let next = self.rooms.get_mut(service).and_then(|room| room.leave(key));
         self.woken.extend(next);
@@ -142,12 +147,15 @@
         key: RequestKey,
         reservation: compact_str::CompactString,
     ) -> Step {
-        self.leave_room(now, key);
+        self.leave_room(key);
         let Some(target) = self.requests[key].current.clone() else { return Step::Abort };
         self.count_at(key, &target);
         let request = &mut self.requests[key];
         request.reservation = Some(Held { target, name: reservation });
         request.tried.clear();
+        if self.requests[key].prefilled.is_some() {
+            return self.decode(now, key);
+        }
         self.prefill(now, key)
     }
 
@@ -157,11 +165,21 @@
             // The decode engine prefills by itself, more slowly.
             return self.decode(now, key);
         };
+        let timeout = self.prefill_timeout(key);
         let request = &mut self.requests[key];
         request.phase = Phase::Prefilling;
         request.prefills += 1;
+        request.step_began = now;
         request.current = Some(target.clone());
-        Step::Prefill { target, deadline: request.left(now) }
+        Step::Prefill { target, deadline: request.left(now), timeout }
+    }
+
+    /// Beyond this an engine is stuck, not busy.
+    fn prefill_timeout(&self, key: RequestKey) -> Duration {
+        let request = &self.requests[key];
+        let pace = self.paces.get(&request.service).copied().unwrap_or_default();
+        let tokens = request.prompt.map_or(0, |prompt| prompt.tokens);
+        pace.expected(tokens) * PREFILL_PATIENCE + PREFILL_SLACK
     }
 
     fn prefilled(
@@ -172,13 +190,24 @@
     ) -> Step {
         let request = &mut self.requests[key];
         let Some(target) = request.current.clone() else { return Step::Abort };
-        request.prefilled = Some(Held { target, name: handle });
+        let took = now.saturating_sub(request.step_began);
+        let tokens = request.prompt.map_or(0, |prompt| prompt.tokens);
+        let service = request.service.clone();
+        request.prefilled = Some(Held { target: target.clone(), name: handle });
+        self.paces.entry(service).or_default().observe(tokens, took);
+        self.fleet.succeeded(target.key);
         self.decode(now, key)
     }
 
     fn decode(&mut self, now: Duration, key: RequestKey) -> Step {
+        let Some(reservation) = self.requests[key].reservation.take() else { return Step::Abort };
+        if !self.fleet.takes_work(reservation.target.key) {
+            // It began to leave during the prefill.
+            self.cleanups.push(Cleanup::Release(reservation));
+            self.settle(key);
+            return self.queue_for_room(now, key);
+        }
         let request = &mut self.requests[key];
-        let Some(reservation) = request.reservation.take() else { return Step::Abort };
         request.phase = Phase::Decoding;
         request.sends += 1;
         request.runs += 1;
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -110,6 +110,8 @@
     /// Sends that count against the retry budget.
     pub(super) sends: u32,
     pub(super) prefills: u32,
+    /// When the last prefill was sent.
+    pub(super) step_began: Duration,
     /// Upstreams that did not serve it.
     pub(super) tried: Vec<UpstreamKey>,
     pub(super) current: Option<Target>,
@@ -148,6 +150,7 @@
             may_have_run: false,
             sends: 0,
             prefills: 0,
+            step_began: now,
             tried: Vec::new(),
             current: None,
             counted: None,
--- /dev/null
+++ b/tests/router/budget.rs
@@ -0,0 +1,38 @@
+//! The retry budget: entries that know nothing of each other keep to the whole.
+
+use bamboodoor::router::budget::BudgetLimits;
+use bamboodoor::router::budget::RetryWindow;
+
+use crate::scene::ms;
+
+fn limits() -> BudgetLimits {
+    BudgetLimits { ratio: 0.2, window: ms(10_000), allowance: 48.0, entries: 16 }
+}
+
+/// Extra sends granted of `wanted`, after `requests`.
+fn granted(window: &mut RetryWindow, requests: u32, wanted: u32) -> u32 {
+    for _ in 0..requests {
+        window.request(ms(0));
+    }
+    (0..wanted).filter(|_| window.spend(ms(1))).count() as u32
+}
+
+#[test]
+fn the_ratio_and_a_share_of_the_allowance_are_granted() {
+    assert_eq!(granted(&mut RetryWindow::new(limits()), 100, 1_000), 23);
+}
+
+#[test]
+fn all_entries_together_keep_to_the_whole() {
+    let total: u32 = (0..16).map(|_| granted(&mut RetryWindow::new(limits()), 50, 1_000)).sum();
+    let whole = 0.2 * 50.0 * 16.0 + 48.0;
+    assert!(f64::from(total) <= whole, "{total} of {whole}");
+}
+
+#[test]
+fn a_send_counts_until_the_window_has_passed() {
+    let mut window = RetryWindow::new(limits());
+    assert_eq!(granted(&mut window, 0, 10), 3);
+    assert!(!window.spend(ms(9_999)));
+    assert!(window.spend(ms(10_001)));
+}
--- /dev/null
+++ b/tests/router/generate.rs
@@ -0,0 +1,200 @@
+//! Model requests: order of the steps, and what each failure leads to.
+
+use bamboodoor::outcome::Outcome;
+use bamboodoor::outcome::Refusal;
+use bamboodoor::outcome::RefusalReason;
+use bamboodoor::router::Event;
+use bamboodoor::router::Step;
+use bamboodoor::router::fleet::PoolRole;
+use bamboodoor::router::flow::Failure;
+
+use crate::scene::ENGINES;
+use crate::scene::Scene;
+use crate::scene::fleet;
+use crate::scene::ms;
+use crate::scene::reserved;
+use crate::scene::target;
+use crate::scene::upstream;
+
+fn refusal(step: Step) -> Refusal {
+    match step {
+        Step::Refuse(refusal) => refusal,
+        other => panic!("expected a refusal, found {other:?}"),
+    }
+}
+
+#[test]
+fn room_is_reserved_before_the_prefill() {
+    let mut scene = Scene::new(fleet());
+    let (key, step) = scene.begin("/stream/1");
+    let decode = target(&step);
+    assert!(matches!(step, Step::Reserve { tokens: 5_500, .. }), "{step:?}");
+    let step = scene.then(key, reserved());
+    assert!(matches!(step, Step::Prefill { .. }), "{step:?}");
+    let prefill = target(&step);
+    match scene.then(key, Event::Prefilled { handle: "handle".into() }) {
+        Step::Decode { target, source: Some(source), reservation, .. } => {
+            assert_eq!(target, decode);
+            assert_eq!(source.address, prefill.address);
+            assert_eq!(reservation.as_deref(), Some("hold"));
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn no_room_anywhere_is_refused_as_not_run_within_half_of_the_target() {
+    let mut scene = Scene::new(fleet());
+    let (key, mut step) = scene.begin("/stream/1");
+    let start = scene.now;
+    while scene.now < start + ms(2_000) {
+        step = match step {
+            Step::Reserve { .. } => scene.then(key, Event::NoRoom),
+            Step::Wait { until } => {
+                let pause = until.saturating_sub(scene.now).max(ms(1));
+                scene.after(pause, key, Event::Waited)
+            }
+            other => {
+                let refusal = refusal(other);
+                assert_eq!(refusal.outcome, Outcome::NotRun);
+                assert!(refusal.retry_after.is_some());
+                assert!(scene.now <= start + ms(460), "{:?}", scene.now - start);
+                return;
+            }
+        };
+    }
+    panic!("still waits: {step:?}");
+}
+
+#[test]
+fn only_the_first_in_line_asks_for_room() {
+    let mut scene = Scene::new(fleet());
+    let (first, _) = scene.begin("/stream/1");
+    let (second, step) = scene.begin("/stream/2");
+    assert!(matches!(step, Step::Wait { .. }), "{step:?}");
+    scene.then(first, reserved());
+    assert_eq!(scene.router.take_woken(), vec![second]);
+    let step = scene.then(second, Event::Waited);
+    assert!(matches!(step, Step::Reserve { .. }), "{step:?}");
+}
+
+#[test]
+fn an_engine_that_leaves_during_the_prefill_gets_no_decode() {
+    let mut scene = Scene::new(fleet());
+    let (key, step) = scene.begin("/stream/1");
+    let leaving = target(&step);
+    scene.then(key, reserved());
+    scene.leaves(&leaving);
+    let step = scene.after(ms(2_500), key, Event::Prefilled { handle: "handle".into() });
+    assert!(matches!(step, Step::Reserve { .. }), "{step:?}");
+    assert_ne!(target(&step), leaving);
+}
+
+#[test]
+fn a_prefill_result_outlives_the_engine_that_was_to_decode_it() {
+    let mut scene = Scene::new(fleet());
+    let (key, step) = scene.begin("/stream/1");
+    let leaving = target(&step);
+    scene.then(key, reserved());
+    scene.leaves(&leaving);
+    scene.after(ms(90), key, Event::Prefilled { handle: "handle".into() });
+    match scene.then(key, reserved()) {
+        Step::Decode { target, source: Some(source), .. } => {
+            assert_ne!(target, leaving);
+            assert_eq!(source.handle, "handle");
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn what_may_have_run_is_not_sent_again_unless_it_may_be_continued() {
+    let mut scene = Scene::new(fleet());
+    let (key, _) = scene.decoding("/stream/1");
+    let refused = refusal(scene.then(key, Event::Failed(Failure::Broken)));
+    assert_eq!(refused.outcome, Outcome::Unknown);
+    assert_eq!(refused.retry_after, None);
+}
+
+#[test]
+fn what_certainly_did_not_run_is_sent_again() {
+    let mut scene = Scene::new(fleet());
+    let (key, _) = scene.decoding("/stream/1");
+    let step = scene.then(key, Event::Failed(Failure::NotRun));
+    assert!(matches!(step, Step::Reserve { .. }), "{step:?}");
+}
+
+#[test]
+fn a_broken_stream_goes_on_after_its_last_event_at_another_engine() {
+    let mut scene = Scene::new(fleet());
+    let (key, step) = scene.decoding("/resumable/1");
+    let lost = target(&step);
+    scene.then(key, Event::Answered { status: 200 });
+    let step = scene.then(key, Event::BrokeOff { last_event: Some(12) });
+    assert!(matches!(step, Step::Reserve { .. }), "{step:?}");
+    assert_ne!(target(&step), lost);
+    scene.then(key, reserved());
+    match scene.then(key, Event::Prefilled { handle: "next".into() }) {
+        Step::Decode { after_event, .. } => assert_eq!(after_event, Some(12)),
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn a_broken_stream_that_may_not_be_continued_is_broken_off() {
+    let mut scene = Scene::new(fleet());
+    let (key, _) = scene.decoding("/stream/1");
+    scene.then(key, Event::Answered { status: 200 });
+    let step = scene.then(key, Event::BrokeOff { last_event: Some(12) });
+    assert_eq!(step, Step::Abort);
+}
+
+#[test]
+fn without_prefill_engines_the_decode_engine_prefills() {
+    let decode_only = vec![upstream("d1", ENGINES, PoolRole::Decode)];
+    let mut scene = Scene::new(decode_only);
+    let (key, _) = scene.begin("/stream/1");
+    let step = scene.then(key, reserved());
+    assert!(matches!(step, Step::Decode { source: None, .. }), "{step:?}");
+}
+
+#[test]
+fn what_is_still_held_at_the_end_is_freed() {
+    let mut scene = Scene::new(fleet());
+    let (key, _) = scene.begin("/stream/1");
+    scene.then(key, reserved());
+    scene.router.finish(key);
+    assert_eq!(scene.router.take_cleanups().len(), 1);
+    assert_eq!(scene.router.open_requests(), 0);
+}
+
+#[test]
+fn a_caller_that_leaves_the_line_lets_the_next_one_ask() {
+    let mut scene = Scene::new(fleet());
+    let (first, _) = scene.begin("/stream/1");
+    let (second, _) = scene.begin("/stream/2");
+    scene.router.finish(first);
+    assert_eq!(scene.router.take_woken(), vec![second]);
+}
+
+#[test]
+fn past_the_deadline_nothing_claims_that_it_did_not_run() {
+    let mut scene = Scene::new(fleet());
+    let (key, _) = scene.decoding("/stream/1");
+    let refused = refusal(scene.after(ms(14_000), key, Event::DeadlinePassed));
+    assert_eq!(refused.reason, RefusalReason::DeadlineExceeded);
+    assert_eq!(refused.outcome, Outcome::Unknown);
+}
+
+#[test]
+fn a_stuck_prefill_is_given_to_another_engine() {
+    let mut scene = Scene::new(fleet());
+    let (key, _) = scene.begin("/stream/1");
+    let step = scene.then(key, reserved());
+    let stuck = target(&step);
+    let Step::Prefill { timeout, .. } = step else { panic!("{step:?}") };
+    assert!(timeout < ms(900), "{timeout:?}");
+    let step = scene.after(timeout, key, Event::Failed(Failure::Silent));
+    assert!(matches!(step, Step::Prefill { .. }), "{step:?}");
+    assert_ne!(target(&step), stuck);
+}
