Engines are split between prefill and decode by the work; prefills go where the wait is short

Now: prefills go by the wait that the entry's own prefills met, fading within a second; twice the share of prefills; what is known of the demand needs 100 requests and a wide dead band; one entry orders, by a lease that the store's group deals, with the generation as fencing token. A failed prefill is charged to the retry budget whether or not another follows; a run that starts over costs two sends. Stuck means four times the expected time and 400 ms.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -27,6 +27,30 @@
     }
 }
 
+/// The clock of the machine that goes on while it is suspended, so that a lease
+/// is known to have run out when the machine wakes.
+#[derive(Debug, Clone)]
+pub struct BootClock {
+    start: Duration,
+}
+
+impl Default for BootClock {
+    fn default() -> Self {
+        Self { start: since_boot() }
+    }
+}
+
+impl Clock for BootClock {
+    fn now(&self) -> Duration {
+        since_boot().saturating_sub(self.start)
+    }
+}
+
+fn since_boot() -> Duration {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+}
+
 /// Whole milliseconds of a duration, for fields that carry `_ms`.
 pub fn as_ms(duration: Duration) -> u64 {
     duration.as_millis() as u64
--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -10,4 +10,5 @@
 pub mod metrics;
 pub mod server;
 pub mod sse;
+pub mod steward;
 pub mod upstream_client;
--- a/src/edge/direct/dispatch.rs
+++ b/src/edge/direct/dispatch.rs
@@ -210,7 +210,7 @@
             self.count(&reason, &step);
             dispatcher.settle();
         }
-        dispatcher.router.borrow_mut().finish(self.key);
+        dispatcher.router.borrow_mut().finish(dispatcher.now(), self.key);
         dispatcher.settle();
     }
 
--- a/src/edge/direct/following.rs
+++ b/src/edge/direct/following.rs
@@ -14,6 +14,7 @@
 use crate::router::follow::Feed;
 use crate::router::follow::Pace;
 use crate::router::follow::Read;
+use crate::router::lease::Granted;
 use crate::router::listing::ListRecord;
 
 /// One record of a feed.
@@ -82,6 +83,16 @@
         timeout: Duration,
     ) -> Result<Changes, StoreError>;
 
+    /// Joins the group of entries or stays in it. Says whether this member
+    /// holds the group's lease.
+    async fn renew(
+        &self,
+        member: &str,
+        generation: u64,
+        ttl: Duration,
+        timeout: Duration,
+    ) -> Result<Granted, StoreError>;
+
     /// Reads a record of the list.
     fn list_record(&self, record: StoreRecord) -> ListRecord;
 
--- a/src/edge/direct/upstream_client.rs
+++ b/src/edge/direct/upstream_client.rs
@@ -12,6 +12,7 @@
 use crate::edge::direct::connections::Connection;
 use crate::router::Cleanup;
 use crate::router::Target;
+use crate::router::fleet::PoolRole;
 use crate::router::flow::Failure;
 use crate::router::flow::KvSource;
 
@@ -64,6 +65,45 @@
     pub keep: Option<Duration>,
 }
 
+/// What an engine says of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EngineState {
+    /// What it does.
+    pub role: PoolRole,
+    /// It is carrying an order out.
+    pub busy: bool,
+    /// Orders that it has accepted since its start.
+    pub orders: u64,
+}
+
+/// An order to change the role.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RoleOrder {
+    /// What the engine is to do.
+    pub role: PoolRole,
+    /// Name of the instance that gives the order.
+    pub holder: CompactString,
+    /// Fencing token of the lease.
+    pub token: u64,
+    /// Orders that the engine must have accepted before, so that an order that
+    /// is carried out late does nothing.
+    pub orders: u64,
+}
+
+/// What an engine said to an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum OrderAnswer {
+    /// It is being carried out, or already holds.
+    Taken,
+    /// Another order came first.
+    Conflict,
+    /// The token is older than one that the engine has seen.
+    Fenced,
+    /// It was not taken for another reason.
+    Refused,
+}
+
 /// The upstreams' protocol. Each call is made once; nothing is decided here.
 #[allow(async_fn_in_trait, reason = "entries run on one thread")]
 pub trait UpstreamClient: 'static {
@@ -99,6 +139,12 @@
         fresh_connection: bool,
     ) -> Result<UpstreamAnswer, Failure>;
 
+    /// Asks an engine what it does.
+    async fn engine_state(&self, target: &Target) -> Result<EngineState, Failure>;
+
+    /// Orders an engine to change its role.
+    async fn order(&self, target: &Target, order: &RoleOrder) -> Result<OrderAnswer, Failure>;
+
     /// Frees what is still held for a request that is over.
     async fn clean_up(&self, cleanup: Cleanup);
 
--- a/src/router.rs
+++ b/src/router.rs
@@ -10,11 +10,13 @@
 pub mod flow;
 pub mod follow;
 mod generate;
+pub mod lease;
 pub mod listing;
 pub mod pace;
 mod plain;
 mod pools;
 pub mod request;
+pub mod roles;
 pub mod room;
 
 pub use flow::Cleanup;
@@ -38,10 +40,15 @@
 use crate::router::configuration::RouteTable;
 use crate::router::fleet::Fleet;
 use crate::router::listing::Listing;
+use crate::router::pace::EngineTime;
 use crate::router::pace::PrefillPace;
 use crate::router::request::Inquiry;
 use crate::router::request::Request;
 use crate::router::request::RequestKey;
+use crate::router::roles::Demand;
+use crate::router::roles::Move;
+use crate::router::roles::RoleSettings;
+use crate::router::roles::Roles;
 use crate::router::room::RoomQueue;
 
 /// What one entry is told at its start.
@@ -53,6 +60,8 @@
     pub random_seed: u64,
     /// Limits of what may be sent to a service beyond the first try.
     pub budget: BudgetLimits,
+    /// How engines are split between prefill and decode.
+    pub roles: RoleSettings,
     /// How long entries of the instance list stay usable after they vanished
     /// while the list could not be read, counted from its return.
     pub lapse_grace: Duration,
@@ -64,6 +73,7 @@
             zone: CompactString::default(),
             random_seed: 0,
             budget: BudgetLimits::default(),
+            roles: RoleSettings::default(),
             lapse_grace: Duration::from_secs(2),
         }
     }
@@ -80,6 +90,9 @@
     rooms: HashMap<CompactString, RoomQueue>,
     budgets: HashMap<CompactString, RetryWindow>,
     paces: HashMap<CompactString, PrefillPace>,
+    engine_time: HashMap<CompactString, EngineTime>,
+    roles: HashMap<CompactString, Roles>,
+    last_prompt: Option<Duration>,
     woken: Vec<RequestKey>,
     cleanups: Vec<Cleanup>,
     rng: ChaCha8Rng,
@@ -90,6 +103,9 @@
 /// for reasons of its own, when another entry may.
 const ELSEWHERE_RETRY: Duration = Duration::from_millis(300);
 
+/// Requests for engines within this time mean that engines are in use.
+const BUSY: Duration = Duration::from_secs(2);
+
 impl Router {
     /// A core without configuration, upstreams or requests.
     pub fn new(config: RouterConfig) -> Self {
@@ -101,6 +117,9 @@
             rooms: HashMap::new(),
             budgets: HashMap::new(),
             paces: HashMap::new(),
+            engine_time: HashMap::new(),
+            roles: HashMap::new(),
+            last_prompt: None,
             woken: Vec::new(),
             cleanups: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(config.random_seed),
@@ -177,9 +196,19 @@
         let service = table.routes[route].pick_destination(&mut self.rng);
         self.budget(&service).request(now);
         let request = Request::new(now, inquiry, table, route, service);
+        self.note_arrival(now, &request);
         Ok(self.requests.insert(request))
     }
 
+    fn note_arrival(&mut self, now: Duration, request: &Request) {
+        let Some(prompt) = request.prompt else { return };
+        let service = request.table.service(&request.service);
+        let Some(engine) = service.and_then(|service| service.engine) else { return };
+        let time = self.engine_time.entry(request.service.clone()).or_default();
+        time.arrived(&prompt, engine.kv_tokens);
+        self.last_prompt = Some(now);
+    }
+
     /// The request behind a key.
     pub fn request(&self, key: RequestKey) -> Option<&Request> {
         self.requests.get(key)
@@ -199,14 +228,42 @@
         }
     }
 
+    /// The next change of an engine's role, if one is due. Only the holder of
+    /// the lease asks.
+    pub fn next_move(&mut self, now: Duration) -> Option<Move> {
+        let table = self.table.clone()?;
+        let engines = table.services.iter().filter(|service| service.engine.is_some());
+        engines.into_iter().find_map(|service| {
+            let time = self.engine_time.get(&service.name);
+            let demand = Demand {
+                prefill_share: time.and_then(EngineTime::prefill_share),
+                busy: self.last_prompt.is_some_and(|last| now < last + BUSY),
+            };
+            let settings = self.config.roles;
+            let roles = self.roles.entry(service.name.clone());
+            let roles = roles.or_insert_with(|| Roles::new(settings));
+            roles.next(now, &service.name, &self.fleet, demand)
+        })
+    }
+
+    /// An engine was ordered to change its role, or may have been.
+    pub fn moving(&mut self, now: Duration, order: &Move) {
+        let Some(engine) = self.fleet.get(order.key) else { return };
+        if let Some(roles) = self.roles.get_mut(&engine.listed.service) {
+            roles.ordered(now, order);
+        }
+    }
+
     /// The request is over or its caller is gone. What is still held for it is
     /// to be freed.
-    pub fn finish(&mut self, key: RequestKey) {
+    pub fn finish(&mut self, now: Duration, key: RequestKey) {
+        self.note_engine_time(now, key);
         let Some(request) = self.requests.get_mut(key) else { return };
         let held = request.take_held();
         self.cleanups.extend(held);
         self.leave_room(key);
         self.settle(key);
+        self.settle_prefill(key);
         self.requests.remove(key);
     }
 
--- a/src/router/budget.rs
+++ b/src/router/budget.rs
@@ -45,16 +45,27 @@
         self.expire(now);
     }
 
-    /// Takes one extra send out of the budget. False if there is none left.
-    pub fn spend(&mut self, now: Duration) -> bool {
+    /// Takes extra sends out of the budget. False, and none taken, if fewer
+    /// are left.
+    pub fn spend(&mut self, now: Duration, sends: usize) -> bool {
+        let allowed = self.allows(now, sends);
+        if allowed {
+            self.extras.extend(std::iter::repeat_n(now, sends));
+        }
+        allowed
+    }
+
+    /// Counts a send that turned out to be an extra one after it was made.
+    pub fn charge(&mut self, now: Duration) {
+        self.extras.push_back(now);
+    }
+
+    /// True if so many extra sends are left.
+    pub fn allows(&mut self, now: Duration, sends: usize) -> bool {
         self.expire(now);
         let share = self.limits.allowance / f64::from(self.limits.entries.max(1));
         let allowed = self.limits.ratio * self.requests.len() as f64 + share;
-        if (self.extras.len() + 1) as f64 > allowed {
-            return false;
-        }
-        self.extras.push_back(now);
-        true
+        (self.extras.len() + sends) as f64 <= allowed
     }
 
     fn expire(&mut self, now: Duration) {
--- a/src/router/fleet.rs
+++ b/src/router/fleet.rs
@@ -11,6 +11,7 @@
 
 use crate::policy::ejection::Health;
 use crate::policy::ejection::Limits;
+use crate::router::pace::PrefillWait;
 
 new_key_type! {
     /// Names one incarnation of an upstream within one entry.
@@ -59,6 +60,10 @@
     pub open: u32,
     /// Prompt tokens and expected output of those requests.
     pub open_tokens: u64,
+    /// Prompt tokens that this entry waits for here.
+    pub prefilling_tokens: u64,
+    /// Wait before a prefill, as seen last.
+    pub prefill_wait: PrefillWait,
     /// Failures in a row, and ejection.
     pub health: Health,
     /// It had no room for a request until then.
@@ -96,6 +101,8 @@
             listed,
             open: 0,
             open_tokens: 0,
+            prefilling_tokens: 0,
+            prefill_wait: PrefillWait::default(),
             health: Health::default(),
             full_until: Duration::ZERO,
         });
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -30,17 +30,21 @@
 const ROOM_POLL: Duration = Duration::from_millis(40);
 /// An engine that had no room is not asked again so soon.
 const FULL_PAUSE: Duration = Duration::from_millis(30);
+/// An engine that turned a prefill away is full or changes its role.
+const PREFILL_REST: Duration = Duration::from_millis(500);
 /// Engines asked for room in one round.
 const MAX_ASKED: usize = 6;
 /// When a refused caller may expect room.
 const ROOM_RETRY: Duration = Duration::from_millis(2_500);
 /// A prefill that takes so many times longer than expected is stuck.
-const PREFILL_PATIENCE: u32 = 3;
+const PREFILL_PATIENCE: u32 = 4;
 /// Allowance for the queue of an engine and for small prompts.
-const PREFILL_SLACK: Duration = Duration::from_millis(250);
+const PREFILL_SLACK: Duration = Duration::from_millis(400);
 /// Prefills of one request before it is given up.
 const MAX_PREFILLS: u32 = 3;
 const MAX_SENDS: u32 = 5;
+/// A run that starts over is a prefill and a decode.
+const SENDS_OF_A_RUN: usize = 2;
 /// Silence after which a stream that may be continued elsewhere is.
 const RESUME_SILENCE: Duration = Duration::from_millis(600);
 
@@ -128,13 +132,19 @@
     fn no_room_here(&mut self, now: Duration, key: RequestKey) -> Step {
         if let Some(target) = self.requests[key].current.clone() {
             self.requests[key].tried.push(target.key);
-            if let Some(engine) = self.fleet.get_mut(target.key) {
-                engine.full_until = now + FULL_PAUSE;
-            }
         }
+        self.rest(now, key, FULL_PAUSE);
         self.find_room(now, key)
     }
 
+    /// The current engine has no room for a while.
+    fn rest(&mut self, now: Duration, key: RequestKey, pause: Duration) {
+        let Some(target) = self.requests[key].current.as_ref() else { return };
+        if let Some(engine) = self.fleet.get_mut(target.key) {
+            engine.full_until = now + pause;
+        }
+    }
+
     /// The request no longer waits; the next one may ask.
     pub(super) fn leave_room(&mut self, key: RequestKey) {
         let service = &self.requests[key].service;
@@ -172,7 +182,9 @@
         request.prefills += 1;
         request.step_began = now;
         request.current = Some(target.clone());
-        Step::Prefill { target, deadline: request.left(now), timeout }
+        let deadline = request.left(now);
+        self.count_prefill(key, &target);
+        Step::Prefill { target, deadline, timeout }
     }
 
     /// Beyond this an engine is stuck, not busy.
@@ -194,7 +206,14 @@
         let took = now.saturating_sub(request.step_began);
         let tokens = request.prompt.map_or(0, |prompt| prompt.tokens);
         let service = request.service.clone();
-        request.prefilled = Some(Held { target, name: handle });
+        request.prefilled = Some(Held { target: target.clone(), name: handle });
+        let time = self.engine_time.entry(service.clone()).or_default();
+        time.prefilled(tokens, took);
+        let wait = took.saturating_sub(time.prefill_time(tokens).unwrap_or(took));
+        if let Some(engine) = self.fleet.get_mut(target.key) {
+            engine.prefill_wait.observe(now, wait);
+        }
+        self.settle_prefill(key);
         self.paces.entry(service).or_default().observe(tokens, took);
         self.decode(now, key)
     }
@@ -211,6 +230,7 @@
         request.phase = Phase::Decoding;
         request.sends += 1;
         request.runs += 1;
+        request.step_began = now;
         request.current = Some(reservation.target.clone());
         let source = request
             .prefilled
@@ -255,11 +275,19 @@
     }
 
     fn prefill_failed(&mut self, now: Duration, key: RequestKey, failure: Failure) -> Step {
+        self.settle_prefill(key);
         let reservation = self.requests[key].reservation.as_ref().map(|held| held.target.clone());
         let service = self.requests[key].service.clone();
         let few = self.requests[key].prefills < MAX_PREFILLS;
-        let free = failure == Failure::NotSent;
-        if few && (free || self.budget(&service).spend(now)) {
+        if failure == Failure::NotRun {
+            self.rest(now, key, PREFILL_REST);
+        }
+        let budget = self.budget(&service);
+        if failure != Failure::NotSent {
+            // Only a prefill that ended well is not counted.
+            budget.charge(now);
+        }
+        if few && budget.allows(now, 1) {
             self.requests[key].current = reservation;
             return self.prefill(now, key);
         }
@@ -291,6 +319,17 @@
         Step::Refuse(self.refusal(key, reason, ROOM_RETRY))
     }
 
+    /// Counts the engine time of a request whose output has ended.
+    pub(super) fn note_engine_time(&mut self, now: Duration, key: RequestKey) {
+        let Some(request) = self.requests.get(key) else { return };
+        let Some(prompt) = request.prompt.filter(|_| request.phase == Phase::Relaying) else {
+            return;
+        };
+        let took = now.saturating_sub(request.step_began);
+        let service = request.service.clone();
+        self.engine_time.entry(service).or_default().decoded(&prompt, took);
+    }
+
     /// The prefill result was of no use. An engine that did not run the request
     /// although room was reserved there could not fetch it.
     fn discard_source(&mut self, now: Duration, key: RequestKey, failure: Failure) {
@@ -329,7 +368,7 @@
         let request = &self.requests[key];
         let allowed = request.runs < request.route().max_runs && request.sends < MAX_SENDS;
         let service = request.service.clone();
-        allowed && self.budget(&service).spend(now)
+        allowed && self.budget(&service).spend(now, SENDS_OF_A_RUN)
     }
 
     fn generate_overdue(&mut self, key: RequestKey) -> Step {
--- /dev/null
+++ b/src/router/lease.rs
@@ -0,0 +1,94 @@
+//! The lease of the entry that gives orders to engines.
+//!
+//! The platform's store deals the lease to one member of a group. The holder
+//! counts its time from before it asked, so that it stops before the store
+//! deals the lease to another; a new holder lets the time of the one before it
+//! run out first. The fencing token is the store's generation: it grows with
+//! each change of the group.
+
+use std::time::Duration;
+
+/// Times of the lease.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeaseSettings {
+    /// How long the store keeps a member that does not ask.
+    pub ttl: Duration,
+    /// Pause between two renewals.
+    pub renewal: Duration,
+    /// How long a new holder waits before its first order, for the one before
+    /// it to have stopped.
+    pub settle: Duration,
+    /// Left of the lease in which nothing is begun any more.
+    pub margin: Duration,
+}
+
+impl Default for LeaseSettings {
+    fn default() -> Self {
+        Self {
+            ttl: Duration::from_millis(4_000),
+            renewal: Duration::from_millis(1_000),
+            settle: Duration::from_millis(3_500),
+            margin: Duration::from_millis(1_000),
+        }
+    }
+}
+
+/// What the store said to a renewal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Granted {
+    /// The store's generation of the group.
+    pub generation: u64,
+    /// True if the lease belongs to this member.
+    pub holds: bool,
+}
+
+/// The lease as one entry knows it.
+#[derive(Debug, Clone)]
+pub struct Lease {
+    settings: LeaseSettings,
+    generation: u64,
+    /// Since when it has been held without a break.
+    held_since: Option<Duration>,
+    valid_until: Duration,
+}
+
+impl Lease {
+    /// Not held.
+    pub fn new(settings: LeaseSettings) -> Self {
+        Self { settings, generation: 0, held_since: None, valid_until: Duration::ZERO }
+    }
+
+    /// Times of the lease.
+    pub fn settings(&self) -> &LeaseSettings {
+        &self.settings
+    }
+
+    /// The newest generation that the store named; 0 before the first.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// The store answered a renewal that was sent at `asked`. True if the lease
+    /// was won or lost by that.
+    pub fn renewed(&mut self, asked: Duration, now: Duration, granted: Granted) -> bool {
+        let held = self.held_since.is_some();
+        let lapsed = asked >= self.valid_until;
+        self.generation = self.generation.max(granted.generation);
+        if !granted.holds {
+            self.held_since = None;
+            return held;
+        }
+        if !held || lapsed {
+            self.held_since = Some(now);
+        }
+        self.valid_until = asked + self.settings.ttl;
+        !held
+    }
+
+    /// The fencing token, if orders may be given now.
+    pub fn token(&self, now: Duration) -> Option<u64> {
+        let settled = self.held_since? + self.settings.settle <= now;
+        let valid = now + self.settings.margin < self.valid_until;
+        (settled && valid).then_some(self.generation)
+    }
+}
--- a/src/router/pace.rs
+++ b/src/router/pace.rs
@@ -1,10 +1,12 @@
-//! How fast the engines of a service prefill, as this entry has seen it.
+//! Engine time that requests take, as this entry has seen it.
 
 use std::time::Duration;
 
+use crate::router::request::Prompt;
+
 const SMOOTHING: f64 = 0.1;
 /// Assumed until the first prefill has ended.
-const FIRST_GUESS_PER_TOKEN: Duration = Duration::from_micros(30);
+const FIRST_GUESS_PER_TOKEN: Duration = Duration::from_micros(20);
 
 /// Smoothed time of a prefill.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -30,3 +32,96 @@
         Duration::from_secs_f64(self.per_token_s * f64::from(tokens))
     }
 }
+
+/// Requests that are remembered, about.
+const MEMORY: f64 = 400.0;
+/// Requests before the share is known.
+const MIN_REQUESTS: f64 = 100.0;
+/// Prompts below this say little about the speed of an engine.
+const MIN_PROMPT_TOKENS: u32 = 2_000;
+
+/// Engine time that the requests of a service take.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct EngineTime {
+    fastest_per_token_s: Option<f64>,
+    /// Of the requests that arrived.
+    prompt_tokens: f64,
+    /// Of the requests that arrived: share of an engine's memory, times output.
+    memory_outputs: f64,
+    requests: f64,
+    /// Of the requests that ended.
+    output_tokens: f64,
+    output_s: f64,
+}
+
+impl EngineTime {
+    /// A request arrived.
+    pub fn arrived(&mut self, prompt: &Prompt, kv_tokens: u32) {
+        let keep = 1.0 - 1.0 / MEMORY;
+        let output = f64::from(prompt.expected_output());
+        let share = f64::from(prompt.expected_tokens()) / f64::from(kv_tokens.max(1));
+        self.prompt_tokens = self.prompt_tokens * keep + f64::from(prompt.tokens);
+        self.memory_outputs = self.memory_outputs * keep + share * output;
+        self.requests = self.requests * keep + 1.0;
+    }
+
+    /// A prompt was prefilled. The fastest one tells what an engine needs
+    /// without a queue.
+    pub fn prefilled(&mut self, tokens: u32, took: Duration) {
+        if tokens >= MIN_PROMPT_TOKENS {
+            let seen = took.as_secs_f64() / f64::from(tokens);
+            let fastest = self.fastest_per_token_s.map_or(seen, |known| known.min(seen));
+            self.fastest_per_token_s = Some(fastest);
+        }
+    }
+
+    /// Time that a prompt needs without a queue, once it is known.
+    pub fn prefill_time(&self, tokens: u32) -> Option<Duration> {
+        let per_token_s = self.fastest_per_token_s?;
+        Some(Duration::from_secs_f64(per_token_s * f64::from(tokens)))
+    }
+
+    /// The output of a request took so long.
+    pub fn decoded(&mut self, prompt: &Prompt, took: Duration) {
+        let keep = 1.0 - 1.0 / MEMORY;
+        self.output_tokens = self.output_tokens * keep + f64::from(prompt.expected_output());
+        self.output_s = self.output_s * keep + took.as_secs_f64();
+    }
+
+    /// Share of the engine time that prefills take, once it is known.
+    pub fn prefill_share(&self) -> Option<f64> {
+        let per_token_s = self.fastest_per_token_s.filter(|_| self.requests >= MIN_REQUESTS)?;
+        let prefill_s = self.prompt_tokens * per_token_s;
+        let decode_s = self.memory_outputs * self.output_s / self.output_tokens.max(1.0);
+        let total_s = prefill_s + decode_s;
+        (decode_s > 0.0).then(|| prefill_s / total_s)
+    }
+}
+
+const WAIT_SMOOTHING: f64 = 0.5;
+/// A wait that was seen so long ago says nothing any more.
+const WAIT_MEMORY: Duration = Duration::from_millis(1_000);
+
+/// The wait before a prefill at one engine. Other entries send there, too: what
+/// this entry's own prefills met is the freshest sign of it.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct PrefillWait {
+    wait_s: f64,
+    seen_at: Duration,
+}
+
+impl PrefillWait {
+    /// A prefill waited so long.
+    pub fn observe(&mut self, now: Duration, wait: Duration) {
+        let before = self.expected(now).as_secs_f64();
+        self.wait_s = before + WAIT_SMOOTHING * (wait.as_secs_f64() - before);
+        self.seen_at = now;
+    }
+
+    /// The wait to expect; it fades with the age of what was seen.
+    pub fn expected(&self, now: Duration) -> Duration {
+        let age = now.saturating_sub(self.seen_at).as_secs_f64();
+        let fresh = (1.0 - age / WAIT_MEMORY.as_secs_f64()).max(0.0);
+        Duration::from_secs_f64(self.wait_s * fresh)
+    }
+}
--- a/src/router/plain.rs
+++ b/src/router/plain.rs
@@ -109,7 +109,7 @@
             && (route.idempotent || request.runs == 0)
             && request.left(now) > MIN_CALL_TIMEOUT;
         let service = request.service.clone();
-        allowed && self.service_upstream(now, key).is_some() && self.budget(&service).spend(now)
+        allowed && self.service_upstream(now, key).is_some() && self.budget(&service).spend(now, 1)
     }
 
     /// The current upstream did not serve the request.
--- a/src/router/pools.rs
+++ b/src/router/pools.rs
@@ -6,6 +6,7 @@
 
 use crate::router::Router;
 use crate::router::fleet::PoolRole;
+use crate::router::fleet::Upstream;
 use crate::router::fleet::UpstreamKey;
 use crate::router::flow::Target;
 use crate::router::request::RequestKey;
@@ -15,6 +16,8 @@
 const ZONE_COST_TOKENS: f64 = 4_000.0;
 /// Cost of another availability zone for a plain call, in requests.
 const ZONE_COST_CALLS: f64 = 0.5;
+/// Assumed until the first prefill has ended.
+const ASSUMED_PREFILL_TOKEN: Duration = Duration::from_micros(25);
 /// Spread of the costs, so that entries with the same view part ways.
 const SPREAD_TOKENS: f64 = 2_000.0;
 const SPREAD_CALLS: f64 = 0.3;
@@ -24,12 +27,9 @@
     pub(super) fn decode_engines(&mut self, now: Duration, key: RequestKey) -> Vec<UpstreamKey> {
         let service = self.requests[key].service.clone();
         let working = self.fleet.working(&service, PoolRole::Decode, now);
-        let rested: Vec<UpstreamKey> = working
-            .iter()
-            .copied()
-            .filter(|&key| self.fleet.get(key).is_some_and(|engine| engine.full_until <= now))
-            .collect();
-        self.ranked(rested, &self.requests[key].tried.clone(), None)
+        let rested = self.rested(now, &working);
+        let tried = self.requests[key].tried.clone();
+        self.ranked(rested, &tried, None, |engine| engine.open_tokens as f64)
     }
 
     /// Prefill engines for a request, the best first, near the decode engine.
@@ -40,7 +40,26 @@
         let tried = request.tried.clone();
         let service = request.service.clone();
         let working = self.fleet.working(&service, PoolRole::Prefill, now);
-        self.ranked(working, &tried, zone.as_deref())
+        let rested = self.rested(now, &working);
+        let engines = if rested.is_empty() { working } else { rested };
+        let token_s = self.prefill_token_s(&service);
+        self.ranked(engines, &tried, zone.as_deref(), |engine| {
+            let wait_s = engine.prefill_wait.expected(now).as_secs_f64();
+            engine.prefilling_tokens as f64 + wait_s / token_s
+        })
+    }
+
+    /// Seconds that an engine needs for a token of a prompt.
+    fn prefill_token_s(&self, service: &str) -> f64 {
+        let time = self.engine_time.get(service).and_then(|time| time.prefill_time(1));
+        time.unwrap_or(ASSUMED_PREFILL_TOKEN).as_secs_f64()
+    }
+
+    /// Those that did not say that they are full a moment ago.
+    fn rested(&self, now: Duration, engines: &[UpstreamKey]) -> Vec<UpstreamKey> {
+        let is_rested =
+            |key: &UpstreamKey| self.fleet.get(*key).is_some_and(|engine| engine.full_until <= now);
+        engines.iter().copied().filter(is_rested).collect()
     }
 
     fn ranked(
@@ -48,6 +67,7 @@
         engines: Vec<UpstreamKey>,
         tried: &[UpstreamKey],
         zone: Option<&str>,
+        load_tokens: impl Fn(&Upstream) -> f64,
     ) -> Vec<UpstreamKey> {
         let zone = zone.unwrap_or(&self.config.zone);
         let mut ranked: Vec<(f64, UpstreamKey)> = Vec::with_capacity(engines.len());
@@ -57,7 +77,7 @@
             };
             let away = if engine.listed.zone == zone { 0.0 } else { ZONE_COST_TOKENS };
             let spread = self.rng.random_range(0.0..SPREAD_TOKENS);
-            ranked.push((engine.open_tokens as f64 + away + spread, key));
+            ranked.push((load_tokens(engine) + away + spread, key));
         }
         ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
         ranked.into_iter().map(|(_, key)| key).collect()
@@ -91,7 +111,8 @@
         best.map(|(_, key)| key)
     }
 
-    pub(super) fn target(&self, key: UpstreamKey) -> Option<Target> {
+    /// The upstream behind a key, as steps name it.
+    pub fn target(&self, key: UpstreamKey) -> Option<Target> {
         self.fleet.get(key).map(|upstream| Target {
             key,
             id: upstream.listed.id.clone(),
@@ -110,6 +131,29 @@
         }
     }
 
+    /// Counts the prompt as waited for at the engine.
+    pub(super) fn count_prefill(&mut self, key: RequestKey, target: &Target) {
+        self.settle_prefill(key);
+        let tokens = self.prompt_tokens(key);
+        if let Some(engine) = self.fleet.get_mut(target.key) {
+            engine.prefilling_tokens += tokens;
+            self.requests[key].prefilling = Some(target.key);
+        }
+    }
+
+    /// The prompt is no longer waited for anywhere.
+    pub(super) fn settle_prefill(&mut self, key: RequestKey) {
+        let tokens = self.prompt_tokens(key);
+        let Some(engine) = self.requests[key].prefilling.take() else { return };
+        if let Some(engine) = self.fleet.get_mut(engine) {
+            engine.prefilling_tokens = engine.prefilling_tokens.saturating_sub(tokens);
+        }
+    }
+
+    fn prompt_tokens(&self, key: RequestKey) -> u64 {
+        self.requests[key].prompt.map_or(0, |prompt| u64::from(prompt.tokens))
+    }
+
     /// The request is no longer open at any upstream.
     pub(super) fn settle(&mut self, key: RequestKey) {
         let tokens = self.open_tokens(key);
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -110,13 +110,15 @@
     /// Sends that count against the retry budget.
     pub(super) sends: u32,
     pub(super) prefills: u32,
-    /// When the last prefill was sent.
+    /// When the last prefill or decode was sent.
     pub(super) step_began: Duration,
     /// Upstreams that did not serve it.
     pub(super) tried: Vec<UpstreamKey>,
     pub(super) current: Option<Target>,
     /// Tokens counted as open at the current decode upstream.
     pub(super) counted: Option<Target>,
+    /// Engine at which its prompt counts as waited for.
+    pub(super) prefilling: Option<UpstreamKey>,
     pub(super) reservation: Option<Held>,
     pub(super) prefilled: Option<Held>,
     /// The head of an answer went to the caller.
@@ -154,6 +156,7 @@
             tried: Vec::new(),
             current: None,
             counted: None,
+            prefilling: None,
             reservation: None,
             prefilled: None,
             answering: false,
--- /dev/null
+++ b/src/router/roles.rs
@@ -0,0 +1,220 @@
+//! How many engines of a service prefill and how many decode.
+//!
+//! Prefill and decode take engine time in proportion to what the requests ask
+//! for. Engines are moved until the split of the pool follows that proportion,
+//! one at a time and with a dead band, because a move takes seconds. One entry
+//! gives the orders: the one that holds the lease.
+
+use std::time::Duration;
+
+use compact_str::CompactString;
+
+use crate::router::fleet::Fleet;
+use crate::router::fleet::PoolRole;
+use crate::router::fleet::Upstream;
+use crate::router::fleet::UpstreamKey;
+
+/// How the split is decided.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RoleSettings {
+    /// Share of the engine time that prefills take, until it is known.
+    pub assumed_prefill_share: f64,
+    /// Prefill engines are given so many times their share, so that prompts do
+    /// not queue.
+    pub prefill_headroom: f64,
+    /// Engines off the wanted split that are left alone while nothing is known
+    /// of the demand.
+    pub dead_band: f64,
+    /// Share of the engines off the wanted split that is left alone once the
+    /// demand is known: it varies.
+    pub busy_dead_band: f64,
+    /// Pause between two orders.
+    pub order_pause: Duration,
+    /// Share of the engines that move at the same time while none is in use;
+    /// otherwise one at a time.
+    pub max_moving: f64,
+    /// Pause before a move the other way.
+    pub reversal_pause: Duration,
+    /// How long an engine that was ordered may take.
+    pub move_timeout: Duration,
+    /// The list must have been quiet for so long.
+    pub settled: Duration,
+}
+
+impl Default for RoleSettings {
+    fn default() -> Self {
+        Self {
+            assumed_prefill_share: 0.19,
+            prefill_headroom: 2.0,
+            dead_band: 0.75,
+            busy_dead_band: 0.12,
+            order_pause: Duration::from_millis(200),
+            max_moving: 0.2,
+            reversal_pause: Duration::from_secs(30),
+            move_timeout: Duration::from_secs(20),
+            settled: Duration::from_secs(2),
+        }
+    }
+}
+
+/// What is known of the requests for engines.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Demand {
+    /// Share of the engine time that prefills take, if it is known.
+    pub prefill_share: Option<f64>,
+    /// Requests came a moment ago.
+    pub busy: bool,
+}
+
+/// An engine is to change its role.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Move {
+    /// The engine.
+    pub key: UpstreamKey,
+    /// What it is to do.
+    pub role: PoolRole,
+}
+
+#[derive(Debug, Clone)]
+struct Ordered {
+    key: UpstreamKey,
+    role: PoolRole,
+    until: Duration,
+}
+
+/// The moves underway, as the holder of the lease knows them.
+#[derive(Debug, Clone)]
+pub struct Roles {
+    settings: RoleSettings,
+    moving: Vec<Ordered>,
+    next_order: Duration,
+    last: Option<(PoolRole, Duration)>,
+    listed: usize,
+    changed_at: Duration,
+}
+
+impl Roles {
+    /// Nothing ordered yet.
+    pub fn new(settings: RoleSettings) -> Self {
+        Self {
+            settings,
+            moving: Vec::new(),
+            next_order: Duration::ZERO,
+            last: None,
+            listed: 0,
+            changed_at: Duration::ZERO,
+        }
+    }
+
+    /// The next move for a service, if one is due.
+    pub fn next(
+        &mut self,
+        now: Duration,
+        service: &CompactString,
+        fleet: &Fleet,
+        demand: Demand,
+    ) -> Option<Move> {
+        self.forget_done(now, fleet);
+        let engines: Vec<(UpstreamKey, &Upstream)> =
+            fleet.service(service).filter(|(_, engine)| is_engine(engine)).collect();
+        if !self.is_settled(now, engines.len()) || now < self.next_order {
+            return None;
+        }
+        let share = if demand.busy { 0.0 } else { self.settings.max_moving };
+        let most = (engines.len() as f64 * share).max(1.0) as usize;
+        if self.moving.len() >= most {
+            return None;
+        }
+        let role = self.wanted_change(&engines, demand)?;
+        if self.reverses(now, role) {
+            return None;
+        }
+        let key = self.candidate(&engines, role)?;
+        Some(Move { key, role })
+    }
+
+    fn reverses(&self, now: Duration, role: PoolRole) -> bool {
+        let pause = self.settings.reversal_pause;
+        self.last.is_some_and(|(last, at)| last != role && now < at + pause)
+    }
+
+    /// The order was given, or may have been taken.
+    pub fn ordered(&mut self, now: Duration, order: &Move) {
+        let until = now + self.settings.move_timeout;
+        self.moving.push(Ordered { key: order.key, role: order.role, until });
+        self.next_order = now + self.settings.order_pause;
+        self.last = Some((order.role, now));
+    }
+
+    fn forget_done(&mut self, now: Duration, fleet: &Fleet) {
+        self.moving.retain(|ordered| {
+            let engine = fleet.get(ordered.key);
+            let done = engine.is_none_or(|engine| engine.listed.role == ordered.role);
+            !done && now < ordered.until
+        });
+    }
+
+    fn is_settled(&mut self, now: Duration, listed: usize) -> bool {
+        if self.listed != listed {
+            self.listed = listed;
+            self.changed_at = now;
+        }
+        now >= self.changed_at + self.settings.settled
+    }
+
+    /// The role that one more engine should have.
+    fn wanted_change(
+        &self,
+        engines: &[(UpstreamKey, &Upstream)],
+        demand: Demand,
+    ) -> Option<PoolRole> {
+        let share = demand.prefill_share.unwrap_or(self.settings.assumed_prefill_share);
+        let weighted = share * self.settings.prefill_headroom;
+        let wanted_share = weighted / (weighted + 1.0 - share);
+        let total = engines.len();
+        let wanted = (total as f64 * wanted_share).max(1.0);
+        let have =
+            engines.iter().filter(|&&(key, engine)| self.role_of(key, engine) == PoolRole::Prefill);
+        let surplus = have.count() as f64 - wanted;
+        let dead_band = match demand.prefill_share {
+            Some(_) => (total as f64 * self.settings.busy_dead_band).max(1.0),
+            None => self.settings.dead_band,
+        };
+        if surplus > dead_band {
+            Some(PoolRole::Decode)
+        } else if surplus < -dead_band {
+            Some(PoolRole::Prefill)
+        } else {
+            None
+        }
+    }
+
+    /// The engine that changes to `role`: one of the zone that has most of the
+    /// other role, and the last by id, so that every holder finds the same.
+    fn candidate(
+        &self,
+        engines: &[(UpstreamKey, &Upstream)],
+        role: PoolRole,
+    ) -> Option<UpstreamKey> {
+        let others: Vec<&(UpstreamKey, &Upstream)> =
+            engines.iter().filter(|(key, engine)| self.role_of(*key, engine) != role).collect();
+        let in_zone = |zone: &CompactString| {
+            others.iter().filter(|(_, engine)| engine.listed.zone == *zone).count()
+        };
+        let best = others
+            .iter()
+            .filter(|(key, _)| !self.moving.iter().any(|ordered| ordered.key == *key))
+            .max_by_key(|(_, engine)| (in_zone(&engine.listed.zone), engine.listed.id.clone()));
+        best.map(|(key, _)| *key)
+    }
+
+    /// The role that the engine has or was ordered to take.
+    fn role_of(&self, key: UpstreamKey, engine: &Upstream) -> PoolRole {
+        let ordered = self.moving.iter().find(|ordered| ordered.key == key);
+        ordered.map_or(engine.listed.role, |ordered| ordered.role)
+    }
+}
+
+fn is_engine(upstream: &Upstream) -> bool {
+    !upstream.listed.leaving && upstream.listed.role != PoolRole::Service
+}
--- a/tests/router/budget.rs
+++ b/tests/router/budget.rs
@@ -14,7 +14,7 @@
     for _ in 0..requests {
         window.request(ms(0));
     }
-    (0..wanted).filter(|_| window.spend(ms(1))).count() as u32
+    (0..wanted).filter(|_| window.spend(ms(1), 1)).count() as u32
 }
 
 #[test]
@@ -33,6 +33,14 @@
 fn a_send_counts_until_the_window_has_passed() {
     let mut window = RetryWindow::new(limits());
     assert_eq!(granted(&mut window, 0, 10), 3);
-    assert!(!window.spend(ms(9_999)));
-    assert!(window.spend(ms(10_001)));
+    assert!(!window.spend(ms(9_999), 1));
+    assert!(window.spend(ms(10_001), 1));
+}
+
+#[test]
+fn sends_that_belong_together_are_granted_together_or_not_at_all() {
+    let mut window = RetryWindow::new(limits());
+    assert!(window.spend(ms(0), 2));
+    assert!(!window.spend(ms(0), 2));
+    assert!(window.spend(ms(0), 1));
 }
--- a/tests/router/generate.rs
+++ b/tests/router/generate.rs
@@ -163,7 +163,7 @@
     let mut scene = Scene::new(fleet());
     let (key, _) = scene.begin("/stream/1");
     scene.then(key, reserved());
-    scene.router.finish(key);
+    scene.router.finish(scene.now, key);
     assert_eq!(scene.router.take_cleanups().len(), 1);
     assert_eq!(scene.router.open_requests(), 0);
 }
@@ -173,7 +173,7 @@
     let mut scene = Scene::new(fleet());
     let (first, _) = scene.begin("/stream/1");
     let (second, _) = scene.begin("/stream/2");
-    scene.router.finish(first);
+    scene.router.finish(scene.now, first);
     assert_eq!(scene.router.take_woken(), vec![second]);
 }
 
@@ -199,6 +199,28 @@
     assert_ne!(target(&step), stuck);
 }
 
+#[test]
+fn prefills_that_fail_count_against_the_budget_whatever_follows() {
+    let mut scene = Scene::new(fleet());
+    let mut sends = 0;
+    let mut requests = 0;
+    while requests < 60 {
+        let (key, _) = scene.begin("/stream/1");
+        let mut step = scene.then(key, reserved());
+        while let Step::Prefill { .. } = step {
+            sends += 1;
+            step = scene.then(key, Event::Failed(Failure::Silent));
+        }
+        // The first arrival of each request: the decode engine prefills.
+        assert!(matches!(step, Step::Decode { source: None, .. }), "{step:?}");
+        scene.router.finish(scene.now, key);
+        requests += 1;
+    }
+    // Each request sends one prefill at least; those beyond keep to the budget.
+    let allowed = 0.2 * f64::from(requests) + 50.0 / 16.0;
+    assert!(f64::from(sends - requests) <= allowed, "{sends} sends for {requests}");
+}
+
 #[test]
 fn an_engine_whose_results_cannot_be_fetched_is_passed_over() {
     let mut scene = Scene::new(fleet());
@@ -213,7 +235,7 @@
         }
         let used = lapses.iter_mut().find(|(id, _)| *id == prefill.id).expect("is one of two");
         used.1 += 1;
-        scene.router.finish(key);
+        scene.router.finish(scene.now, key);
     }
     assert!(lapses[0].1 <= 3, "{lapses:?}");
 }
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -3,6 +3,8 @@
 mod budget;
 mod configuration;
 mod generate;
+mod lease;
 mod listing;
 mod plain;
+mod roles;
 mod scene;
