An engine that refused a size is asked again only for smaller ones, for 100 ms

Cause: on the grown sites 26 entries ask up to 33 decode engines for room, six a round, and forgot after 30 ms who had refused; a small request was kept from an engine that had only refused a large one.

Room is short in fact, not by choice of engine: prefills take 0.18 s at the median there while room takes 0.3 s and more.

--- a/src/router/fleet.rs
+++ b/src/router/fleet.rs
@@ -66,8 +66,33 @@
     pub prefill_wait: PrefillWait,
     /// Failures in a row, and ejection.
     pub health: Health,
-    /// It had no room for a request until then.
-    pub full_until: Duration,
+    /// What it had no room for a moment ago.
+    pub full: Full,
+}
+
+/// A size that an upstream has no room for, and until when that is believed.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Full {
+    tokens: u32,
+    until: Duration,
+}
+
+impl Full {
+    /// The upstream had no room for so many tokens.
+    pub fn refused(&mut self, now: Duration, tokens: u32, pause: Duration) {
+        self.tokens = if now < self.until { self.tokens.min(tokens) } else { tokens };
+        self.until = now + pause;
+    }
+
+    /// True if there may be room for so many tokens.
+    pub fn may_take(&self, now: Duration, tokens: u32) -> bool {
+        now >= self.until || tokens < self.tokens
+    }
+
+    /// Until when the refusal is believed.
+    pub fn until(&self) -> Duration {
+        self.until
+    }
 }
 
 /// When an upstream that fails is passed over, and for how long.
@@ -104,7 +129,7 @@
             prefilling_tokens: 0,
             prefill_wait: PrefillWait::default(),
             health: Health::default(),
-            full_until: Duration::ZERO,
+            full: Full::default(),
         });
         self.by_id.insert(id, key);
         self.by_service.entry(service).or_default().push(key);
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -27,13 +27,13 @@
 /// Share of its time that a request may wait for room once it was prefilled.
 const BEGUN_WAIT_SHARE: f64 = 0.5;
 /// Pause between two rounds of asking the engines for room.
-const ROOM_POLL: Duration = Duration::from_millis(40);
+const ROOM_POLL: Duration = Duration::from_millis(30);
 /// An engine that had no room is not asked again so soon.
-const FULL_PAUSE: Duration = Duration::from_millis(30);
+const FULL_PAUSE: Duration = Duration::from_millis(100);
 /// An engine that turned a prefill away is full or changes its role.
 const PREFILL_REST: Duration = Duration::from_millis(500);
 /// Engines asked for room in one round.
-const MAX_ASKED: usize = 6;
+const MAX_ASKED: usize = 12;
 /// When a refused caller may expect room.
 const ROOM_RETRY: Duration = Duration::from_millis(2_500);
 /// A prefill that takes so many times longer than expected is stuck.
@@ -133,15 +133,16 @@
         if let Some(target) = self.requests[key].current.clone() {
             self.requests[key].tried.push(target.key);
         }
-        self.rest(now, key, FULL_PAUSE);
+        let tokens = self.requests[key].prompt.map_or(0, |prompt| prompt.expected_tokens());
+        self.rest(now, key, tokens, FULL_PAUSE);
         self.find_room(now, key)
     }
 
-    /// The current engine has no room for a while.
-    fn rest(&mut self, now: Duration, key: RequestKey, pause: Duration) {
+    /// The current engine has no room for so many tokens for a while.
+    fn rest(&mut self, now: Duration, key: RequestKey, tokens: u32, pause: Duration) {
         let Some(target) = self.requests[key].current.as_ref() else { return };
         if let Some(engine) = self.fleet.get_mut(target.key) {
-            engine.full_until = now + pause;
+            engine.full.refused(now, tokens, pause);
         }
     }
 
@@ -280,7 +281,7 @@
         let service = self.requests[key].service.clone();
         let few = self.requests[key].prefills < MAX_PREFILLS;
         if failure == Failure::NotRun {
-            self.rest(now, key, PREFILL_REST);
+            self.rest(now, key, 0, PREFILL_REST);
         }
         let budget = self.budget(&service);
         if failure != Failure::NotSent {
--- a/src/router/pools.rs
+++ b/src/router/pools.rs
@@ -27,7 +27,8 @@
     pub(super) fn decode_engines(&mut self, now: Duration, key: RequestKey) -> Vec<UpstreamKey> {
         let service = self.requests[key].service.clone();
         let working = self.fleet.working(&service, PoolRole::Decode, now);
-        let rested = self.rested(now, &working);
+        let tokens = self.requests[key].prompt.map_or(0, |prompt| prompt.expected_tokens());
+        let rested = self.rested(now, &working, tokens);
         let tried = self.requests[key].tried.clone();
         self.ranked(rested, &tried, None, |engine| engine.open_tokens as f64)
     }
@@ -40,7 +41,7 @@
         let tried = request.tried.clone();
         let service = request.service.clone();
         let working = self.fleet.working(&service, PoolRole::Prefill, now);
-        let rested = self.rested(now, &working);
+        let rested = self.rested(now, &working, 0);
         let engines = if rested.is_empty() { working } else { rested };
         let token_s = self.prefill_token_s(&service);
         self.ranked(engines, &tried, zone.as_deref(), |engine| {
@@ -55,10 +56,11 @@
         time.unwrap_or(ASSUMED_PREFILL_TOKEN).as_secs_f64()
     }
 
-    /// Those that did not say that they are full a moment ago.
-    fn rested(&self, now: Duration, engines: &[UpstreamKey]) -> Vec<UpstreamKey> {
-        let is_rested =
-            |key: &UpstreamKey| self.fleet.get(*key).is_some_and(|engine| engine.full_until <= now);
+    /// Those that did not say a moment ago that they have no room for it.
+    fn rested(&self, now: Duration, engines: &[UpstreamKey], tokens: u32) -> Vec<UpstreamKey> {
+        let is_rested = |key: &UpstreamKey| {
+            self.fleet.get(*key).is_some_and(|engine| engine.full.may_take(now, tokens))
+        };
         engines.iter().copied().filter(is_rested).collect()
     }
 
