--- a/src/router.rs
+++ b/src/router.rs
@@ -232,11 +232,12 @@
     /// the lease asks.
     pub fn next_move(&mut self, now: Duration) -> Option<Move> {
         let table = self.table.clone()?;
-        let engines = table.services.iter().filter(|service| service.engine.is_some());
-        engines.into_iter().find_map(|service| {
+        table.services.iter().find_map(|service| {
+            let engine = service.engine?;
             let time = self.engine_time.get(&service.name);
             let demand = Demand {
                 prefill_share: time.and_then(EngineTime::prefill_share),
+                kv_tokens: engine.kv_tokens,
                 busy: self.last_prompt.is_some_and(|last| now < last + BUSY),
             };
             let settings = self.config.roles;
--- a/src/router/roles.rs
+++ b/src/router/roles.rs
@@ -17,8 +17,8 @@
 /// How the split is decided.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RoleSettings {
-    /// Share of the engine time that prefills take, until it is known.
-    pub assumed_prefill_share: f64,
+    /// What a request is assumed to take, until it is known.
+    pub assumed: AssumedRequest,
     /// Prefill engines are given so many times their share, so that prompts do
     /// not queue.
     pub prefill_headroom: f64,
@@ -44,8 +44,8 @@
 impl Default for RoleSettings {
     fn default() -> Self {
         Self {
-            assumed_prefill_share: 0.19,
-            prefill_headroom: 2.0,
+            assumed: AssumedRequest::default(),
+            prefill_headroom: 1.8,
             dead_band: 0.75,
             busy_dead_band: 0.12,
             order_pause: Duration::from_millis(200),
@@ -57,11 +57,48 @@
     }
 }
 
+/// A request as it is assumed until requests were seen.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct AssumedRequest {
+    /// Tokens of the prompt.
+    pub prompt_tokens: f64,
+    /// Tokens of the output.
+    pub output_tokens: f64,
+    /// Time that an engine needs for a token of a prompt.
+    pub prefill_token: Duration,
+    /// Time between two tokens of an output.
+    pub output_token: Duration,
+}
+
+impl Default for AssumedRequest {
+    fn default() -> Self {
+        Self {
+            prompt_tokens: 5_000.0,
+            output_tokens: 500.0,
+            prefill_token: Duration::from_micros(18),
+            output_token: Duration::from_micros(6_700),
+        }
+    }
+}
+
+impl AssumedRequest {
+    /// Share of the engine time that prefills take on engines with so much
+    /// memory.
+    fn prefill_share(&self, kv_tokens: u32) -> f64 {
+        let prefill_s = self.prompt_tokens * self.prefill_token.as_secs_f64();
+        let memory = (self.prompt_tokens + self.output_tokens) / f64::from(kv_tokens.max(1));
+        let decode_s = memory * self.output_tokens * self.output_token.as_secs_f64();
+        prefill_s / (prefill_s + decode_s)
+    }
+}
+
 /// What is known of the requests for engines.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Demand {
     /// Share of the engine time that prefills take, if it is known.
     pub prefill_share: Option<f64>,
+    /// Tokens that the memory of one engine holds.
+    pub kv_tokens: u32,
     /// Requests came a moment ago.
     pub busy: bool,
 }
@@ -168,7 +205,8 @@
         engines: &[(UpstreamKey, &Upstream)],
         demand: Demand,
     ) -> Option<PoolRole> {
-        let share = demand.prefill_share.unwrap_or(self.settings.assumed_prefill_share);
+        let share = demand.prefill_share;
+        let share = share.unwrap_or_else(|| self.settings.assumed.prefill_share(demand.kv_tokens));
         let weighted = share * self.settings.prefill_headroom;
         let wanted_share = weighted / (weighted + 1.0 - share);
         let total = engines.len();
--- a/tests/router/roles.rs
+++ b/tests/router/roles.rs
@@ -52,8 +52,12 @@
     fleet.service(ENGINES).filter(|(_, engine)| engine.listed.role == PoolRole::Prefill).count()
 }
 
+fn idle(kv_tokens: u32) -> Demand {
+    Demand { prefill_share: None, kv_tokens, busy: false }
+}
+
 fn share(prefill_share: f64) -> Demand {
-    Demand { prefill_share: Some(prefill_share), busy: true }
+    Demand { prefill_share: Some(prefill_share), kv_tokens: 50_000, busy: true }
 }
 
 macro_rules! splits {
@@ -70,9 +74,10 @@
 }
 
 splits! {
-    too_many_prefill_engines: 7, 11, Demand::default() => 5..=6;
-    a_small_pool: 5, 7, Demand::default() => 4..=4;
-    a_pool_that_fits: 6, 12, Demand::default() => 6..=6;
+    too_many_prefill_engines: 7, 11, idle(50_000) => 5..=6;
+    a_small_pool: 5, 7, idle(50_000) => 4..=4;
+    a_large_pool_of_small_memories: 17, 31, idle(38_000) => 12..=13;
+    a_pool_that_fits: 6, 12, idle(50_000) => 6..=6;
     long_prompts: 6, 12, share(0.5) => 9..=13;
     long_answers: 6, 12, share(0.05) => 1..=4;
     never_the_last_prefill_engine: 2, 10, share(0.0) => 1..=3;
@@ -111,7 +116,7 @@
     let mut roles = Roles::new(RoleSettings::default());
     for now in 0..20 {
         let fleet = fleet(7 + now, 11);
-        let order = roles.next(ms(now as u64 * 500), &ENGINES.into(), &fleet, Demand::default());
+        let order = roles.next(ms(now as u64 * 500), &ENGINES.into(), &fleet, idle(50_000));
         assert_eq!(order, None);
     }
 }
