--- a/src/router/roles.rs
+++ b/src/router/roles.rs
@@ -45,7 +45,7 @@
     fn default() -> Self {
         Self {
             assumed: AssumedRequest::default(),
-            prefill_headroom: 1.8,
+            prefill_headroom: 1.5,
             dead_band: 0.75,
             busy_dead_band: 0.12,
             order_pause: Duration::from_millis(200),
