The store deals the retry allowance; feeds are read by the bounds of the deployment

A guess of 48 left a lone entry without any retry (tests showed it). Now each entry's share is what the store deals it of 64 partitions (8 topics) in the join that renews the lease anyway: the shares sum to 1 whatever the number of entries, and run out with the lease. Store reads had fixed pauses of 0.7 s and 1 s; now 0.42 of the drain bound and 0.9 of the apply bound.

Ruled out: a registry of entries in the store (a write and a scan for each entry).

--- a/src/edge/direct/following.rs
+++ b/src/edge/direct/following.rs
@@ -12,6 +12,7 @@
 use crate::router::configuration::RouteTable;
 use crate::router::follow::Cursor;
 use crate::router::follow::Feed;
+use crate::router::follow::FollowBounds;
 use crate::router::follow::Pace;
 use crate::router::follow::Read;
 use crate::router::lease::Granted;
@@ -107,10 +108,11 @@
 pub async fn follow<S: Store, U: UpstreamClient>(
     store: Rc<S>,
     feed: Feed,
+    bounds: FollowBounds,
     dispatcher: Rc<Dispatcher<U>>,
     stop: CancellationToken,
 ) {
-    let pace = Pace::of(feed);
+    let pace = Pace::of(feed, &bounds);
     let mut follower = Follower { store, feed, dispatcher, cursor: Cursor::default(), up: true };
     while !stop.is_cancelled() {
         let pause = match follower.read(&pace).await {
--- a/src/edge/direct/steward.rs
+++ b/src/edge/direct/steward.rs
@@ -1,4 +1,5 @@
-//! Holds the lease if the store grants it, and gives the orders of roles.
+//! Renews the lease and this entry's share of the retry budgets, and gives the
+//! orders of roles while it holds the lease.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,6 +13,7 @@
 use crate::edge::direct::upstream_client::RoleOrder;
 use crate::edge::direct::upstream_client::UpstreamClient;
 use crate::router::Target;
+use crate::router::budget::SMALL_SHARE;
 use crate::router::flow::Failure;
 use crate::router::lease::Lease;
 use crate::router::lease::LeaseSettings;
@@ -61,6 +63,7 @@
                     spdlog::info!("lease", kv: {
                         instance: = self.name,
                         holds = granted.holds,
+                        share = granted.share,
                         token = granted.generation
                     });
                 }
@@ -68,6 +71,8 @@
             // The lease runs out by itself.
             Err(error) => spdlog::debug!("lease-not-renewed", kv: { detail: = error }),
         }
+        let share = self.lease.share(self.dispatcher.now()).unwrap_or(0.0);
+        self.dispatcher.router.borrow_mut().set_budget_share(share.max(SMALL_SHARE));
     }
 
     /// Gives the next order, if one is due.
--- a/src/router.rs
+++ b/src/router.rs
@@ -37,6 +37,7 @@
 use crate::outcome::RefusalReason;
 use crate::router::budget::BudgetLimits;
 use crate::router::budget::RetryWindow;
+use crate::router::budget::SMALL_SHARE;
 use crate::router::configuration::RouteTable;
 use crate::router::fleet::Fleet;
 use crate::router::listing::Listing;
@@ -89,6 +90,7 @@
     requests: SlotMap<RequestKey, Request>,
     rooms: HashMap<CompactString, RoomQueue>,
     budgets: HashMap<CompactString, RetryWindow>,
+    budget_share: f64,
     paces: HashMap<CompactString, PrefillPace>,
     engine_time: HashMap<CompactString, EngineTime>,
     roles: HashMap<CompactString, Roles>,
@@ -116,6 +118,7 @@
             requests: SlotMap::with_key(),
             rooms: HashMap::new(),
             budgets: HashMap::new(),
+            budget_share: SMALL_SHARE,
             paces: HashMap::new(),
             engine_time: HashMap::new(),
             roles: HashMap::new(),
@@ -268,8 +271,16 @@
         self.requests.remove(key);
     }
 
+    /// Takes up this entry's share of the fixed part of every retry budget.
+    pub fn set_budget_share(&mut self, share: f64) {
+        self.budget_share = share;
+    }
+
     fn budget(&mut self, service: &CompactString) -> &mut RetryWindow {
         let limits = self.config.budget;
-        self.budgets.entry(service.clone()).or_insert_with(|| RetryWindow::new(limits))
+        let budget = self.budgets.entry(service.clone());
+        let budget = budget.or_insert_with(|| RetryWindow::new(limits));
+        budget.set_share(self.budget_share);
+        budget
     }
 }
--- a/src/router/budget.rs
+++ b/src/router/budget.rs
@@ -1,7 +1,8 @@
 //! How many sends beyond the first of each request a service may get.
 //!
-//! Entries do not coordinate. Each keeps to the ratio over its own requests and
-//! to its share of the fixed allowance, so the sum keeps to the whole.
+//! Each entry keeps to the ratio over its own requests and to its share of the
+//! fixed allowance, so the sum keeps to the whole. The platform's store deals
+//! the shares; without it an entry keeps to a small one.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -15,13 +16,14 @@
     pub window: Duration,
     /// Extra sends allowed beside the ratio, for all entries together.
     pub allowance: f64,
-    /// Entries that share the allowance.
-    pub entries: u32,
 }
 
+/// Share of the allowance of an entry that was dealt none.
+pub const SMALL_SHARE: f64 = 1.0 / 64.0;
+
 impl Default for BudgetLimits {
     fn default() -> Self {
-        Self { ratio: 0.2, window: Duration::from_secs(10), allowance: 50.0, entries: 16 }
+        Self { ratio: 0.2, window: Duration::from_secs(10), allowance: 50.0 }
     }
 }
 
@@ -29,6 +31,7 @@
 #[derive(Debug, Clone)]
 pub struct RetryWindow {
     limits: BudgetLimits,
+    share: f64,
     requests: VecDeque<Duration>,
     extras: VecDeque<Duration>,
 }
@@ -36,7 +39,12 @@
 impl RetryWindow {
     /// Nothing sent yet.
     pub fn new(limits: BudgetLimits) -> Self {
-        Self { limits, requests: VecDeque::new(), extras: VecDeque::new() }
+        Self { limits, share: SMALL_SHARE, requests: VecDeque::new(), extras: VecDeque::new() }
+    }
+
+    /// This entry's share of the allowance, from 0 to 1.
+    pub fn set_share(&mut self, share: f64) {
+        self.share = share;
     }
 
     /// A request for the service arrived.
@@ -63,8 +71,8 @@
     /// True if so many extra sends are left.
     pub fn allows(&mut self, now: Duration, sends: usize) -> bool {
         self.expire(now);
-        let share = self.limits.allowance / f64::from(self.limits.entries.max(1));
-        let allowed = self.limits.ratio * self.requests.len() as f64 + share;
+        let allowance = self.limits.allowance * self.share;
+        let allowed = self.limits.ratio * self.requests.len() as f64 + allowance;
         (self.extras.len() + sends) as f64 <= allowed
     }
 
--- a/src/router/follow.rs
+++ b/src/router/follow.rs
@@ -30,12 +30,36 @@
     pub timeout: Duration,
 }
 
+/// Bounds that the reading of the feeds keeps to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FollowBounds {
+    /// A new configuration is in force within this time.
+    pub apply: Duration,
+    /// An upstream that leaves gets no new work after this time.
+    pub drain: Duration,
+}
+
+impl Default for FollowBounds {
+    fn default() -> Self {
+        Self { apply: Duration::from_secs(2), drain: Duration::from_secs(2) }
+    }
+}
+
+/// Share of the drain bound between two reads of the list: one read may be
+/// lost, and the next is still in time.
+const LIST_SHARE: f64 = 0.42;
+/// Share of the apply bound that a read of the configuration is held back: a
+/// connection that fell silent is noticed after it.
+const CONFIGURATION_SHARE: f64 = 0.9;
+
 impl Pace {
     /// The pace of a feed.
-    pub fn of(feed: Feed) -> Self {
+    pub fn of(feed: Feed, bounds: &FollowBounds) -> Self {
         match feed {
-            Feed::Configuration => Self { wait: Duration::from_millis(1_000), ..Self::default() },
-            Feed::Upstreams => Self { pause: Duration::from_millis(700), ..Self::default() },
+            Feed::Configuration => {
+                Self { wait: bounds.apply.mul_f64(CONFIGURATION_SHARE), ..Self::default() }
+            }
+            Feed::Upstreams => Self { pause: bounds.drain.mul_f64(LIST_SHARE), ..Self::default() },
         }
     }
 }
--- a/src/router/lease.rs
+++ b/src/router/lease.rs
@@ -34,12 +34,15 @@
 }
 
 /// What the store said to a renewal.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Granted {
     /// The store's generation of the group.
     pub generation: u64,
     /// True if the lease belongs to this member.
     pub holds: bool,
+    /// Share of what the store deals out that this member got, from 0 to 1.
+    /// The shares of all members sum to 1.
+    pub share: f64,
 }
 
 /// The lease as one entry knows it.
@@ -50,12 +53,21 @@
     /// Since when it has been held without a break.
     held_since: Option<Duration>,
     valid_until: Duration,
+    share: f64,
+    share_until: Duration,
 }
 
 impl Lease {
     /// Not held.
     pub fn new(settings: LeaseSettings) -> Self {
-        Self { settings, generation: 0, held_since: None, valid_until: Duration::ZERO }
+        Self {
+            settings,
+            generation: 0,
+            held_since: None,
+            valid_until: Duration::ZERO,
+            share: 0.0,
+            share_until: Duration::ZERO,
+        }
     }
 
     /// Times of the lease.
@@ -74,6 +86,8 @@
         let held = self.held_since.is_some();
         let lapsed = asked >= self.valid_until;
         self.generation = self.generation.max(granted.generation);
+        self.share = granted.share;
+        self.share_until = asked + self.settings.ttl;
         if !granted.holds {
             self.held_since = None;
             return held;
@@ -85,6 +99,11 @@
         !held
     }
 
+    /// This member's share of what the store deals out, unless it has run out.
+    pub fn share(&self, now: Duration) -> Option<f64> {
+        (now < self.share_until).then_some(self.share)
+    }
+
     /// The fencing token, if orders may be given now.
     pub fn token(&self, now: Duration) -> Option<u64> {
         let settled = self.held_since? + self.settings.settle <= now;
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod configuration;
+mod follow;
 mod generate;
 mod lease;
 mod listing;
--- a/tests/router/scene.rs
+++ b/tests/router/scene.rs
@@ -21,6 +21,8 @@
 use bamboodoor::router::request::RequestKey;
 
 pub const HOST: &str = "service.example";
+/// Share of the retry budgets, of one entry of ten.
+pub const BUDGET_SHARE: f64 = 0.1;
 pub const ENGINES: &str = "engines";
 pub const DESK: &str = "desk";
 
@@ -100,6 +102,7 @@
         let config = RouterConfig { zone: "north".into(), ..RouterConfig::default() };
         let mut scene = Self { router: Router::new(config), now: ms(1_000), offset: 0 };
         scene.router.configure(table());
+        scene.router.set_budget_share(BUDGET_SHARE);
         for listed in upstreams {
             scene.list(listed);
         }
