An upstream whose entry lapsed and that does not answer is gone

The grace is for entries whose engine lives; one failure settles it.

Tests: what_lapsed_and_does_not_answer_is_gone.

--- a/src/router/listing.rs
+++ b/src/router/listing.rs
@@ -113,6 +113,16 @@
         missing.iter().filter(|id| self.vanished(now, id, fleet)).count()
     }
 
+    /// An upstream failed to answer. If its entry had lapsed, it is gone. True
+    /// if so.
+    pub fn failed(&mut self, id: &str, fleet: &mut Fleet) -> bool {
+        let lapsed = self.lapsed.remove(id).is_some();
+        if lapsed {
+            fleet.remove(id);
+        }
+        lapsed
+    }
+
     /// Removes what lapsed and has not come back. Returns the ids.
     pub fn expire(&mut self, now: Duration, fleet: &mut Fleet) -> Vec<CompactString> {
         if self.away || self.lapsed.is_empty() {
--- a/tests/router/listing.rs
+++ b/tests/router/listing.rs
@@ -74,6 +74,17 @@
     assert!(!list.is_listed());
 }
 
+#[test]
+fn what_lapsed_and_does_not_answer_is_gone() {
+    let mut list = List::new();
+    list.listing.lost();
+    list.listing.reached(ms(5_000));
+    assert!(!list.listing.failed("s1", &mut list.fleet));
+    list.apply(ms(5_000), 6, ListEntry::Removed);
+    assert!(list.listing.failed("s1", &mut list.fleet));
+    assert!(!list.is_listed());
+}
+
 #[test]
 fn what_comes_back_within_the_grace_never_went() {
     let mut list = List::new();
