A prefill is given up only if the retry budget pays for it

Ruled out: a longer timeout alone (it only moves the load at which the same happens).

Tests: prefills_that_fail_count_against_the_budget_whatever_follows goes by what the budget grants; an_engine_that_turns_prefills_away_is_left_alone_for_a_while (20 before, at most 10 after).

--- a/src/edge/direct/dispatch.rs
+++ b/src/edge/direct/dispatch.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use compact_str::CompactString;
 use http_body_util::BodyExt;
 use hyper::HeaderMap;
 use hyper::body::Body;
@@ -32,6 +33,7 @@
 use crate::router::Event;
 use crate::router::Router;
 use crate::router::Step;
+use crate::router::Target;
 use crate::router::flow::Failure;
 use crate::router::request::Inquiry;
 use crate::router::request::RequestKey;
@@ -274,8 +276,7 @@
                 }
             }
             Step::Prefill { target, deadline, timeout: limit } => {
-                let prefill = self.dispatcher.upstreams.prefill(&self.request, &target, deadline);
-                match timeout(limit, prefill).await.unwrap_or(Err(Failure::Silent)) {
+                match self.prefill(&target, deadline, limit).await {
                     Ok(handle) => Event::Prefilled { handle },
                     Err(failure) => Event::Failed(failure),
                 }
@@ -304,6 +305,26 @@
         }
     }
 
+    async fn prefill(
+        &self,
+        target: &Target,
+        deadline: Duration,
+        limit: Duration,
+    ) -> Result<CompactString, Failure> {
+        let dispatcher = &self.dispatcher;
+        let prefill = dispatcher.upstreams.prefill(&self.request, target, deadline);
+        let mut prefill = std::pin::pin!(prefill);
+        if let Ok(result) = timeout(limit, prefill.as_mut()).await {
+            return result;
+        }
+        let now = dispatcher.now();
+        if dispatcher.router.borrow_mut().gives_up_prefill(now, self.key) {
+            return Err(Failure::Silent);
+        }
+        // The deadline of the request ends the wait.
+        prefill.await
+    }
+
     async fn answered(&mut self, answer: Result<UpstreamAnswer, Failure>) -> Event {
         let ready = match answer {
             Ok(answer) => self.read_ahead(answer).await,
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -31,7 +31,7 @@
 /// An engine that had no room is not asked again so soon.
 const FULL_PAUSE: Duration = Duration::from_millis(100);
 /// An engine that turned a prefill away is full or changes its role.
-const PREFILL_REST: Duration = Duration::from_millis(500);
+const PREFILL_REST: Duration = Duration::from_millis(1_500);
 /// Engines asked for room in one round.
 const MAX_ASKED: usize = 12;
 /// When a refused caller may expect room.
@@ -196,6 +196,15 @@
         pace.expected(tokens) * PREFILL_PATIENCE + PREFILL_SLACK
     }
 
+    /// The prefill takes longer than its timeout. True if it is given up: that
+    /// counts against the budget. Otherwise there is nothing better to do than
+    /// to wait.
+    pub fn gives_up_prefill(&mut self, now: Duration, key: RequestKey) -> bool {
+        let service = self.requests[key].service.clone();
+        let few = self.requests[key].prefills < MAX_PREFILLS;
+        few && self.budget(&service).spend(now, 1)
+    }
+
     fn prefilled(
         &mut self,
         now: Duration,
@@ -284,11 +293,13 @@
             self.rest(now, key, 0, PREFILL_REST);
         }
         let budget = self.budget(&service);
-        if failure != Failure::NotSent {
-            // Only a prefill that ended well is not counted.
+        if !matches!(failure, Failure::NotSent | Failure::Silent) {
+            // Only a prefill that ended well is not counted; one that was given
+            // up for its silence was paid for then.
             budget.charge(now);
         }
-        if few && budget.allows(now, 1) {
+        let paid = failure == Failure::Silent;
+        if few && (paid || budget.allows(now, 1)) {
             self.requests[key].current = reservation;
             return self.prefill(now, key);
         }
