--- a/src/command/explain.rs
+++ b/src/command/explain.rs
@@ -17,8 +17,8 @@
     pub what: String,
     /// Number of the try.
     pub attempt: u32,
-    /// Agent that was chosen.
-    pub agent: String,
+    /// Agent or upstream that was chosen.
+    pub upstream: String,
     /// Further detail.
     pub detail: String,
 }
@@ -39,6 +39,12 @@
     attempt: u32,
     attempt_id: String,
     agent: String,
+    upstream: String,
+    route: String,
+    reason: String,
+    outcome: String,
+    retry_after_ms: u64,
+    generation: u64,
     detail: String,
 }
 
@@ -69,22 +75,48 @@
 }
 
 fn step(line: Line) -> Step {
+    let detail = line.kv.detail();
+    let Fields { instance, attempt, agent, upstream, .. } = line.kv;
     Step {
         timestamp: line.timestamp,
-        instance: line.kv.instance,
+        instance,
         what: line.payload,
-        attempt: line.kv.attempt,
-        agent: line.kv.agent,
-        detail: line.kv.detail,
+        attempt,
+        upstream: if upstream.is_empty() { agent } else { upstream },
+        detail,
+    }
+}
+
+impl Fields {
+    /// What decided, in words.
+    fn detail(&self) -> String {
+        let mut parts = Vec::new();
+        for (name, value) in
+            [("reason", &self.reason), ("outcome", &self.outcome), ("route", &self.route)]
+        {
+            if !value.is_empty() {
+                parts.push(format!("{name} {value}"));
+            }
+        }
+        if self.retry_after_ms > 0 {
+            parts.push(format!("retry after {} ms", self.retry_after_ms));
+        }
+        if !self.route.is_empty() {
+            parts.push(format!("generation {}", self.generation));
+        }
+        if !self.detail.is_empty() {
+            parts.push(self.detail.clone());
+        }
+        parts.join(", ")
     }
 }
 
 impl std::fmt::Display for Step {
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let Self { timestamp, instance, what, attempt, agent, detail } = self;
+        let Self { timestamp, instance, what, attempt, upstream, detail } = self;
         write!(formatter, "{timestamp} {instance:<14} try {attempt} {what}")?;
-        if !agent.is_empty() {
-            write!(formatter, " at {agent}")?;
+        if !upstream.is_empty() {
+            write!(formatter, " at {upstream}")?;
         }
         if !detail.is_empty() {
             write!(formatter, " ({detail})")?;
--- a/src/edge/direct/dispatch.rs
+++ b/src/edge/direct/dispatch.rs
@@ -45,6 +45,8 @@
 
 /// The core, and what it needs to reach upstreams.
 pub struct Dispatcher<U> {
+    /// Name of this instance, for logs.
+    pub name: CompactString,
     /// The decision core.
     pub router: RefCell<Router>,
     /// The upstreams' protocol.
@@ -58,10 +60,10 @@
 
 impl<U: UpstreamClient> Dispatcher<U> {
     /// A dispatcher without requests.
-    pub fn new(router: Router, upstreams: U, clock: Arc<dyn Clock>) -> Self {
+    pub fn new(name: CompactString, router: Router, upstreams: U, clock: Arc<dyn Clock>) -> Self {
         let router = RefCell::new(router);
         let (metrics, sleepers) = (Metrics::default(), RefCell::default());
-        Self { router, upstreams, clock, metrics, sleepers }
+        Self { name, router, upstreams, clock, metrics, sleepers }
     }
 
     /// Time since the start of the clock.
@@ -77,7 +79,7 @@
             Ok(key) => key,
             Err(refusal) => {
                 self.metrics.refused(&refusal);
-                log_refusal(&request.id, &refusal, 0);
+                log_refusal(&self.name, &request.id, &refusal, 0);
                 return Reply::Refused(refusal);
             }
         };
@@ -98,6 +100,7 @@
         let router = self.router.borrow();
         let Some(request) = router.request(key) else { return };
         spdlog::info!("arrived", kv: {
+            instance: = self.name,
             request_id: = request.id,
             route: = request.route().name,
             patience_ms = crate::clock::as_ms(request.left(request.arrived)),
@@ -152,8 +155,9 @@
     Refusal::with_outcome(RefusalReason::UpstreamLost, crate::outcome::Outcome::Unknown)
 }
 
-fn log_refusal(id: &str, refusal: &Refusal, version: u64) {
+fn log_refusal(instance: &str, id: &str, refusal: &Refusal, version: u64) {
     spdlog::info!("refused", kv: {
+        instance: = instance,
         request_id: = id,
         reason: = refusal.reason,
         outcome: = refusal.outcome,
@@ -233,7 +237,10 @@
                 None
             }
             Step::Abort => {
-                spdlog::info!("aborted", kv: { request_id: = self.request.id });
+                spdlog::info!("aborted", kv: {
+                    instance: = self.dispatcher.name,
+                    request_id: = self.request.id
+                });
                 // The channel closes without an end: the caller sees that the
                 // answer is not whole.
                 None
@@ -466,7 +473,7 @@
             router.request(self.key).map_or(0, |request| request.version())
         };
         self.dispatcher.metrics.refused(&refusal);
-        log_refusal(&self.request.id, &refusal, version);
+        log_refusal(&self.dispatcher.name, &self.request.id, &refusal, version);
         if let Caller::Waiting(head) = &mut self.caller
             && let Some(head) = head.take()
         {
@@ -488,6 +495,7 @@
         };
         let kind = kind_of(step);
         spdlog::info!("{kind}", kv: {
+            instance: = self.dispatcher.name,
             request_id: = self.request.id,
             upstream: = upstream,
             detail: = detail
@@ -505,6 +513,7 @@
         let Some(request) = router.request(self.key) else { return };
         let age_ms = crate::clock::as_ms(now.saturating_sub(request.arrived));
         spdlog::info!("{what}", kv: {
+            instance: = self.dispatcher.name,
             request_id: = self.request.id,
             route: = request.route().name,
             upstream: = request.upstream_id(),
--- a/tests/commands/main.rs
+++ b/tests/commands/main.rs
@@ -108,6 +108,31 @@
     assert_eq!(whats, ["reserving", "transfer-retried", "refused-overloaded"], "{said}");
 }
 
+#[test]
+fn explain_tells_why_an_entry_without_agents_refused() {
+    let lines = concat!(
+        r#"{"level":"info","timestamp":1,"payload":"arrived","kv":{"instance":"entry-0","request_id":"r1","route":"summaries","generation":7}}"#,
+        "\n",
+        r#"{"level":"info","timestamp":2,"payload":"reserve","kv":{"instance":"entry-0","request_id":"r1","upstream":"engine-4","detail":"tokens 5500"}}"#,
+        "\n",
+        r#"{"level":"info","timestamp":3,"payload":"refused","kv":{"instance":"entry-0","request_id":"r1","reason":"overloaded","outcome":"not-run","retry_after_ms":2500,"generation":7}}"#,
+        "\n",
+    );
+    let mut child = Command::new(env!("CARGO_BIN_EXE_bamboodoor"))
+        .args(["explain", "r1"])
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("was built");
+    child.stdin.take().expect("is piped").write_all(lines.as_bytes()).expect("is read");
+    let said = text(&child.wait_with_output().expect("ends").stdout);
+    let told: Vec<&str> = said.lines().collect();
+    assert!(told[0].ends_with("arrived (route summaries, generation 7)"), "{said}");
+    assert!(told[1].ends_with("reserve at engine-4 (tokens 5500)"), "{said}");
+    let refused = "refused (reason overloaded, outcome not-run, retry after 2500 ms)";
+    assert!(told[2].ends_with(refused), "{said}");
+}
+
 #[test]
 fn a_synthesized_trace_can_be_replayed() {
     let made =
