A stream that breaks late still looks for room; a silent engine is no full pool

Tests for each, failing first.

Ruled out: a lower timeout alone (120 ms now): with two dark engines the first in line still used up the time of those behind it.

--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -21,11 +21,12 @@
 /// How long a reservation lasts: the prefill and the transfer fit in.
 const RESERVATION_TTL: Duration = Duration::from_millis(1_500);
 /// An engine answers a reservation within a few milliseconds.
-const RESERVE_TIMEOUT: Duration = Duration::from_millis(250);
+const RESERVE_TIMEOUT: Duration = Duration::from_millis(120);
 /// Share of the first-token target that a request may wait for room.
 const ROOM_WAIT_SHARE: f64 = 0.5;
-/// Share of its time that a request may wait for room once it was prefilled.
-const BEGUN_WAIT_SHARE: f64 = 0.5;
+/// How long a request that was begun may wait for room to go on: callers give a
+/// silent stream up after a little more.
+const BEGUN_WAIT: Duration = Duration::from_millis(3_000);
 /// Pause between two rounds of asking the engines for room.
 const ROOM_POLL: Duration = Duration::from_millis(30);
 /// An engine that had no room is not asked again so soon.
@@ -72,7 +73,14 @@
     fn queue_for_room(&mut self, now: Duration, key: RequestKey) -> Step {
         let service = self.requests[key].service.clone();
         self.requests[key].phase = Phase::Reserving;
-        self.rooms.entry(service).or_default().join(key);
+        self.requests[key].queued_at = now;
+        let begun = self.requests[key].is_begun();
+        let room = self.rooms.entry(service).or_default();
+        if begun {
+            room.join_first(key);
+        } else {
+            room.join(key);
+        }
         self.find_room(now, key)
     }
 
@@ -109,13 +117,12 @@
     /// Until when a request waits for room.
     fn room_deadline(&self, key: RequestKey) -> Duration {
         let request = &self.requests[key];
-        let patience = request.deadline.saturating_sub(request.arrived);
-        let wait = if request.answering || request.prefills > 0 {
-            patience.mul_f64(BEGUN_WAIT_SHARE)
+        let wait = if request.is_begun() {
+            BEGUN_WAIT
         } else {
             request.route().target.mul_f64(ROOM_WAIT_SHARE)
         };
-        request.arrived + wait.min(patience)
+        (request.queued_at + wait).min(request.deadline)
     }
 
     fn refuse_for_room(&mut self, now: Duration, key: RequestKey) -> Step {
@@ -277,7 +284,9 @@
     fn generate_failed(&mut self, now: Duration, key: RequestKey, failure: Failure) -> Step {
         self.note_failure(now, key, failure);
         match self.requests[key].phase {
-            Phase::Reserving => self.find_room(now, key),
+            // It is not known yet that there is no room: another engine is asked
+            // even if the time to wait for room is over.
+            Phase::Reserving => self.ask_for_room(now, key),
             Phase::Prefilling => self.prefill_failed(now, key, failure),
             Phase::Decoding => self.decode_failed(now, key, failure),
             Phase::Relaying => Step::Abort,
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -96,6 +96,8 @@
     pub arrived: Duration,
     /// When the caller or the route gives up on it.
     pub deadline: Duration,
+    /// When it began to wait for room, last.
+    pub(super) queued_at: Duration,
     /// Service that it goes to.
     pub service: CompactString,
     /// Set for a model request.
@@ -143,6 +145,7 @@
             id: inquiry.id,
             arrived: now,
             deadline: now + patience,
+            queued_at: now,
             service,
             prompt,
             table,
@@ -188,6 +191,11 @@
         }
     }
 
+    /// True if work was done for it at an engine.
+    pub(super) fn is_begun(&self) -> bool {
+        self.answering || self.prefills > 0
+    }
+
     /// Time left until the deadline.
     pub fn left(&self, now: Duration) -> Duration {
         self.deadline.saturating_sub(now)
--- a/src/router/room.rs
+++ b/src/router/room.rs
@@ -1,7 +1,8 @@
 //! Requests of one service that wait for memory at a decode engine.
 //!
-//! First come, first served: only the request at the head asks the engines, so
-//! that those behind it cost nothing while they wait.
+//! First come, first served, but what was begun goes before what is new. Only the
+//! request at the head asks the engines, so that those behind it cost nothing
+//! while they wait.
 
 use std::collections::VecDeque;
 
@@ -21,6 +22,12 @@
         }
     }
 
+    /// Puts a request before all others: work was done for it already.
+    pub fn join_first(&mut self, key: RequestKey) {
+        self.waiting.retain(|&other| other != key);
+        self.waiting.push_front(key);
+    }
+
     /// Takes a request out. Returns the one that became the head by that.
     pub fn leave(&mut self, key: RequestKey) -> Option<RequestKey> {
         let was_head = self.is_head(key);
--- a/tests/router/generate.rs
+++ b/tests/router/generate.rs
@@ -141,6 +141,40 @@
     }
 }
 
+#[test]
+fn a_long_stream_that_breaks_late_still_has_time_to_find_room() {
+    let mut scene = Scene::new(fleet());
+    let (key, _) = scene.decoding("/resumable/1");
+    scene.then(key, Event::Answered { status: 200 });
+    let step = scene.after(ms(9_000), key, Event::BrokeOff { last_event: Some(125) });
+    assert!(matches!(step, Step::Reserve { .. }), "{step:?}");
+    let step = scene.then(key, Event::NoRoom);
+    assert!(matches!(step, Step::Wait { .. }), "{step:?}");
+}
+
+#[test]
+fn what_was_begun_goes_before_what_is_new() {
+    let mut scene = Scene::new(fleet());
+    let (begun, _) = scene.decoding("/resumable/1");
+    scene.then(begun, Event::Answered { status: 200 });
+    let (_, step) = scene.begin("/stream/2");
+    assert!(matches!(step, Step::Reserve { .. }), "{step:?}");
+    let (_, step) = scene.begin("/stream/3");
+    assert!(matches!(step, Step::Wait { .. }), "{step:?}");
+    let step = scene.then(begun, Event::BrokeOff { last_event: Some(5) });
+    assert!(matches!(step, Step::Reserve { .. }), "{step:?}");
+}
+
+#[test]
+fn a_silent_engine_does_not_stand_for_a_full_pool() {
+    let mut scene = Scene::new(fleet());
+    let (key, step) = scene.begin("/stream/1");
+    let silent = target(&step);
+    let step = scene.after(ms(460), key, Event::Failed(Failure::Silent));
+    assert!(matches!(step, Step::Reserve { .. }), "{step:?}");
+    assert_ne!(target(&step), silent);
+}
+
 #[test]
 fn a_broken_stream_that_may_not_be_continued_is_broken_off() {
     let mut scene = Scene::new(fleet());
