--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -5,9 +5,12 @@
 
 pub mod answer;
 pub mod connections;
+mod decisions;
 pub mod dispatch;
+mod drive;
 pub mod following;
 pub mod metrics;
+mod relay;
 pub mod server;
 pub mod sse;
 pub mod steward;
--- /dev/null
+++ b/src/edge/direct/relay.rs
@@ -0,0 +1,124 @@
+//! Passes answers and refusals on to the caller of a request.
+
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use hyper::HeaderMap;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+use crate::edge::direct::answer::Part;
+use crate::edge::direct::answer::Reply;
+use crate::edge::direct::answer::ReplyBody;
+use crate::edge::direct::decisions::log_refusal;
+use crate::edge::direct::drive::Caller;
+use crate::edge::direct::drive::Drive;
+use crate::edge::direct::drive::Ready;
+use crate::edge::direct::sse::Splitter;
+use crate::edge::direct::upstream_client::UpstreamAnswer;
+use crate::edge::direct::upstream_client::UpstreamClient;
+use crate::outcome::Refusal;
+use crate::router::Event;
+
+const PARTS_IN_FLIGHT: usize = 16;
+
+impl<U: UpstreamClient> Drive<U> {
+    fn count_answer(&self, status: u16) {
+        let now = self.dispatcher.now();
+        let router = self.dispatcher.router.borrow();
+        let Some(request) = router.request(self.key) else { return };
+        let kind = if request.prompt.is_some() { "generated" } else { "plain" };
+        self.dispatcher.metrics.answered(status, kind, now.saturating_sub(request.arrived));
+    }
+
+    /// Passes the answer on. `None` once the caller has all of it or is gone.
+    pub(super) async fn relay(&mut self, silence: Duration) -> Option<Event> {
+        match self.answer.take()? {
+            Ready::Whole { status, headers, body } => {
+                self.count_answer(status);
+                if let Caller::Waiting(head) = &mut self.caller {
+                    let body = ReplyBody::Whole(body);
+                    // The caller may have gone in this moment.
+                    let _ = head.take()?.send(Reply::Answer { status, headers, body });
+                }
+                None
+            }
+            Ready::Parts(answer) => {
+                let parts = self.send_head(answer.status, &answer.headers)?;
+                self.relay_parts(answer, &parts, silence).await
+            }
+        }
+    }
+
+    fn send_head(&mut self, status: u16, headers: &HeaderMap) -> Option<mpsc::Sender<Part>> {
+        if matches!(self.caller, Caller::Waiting(_)) {
+            self.count_answer(status);
+        }
+        if let Caller::Waiting(head) = &mut self.caller {
+            let (parts, receiver) = mpsc::channel(PARTS_IN_FLIGHT);
+            let body = ReplyBody::Parts(receiver);
+            let reply = Reply::Answer { status, headers: headers.clone(), body };
+            head.take()?.send(reply).ok()?;
+            self.caller = Caller::Reading(parts);
+        }
+        match &self.caller {
+            Caller::Reading(parts) => Some(parts.clone()),
+            Caller::Waiting(_) => None,
+        }
+    }
+
+    async fn relay_parts(
+        &mut self,
+        mut answer: UpstreamAnswer,
+        parts: &mpsc::Sender<Part>,
+        silence: Duration,
+    ) -> Option<Event> {
+        let mut splitter = Splitter::default();
+        let mut last_event = None;
+        loop {
+            let pause = silence.min(self.left());
+            let frame = tokio::select! {
+                biased;
+                () = parts.closed() => return None,
+                frame = timeout(pause, answer.body.frame()) => frame,
+            };
+            let data = match frame {
+                Err(_) if self.left().is_zero() => return Some(Event::DeadlinePassed),
+                Err(_) | Ok(Some(Err(_))) => return Some(Event::BrokeOff { last_event }),
+                Ok(None) => break,
+                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+            };
+            if !answer.events {
+                parts.send(Part::Data(data)).await.ok()?;
+                continue;
+            }
+            splitter.push(&data);
+            while let Some(event) = splitter.next_event() {
+                parts.send(Part::Data(event.bytes)).await.ok()?;
+                last_event = event.id.or(last_event);
+            }
+        }
+        if !splitter.is_empty() {
+            parts.send(Part::Data(splitter.take_rest())).await.ok()?;
+        }
+        self.dispatcher.upstreams.give_back(answer.connection, answer.keep);
+        // The caller may have gone in this moment.
+        let _ = parts.send(Part::End).await;
+        None
+    }
+
+    pub(super) fn refuse(&mut self, refusal: Refusal) {
+        let version = {
+            let router = self.dispatcher.router.borrow();
+            router.request(self.key).map_or(0, |request| request.version())
+        };
+        self.dispatcher.metrics.refused(&refusal);
+        log_refusal(&self.dispatcher.name, &self.request.id, &refusal, version);
+        if let Caller::Waiting(head) = &mut self.caller
+            && let Some(head) = head.take()
+        {
+            // The caller may have gone in this moment.
+            let _ = head.send(Reply::Refused(refusal));
+        }
+    }
+}
--- a/src/router.rs
+++ b/src/router.rs
@@ -18,6 +18,7 @@
 pub mod request;
 pub mod roles;
 pub mod room;
+mod waiting;
 
 pub use flow::Cleanup;
 pub use flow::Event;
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -7,7 +7,6 @@
 
 use crate::outcome::RefusalReason;
 use crate::router::Router;
-use crate::router::fleet::PoolRole;
 use crate::router::flow::Cleanup;
 use crate::router::flow::Event;
 use crate::router::flow::Failure;
@@ -17,26 +16,10 @@
 use crate::router::request::Held;
 use crate::router::request::Phase;
 use crate::router::request::RequestKey;
+use crate::router::waiting::ROOM_RETRY;
 
-/// How long a reservation lasts: the prefill and the transfer fit in.
-const RESERVATION_TTL: Duration = Duration::from_millis(1_500);
-/// An engine answers a reservation within a few milliseconds.
-const RESERVE_TIMEOUT: Duration = Duration::from_millis(120);
-/// Share of the first-token target that a request may wait for room.
-const ROOM_WAIT_SHARE: f64 = 0.5;
-/// How long a request that was begun may wait for room to go on: callers give a
-/// silent stream up after a little more.
-const BEGUN_WAIT: Duration = Duration::from_millis(3_000);
-/// Pause between two rounds of asking the engines for room.
-const ROOM_POLL: Duration = Duration::from_millis(30);
-/// An engine that had no room is not asked again so soon.
-const FULL_PAUSE: Duration = Duration::from_millis(100);
 /// An engine that turned a prefill away is full or changes its role.
 const PREFILL_REST: Duration = Duration::from_millis(1_500);
-/// Engines asked for room in one round.
-const MAX_ASKED: usize = 12;
-/// When a refused caller may expect room.
-const ROOM_RETRY: Duration = Duration::from_millis(2_500);
 /// A prefill that takes so many times longer than expected is stuck.
 const PREFILL_PATIENCE: u32 = 4;
 /// Allowance for the queue of an engine and for small prompts.
@@ -70,96 +53,6 @@
         }
     }
 
-    fn queue_for_room(&mut self, now: Duration, key: RequestKey) -> Step {
-        let service = self.requests[key].service.clone();
-        self.requests[key].phase = Phase::Reserving;
-        self.requests[key].queued_at = now;
-        let begun = self.requests[key].is_begun();
-        let room = self.rooms.entry(service).or_default();
-        if begun {
-            room.join_first(key);
-        } else {
-            room.join(key);
-        }
-        self.find_room(now, key)
-    }
-
-    fn find_room(&mut self, now: Duration, key: RequestKey) -> Step {
-        let service = self.requests[key].service.clone();
-        let until = self.room_deadline(key);
-        if now >= until {
-            return self.refuse_for_room(now, key);
-        }
-        if !self.rooms.get(&service).is_some_and(|room| room.is_head(key)) {
-            return Step::Wait { until };
-        }
-        if self.fleet.working(&service, PoolRole::Decode, now).is_empty() {
-            return Step::Wait { until: until.min(now + ROOM_POLL) };
-        }
-        self.ask_for_room(now, key)
-    }
-
-    fn ask_for_room(&mut self, now: Duration, key: RequestKey) -> Step {
-        let asked = self.requests[key].tried.len();
-        let next = self.decode_engines(now, key).first().copied();
-        let Some(target) = next.filter(|_| asked < MAX_ASKED).and_then(|next| self.target(next))
-        else {
-            self.requests[key].tried.clear();
-            let until = self.room_deadline(key).min(now + ROOM_POLL);
-            return Step::Wait { until };
-        };
-        let request = &mut self.requests[key];
-        request.current = Some(target.clone());
-        let tokens = request.prompt.map_or(0, |prompt| prompt.expected_tokens());
-        Step::Reserve { target, tokens, ttl: RESERVATION_TTL, timeout: RESERVE_TIMEOUT }
-    }
-
-    /// Until when a request waits for room.
-    fn room_deadline(&self, key: RequestKey) -> Duration {
-        let request = &self.requests[key];
-        let wait = if request.is_begun() {
-            BEGUN_WAIT
-        } else {
-            request.route().target.mul_f64(ROOM_WAIT_SHARE)
-        };
-        (request.queued_at + wait).min(request.deadline)
-    }
-
-    fn refuse_for_room(&mut self, now: Duration, key: RequestKey) -> Step {
-        self.leave_room(key);
-        if self.requests[key].answering {
-            return Step::Abort;
-        }
-        let service = self.requests[key].service.clone();
-        let none = self.fleet.working(&service, PoolRole::Decode, now).is_empty();
-        let reason = if none { RefusalReason::NoUpstream } else { RefusalReason::Overloaded };
-        Step::Refuse(self.refusal(key, reason, ROOM_RETRY))
-    }
-
-    fn no_room_here(&mut self, now: Duration, key: RequestKey) -> Step {
-        if let Some(target) = self.requests[key].current.clone() {
-            self.requests[key].tried.push(target.key);
-        }
-        let tokens = self.requests[key].prompt.map_or(0, |prompt| prompt.expected_tokens());
-        self.rest(now, key, tokens, FULL_PAUSE);
-        self.find_room(now, key)
-    }
-
-    /// The current engine has no room for so many tokens for a while.
-    fn rest(&mut self, now: Duration, key: RequestKey, tokens: u32, pause: Duration) {
-        let Some(target) = self.requests[key].current.as_ref() else { return };
-        if let Some(engine) = self.fleet.get_mut(target.key) {
-            engine.full.refused(now, tokens, pause);
-        }
-    }
-
-    /// The request no longer waits; the next one may ask.
-    pub(super) fn leave_room(&mut self, key: RequestKey) {
-        let service = &self.requests[key].service;
-        let next = self.rooms.get_mut(service).and_then(|room| room.leave(key));
-        self.woken.extend(next);
-    }
-
     fn reserved(
         &mut self,
         now: Duration,
