Who will find no room in time is refused at once

Cause: on the grown sites a request waited up to 450 ms in a line that moved too slowly for it, and was refused then; what is known is to be said at once. The line foretells its wait from the pace at which room was found (policy::queue, shared with the other entry).

--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -59,6 +59,9 @@
         key: RequestKey,
         reservation: compact_str::CompactString,
     ) -> Step {
+        if let Some(room) = self.rooms.get_mut(&self.requests[key].service) {
+            room.found(now, key);
+        }
         self.leave_room(key);
         let Some(target) = self.requests[key].current.clone() else { return Step::Abort };
         self.count_at(key, &target);
--- a/src/router/room.rs
+++ b/src/router/room.rs
@@ -5,13 +5,16 @@
 //! while they wait.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
+use crate::policy::queue::SlotQueue;
 use crate::router::request::RequestKey;
 
 /// The queue of one service.
 #[derive(Debug, Clone, Default)]
 pub struct RoomQueue {
     waiting: VecDeque<RequestKey>,
+    pace: SlotQueue,
 }
 
 impl RoomQueue {
@@ -28,6 +31,17 @@
         self.waiting.push_front(key);
     }
 
+    /// A request found room.
+    pub fn found(&mut self, now: Duration, key: RequestKey) {
+        let others = self.waiting.iter().filter(|&&other| other != key).count();
+        self.pace.taken(now, others);
+    }
+
+    /// Expected wait of a request that joins now.
+    pub fn expected_wait(&self) -> Duration {
+        self.pace.wait(self.waiting.len())
+    }
+
     /// Takes a request out. Returns the one that became the head by that.
     pub fn leave(&mut self, key: RequestKey) -> Option<RequestKey> {
         let was_head = self.is_head(key);
--- a/src/router/waiting.rs
+++ b/src/router/waiting.rs
@@ -33,7 +33,12 @@
         self.requests[key].phase = Phase::Reserving;
         self.requests[key].queued_at = now;
         let begun = self.requests[key].is_begun();
+        let wait = self.requests[key].route().target.mul_f64(ROOM_WAIT_SHARE);
         let room = self.rooms.entry(service).or_default();
+        if !begun && room.expected_wait() > wait {
+            // It would be refused after the wait; its caller learns it now.
+            return self.refuse_for_room(now, key);
+        }
         if begun {
             room.join_first(key);
         } else {
--- a/tests/router/generate.rs
+++ b/tests/router/generate.rs
@@ -152,6 +152,41 @@
     assert!(matches!(step, Step::Wait { .. }), "{step:?}");
 }
 
+/// A pool in which room comes free every 100 ms, and a request every 50 ms: who
+/// cannot be served within the wait is told so at once.
+#[test]
+fn who_will_find_no_room_in_time_is_refused_at_once() {
+    let mut scene = Scene::new(fleet());
+    let mut line = std::collections::VecDeque::new();
+    let (mut at_once, mut late) = (0, 0);
+    for turn in 0..200 {
+        scene.now += ms(50);
+        let (key, step) = scene.begin("/stream/1");
+        match step {
+            Step::Refuse(refused) => {
+                assert_eq!(refused.outcome, Outcome::NotRun);
+                assert!(refused.retry_after.is_some());
+                at_once += 1;
+                scene.router.finish(scene.now, key);
+            }
+            _ => line.push_back((key, scene.now)),
+        }
+        if turn % 2 == 0
+            && let Some((served, _)) = line.pop_front()
+        {
+            scene.then(served, reserved());
+            scene.router.finish(scene.now, served);
+        }
+        while line.front().is_some_and(|(_, arrived)| scene.now >= *arrived + ms(450)) {
+            let (key, _) = line.pop_front().expect("is not empty");
+            scene.router.finish(scene.now, key);
+            late += 1;
+        }
+    }
+    assert!(at_once >= 70, "{at_once} at once");
+    assert!(late <= 20, "{late} after the wait");
+}
+
 #[test]
 fn what_was_begun_goes_before_what_is_new() {
     let mut scene = Scene::new(fleet());
