Refused callers come back after 3.3 s; what the configuration says is used or not read

Cause: bursts last 4 to 5 s; those who came back after 2.5 s met the same burst. Fields that nothing decided by are gone; the longest reservation and the longest pause of a route now bound the reservation and the silence after which a stream goes on.

--- a/src/router/configuration.rs
+++ b/src/router/configuration.rs
@@ -47,8 +47,6 @@
     pub path_prefix: CompactString,
     /// True if a request may run more than once.
     pub idempotent: bool,
-    /// True if the answer is a stream of events.
-    pub streams: bool,
     /// True if a broken stream may be continued by another run.
     pub resumable: bool,
     /// Longest time until the whole answer is there.
@@ -79,8 +77,6 @@
 pub struct Service {
     /// Name.
     pub name: CompactString,
-    /// Connections that one upstream takes from all callers.
-    pub max_connections: u32,
     /// Set if the upstreams are model engines.
     pub engine: Option<Engine>,
 }
@@ -88,13 +84,9 @@
 /// What the engines of a service can do.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Engine {
-    /// Requests that one engine runs at once.
-    pub slots: u32,
     /// Tokens that the memory of one engine holds.
     pub kv_tokens: u32,
-    /// How long a prefill result is kept.
-    pub handle_ttl: Duration,
-    /// Longest reservation.
+    /// Longest reservation; zero if the configuration does not say.
     pub max_hold: Duration,
 }
 
--- a/src/router/fleet.rs
+++ b/src/router/fleet.rs
@@ -43,8 +43,6 @@
     pub zone: CompactString,
     /// Pool.
     pub role: PoolRole,
-    /// Requests it works on at once.
-    pub slots: u32,
     /// It takes no new work.
     pub leaving: bool,
     /// When it started, in milliseconds since the epoch; 0 if not told.
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -29,8 +29,11 @@
 const MAX_SENDS: u32 = 5;
 /// A run that starts over is a prefill and a decode.
 const SENDS_OF_A_RUN: usize = 2;
-/// Silence after which a stream that may be continued elsewhere is.
-const RESUME_SILENCE: Duration = Duration::from_millis(600);
+/// A stream that may be continued elsewhere is after a silence of so many of the
+/// longest pauses of an answer in time.
+const RESUME_GAPS: u32 = 2;
+/// The longest pause if the route does not say.
+const DEFAULT_GAP: Duration = Duration::from_millis(300);
 
 impl Router {
     pub(super) fn advance_generate(
@@ -165,7 +168,8 @@
         request.phase = Phase::Relaying;
         request.answering = true;
         let silence = if request.route().resumable {
-            RESUME_SILENCE
+            let gap = request.route().gap_target;
+            RESUME_GAPS * if gap.is_zero() { DEFAULT_GAP } else { gap }
         } else {
             request.deadline.saturating_sub(request.arrived)
         };
--- a/src/router/waiting.rs
+++ b/src/router/waiting.rs
@@ -25,7 +25,7 @@
 /// Engines asked for room in one round.
 const MAX_ASKED: usize = 12;
 /// When a refused caller may expect room.
-pub(super) const ROOM_RETRY: Duration = Duration::from_millis(2_500);
+pub(super) const ROOM_RETRY: Duration = Duration::from_millis(3_300);
 
 impl Router {
     pub(super) fn queue_for_room(&mut self, now: Duration, key: RequestKey) -> Step {
@@ -74,7 +74,11 @@
         let request = &mut self.requests[key];
         request.current = Some(target.clone());
         let tokens = request.prompt.map_or(0, |prompt| prompt.expected_tokens());
-        Step::Reserve { target, tokens, ttl: RESERVATION_TTL, timeout: RESERVE_TIMEOUT }
+        let service = request.table.service(&request.service);
+        let longest = service.and_then(|service| service.engine).map(|engine| engine.max_hold);
+        let ttl = longest.filter(|longest| !longest.is_zero()).unwrap_or(RESERVATION_TTL);
+        let ttl = ttl.min(RESERVATION_TTL);
+        Step::Reserve { target, tokens, ttl, timeout: RESERVE_TIMEOUT }
     }
 
     /// Until when a request waits for room.
--- a/tests/router/scene.rs
+++ b/tests/router/scene.rs
@@ -43,18 +43,17 @@
 }
 
 pub fn table() -> RouteTable {
-    let stream = Route { streams: true, ..route("/stream/", ENGINES) };
-    let resumable =
-        Route { streams: true, resumable: true, max_runs: 2, ..route("/resumable/", ENGINES) };
+    let stream = Route { ..route("/stream/", ENGINES) };
+    let resumable = Route { resumable: true, max_runs: 2, ..route("/resumable/", ENGINES) };
     let lookup = Route { idempotent: true, max_runs: 2, ..route("/lookup/", DESK) };
     let booking = route("/booking/", DESK);
-    let engine = Engine { slots: 64, kv_tokens: 50_000, handle_ttl: ms(500), max_hold: ms(2_000) };
+    let engine = Engine { kv_tokens: 50_000, max_hold: ms(2_000) };
     RouteTable {
         version: 7,
         routes: vec![stream, resumable, lookup, booking],
         services: vec![
-            Service { name: ENGINES.into(), max_connections: 300, engine: Some(engine) },
-            Service { name: DESK.into(), max_connections: 100, engine: None },
+            Service { name: ENGINES.into(), engine: Some(engine) },
+            Service { name: DESK.into(), engine: None },
         ],
         ..RouteTable::default()
     }
@@ -68,7 +67,6 @@
         address: ([10, 0, 0, 1], port).into(),
         zone: "north".into(),
         role,
-        slots: 64,
         leaving: false,
         started_ms: 1,
     }
