--- a/src/edge/direct/dispatch.rs
+++ b/src/edge/direct/dispatch.rs
@@ -58,11 +58,7 @@
         let arrived = self.router.borrow_mut().arrive(self.now(), inquiry);
         let key = match arrived {
             Ok(key) => key,
-            Err(refusal) => {
-                self.metrics.refused(&refusal);
-                log_refusal(&self.name, &request.id, &refusal, 0);
-                return Reply::Refused(refusal);
-            }
+            Err(refusal) => return self.refuse(&request.id, refusal),
         };
         self.log_arrival(key);
         let (head, reply) = oneshot::channel();
@@ -77,6 +73,13 @@
         reply.await.unwrap_or_else(|_| Reply::Refused(lost()))
     }
 
+    /// Refuses a request that was not taken up.
+    pub fn refuse(&self, id: &str, refusal: Refusal) -> Reply {
+        self.metrics.refused(&refusal);
+        log_refusal(&self.name, id, &refusal, 0);
+        Reply::Refused(refusal)
+    }
+
     fn log_arrival(&self, key: RequestKey) {
         let router = self.router.borrow();
         let Some(request) = router.request(key) else { return };
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -5,6 +5,8 @@
 
 use std::time::Duration;
 
+use compact_str::CompactString;
+
 use crate::outcome::RefusalReason;
 use crate::router::Router;
 use crate::router::flow::Cleanup;
@@ -56,12 +58,7 @@
         }
     }
 
-    fn reserved(
-        &mut self,
-        now: Duration,
-        key: RequestKey,
-        reservation: compact_str::CompactString,
-    ) -> Step {
+    fn reserved(&mut self, now: Duration, key: RequestKey, reservation: CompactString) -> Step {
         if let Some(room) = self.rooms.get_mut(&self.requests[key].service) {
             room.found(now, key);
         }
@@ -111,12 +108,7 @@
         few && self.budget(&service).spend(now, 1)
     }
 
-    fn prefilled(
-        &mut self,
-        now: Duration,
-        key: RequestKey,
-        handle: compact_str::CompactString,
-    ) -> Step {
+    fn prefilled(&mut self, now: Duration, key: RequestKey, handle: CompactString) -> Step {
         let request = &mut self.requests[key];
         let Some(target) = request.current.clone() else { return Step::Abort };
         let took = now.saturating_sub(request.step_began);
