--- /dev/null
+++ b/benches/route.rs
@@ -0,0 +1,117 @@
+//! Time to take up a model request and choose its engines, against a reference
+//! loop in the same run: `cargo bench --bench route`.
+
+use std::hint::black_box;
+use std::time::Duration;
+
+use bamboodoor::router::Event;
+use bamboodoor::router::Router;
+use bamboodoor::router::RouterConfig;
+use bamboodoor::router::configuration::Destination;
+use bamboodoor::router::configuration::Engine;
+use bamboodoor::router::configuration::Route;
+use bamboodoor::router::configuration::RouteTable;
+use bamboodoor::router::configuration::Service;
+use bamboodoor::router::fleet::ListedUpstream;
+use bamboodoor::router::fleet::PoolRole;
+use bamboodoor::router::listing::ListEntry;
+use bamboodoor::router::listing::ListRecord;
+use bamboodoor::router::request::Inquiry;
+use bamboodoor::router::request::Prompt;
+use criterion::BatchSize;
+use criterion::BenchmarkId;
+use criterion::Criterion;
+use criterion::criterion_group;
+use criterion::criterion_main;
+
+const HOST: &str = "service.example";
+const ENGINES: &str = "engines";
+/// One engine of so many prefills.
+const PREFILL_STRIDE: u16 = 5;
+const ZONES: [&str; 3] = ["north", "south", "west"];
+/// Requests that one measured batch takes up, as many as an entry has in flight.
+const ARRIVALS: usize = 100;
+const NOW: Duration = Duration::from_secs(10);
+
+fn table() -> RouteTable {
+    let route = Route {
+        host: HOST.into(),
+        path_prefix: "/stream/".into(),
+        timeout: Duration::from_secs(14),
+        target: Duration::from_millis(900),
+        destinations: vec![Destination { service: ENGINES.into(), weight: 1 }],
+        max_runs: 1,
+        ..Route::default()
+    };
+    let engine = Engine { kv_tokens: 50_000, max_hold: Duration::from_secs(2) };
+    let service = Service { name: ENGINES.into(), engine: Some(engine) };
+    RouteTable { version: 1, routes: vec![route], services: vec![service], ..RouteTable::default() }
+}
+
+fn engine(number: u16) -> ListedUpstream {
+    let prefills = number.is_multiple_of(PREFILL_STRIDE);
+    ListedUpstream {
+        id: format!("engine-{number}").into(),
+        service: ENGINES.into(),
+        address: ([10, 0, 0, 1], 1_000 + number).into(),
+        zone: ZONES[usize::from(number) % ZONES.len()].into(),
+        role: if prefills { PoolRole::Prefill } else { PoolRole::Decode },
+        leaving: false,
+        started_ms: 1,
+    }
+}
+
+fn router(engines: u16) -> Router {
+    let config = RouterConfig { zone: ZONES[0].into(), ..RouterConfig::default() };
+    let mut router = Router::new(config);
+    router.configure(table());
+    let (listing, fleet) = router.listing();
+    for number in 0..engines {
+        let listed = engine(number);
+        let id = listed.id.clone();
+        let record = ListRecord { id, offset: number.into(), entry: ListEntry::Present(listed) };
+        listing.apply(NOW, record, fleet);
+    }
+    router
+}
+
+/// One request to its decode step: room reserved, prompt prefilled.
+fn decide_one(router: &mut Router, number: usize) {
+    let inquiry = Inquiry {
+        id: format!("r{number}").into(),
+        host: HOST.into(),
+        path: "/stream/1".into(),
+        prompt: Some(Prompt { tokens: 5_000, max_output_tokens: 1_000, output_hint: Some(500) }),
+        ..Inquiry::default()
+    };
+    let key = router.arrive(NOW, inquiry).expect("has a route");
+    black_box(router.begin(NOW, key));
+    let reserved = Event::Reserved { reservation: "hold".into() };
+    black_box(router.advance(NOW, key, reserved));
+    let prefilled = Event::Prefilled { handle: "handle".into() };
+    black_box(router.advance(NOW, key, prefilled));
+}
+
+fn route(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("route");
+    group.throughput(criterion::Throughput::Elements(ARRIVALS as u64));
+    for engines in [48, 600, 3_000] {
+        group.bench_function(BenchmarkId::from_parameter(engines), |bencher| {
+            let arrivals = |mut router: Router| {
+                for number in 0..ARRIVALS {
+                    decide_one(&mut router, number);
+                }
+                router
+            };
+            bencher.iter_batched(|| router(engines), arrivals, BatchSize::LargeInput);
+        });
+    }
+    group.bench_function("reference: hash 64 KiB", |bencher| {
+        let bytes = vec![7_u8; 64 << 10];
+        bencher.iter(|| xxhash_rust::xxh3::xxh3_64(black_box(&bytes)));
+    });
+    group.finish();
+}
+
+criterion_group!(benches, route);
+criterion_main!(benches);
--- a/src/router/fleet.rs
+++ b/src/router/fleet.rs
@@ -159,21 +159,24 @@
     }
 
     /// Listed upstreams of a service.
-    pub fn service(&self, service: &str) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
+    pub fn service(&self, service: &str) -> impl Iterator<Item = (UpstreamKey, &Upstream)> + Clone {
         let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
         keys.iter().map(|&key| (key, &self.upstreams[key]))
     }
 
     /// Upstreams of a service and role that take new work. If all of them
     /// failed lately, they are tried all the same.
-    pub fn working(&self, service: &str, role: PoolRole, now: Duration) -> Vec<UpstreamKey> {
-        let listed: Vec<(UpstreamKey, &Upstream)> = self
+    pub fn working(
+        &self,
+        service: &str,
+        role: PoolRole,
+        now: Duration,
+    ) -> impl Iterator<Item = (UpstreamKey, &Upstream)> + Clone {
+        let listed = self
             .service(service)
-            .filter(|(_, upstream)| upstream.listed.role == role && !upstream.listed.leaving)
-            .collect();
-        let sound = listed.iter().filter(|(_, upstream)| !upstream.health.is_ejected(now));
-        let sound: Vec<UpstreamKey> = sound.map(|&(key, _)| key).collect();
-        if sound.is_empty() { listed.into_iter().map(|(key, _)| key).collect() } else { sound }
+            .filter(move |(_, upstream)| upstream.listed.role == role && !upstream.listed.leaving);
+        let any_sound = listed.clone().any(|(_, upstream)| !upstream.health.is_ejected(now));
+        listed.filter(move |(_, upstream)| !any_sound || !upstream.health.is_ejected(now))
     }
 
     /// True if the upstream is listed and does not leave.
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -75,7 +75,7 @@
     }
 
     fn prefill(&mut self, now: Duration, key: RequestKey) -> Step {
-        let next = self.prefill_engines(now, key).first().copied();
+        let next = self.prefill_engine(now, key);
         let Some(target) = next.and_then(|next| self.target(next)) else {
             // The decode engine prefills by itself, more slowly.
             return self.decode(now, key);
--- a/src/router/listing.rs
+++ b/src/router/listing.rs
@@ -5,6 +5,7 @@
 //! list was away stays usable for a short grace after its return.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 
 use compact_str::CompactString;
@@ -104,6 +105,7 @@
         end: u64,
         fleet: &mut Fleet,
     ) -> usize {
+        let present: HashSet<&CompactString> = present.iter().collect();
         let missing: Vec<CompactString> = self
             .offsets
             .iter()
--- a/src/router/pools.rs
+++ b/src/router/pools.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
+use compact_str::CompactString;
 use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
 
 use crate::router::Router;
 use crate::router::fleet::PoolRole;
@@ -18,36 +20,41 @@
 const ZONE_COST_CALLS: f64 = 0.5;
 /// Assumed until the first prefill has ended.
 const ASSUMED_PREFILL_TOKEN: Duration = Duration::from_micros(25);
-/// Spread of the costs, so that entries with the same view part ways.
+/// Random part of the costs.
 const SPREAD_TOKENS: f64 = 2_000.0;
 const SPREAD_CALLS: f64 = 0.3;
 
 impl Router {
-    /// Decode engines for a request, the best first.
-    pub(super) fn decode_engines(&mut self, now: Duration, key: RequestKey) -> Vec<UpstreamKey> {
-        let service = self.requests[key].service.clone();
-        let working = self.fleet.working(&service, PoolRole::Decode, now);
-        let tokens = self.requests[key].prompt.map_or(0, |prompt| prompt.expected_tokens());
-        let rested = self.rested(now, &working, tokens);
-        let tried = self.requests[key].tried.clone();
-        self.ranked(rested, &tried, None, |engine| engine.open_tokens as f64)
+    /// The decode engine to ask for room next: one that did not say a moment ago
+    /// that it has none.
+    pub(super) fn decode_engine(&mut self, now: Duration, key: RequestKey) -> Option<UpstreamKey> {
+        let request = &self.requests[key];
+        let tokens = request.prompt.map_or(0, |prompt| prompt.expected_tokens());
+        let rested = self
+            .fleet
+            .working(&request.service, PoolRole::Decode, now)
+            .filter(|(_, engine)| engine.full.may_take(now, tokens));
+        let cost = |engine: &Upstream| {
+            engine.open_tokens as f64 + zone_cost(engine, &self.config.zone, ZONE_COST_TOKENS)
+        };
+        cheapest(rested, &request.tried, &mut self.rng, SPREAD_TOKENS, cost)
     }
 
-    /// Prefill engines for a request, the best first, near the decode engine.
-    pub(super) fn prefill_engines(&mut self, now: Duration, key: RequestKey) -> Vec<UpstreamKey> {
+    /// The prefill engine for a request, near its decode engine.
+    pub(super) fn prefill_engine(&mut self, now: Duration, key: RequestKey) -> Option<UpstreamKey> {
         let request = &self.requests[key];
         let decode = request.current.as_ref().and_then(|target| self.fleet.get(target.key));
-        let zone = decode.map(|decode| decode.listed.zone.clone());
-        let tried = request.tried.clone();
-        let service = request.service.clone();
-        let working = self.fleet.working(&service, PoolRole::Prefill, now);
-        let rested = self.rested(now, &working, 0);
-        let engines = if rested.is_empty() { working } else { rested };
-        let token_s = self.prefill_token_s(&service);
-        self.ranked(engines, &tried, zone.as_deref(), |engine| {
+        let zone = decode.map_or(&self.config.zone, |decode| &decode.listed.zone);
+        let token_s = self.prefill_token_s(&request.service);
+        let working = self.fleet.working(&request.service, PoolRole::Prefill, now);
+        let any_rested = working.clone().any(|(_, engine)| engine.full.may_take(now, 0));
+        let engines = working.filter(|(_, engine)| !any_rested || engine.full.may_take(now, 0));
+        let cost = |engine: &Upstream| {
             let wait_s = engine.prefill_wait.expected(now).as_secs_f64();
-            engine.prefilling_tokens as f64 + wait_s / token_s
-        })
+            let load = engine.prefilling_tokens as f64 + wait_s / token_s;
+            load + zone_cost(engine, zone, ZONE_COST_TOKENS)
+        };
+        cheapest(engines, &request.tried, &mut self.rng, SPREAD_TOKENS, cost)
     }
 
     /// Seconds that an engine needs for a token of a prompt.
@@ -56,35 +63,6 @@
         time.unwrap_or(ASSUMED_PREFILL_TOKEN).as_secs_f64()
     }
 
-    /// Those that did not say a moment ago that they have no room for it.
-    fn rested(&self, now: Duration, engines: &[UpstreamKey], tokens: u32) -> Vec<UpstreamKey> {
-        let is_rested = |key: &UpstreamKey| {
-            self.fleet.get(*key).is_some_and(|engine| engine.full.may_take(now, tokens))
-        };
-        engines.iter().copied().filter(is_rested).collect()
-    }
-
-    fn ranked(
-        &mut self,
-        engines: Vec<UpstreamKey>,
-        tried: &[UpstreamKey],
-        zone: Option<&str>,
-        load_tokens: impl Fn(&Upstream) -> f64,
-    ) -> Vec<UpstreamKey> {
-        let zone = zone.unwrap_or(&self.config.zone);
-        let mut ranked: Vec<(f64, UpstreamKey)> = Vec::with_capacity(engines.len());
-        for key in engines {
-            let Some(engine) = self.fleet.get(key).filter(|_| !tried.contains(&key)) else {
-                continue;
-            };
-            let away = if engine.listed.zone == zone { 0.0 } else { ZONE_COST_TOKENS };
-            let spread = self.rng.random_range(0.0..SPREAD_TOKENS);
-            ranked.push((load_tokens(engine) + away + spread, key));
-        }
-        ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
-        ranked.into_iter().map(|(_, key)| key).collect()
-    }
-
     /// The plain service's upstream for a call.
     pub(super) fn service_upstream(
         &mut self,
@@ -92,25 +70,14 @@
         key: RequestKey,
     ) -> Option<UpstreamKey> {
         let request = &self.requests[key];
-        let service = request.service.clone();
-        let tried = request.tried.clone();
-        let mut working = self.fleet.working(&service, PoolRole::Service, now);
-        if working.is_empty() {
-            // Engines take plain requests, too.
-            working = self.fleet.working(&service, PoolRole::Decode, now);
-        }
-        let mut best: Option<(f64, UpstreamKey)> = None;
-        for key in working {
-            let Some(upstream) = self.fleet.get(key).filter(|_| !tried.contains(&key)) else {
-                continue;
-            };
-            let away = if upstream.listed.zone == self.config.zone { 0.0 } else { ZONE_COST_CALLS };
-            let cost = f64::from(upstream.open) + away + self.rng.random_range(0.0..SPREAD_CALLS);
-            if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, key));
-            }
-        }
-        best.map(|(_, key)| key)
+        let any = self.fleet.working(&request.service, PoolRole::Service, now).next().is_some();
+        // Engines take plain requests, too.
+        let role = if any { PoolRole::Service } else { PoolRole::Decode };
+        let working = self.fleet.working(&request.service, role, now);
+        let cost = |upstream: &Upstream| {
+            f64::from(upstream.open) + zone_cost(upstream, &self.config.zone, ZONE_COST_CALLS)
+        };
+        cheapest(working, &request.tried, &mut self.rng, SPREAD_CALLS, cost)
     }
 
     /// The upstream behind a key, as steps name it.
@@ -170,3 +137,22 @@
         self.requests[key].prompt.map_or(0, |prompt| u64::from(prompt.expected_tokens()))
     }
 }
+
+fn zone_cost(upstream: &Upstream, zone: &CompactString, away: f64) -> f64 {
+    if upstream.listed.zone == *zone { 0.0 } else { away }
+}
+
+/// The upstream of the least cost. A random part below `spread` makes entries
+/// with the same view part ways.
+fn cheapest<'a>(
+    upstreams: impl Iterator<Item = (UpstreamKey, &'a Upstream)>,
+    tried: &[UpstreamKey],
+    rng: &mut ChaCha8Rng,
+    spread: f64,
+    cost: impl Fn(&Upstream) -> f64,
+) -> Option<UpstreamKey> {
+    let untried = upstreams.filter(|(key, _)| !tried.contains(key));
+    let costs =
+        untried.map(|(key, upstream)| (cost(upstream) + rng.random_range(0.0..spread), key));
+    costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, key)| key)
+}
--- a/src/router/waiting.rs
+++ b/src/router/waiting.rs
@@ -56,7 +56,7 @@
         if !self.rooms.get(&service).is_some_and(|room| room.is_head(key)) {
             return Step::Wait { until };
         }
-        if self.fleet.working(&service, PoolRole::Decode, now).is_empty() {
+        if self.fleet.working(&service, PoolRole::Decode, now).next().is_none() {
             return Step::Wait { until: until.min(now + ROOM_POLL) };
         }
         self.ask_for_room(now, key)
@@ -64,7 +64,7 @@
 
     pub(super) fn ask_for_room(&mut self, now: Duration, key: RequestKey) -> Step {
         let asked = self.requests[key].tried.len();
-        let next = self.decode_engines(now, key).first().copied();
+        let next = self.decode_engine(now, key);
         let Some(target) = next.filter(|_| asked < MAX_ASKED).and_then(|next| self.target(next))
         else {
             self.requests[key].tried.clear();
@@ -98,7 +98,7 @@
             return Step::Abort;
         }
         let service = self.requests[key].service.clone();
-        let none = self.fleet.working(&service, PoolRole::Decode, now).is_empty();
+        let none = self.fleet.working(&service, PoolRole::Decode, now).next().is_none();
         let reason = if none { RefusalReason::NoUpstream } else { RefusalReason::Overloaded };
         Step::Refuse(self.refusal(key, reason, ROOM_RETRY))
     }
