--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -96,8 +96,8 @@
     pub arrived: Duration,
     /// When the caller or the route gives up on it.
     pub deadline: Duration,
-    /// When it began to wait for room, last.
-    pub(super) queued_at: Duration,
+    /// Until when it waits for room, once it does.
+    pub(super) room_deadline: Duration,
     /// Service that it goes to.
     pub service: CompactString,
     /// Set for a model request.
@@ -145,7 +145,7 @@
             id: inquiry.id,
             arrived: now,
             deadline: now + patience,
-            queued_at: now,
+            room_deadline: now,
             service,
             prompt,
             table,
