Answers out of turn, hang-ups in the prefill and orders of roles have tests through processes

For these the stand-in of the store deals partitions to a group, and the one of a replica takes orders behind a fencing token.

--- a/standins/src/platform/replica.rs
+++ b/standins/src/platform/replica.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use futures_util::stream;
@@ -20,6 +21,7 @@
 
 use crate::faults::Delay;
 use crate::faults::Switch;
+use crate::platform::orders::Orders;
 use crate::server;
 use crate::server::Body;
 
@@ -27,8 +29,10 @@
 pub const EVENTS: u64 = 6;
 
 /// A request as it reached the replica.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Seen {
+    /// When it came.
+    pub at: Instant,
     /// Id of the request.
     pub id: String,
     /// Method and path.
@@ -55,16 +59,22 @@
 pub struct Replica {
     /// Id of the instance.
     pub id: String,
-    /// What it is.
+    /// What it was at its start.
     pub kind: Kind,
+    /// Orders that came in.
+    pub orders: Orders,
     /// Requests that ran.
     pub ran: Mutex<Vec<Seen>>,
     /// Prompts that were prefilled.
     pub prefilled: Mutex<Vec<Seen>>,
+    /// Requests that were refused as not run.
+    pub refused: Mutex<Vec<Seen>>,
     /// Reservations and prefill results that were freed.
     pub freed: Mutex<Vec<String>>,
     /// Streams whose connection closed before they ended.
     pub cut: AtomicU64,
+    /// Streams that are open now.
+    pub open: AtomicU64,
     next: AtomicU64,
     /// Reservations are refused.
     pub full: Switch,
@@ -88,10 +98,13 @@
         let replica = Arc::new(Self {
             id: id.to_string(),
             kind,
+            orders: Orders::default(),
             ran: Mutex::default(),
             prefilled: Mutex::default(),
+            refused: Mutex::default(),
             freed: Mutex::default(),
             cut: AtomicU64::default(),
+            open: AtomicU64::default(),
             next: AtomicU64::default(),
             full: Switch::default(),
             fail_next: Switch::default(),
@@ -112,14 +125,22 @@
             "service": service, "address": address.to_string(), "zone": "north", "version": "v1",
             "slots": 64, "state": state, "coldLeftMs": 0, "seq": 1
         });
-        match self.kind {
-            Kind::Prefill => entry["stage"] = "prefill".into(),
-            Kind::Decode => entry["stage"] = "decode".into(),
-            Kind::Plain => {}
+        if let Some(stage) = self.stage() {
+            entry["stage"] = stage.into();
         }
         entry
     }
 
+    /// What an engine does now: what it was ordered last.
+    fn stage(&self) -> Option<String> {
+        let first = match self.kind {
+            Kind::Prefill => "prefill",
+            Kind::Decode => "decode",
+            Kind::Plain => return None,
+        };
+        Some(self.orders.stage().unwrap_or_else(|| first.to_string()))
+    }
+
     /// How often the request ran.
     pub fn runs_of(&self, id: &str) -> usize {
         let ran = self.ran.lock().expect("no holder panics");
@@ -135,8 +156,11 @@
             self.freed.lock().expect("no holder panics").push(path);
             return Ok(server::json(StatusCode::OK, &json!({})));
         }
-        if path == "/api/hold-take" {
-            return Ok(self.hold());
+        match path.as_str() {
+            "/api/hold-take" => return Ok(self.hold()),
+            "/api/report" => return Ok(self.report()),
+            "/api/order" => return Ok(self.order(request).await),
+            _ => {}
         }
         let seen = see(request).await;
         let expected = seen.headers.get("bamboodoor-expect-instance");
@@ -153,6 +177,19 @@
         self.run(seen)
     }
 
+    fn report(&self) -> Response<Body> {
+        let report = json!({"stage": self.stage(), "busy": false, "seq": self.orders.accepted()});
+        server::json(StatusCode::OK, &report)
+    }
+
+    async fn order(&self, request: Request<Incoming>) -> Response<Body> {
+        let status = match server::read_json(request).await {
+            Some(order) => self.orders.take(order),
+            None => StatusCode::BAD_REQUEST,
+        };
+        server::json(status, &json!({}))
+    }
+
     fn hold(&self) -> Response<Body> {
         if self.full.is_on() {
             return server::json(StatusCode::SERVICE_UNAVAILABLE, &json!({}));
@@ -186,6 +223,7 @@
     }
 
     fn unrun(&self, seen: &Seen, status: StatusCode) -> Response<Body> {
+        self.refused.lock().expect("no holder panics").push(seen.clone());
         let mut response = server::json(status, &json!({}));
         let head = response.headers_mut();
         head.insert("bamboodoor-not-executed", "1".parse().expect("is a valid header"));
@@ -197,6 +235,7 @@
     fn stream(self: &Arc<Self>, seen: &Seen) -> Response<Body> {
         let after = seen.headers.get("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
         let breaks = self.break_next.take();
+        self.open.fetch_add(1, Ordering::SeqCst);
         let open = OpenStream { replica: self.clone(), next: after + 1, ended: false };
         let events = stream::unfold(open, move |mut open| async move {
             if open.next > EVENTS {
@@ -237,6 +276,7 @@
 
 impl Drop for OpenStream {
     fn drop(&mut self) {
+        self.replica.open.fetch_sub(1, Ordering::SeqCst);
         if !self.ended {
             self.replica.cut.fetch_add(1, Ordering::SeqCst);
         }
@@ -252,7 +292,7 @@
     let id = headers.get("bamboodoor-request-id").cloned().unwrap_or_default();
     let body = request.into_body().collect().await;
     let body = body.map(|body| body.to_bytes()).unwrap_or_default();
-    Seen { id, line, headers, body }
+    Seen { at: Instant::now(), id, line, headers, body }
 }
 
 const BREAK_DELAY: Duration = Duration::from_millis(50);
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -23,6 +23,8 @@
 
 use crate::faults::Delay;
 use crate::faults::Switch;
+use crate::platform::groups::Group;
+use crate::platform::groups::Join;
 use crate::server;
 use crate::server::Body;
 
@@ -48,6 +50,7 @@
 #[derive(Debug, Default)]
 pub struct Store {
     topics: Mutex<HashMap<String, Topic>>,
+    groups: Mutex<HashMap<String, Group>>,
     appended: Notify,
     /// Every call is answered 503.
     pub down: Switch,
@@ -98,6 +101,9 @@
         if self.down.is_on() {
             return Ok(server::json(StatusCode::SERVICE_UNAVAILABLE, &json!({})));
         }
+        if request.uri().path() == "/api/log-join" {
+            return Ok(self.join(request).await);
+        }
         let topic = query_text(&request, "topic");
         match request.uri().path() {
             "/api/log-newest" => Ok(self.newest(&topic, &query_text(&request, "after"))),
@@ -110,6 +116,17 @@
         }
     }
 
+    async fn join(&self, request: Request<Incoming>) -> Response<Body> {
+        let Some(join) = server::read_json::<Join>(request).await else {
+            return server::json(StatusCode::BAD_REQUEST, &json!({}));
+        };
+        let mut groups = self.groups.lock().expect("no holder panics");
+        let group = groups.entry(join.group.clone()).or_default();
+        let (generation, parts) = group.join(Instant::now(), &join, PARTS);
+        let parts: Vec<_> = parts.iter().map(|(topic, part)| json!([topic, part, 0])).collect();
+        server::json(StatusCode::OK, &json!({"generation": generation, "parts": parts}))
+    }
+
     fn newest(&self, topic: &str, after: &str) -> Response<Body> {
         let mut topics = self.topics.lock().expect("no holder panics");
         let topic = topics.entry(topic.to_string()).or_default();
@@ -166,6 +183,8 @@
 }
 
 const HEAD_BYTES: usize = 16;
+/// Partitions of each topic.
+const PARTS: u64 = 8;
 /// Small, so that tests meet more than one page.
 const PAGE: usize = 4;
 const LOOK_AGAIN: Duration = Duration::from_millis(50);
