Own interface: unsupported fields are named, text may come in parts, models are listed

Fields that would change the answer and that nothing obeys (n, best_of, echo, logprobs, stop, suffix, tools, response_format) are refused by name.

--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use fleet::ENTRIES;
 use fleet::Fleet;
 use standins::caller::Caller;
 
@@ -28,7 +29,15 @@
     let lookups = send_lookups(&fleet).await;
     let submissions = send_submission(&fleet).await;
     let held_blocks = fleet.settle().await;
-    report(&fleet, &drafts, elapsed, lookups, submissions, held_blocks)
+    let code = report(&fleet, &drafts, elapsed, lookups, submissions, held_blocks);
+    if std::env::args().any(|argument| argument == "--stay") {
+        for number in 0..ENTRIES {
+            println!("an entry listens on http://{}", fleet.entry_address(number));
+        }
+        println!("Ctrl-C ends it");
+        std::future::pending::<()>().await;
+    }
+    code
 }
 
 /// What one caller saw.
--- a/examples/quickstart/fleet.rs
+++ b/examples/quickstart/fleet.rs
@@ -21,7 +21,8 @@
 
 const ZONES: [&str; 3] = ["petrolina", "juazeiro", "caruaru"];
 const REGION: &str = "nordeste";
-const ENTRIES: usize = 3;
+/// Entries of the fleet.
+pub const ENTRIES: usize = 3;
 const SETTLE: Duration = Duration::from_secs(5);
 const POLL: Duration = Duration::from_millis(20);
 
--- a/src/edge/body.rs
+++ b/src/edge/body.rs
@@ -45,7 +45,62 @@
 #[derive(Debug, Deserialize)]
 struct ChatMessage {
     role: String,
-    content: String,
+    content: Content,
+}
+
+/// Text as a whole or in parts.
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+enum Content {
+    Whole(String),
+    Parts(Vec<ContentPart>),
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(tag = "type", rename_all = "snake_case")]
+enum ContentPart {
+    Text { text: String },
+}
+
+impl Content {
+    fn text(&self) -> String {
+        match self {
+            Self::Whole(text) => text.clone(),
+            Self::Parts(parts) => parts.iter().map(|ContentPart::Text { text }| &**text).collect(),
+        }
+    }
+}
+
+/// Fields that would change the answer and that nothing here obeys.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct Unsupported {
+    n: Option<u32>,
+    best_of: Option<u32>,
+    echo: Option<bool>,
+    logprobs: Option<serde_json::Value>,
+    stop: Option<serde_json::Value>,
+    suffix: Option<String>,
+    tools: Option<Vec<serde_json::Value>>,
+    response_format: Option<serde_json::Value>,
+}
+
+impl Unsupported {
+    /// The first field that asks for something else than the default.
+    fn field(&self) -> Option<&'static str> {
+        let logprobs = self.logprobs.as_ref().is_some_and(|value| *value != false);
+        let asked = [
+            ("n", self.n.is_some_and(|n| n != 1)),
+            ("best_of", self.best_of.is_some_and(|best_of| best_of != 1)),
+            ("echo", self.echo == Some(true)),
+            ("logprobs", logprobs),
+            ("stop", self.stop.is_some()),
+            ("suffix", self.suffix.is_some()),
+            ("tools", self.tools.as_ref().is_some_and(|tools| !tools.is_empty())),
+            ("response_format", self.response_format.is_some()),
+        ];
+        asked.into_iter().find(|(_, asked)| *asked).map(|(field, _)| field)
+    }
 }
 
 /// A request that was read.
@@ -62,6 +117,10 @@
 /// # Errors
 /// A refusal that names the field at fault.
 pub fn read(form: Form, body: &[u8], snapshot: &Snapshot) -> Result<Generation, Refusal> {
+    if let Some(field) = parse::<Unsupported>(body)?.field() {
+        let detail = format!("{field}: not supported");
+        return Err(invalid(RefusalReason::InvalidField, detail));
+    }
     let (model, prompt, max_tokens, stream) = match form {
         Form::Completion => {
             let body: CompletionBody = parse(body)?;
@@ -113,7 +172,30 @@
 }
 
 fn chat_prompt(messages: &[ChatMessage]) -> String {
-    messages.iter().map(|message| format!("{}: {}\n", message.role, message.content)).collect()
+    messages
+        .iter()
+        .map(|message| format!("{}: {}\n", message.role, message.content.text()))
+        .collect()
+}
+
+#[derive(Debug, Serialize)]
+struct ModelsJson<'a> {
+    object: &'static str,
+    data: Vec<ModelJson<'a>>,
+}
+
+#[derive(Debug, Serialize)]
+struct ModelJson<'a> {
+    id: &'a str,
+    object: &'static str,
+    owned_by: &'static str,
+}
+
+/// The list of models in force, in the widely used form.
+pub fn models(snapshot: &Snapshot) -> Vec<u8> {
+    let model = |name| ModelJson { id: name, object: "model", owned_by: "bamboodoor" };
+    let data = snapshot.model_names().map(model).collect();
+    serde_json::to_vec(&ModelsJson { object: "list", data }).expect("is plain data")
 }
 
 #[derive(Debug, Serialize)]
--- a/src/edge/caller.rs
+++ b/src/edge/caller.rs
@@ -15,7 +15,9 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderMap;
+use hyper::header::HeaderValue;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
@@ -43,6 +45,7 @@
 use crate::entry::request::Arrival;
 use crate::entry::request::ArrivalWork;
 use crate::entry::request::CallArrival;
+use crate::manifest::Snapshot;
 use crate::outcome::Outcome;
 use crate::outcome::Refusal;
 use crate::outcome::RefusalReason;
@@ -186,6 +189,10 @@
             (&Method::POST, "/v1/chat/completions") => {
                 self.generate(request, Form::Chat, request_id).await
             }
+            (&Method::GET, "/v1/models") => {
+                let snapshot = self.snapshot().await?;
+                Ok(models_response(&snapshot))
+            }
             _ if path.starts_with(SERVICES_PREFIX) => self.call(request, request_id).await,
             _ => {
                 let refusal = Refusal::not_run(RefusalReason::UnknownService, None);
@@ -194,6 +201,12 @@
         }
     }
 
+    /// The manifest in force.
+    async fn snapshot(&self) -> Result<Arc<Snapshot>, Refusal> {
+        let snapshot = self.actor.ask(GetSnapshot).await.ok().flatten();
+        snapshot.ok_or_else(|| Refusal::not_run(RefusalReason::NotReady, Some(NOT_READY_RETRY)))
+    }
+
     async fn read_body(&self, body: Incoming) -> Result<Bytes, Refusal> {
         let collect = Limited::new(body, self.limits.max_body_bytes).collect();
         match tokio::time::timeout(self.limits.body_read, collect).await {
@@ -211,10 +224,7 @@
     ) -> Result<Response<ResponseBody>, Refusal> {
         let account = header(request.headers(), ACCOUNT_HEADER);
         let bytes = self.read_body(request.into_body()).await?;
-        let snapshot = self.actor.ask(GetSnapshot).await.ok().flatten();
-        let Some(snapshot) = snapshot else {
-            return Err(Refusal::not_run(RefusalReason::NotReady, Some(NOT_READY_RETRY)));
-        };
+        let snapshot = self.snapshot().await?;
         let generation = body::read(form, &bytes, &snapshot)?;
         let model = generation.arrival.model.clone();
         let naming = Naming { form, request_id: request_id.clone(), model };
@@ -327,3 +337,10 @@
     }
     CompactString::from(format!("{:032x}", rand::random::<u128>()))
 }
+
+fn models_response(snapshot: &Snapshot) -> Response<ResponseBody> {
+    let mut response = Response::new(full(body::models(snapshot)));
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, json);
+    response
+}
--- a/src/manifest.rs
+++ b/src/manifest.rs
@@ -49,6 +49,11 @@
         Ok(Self { generation, body: body.into(), manifest, account_weights })
     }
 
+    /// Names of the models.
+    pub fn model_names(&self) -> impl Iterator<Item = &str> {
+        self.manifest.models.iter().map(|model| model.name.as_str())
+    }
+
     /// The model of that name.
     pub fn model(&self, name: &str) -> Option<&Model> {
         self.manifest.models.iter().find(|model| model.name == name)
--- a/tests/processes/limits.rs
+++ b/tests/processes/limits.rs
@@ -12,6 +12,9 @@
 use crate::fleet::manifest;
 
 const COMPLETIONS: &str = "/v1/completions";
+const CHAT: &str = "/v1/chat/completions";
+const IMAGE: &str =
+    r#"{"model":"redator","messages":[{"role":"user","content":[{"type":"image"}]}]}"#;
 
 async fn refused(fleet: &Fleet, method: &str, path: &str, body: &str) -> (u16, String, String) {
     let (status, answer) = fleet.caller(0).call(method, path, None, body).await;
@@ -32,6 +35,15 @@
         (COMPLETIONS, r#"{"model":"redator","prompt":[]}"#, 400, "invalid-field", "prompt"),
         (COMPLETIONS, r#"{"model":"nobody","prompt":"p"}"#, 404, "unknown-model", "model"),
         (COMPLETIONS, &long, 400, "prompt-too-long", "prompt"),
+        (COMPLETIONS, r#"{"model":"redator","prompt":"p","n":2}"#, 400, "invalid-field", "n:"),
+        (
+            COMPLETIONS,
+            r#"{"model":"redator","prompt":"p","stop":["x"]}"#,
+            400,
+            "invalid-field",
+            "stop:",
+        ),
+        (CHAT, IMAGE, 400, "invalid-field", "messages[0].content"),
         ("/services/nothing/x", "", 404, "unknown-service", ""),
         ("/nowhere", "", 404, "unknown-service", "/nowhere"),
     ];
@@ -42,6 +54,32 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn text_in_parts_is_one_text() {
+    let fleet = Fleet::start(FleetConfig::default()).await;
+    let whole = r#"{"model":"redator","max_tokens":4,"messages":[{"role":"user","content":"ab"}]}"#;
+    let parts = r#"{"model":"redator","max_tokens":4,"n":1,"messages":[{"role":"user","content":
+        [{"type":"text","text":"a"},{"type":"text","text":"b"}]}]}"#;
+    let text = async |body: &str| {
+        let (status, answer) = fleet.caller(0).call("POST", CHAT, None, body).await;
+        let json: serde_json::Value = serde_json::from_str(&answer).expect("is JSON");
+        (status, json["choices"][0]["message"]["content"].clone())
+    };
+    let expected = text(whole).await;
+    assert_eq!(expected.0, 200);
+    assert!(expected.1.is_string(), "{expected:?}");
+    assert_eq!(text(parts).await, expected);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_models_in_force_are_listed() {
+    let fleet = Fleet::start(FleetConfig::default()).await;
+    let (status, answer) = fleet.caller(0).call("GET", "/v1/models", None, "").await;
+    let json: serde_json::Value = serde_json::from_str(&answer).expect("is JSON");
+    assert_eq!((status, &json["object"]), (200, &"list".into()));
+    assert_eq!(json["data"][0]["id"], "redator");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_body_that_is_too_large_is_refused() {
     let fleet = Fleet::start(FleetConfig::default()).await;
