A fault soak: the real entries as processes, faults from outside, promises checked from what was seen

Three entries as processes, a store and twelve replicas behind loopback proxies that delay, reset, cut one way and silence connections; processes are stopped, paused, killed and started again by signals; the store is down, slow or forgets; replicas slip, fill up and are replaced; settings and configurations change. A seed fixes what comes when, in series and overlapping.

--- /dev/null
+++ b/soak/src/judge.rs
@@ -0,0 +1,327 @@
+//! The promises, checked against what callers and upstreams saw.
+
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use standins::platform::orders::Order;
+use standins::platform::replica::EVENTS;
+use standins::platform::replica::Seen;
+use standins::platform::replica::event;
+
+use crate::callers::Attempt;
+use crate::callers::End;
+use crate::fleet::APPLY;
+use crate::fleet::DESK;
+use crate::fleet::DRAIN;
+use crate::fleet::ENGINES;
+use crate::fleet::Fleet;
+use crate::fleet::Node;
+use crate::fleet::OTHER_DESK;
+use crate::fleet::RETRY_ALLOWANCE;
+use crate::fleet::RETRY_RATIO;
+use crate::inject::Disturbance;
+use crate::plan::Action;
+
+/// All is served again after that.
+pub const RECOVERY: Duration = Duration::from_secs(15);
+/// A disturbance may show in what begins so long after its end.
+const SETTLE: Duration = Duration::from_secs(4);
+/// Allowance for a loaded machine, beside each bound.
+const SLACK: Duration = Duration::from_millis(1_000);
+const BUDGET_WINDOW: Duration = Duration::from_secs(10);
+
+/// A promise that was broken.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Breach {
+    /// Which.
+    pub promise: &'static str,
+    /// What was seen.
+    pub detail: String,
+}
+
+impl Breach {
+    /// A breach.
+    pub fn new(promise: &'static str, detail: String) -> Self {
+        Self { promise, detail }
+    }
+}
+
+/// What a run left behind.
+pub struct Record<'a> {
+    /// The replicas, with what they saw.
+    pub fleet: &'a Fleet,
+    /// The requests as their callers saw them.
+    pub attempts: &'a [Attempt],
+    /// What was disturbed when.
+    pub disturbances: &'a [Disturbance],
+    /// How many ids callers gave out.
+    pub issued: u64,
+}
+
+/// One arrival of a request at a replica.
+struct Arrival {
+    node: usize,
+    seen: Seen,
+    kind: ArrivalKind,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum ArrivalKind {
+    Ran,
+    Prefilled,
+    Refused,
+}
+
+/// True if the caller got a whole success.
+pub fn is_served(attempt: &Attempt) -> bool {
+    matches!(attempt.end, End::Whole { status: 200, .. })
+}
+
+/// Every promise that was broken.
+pub fn judge(record: &Record) -> Vec<Breach> {
+    let nodes = record.fleet.nodes.lock().expect("no holder panics").clone();
+    let arrivals = arrivals(&nodes);
+    let by_id: HashMap<&str, &Attempt> =
+        record.attempts.iter().map(|attempt| (attempt.id.as_str(), attempt)).collect();
+    let mut breaches = Vec::new();
+    for attempt in record.attempts {
+        breaches.extend(answer_is_its_own(attempt));
+        breaches.extend(record.calm_answer_is_whole(attempt));
+        let own = arrivals.iter().filter(|arrival| arrival.seen.id == attempt.id);
+        let runs = own.filter(|arrival| arrival.kind == ArrivalKind::Ran).count();
+        breaches.extend(runs_as_often_as_allowed(attempt, runs));
+    }
+    for arrival in &arrivals {
+        match by_id.get(arrival.seen.id.as_str()) {
+            Some(attempt) => {
+                breaches.extend(record.arrival_is_due(attempt, arrival, &nodes[arrival.node]));
+            }
+            // Asked before the load began, or by a caller that the end of the
+            // run stopped.
+            None if record.was_issued(&arrival.seen.id) => {}
+            None => breaches.push(Breach::new("unasked", arrival.seen.line.clone())),
+        }
+    }
+    breaches.extend(within_budget(&arrivals, &nodes, record.attempts));
+    breaches.extend(orders_are_fenced(&record.orders()));
+    breaches.extend(record.stops_are_clean());
+    breaches.extend(nothing_runs_on(&nodes));
+    breaches
+}
+
+fn arrivals(nodes: &[std::sync::Arc<Node>]) -> Vec<Arrival> {
+    let mut arrivals = Vec::new();
+    for (number, node) in nodes.iter().enumerate() {
+        let kinds = [
+            (&node.replica.ran, ArrivalKind::Ran),
+            (&node.replica.prefilled, ArrivalKind::Prefilled),
+            (&node.replica.refused, ArrivalKind::Refused),
+        ];
+        for (list, kind) in kinds {
+            let list = list.lock().expect("no holder panics");
+            let seen = list.iter().cloned();
+            arrivals.extend(seen.map(|seen| Arrival { node: number, seen, kind }));
+        }
+    }
+    arrivals
+}
+
+fn whole_body(attempt: &Attempt) -> Bytes {
+    if attempt.route == "stream" || attempt.route == "resumable" {
+        return (1..=EVENTS).map(event).collect::<String>().into();
+    }
+    format!("{{\"echo\":\"{}\"}}", attempt.line()).into()
+}
+
+/// The answer is the upstream's, whole and for this request.
+fn answer_is_its_own(attempt: &Attempt) -> Option<Breach> {
+    let expected = whole_body(attempt);
+    let sound = match &attempt.end {
+        End::HungUp => true,
+        End::Broken { body } => expected.starts_with(body),
+        End::Whole { status: 200, signature, body } => {
+            *body == expected && signature.as_deref() == Some(&format!("sig.{}", attempt.id))
+        }
+        End::Whole { status: 500, signature: Some(signature), .. } => {
+            *signature == format!("sig.{}", attempt.id)
+        }
+        End::Whole { signature, .. } => signature.is_none(),
+    };
+    (!sound).then(|| Breach::new("own answer", format!("{attempt:?}")))
+}
+
+fn runs_as_often_as_allowed(attempt: &Attempt, runs: usize) -> Option<Breach> {
+    let repeatable = matches!(attempt.route, "lookup" | "resumable");
+    if repeatable {
+        return (runs > 2).then(|| Breach::new("attempts", format!("{runs}: {attempt:?}")));
+    }
+    if runs > 1 {
+        return Some(Breach::new("at most once", format!("{runs}: {attempt:?}")));
+    }
+    let refused = matches!(attempt.end, End::Whole { status: 408 | 421 | 429 | 503, .. });
+    (refused && runs > 0).then(|| Breach::new("refusals are true", format!("{attempt:?}")))
+}
+
+/// Extra arrivals of each service keep to the budget in every window.
+fn within_budget(
+    arrivals: &[Arrival],
+    nodes: &[std::sync::Arc<Node>],
+    attempts: &[Attempt],
+) -> Option<Breach> {
+    for service in [ENGINES, DESK, OTHER_DESK] {
+        let here = |arrival: &&Arrival| nodes[arrival.node].service == service;
+        let mut seen: HashMap<(&str, bool), usize> = HashMap::new();
+        let mut extras = Vec::new();
+        let mut ordered: Vec<&Arrival> = arrivals.iter().filter(here).collect();
+        ordered.sort_by_key(|arrival| arrival.seen.at);
+        for arrival in ordered {
+            let is_prefill = arrival.seen.headers.contains_key("bamboodoor-stage");
+            let refused_prefill = is_prefill && arrival.kind == ArrivalKind::Refused;
+            let times = seen.entry((&arrival.seen.id, is_prefill)).or_default();
+            if !refused_prefill {
+                *times += 1;
+            }
+            if refused_prefill || *times > 1 {
+                extras.push(arrival.seen.at);
+            }
+        }
+        let requests = attempts.iter().filter(|attempt| may_go_to(attempt.route, service));
+        let requests: Vec<Instant> = requests.map(|attempt| attempt.sent).collect();
+        for end in &extras {
+            let within = |at: &&Instant, back: Duration| {
+                **at + back <= *end && *end < **at + back + BUDGET_WINDOW
+            };
+            let spent = extras.iter().filter(|at| within(at, Duration::ZERO)).count();
+            let backs = [Duration::ZERO, BUDGET_WINDOW / 2, BUDGET_WINDOW];
+            let most = backs.map(|back| requests.iter().filter(|at| within(at, back)).count());
+            let most = most.into_iter().max().unwrap_or(0);
+            let allowed = RETRY_RATIO * most as f64 + RETRY_ALLOWANCE as f64;
+            if spent as f64 > allowed {
+                let detail = format!("{service}: {spent} extra of {allowed}");
+                return Some(Breach::new("retry budget", detail));
+            }
+        }
+    }
+    None
+}
+
+fn may_go_to(route: &str, service: &str) -> bool {
+    match route {
+        "stream" | "resumable" => service == ENGINES,
+        "moved" => service != ENGINES,
+        _ => service == DESK,
+    }
+}
+
+/// No engine obeys a lower token after a higher one, and no token has two
+/// holders.
+fn orders_are_fenced(orders: &[(usize, Order)]) -> Option<Breach> {
+    let mut holders: HashMap<u64, &str> = HashMap::new();
+    let mut highest: HashMap<usize, u64> = HashMap::new();
+    for (node, order) in orders {
+        let holder = holders.entry(order.fence).or_insert(&order.holder);
+        let known = highest.entry(*node).or_default();
+        if *holder != order.holder || order.fence < *known {
+            return Some(Breach::new("one holder", format!("{order:?} at {node}")));
+        }
+        *known = order.fence;
+    }
+    None
+}
+
+fn nothing_runs_on(nodes: &[std::sync::Arc<Node>]) -> Option<Breach> {
+    let open: u64 =
+        nodes.iter().map(|n| n.replica.open.load(std::sync::atomic::Ordering::SeqCst)).sum();
+    (open > 0).then(|| Breach::new("nothing runs on", format!("{open} streams")))
+}
+
+impl Record<'_> {
+    fn was_issued(&self, id: &str) -> bool {
+        let number = id.strip_prefix('r').and_then(|number| number.parse::<u64>().ok());
+        number.is_some_and(|number| number < self.issued)
+    }
+
+    /// Orders that came in, with the replica that got them.
+    pub fn orders(&self) -> Vec<(usize, Order)> {
+        let nodes = self.fleet.nodes.lock().expect("no holder panics");
+        let of_node = |(number, node): (usize, &std::sync::Arc<Node>)| {
+            node.replica.orders.all().into_iter().map(move |order| (number, order))
+        };
+        nodes.iter().enumerate().flat_map(of_node).collect()
+    }
+
+    /// True if nothing that `matters` disturbed the entry of an attempt shortly
+    /// before it or during it.
+    fn is_calm(&self, attempt: &Attempt, matters: impl Fn(&Disturbance) -> bool) -> bool {
+        !self.disturbances.iter().any(|disturbance| {
+            let concerned = disturbance.entry().is_none_or(|entry| entry == attempt.entry);
+            let over = disturbance.until + SETTLE < attempt.sent;
+            concerned && matters(disturbance) && !over && disturbance.from <= attempt.ended
+        })
+    }
+
+    /// Planned work and trouble of the store cut nobody off.
+    fn calm_answer_is_whole(&self, attempt: &Attempt) -> Option<Breach> {
+        let unplanned = |d: &Disturbance| !d.is_planned() && !d.is_of_store();
+        let broken = matches!(attempt.end, End::Broken { .. });
+        (broken && self.is_calm(attempt, unplanned))
+            .then(|| Breach::new("calm answers are whole", format!("{attempt:?}")))
+    }
+
+    /// The request came unchanged, to a service and a replica that it may go to.
+    fn arrival_is_due(&self, attempt: &Attempt, arrival: &Arrival, node: &Node) -> Option<Breach> {
+        let seen = &arrival.seen;
+        if seen.line != attempt.line() || seen.body != attempt.id {
+            return Some(Breach::new("unchanged", format!("{seen:?}")));
+        }
+        if !may_go_to(attempt.route, node.service) {
+            return Some(Breach::new("right service", format!("{seen:?} at {}", node.service)));
+        }
+        let in_touch = self.is_calm(attempt, |disturbance| !disturbance.is_planned());
+        let late = node.left().is_some_and(|left| seen.at > left + DRAIN + SLACK);
+        if in_touch && late && arrival.kind != ArrivalKind::Refused {
+            return Some(Breach::new("drained", format!("{seen:?} at {}", node.replica.id)));
+        }
+        let stale = attempt.route == "moved" && !self.may_be_in_force(attempt, node.service);
+        (in_touch && stale).then(|| Breach::new("configuration", format!("{attempt:?}")))
+    }
+
+    /// True if a configuration that may be in force for the attempt sends the
+    /// moved route to the service.
+    fn may_be_in_force(&self, attempt: &Attempt, service: &str) -> bool {
+        let changes: Vec<Instant> = self
+            .disturbances
+            .iter()
+            .filter(|disturbance| disturbance.action == Action::Configure)
+            .map(|disturbance| disturbance.from)
+            .collect();
+        let old = changes.iter().filter(|at| **at + APPLY + SLACK < attempt.sent).count();
+        let new = changes.iter().filter(|at| **at <= attempt.ended).count();
+        // The versions are odd and even in turn.
+        let odd_first = |count: usize| if count.is_multiple_of(2) { DESK } else { OTHER_DESK };
+        (old..=new).any(|count| odd_first(count) == service)
+    }
+
+    /// A planned stop ends by itself, and in order.
+    fn stops_are_clean(&self) -> Vec<Breach> {
+        let stops = self.disturbances.iter().filter(|disturbance| disturbance.exit.is_some());
+        let unclean = stops.filter(|stop| stop.exit != Some(Some(0)) && !self.is_hindered(stop));
+        let breach = |stop: &Disturbance| Breach::new("clean stop", format!("{stop:?}"));
+        unclean.map(breach).collect()
+    }
+
+    /// True if something else befell the entry while it stopped.
+    fn is_hindered(&self, stop: &Disturbance) -> bool {
+        self.disturbances.iter().any(|other| {
+            let same = other.from == stop.from && other.action == stop.action;
+            let befalls = matches!(
+                other.action,
+                Action::Kill(_) | Action::KillAll | Action::Pause(..) | Action::Stop(_)
+            );
+            let concerned = other.entry().is_none_or(|entry| Some(entry) == stop.entry());
+            !same && befalls && concerned && other.from <= stop.until && stop.from <= other.until
+        })
+    }
+}
--- /dev/null
+++ b/soak/src/lib.rs
@@ -0,0 +1,127 @@
+//! A randomized soak: the real entries as processes on loopback, faults from
+//! outside them, and the promises checked from what callers and upstreams see.
+//!
+//! A seed fixes which faults come when. What a seed meets still depends on the
+//! machine's timing, so every check holds for any timing.
+
+pub mod callers;
+pub mod fleet;
+mod inject;
+pub mod judge;
+pub mod plan;
+pub mod proxy;
+
+use std::path::Path;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::callers::Callers;
+use crate::fleet::Fleet;
+use crate::inject::Injector;
+use crate::judge::Breach;
+use crate::judge::Record;
+use crate::plan::Size;
+
+/// How a run is made.
+#[derive(Debug, Clone, Copy)]
+pub struct Settings {
+    /// Entries.
+    pub entries: usize,
+    /// Callers.
+    pub callers: usize,
+    /// How long faults are injected.
+    pub length: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self { entries: 3, callers: 12, length: Duration::from_secs(12) }
+    }
+}
+
+/// What a run showed.
+#[derive(Debug)]
+pub struct Report {
+    /// Requests that callers sent.
+    pub requests: usize,
+    /// Of these, answered whole with a success.
+    pub served: usize,
+    /// Faults that were injected.
+    pub faults: usize,
+    /// Orders that engines got.
+    pub orders: usize,
+    /// Promises that were broken.
+    pub breaches: Vec<Breach>,
+}
+
+const START_TIMEOUT: Duration = Duration::from_secs(15);
+/// Work of callers that left has ended everywhere after that.
+const QUIET: Duration = Duration::from_secs(3);
+const POLL: Duration = Duration::from_millis(20);
+const HEARTBEAT: Duration = Duration::from_millis(400);
+
+/// Plays one seed. Logs of the entries go to `dir`.
+pub async fn run(seed: u64, program: &Path, dir: &Path, settings: Settings) -> Report {
+    let fleet = Fleet::start(program, dir, settings.entries).await;
+    let beats = fleet.clone();
+    let heartbeat = tokio::spawn(async move {
+        loop {
+            tokio::time::sleep(HEARTBEAT).await;
+            beats.list_all();
+        }
+    });
+    let callers = Callers::new(fleet.clone());
+    let mut breaches = recover(&callers, "start", START_TIMEOUT).await;
+    // Entries that do not listen yet break connections off.
+    callers.seen.lock().expect("no holder panics").clear();
+    let asking: Vec<_> = (0..settings.callers)
+        .map(|number| tokio::spawn(callers.clone().call(seed * 1_000 + number as u64)))
+        .collect();
+    let size =
+        Size { entries: settings.entries, replicas: fleet::REPLICA_COUNT, length: settings.length };
+    let events = plan::plan(seed, size);
+    let faults = events.len();
+    let disturbances = Injector::new(fleet.clone(), program).play(events).await;
+    breaches.extend(recover(&callers, "recovery", judge::RECOVERY).await);
+    for caller in asking {
+        caller.abort();
+    }
+    tokio::time::sleep(QUIET).await;
+    heartbeat.abort();
+    let attempts = callers.seen.lock().expect("no holder panics").clone();
+    let record = Record {
+        fleet: &fleet,
+        attempts: &attempts,
+        disturbances: &disturbances,
+        issued: callers.issued(),
+    };
+    breaches.extend(judge::judge(&record));
+    Report {
+        requests: attempts.len(),
+        served: attempts.iter().filter(|attempt| judge::is_served(attempt)).count(),
+        faults,
+        orders: record.orders().len(),
+        breaches,
+    }
+}
+
+/// Asks every entry for every kind of request until each was served once.
+async fn recover(callers: &Callers, when: &str, limit: Duration) -> Vec<Breach> {
+    let begin = Instant::now();
+    let mut missing: Vec<(usize, &'static str)> = Vec::new();
+    for entry in 0..callers.entries() {
+        missing.extend(callers::ROUTES.iter().map(|route| (entry, *route)));
+    }
+    while !missing.is_empty() && begin.elapsed() < limit {
+        let mut still = Vec::new();
+        for (entry, route) in missing {
+            if !callers.is_served(entry, route).await {
+                still.push((entry, route));
+            }
+        }
+        missing = still;
+        tokio::time::sleep(POLL).await;
+    }
+    let unserved = |(entry, route)| Breach::new("recover", format!("{when}: {route} at {entry}"));
+    missing.into_iter().map(unserved).collect()
+}
--- /dev/null
+++ b/soak/src/main.rs
@@ -0,0 +1,70 @@
+//! Plays seeds of the soak and prints what each showed.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use argh::FromArgs;
+use soak::Settings;
+
+/// Randomized faults against the real entries.
+#[derive(Debug, FromArgs)]
+struct Arguments {
+    /// the entry's program
+    #[argh(option, default = "PathBuf::from(\"target/release/bamboodoor-platform\")")]
+    program: PathBuf,
+    /// where logs are kept, a directory for each seed
+    #[argh(option, default = "PathBuf::from(\"target/soak\")")]
+    logs: PathBuf,
+    /// first seed
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// how many seeds
+    #[argh(option, default = "1")]
+    seeds: u64,
+    /// entries
+    #[argh(option, default = "3")]
+    entries: usize,
+    /// callers
+    #[argh(option, default = "12")]
+    callers: usize,
+    /// how long faults are injected, in seconds
+    #[argh(option, default = "12")]
+    length_s: u64,
+}
+
+/// Breaches that are printed of one seed.
+const MAX_SHOWN: usize = 5;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    let settings = Settings {
+        entries: arguments.entries,
+        callers: arguments.callers,
+        length: Duration::from_secs(arguments.length_s),
+    };
+    let mut failed = 0;
+    for seed in arguments.seed..arguments.seed + arguments.seeds {
+        let dir = arguments.logs.join(format!("seed-{seed}"));
+        if let Err(error) = std::fs::create_dir_all(&dir) {
+            eprintln!("{}: {error}", dir.display());
+            return ExitCode::from(2);
+        }
+        let report = soak::run(seed, &arguments.program, &dir, settings).await;
+        println!(
+            "seed {seed}: {} requests, {} served, {} faults, {} orders, {} breaches",
+            report.requests,
+            report.served,
+            report.faults,
+            report.orders,
+            report.breaches.len()
+        );
+        for breach in report.breaches.iter().take(MAX_SHOWN) {
+            println!("  {}: {}", breach.promise, breach.detail);
+        }
+        failed += u64::from(!report.breaches.is_empty());
+    }
+    println!("{failed} of {} seeds broke a promise", arguments.seeds);
+    ExitCode::from(u8::from(failed > 0))
+}
