--- a/standins/src/platform/replica.rs
+++ b/standins/src/platform/replica.rs
@@ -217,7 +217,7 @@
         let id = if self.mistake_next.take() { "another" } else { &seen.id };
         let head = response.headers_mut();
         head.insert("bamboodoor-request-id", id.parse().expect("is a valid header"));
-        let signature = format!("sig.{}", seen.id).parse().expect("is a valid header");
+        let signature = format!("sig.{id}").parse().expect("is a valid header");
         head.insert("bamboodoor-response-signature", signature);
         Ok(response)
     }
