--- a/src/edge/direct/decisions.rs
+++ b/src/edge/direct/decisions.rs
@@ -81,3 +81,32 @@
         detail: = detail
     });
 }
+
+/// How a request that got an answer ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub(super) enum Ending {
+    /// The caller has all of the answer.
+    Answered,
+    /// The caller went away before.
+    CallerGone,
+}
+
+pub(super) fn log_ending(
+    instance: &str,
+    now: Duration,
+    request: &Request,
+    ending: Ending,
+    status: u16,
+) {
+    let age_ms = as_ms(now.saturating_sub(request.arrived));
+    spdlog::info!("{ending}", kv: {
+        instance: = instance,
+        request_id: = request.id,
+        route: = request.route().name,
+        upstream: = request.upstream_id(),
+        generation = request.version(),
+        age_ms = age_ms,
+        status = status
+    });
+}
--- a/src/edge/direct/drive.rs
+++ b/src/edge/direct/drive.rs
@@ -17,6 +17,7 @@
 
 use crate::edge::direct::answer::Part;
 use crate::edge::direct::answer::Reply;
+use crate::edge::direct::decisions::Ending;
 use crate::edge::direct::decisions::failure_of;
 use crate::edge::direct::decisions::kind_of;
 use crate::edge::direct::decisions::log_event;
@@ -142,6 +143,9 @@
             }
         };
         self.caller = caller;
+        if event.is_none() {
+            self.log_ending(Ending::CallerGone, 0);
+        }
         event
     }
 
--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -10,6 +10,8 @@
 use crate::edge::direct::answer::Part;
 use crate::edge::direct::answer::Reply;
 use crate::edge::direct::answer::ReplyBody;
+use crate::edge::direct::decisions::Ending;
+use crate::edge::direct::decisions::log_ending;
 use crate::edge::direct::decisions::log_refusal;
 use crate::edge::direct::drive::Caller;
 use crate::edge::direct::drive::Drive;
@@ -22,7 +24,35 @@
 
 const PARTS_IN_FLIGHT: usize = 16;
 
+/// What came of passing an answer on.
+enum Relayed {
+    Ended(Ending),
+    Failed(Event),
+}
+
+impl Relayed {
+    fn into_event(self) -> Option<Event> {
+        match self {
+            Self::Ended(_) => None,
+            Self::Failed(event) => Some(event),
+        }
+    }
+}
+
+fn ending_of(has_all: bool) -> Ending {
+    if has_all { Ending::Answered } else { Ending::CallerGone }
+}
+
 impl<U: UpstreamClient> Drive<U> {
+    /// Says how the request ended. `status` is 0 if no answer was begun.
+    pub(super) fn log_ending(&self, ending: Ending, status: u16) {
+        let now = self.dispatcher.now();
+        let router = self.dispatcher.router.borrow();
+        if let Some(request) = router.request(self.key) {
+            log_ending(&self.dispatcher.name, now, request, ending, status);
+        }
+    }
+
     fn count_answer(&self, status: u16) {
         let now = self.dispatcher.now();
         let router = self.dispatcher.router.borrow();
@@ -38,14 +68,22 @@
                 self.count_answer(status);
                 if let Caller::Waiting(head) = &mut self.caller {
                     let body = ReplyBody::Whole(body);
-                    // The caller may have gone in this moment.
-                    let _ = head.take()?.send(Reply::Answer { status, headers, body });
+                    let sent = head.take()?.send(Reply::Answer { status, headers, body });
+                    self.log_ending(ending_of(sent.is_ok()), status);
                 }
                 None
             }
             Ready::Parts(answer) => {
-                let parts = self.send_head(answer.status, &answer.headers)?;
-                self.relay_parts(answer, &parts, silence).await
+                let status = answer.status;
+                let Some(parts) = self.send_head(status, &answer.headers) else {
+                    self.log_ending(Ending::CallerGone, status);
+                    return None;
+                };
+                let event = self.relay_parts(answer, &parts, silence).await;
+                if let Relayed::Ended(ending) = event {
+                    self.log_ending(ending, status);
+                }
+                event.into_event()
             }
         }
     }
@@ -72,39 +110,42 @@
         mut answer: UpstreamAnswer,
         parts: &mpsc::Sender<Part>,
         silence: Duration,
-    ) -> Option<Event> {
+    ) -> Relayed {
         let mut splitter = Splitter::default();
         let mut last_event = None;
         loop {
             let pause = silence.min(self.left());
             let frame = tokio::select! {
                 biased;
-                () = parts.closed() => return None,
+                () = parts.closed() => return Relayed::Ended(Ending::CallerGone),
                 frame = timeout(pause, answer.body.frame()) => frame,
             };
             let data = match frame {
-                Err(_) if self.left().is_zero() => return Some(Event::DeadlinePassed),
-                Err(_) | Ok(Some(Err(_))) => return Some(Event::BrokeOff { last_event }),
+                Err(_) if self.left().is_zero() => return Relayed::Failed(Event::DeadlinePassed),
+                Err(_) | Ok(Some(Err(_))) => {
+                    return Relayed::Failed(Event::BrokeOff { last_event });
+                }
                 Ok(None) => break,
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             };
             if !answer.events {
-                parts.send(Part::Data(data)).await.ok()?;
+                if parts.send(Part::Data(data)).await.is_err() {
+                    return Relayed::Ended(Ending::CallerGone);
+                }
                 continue;
             }
             splitter.push(&data);
             while let Some(event) = splitter.next_event() {
-                parts.send(Part::Data(event.bytes)).await.ok()?;
+                if parts.send(Part::Data(event.bytes)).await.is_err() {
+                    return Relayed::Ended(Ending::CallerGone);
+                }
                 last_event = event.id.or(last_event);
             }
         }
-        if !splitter.is_empty() {
-            parts.send(Part::Data(splitter.take_rest())).await.ok()?;
-        }
         self.dispatcher.upstreams.give_back(answer.connection, answer.keep);
-        // The caller may have gone in this moment.
-        let _ = parts.send(Part::End).await;
-        None
+        let rest = splitter.take_rest();
+        let has_rest = rest.is_empty() || parts.send(Part::Data(rest)).await.is_ok();
+        Relayed::Ended(ending_of(has_rest && parts.send(Part::End).await.is_ok()))
     }
 
     pub(super) fn refuse(&mut self, refusal: Refusal) {
--- a/src/edge/direct/server.rs
+++ b/src/edge/direct/server.rs
@@ -39,18 +39,29 @@
     }
 }
 
+/// Connections that are open at one server.
+#[derive(Debug, Clone, Default)]
+pub struct OpenConnections(Rc<Cell<usize>>);
+
+impl OpenConnections {
+    /// How many.
+    pub fn count(&self) -> usize {
+        self.0.get()
+    }
+}
+
 /// Serves connections until `stop`, then lets open requests end. Returns when
 /// all connections are closed.
 pub async fn serve<S, F>(
     listener: TcpListener,
     settings: impl Fn() -> ServerSettings,
     stop: CancellationToken,
+    open: OpenConnections,
     service: S,
 ) where
     S: Fn(Request<Incoming>) -> F + Clone + 'static,
     F: Future<Output = Response<ReplyBody>> + 'static,
 {
-    let open = Rc::new(Cell::new(0_usize));
     loop {
         let accepted = tokio::select! {
             () = stop.cancelled() => break,
@@ -72,23 +83,23 @@
             }
         }
     }
-    while open.get() > 0 {
+    while open.count() > 0 {
         tokio::time::sleep(DRAIN_POLL).await;
     }
 }
 
-struct Open(Rc<Cell<usize>>);
+struct Open(OpenConnections);
 
 impl Open {
-    fn new(count: Rc<Cell<usize>>) -> Self {
-        count.set(count.get() + 1);
-        Self(count)
+    fn new(connections: OpenConnections) -> Self {
+        connections.0.set(connections.count() + 1);
+        Self(connections)
     }
 }
 
 impl Drop for Open {
     fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+        self.0.0.set(self.0.count() - 1);
     }
 }
 
