Soak: streams last, replicas linger, every route has two attempts

Mutations of the product by hand showed what the soak could not see: leaving upstreams that got work (the replica was gone from the list before the bound with its allowance), a stop that waits for nobody (streams of milliseconds), bookings sent twice (routes of one attempt hid the kind).

--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -41,6 +41,16 @@
 /// Ratio of the retry budget, as the settings say.
 pub const RETRY_RATIO: f64 = 0.2;
 
+/// Upstreams that one request may be sent to, on every route: what may run once
+/// is held to that by its kind alone.
+pub const ATTEMPTS: usize = 2;
+/// Pause of an engine before each event.
+const ENGINE_PAUSE: Duration = Duration::from_millis(40);
+/// Pause of a desk before each answer.
+const DESK_PAUSE: Duration = Duration::from_millis(10);
+/// How long a replica that leaves goes on serving.
+const LINGER: Duration = Duration::from_secs(6);
+
 const SEEDED: [(&str, Kind); 12] = [
     (ENGINES, Kind::Prefill),
     (ENGINES, Kind::Prefill),
@@ -75,6 +85,7 @@
 impl Node {
     async fn start(id: &str, service: &'static str, kind: Kind) -> Arc<Self> {
         let (replica, address) = Replica::start(id, kind).await;
+        replica.pause.set(if kind == Kind::Plain { DESK_PAUSE } else { ENGINE_PAUSE });
         let proxy = Proxy::start(address).await;
         Arc::new(Self { replica, proxy, service, left: Mutex::new(None) })
     }
@@ -120,9 +131,14 @@
         }
     }
 
+    /// Id of the process that runs now, or ran last.
+    pub fn process_id(&self) -> u32 {
+        self.child.lock().expect("no holder panics").id()
+    }
+
     /// Sends a signal by name.
     pub fn signal(&self, signal: &str) {
-        let id = self.child.lock().expect("no holder panics").id().to_string();
+        let id = self.process_id().to_string();
         // A process that has ended gets no signal.
         let _ = Command::new("kill").args([&format!("-{signal}"), &id]).status();
     }
@@ -225,9 +241,8 @@
         self.list(&new, "ready");
         self.list(&old, "draining");
         old.left.lock().expect("no holder panics").get_or_insert(Instant::now());
-        tokio::time::sleep(DRAIN + Duration::from_secs(1)).await;
+        tokio::time::sleep(LINGER).await;
         self.store.put(REPLICAS, &old.replica.id, None);
-        tokio::time::sleep(Duration::from_secs(1)).await;
         old.proxy.set(Harm::Reset);
     }
 
@@ -243,11 +258,11 @@
 }
 
 fn configuration(version: u64) -> Value {
-    let route = |name: &str, kind: &str, service: &str, attempts: u32| {
+    let route = |name: &str, kind: &str, service: &str| {
         json!({
             "name": name, "host": "service.example", "pathPrefix": format!("/{name}/"),
             "kind": kind, "timeoutMs": 8000, "sloMs": 1000, "priority": 1, "service": service,
-            "attempts": attempts, "sticky": service == ENGINES, "canResume": name == "resumable",
+            "attempts": ATTEMPTS, "sticky": service == ENGINES, "canResume": name == "resumable",
             "gapTargetMs": 300
         })
     };
@@ -255,11 +270,11 @@
     json!({
         "version": version,
         "routes": [
-            route("stream", "stream", ENGINES, 1),
-            route("resumable", "stream", ENGINES, 2),
-            route("lookup", "safe", DESK, 2),
-            route("booking", "unsafe", DESK, 1),
-            route("moved", "unsafe", moved_service(version), 1)
+            route("stream", "stream", ENGINES),
+            route("resumable", "stream", ENGINES),
+            route("lookup", "safe", DESK),
+            route("booking", "unsafe", DESK),
+            route("moved", "unsafe", moved_service(version))
         ],
         "services": [
             {"name": ENGINES, "healthPath": "/healthz", "maxConns": 300, "protocol": "h1",
--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -142,7 +142,7 @@
                 node.replica.full.set(false);
             }
             Action::Replace(place) => fleet.clone().replace(place).await,
-            Action::Stop(entry) => return Some(self.stop(entry).await),
+            Action::Stop(entry) => return self.stop(entry).await,
             Action::Kill(entry) => self.kill(entry).await,
             Action::KillAll => {
                 fleet.entries.iter().for_each(|entry| entry.kill());
@@ -190,17 +190,22 @@
         switch.set(false);
     }
 
-    /// Stops an entry as planned, and starts it again.
-    async fn stop(&self, entry: usize) -> Option<i32> {
+    /// Stops an entry as planned, and starts it again. Returns the exit code,
+    /// unless another fault has replaced the process meanwhile.
+    async fn stop(&self, entry: usize) -> Option<Option<i32>> {
         let running = &self.fleet.entries[entry];
+        let process_id = running.process_id();
         running.signal("TERM");
         let asked = Instant::now();
         while running.ended().is_none() && asked.elapsed() < KILL_AFTER {
+            if running.process_id() != process_id {
+                return None;
+            }
             tokio::time::sleep(POLL).await;
         }
         let exit = running.ended().flatten();
         self.kill(entry).await;
-        exit
+        Some(exit)
     }
 
     /// Kills an entry if it runs, starts it again and waits until it listens.
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -13,6 +13,7 @@
 use crate::callers::Attempt;
 use crate::callers::End;
 use crate::fleet::APPLY;
+use crate::fleet::ATTEMPTS;
 use crate::fleet::DESK;
 use crate::fleet::DRAIN;
 use crate::fleet::ENGINES;
@@ -155,7 +156,7 @@
 fn runs_as_often_as_allowed(attempt: &Attempt, runs: usize) -> Option<Breach> {
     let repeatable = matches!(attempt.route, "lookup" | "resumable");
     if repeatable {
-        return (runs > 2).then(|| Breach::new("attempts", format!("{runs}: {attempt:?}")));
+        return (runs > ATTEMPTS).then(|| Breach::new("attempts", format!("{runs}: {attempt:?}")));
     }
     if runs > 1 {
         return Some(Breach::new("at most once", format!("{runs}: {attempt:?}")));
