--- a/benches/route.rs
+++ b/benches/route.rs
@@ -106,6 +106,15 @@
             bencher.iter_batched(|| router(engines), arrivals, BatchSize::LargeInput);
         });
     }
+    for engines in [48, 600, 3_000] {
+        group.bench_function(BenchmarkId::new("next move", engines), |bencher| {
+            let mut router = router(engines);
+            router.next_move(NOW);
+            let settled = NOW + Duration::from_secs(10);
+            assert!(router.next_move(settled).is_some());
+            bencher.iter(|| black_box(router.next_move(settled)));
+        });
+    }
     group.bench_function("reference: hash 64 KiB", |bencher| {
         let bytes = vec![7_u8; 64 << 10];
         bencher.iter(|| xxhash_rust::xxh3::xxh3_64(black_box(&bytes)));
--- a/src/router/roles.rs
+++ b/src/router/roles.rs
@@ -5,6 +5,7 @@
 //! one at a time and with a dead band, because a move takes seconds. One entry
 //! gives the orders: the one that holds the lease.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use compact_str::CompactString;
@@ -236,13 +237,14 @@
     ) -> Option<UpstreamKey> {
         let others: Vec<&(UpstreamKey, &Upstream)> =
             engines.iter().filter(|(key, engine)| self.role_of(*key, engine) != role).collect();
-        let in_zone = |zone: &CompactString| {
-            others.iter().filter(|(_, engine)| engine.listed.zone == *zone).count()
-        };
+        let mut in_zone: HashMap<&CompactString, usize> = HashMap::new();
+        for (_, engine) in &others {
+            *in_zone.entry(&engine.listed.zone).or_default() += 1;
+        }
         let best = others
             .iter()
             .filter(|(key, _)| !self.moving.iter().any(|ordered| ordered.key == *key))
-            .max_by_key(|(_, engine)| (in_zone(&engine.listed.zone), engine.listed.id.clone()));
+            .max_by_key(|(_, engine)| (in_zone[&engine.listed.zone], &engine.listed.id));
         best.map(|(key, _)| *key)
     }
 
--- a/src/router/room.rs
+++ b/src/router/room.rs
@@ -10,15 +10,11 @@
 use crate::policy::queue::SlotQueue;
 use crate::router::request::RequestKey;
 
-/// For how long a wait in vain says that room is short.
-const SHORTAGE_MEMORY: Duration = Duration::from_millis(1_000);
-
 /// The queue of one service.
 #[derive(Debug, Clone, Default)]
 pub struct RoomQueue {
     waiting: VecDeque<RequestKey>,
     pace: SlotQueue,
-    short_until: Duration,
 }
 
 impl RoomQueue {
@@ -41,16 +37,6 @@
         self.pace.taken(now, others);
     }
 
-    /// A request found no room in all the time that it had for it.
-    pub fn waited_in_vain(&mut self, now: Duration) {
-        self.short_until = now + SHORTAGE_MEMORY;
-    }
-
-    /// True if requests waited in vain a moment ago.
-    pub fn is_short(&self, now: Duration) -> bool {
-        now < self.short_until
-    }
-
     /// Expected wait of a request that joins now.
     pub fn expected_wait(&self) -> Duration {
         self.pace.wait(self.waiting.len())
--- a/src/router/waiting.rs
+++ b/src/router/waiting.rs
@@ -15,8 +15,6 @@
 const RESERVE_TIMEOUT: Duration = Duration::from_millis(120);
 /// Share of the first-token target that a request may wait for room.
 const ROOM_WAIT_SHARE: f64 = 0.5;
-/// The same while others waited in vain a moment ago.
-const SHORTAGE_WAIT_SHARE: f64 = 0.125;
 /// How long a request that was begun may wait for room to go on: callers give a
 /// silent stream up after a little more.
 const BEGUN_WAIT: Duration = Duration::from_millis(3_000);
@@ -35,8 +33,7 @@
         self.requests[key].phase = Phase::Reserving;
         let begun = self.requests[key].is_begun();
         let room = self.rooms.entry(service).or_default();
-        let share = if room.is_short(now) { SHORTAGE_WAIT_SHARE } else { ROOM_WAIT_SHARE };
-        let wait = self.requests[key].route().target.mul_f64(share);
+        let wait = self.requests[key].route().target.mul_f64(ROOM_WAIT_SHARE);
         let longest = if begun { BEGUN_WAIT } else { wait };
         self.requests[key].room_deadline = now + longest;
         if !begun && room.expected_wait() > wait {
@@ -55,7 +52,6 @@
         let service = self.requests[key].service.clone();
         let until = self.room_deadline(key);
         if now >= until {
-            self.rooms.entry(service).or_default().waited_in_vain(now);
             return self.refuse_for_room(now, key);
         }
         if !self.rooms.get(&service).is_some_and(|room| room.is_head(key)) {
