--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -54,6 +54,11 @@
         )
     }
 
+    /// True if it is about a replica, or the ways to it.
+    pub fn is_of_replica(&self) -> bool {
+        matches!(self.action, Action::ReplicaLink(..) | Action::Slip(..) | Action::Full(..))
+    }
+
     /// True if it is about the store, or an entry's way to it.
     pub fn is_of_store(&self) -> bool {
         matches!(
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -280,7 +280,7 @@
         if !may_go_to(attempt.route, node.service) {
             return Some(Breach::new("right service", format!("{seen:?} at {}", node.service)));
         }
-        let in_touch = self.is_calm(attempt, |disturbance| !disturbance.is_planned());
+        let in_touch = self.is_calm(attempt, |d| !d.is_planned() && !d.is_of_replica());
         let late = node.left().is_some_and(|left| seen.at > left + DRAIN + SLACK);
         if in_touch && late && arrival.kind != ArrivalKind::Refused {
             return Some(Breach::new("drained", format!("{seen:?} at {}", node.replica.id)));
