A leaving entry turns new connections away at once

Cause: the listener stayed open until the last answer had ended, so the kernel took connections that nobody served, and their callers waited for the process to exit. Ruled out: a second stop in series (its process id is compared), the entry's own requests (none of theirs in its log). The listener is closed when taking ends. The test failed before (connections taken until the exit) and passes now.

--- a/src/edge/direct/server.rs
+++ b/src/edge/direct/server.rs
@@ -83,6 +83,8 @@
             }
         }
     }
+    // Who waits to be taken is turned away at once.
+    drop(listener);
     while open.count() > 0 {
         tokio::time::sleep(DRAIN_POLL).await;
     }
