--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -143,12 +143,14 @@
         let _ = Command::new("kill").args([&format!("-{signal}"), &id]).status();
     }
 
-    /// Kills the process.
-    pub fn kill(&self) {
+    /// Kills the process of that id, unless another runs by now.
+    pub fn kill(&self, process_id: u32) {
         let mut child = self.child.lock().expect("no holder panics");
-        // A process that has ended cannot be killed.
-        let _ = child.kill();
-        let _ = child.wait();
+        if child.id() == process_id {
+            // A process that has ended cannot be killed.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
     }
 
     /// Exit code once the process has ended: `Some(None)` after a signal.
@@ -174,7 +176,7 @@
 impl Drop for Entry {
     fn drop(&mut self) {
         self.signal("CONT");
-        self.kill();
+        self.kill(self.process_id());
     }
 }
 
--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -148,11 +148,14 @@
             }
             Action::Replace(place) => fleet.clone().replace(place).await,
             Action::Stop(entry) => return self.stop(entry).await,
-            Action::Kill(entry) => self.kill(entry).await,
+            Action::Kill(entry) => {
+                fleet.entries[entry].kill(fleet.entries[entry].process_id());
+                self.start_again(entry).await;
+            }
             Action::KillAll => {
-                fleet.entries.iter().for_each(|entry| entry.kill());
+                fleet.entries.iter().for_each(|entry| entry.kill(entry.process_id()));
                 for entry in 0..fleet.entries.len() {
-                    self.kill(entry).await;
+                    self.start_again(entry).await;
                 }
             }
             Action::Pause(entry, length) => {
@@ -209,16 +212,16 @@
             tokio::time::sleep(POLL).await;
         }
         let exit = running.ended().flatten();
-        self.kill(entry).await;
+        running.kill(process_id);
+        self.start_again(entry).await;
         Some(exit)
     }
 
-    /// Kills an entry if it runs, starts it again and waits until it listens.
-    async fn kill(&self, entry: usize) {
+    /// Starts an entry that has ended again, and waits until it listens.
+    async fn start_again(&self, entry: usize) {
         let running = &self.fleet.entries[entry];
-        running.kill();
-        running.restart(&self.program);
         let asked = Instant::now();
+        running.restart(&self.program);
         while !running.listens().await && asked.elapsed() < GRACE {
             tokio::time::sleep(POLL).await;
             // The platform starts what has ended again.
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -79,13 +79,18 @@
     pub length: Duration,
 }
 
+/// One seed in so many draws planned work and trouble of the store alone: then
+/// nobody may be cut off.
+const PLANNED_ONE_IN: u64 = 4;
+
 /// The events of a seed, by time. Some come alone, some in series or together.
 pub fn plan(seed: u64, size: Size) -> Vec<Event> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut events = Vec::new();
     let mut at = Duration::from_millis(500);
     while at < size.length {
-        let action = draw(&mut rng, size);
+        let planned = seed.is_multiple_of(PLANNED_ONE_IN);
+        let action = if planned { draw_planned(&mut rng, size) } else { draw(&mut rng, size) };
         let times = if rng.random_bool(0.2) { rng.random_range(2..=3) } else { 1 };
         for repeat in 0..times {
             let later = Duration::from_millis(400) * repeat;
@@ -124,3 +129,18 @@
         _ => Action::Configure,
     }
 }
+
+fn draw_planned(rng: &mut ChaCha8Rng, size: Size) -> Action {
+    let entry = rng.random_range(0..size.entries);
+    let length = Duration::from_millis(rng.random_range(200..3_000));
+    let delay = Duration::from_millis(rng.random_range(5..80));
+    match rng.random_range(0..8) {
+        0 => Action::StoreDown(length),
+        1 => Action::StoreSlow(delay, length),
+        2 => Action::StoreForgets,
+        3 | 4 => Action::Replace(rng.random_range(0..size.replicas)),
+        5 | 6 => Action::Stop(entry),
+        _ if rng.random_bool(0.5) => Action::Settings(entry),
+        _ => Action::Configure,
+    }
+}
