--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -10,6 +10,8 @@
 use std::process::Stdio;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -318,11 +320,20 @@
 /// entry finds its own free when it starts again.
 const PORTS: std::ops::Range<u16> = 10_000..30_000;
 
+/// Runs of one process never meet at a port, and those of others seldom.
+static PORTS_GIVEN: AtomicU32 = AtomicU32::new(0);
+
 fn free_address() -> SocketAddr {
     loop {
-        let port = rand::random_range(PORTS);
+        let given = PORTS_GIVEN.fetch_add(1, Ordering::SeqCst);
+        let first = std::process::id().wrapping_mul(PORTS_A_PROCESS);
+        let offset = first.wrapping_add(given) % u32::from(PORTS.end - PORTS.start);
+        let port = PORTS.start + offset as u16;
         if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
             return listener.local_addr().expect("a listener has an address");
         }
     }
 }
+
+/// Spread of the ports of processes with neighbouring ids.
+const PORTS_A_PROCESS: u32 = 97;
