Replay: an engine lost during a prefill finishes none

Cause: the replay counted the end of a prefill at an engine whose zone was lost before it, so prompts that nobody computed counted as wasted.

With the memory of a third of the decode engines gone, only prompts that surviving prefill engines still cache could be had back for less; not tried.

--- a/src/replay/simulation.rs
+++ b/src/replay/simulation.rs
@@ -293,6 +293,9 @@
                 cached_tokens,
                 kv_bytes,
             } => {
+                if !self.agents[agent].up {
+                    return;
+                }
                 let handle =
                     self.agents[agent].engine.store_result(self.now, id, request, computed_tokens);
                 self.summary.prefill_finished(request, computed_tokens);
--- a/tests/core/replays.rs
+++ b/tests/core/replays.rs
@@ -161,6 +161,30 @@
     assert_eq!(above.count(), 0, "load, seed and wasted prefill in percent: {waste:?}");
 }
 
+/// An engine that was lost in the middle of a prefill has computed no result, so nothing of it
+/// counts as wasted.
+#[test]
+fn an_engine_that_is_lost_during_a_prefill_finishes_none() {
+    let (workload, snapshot) = example("associacao");
+    let zones = workload.zones.map(|zone| (FAULT_AT_MS, Fault::ZoneLost { zone: zone.into() }));
+    let synthesis = Synthesis { faults: zones.into(), ..Synthesis::default() };
+    let mut trace = synthesis::synthesize(&workload, &snapshot, &synthesis);
+    // Every prompt takes at least 65 ms to prefill.
+    let arrivals = FAULT_AT_MS - 50..FAULT_AT_MS;
+    trace
+        .lines
+        .retain(|line| matches!(line.event, Event::Fault(_)) || arrivals.contains(&line.at_ms));
+    for line in &mut trace.lines {
+        if let Event::Generate(generate) = &mut line.event {
+            generate.prompt_tokens = generate.prompt_tokens.max(1_300);
+        }
+    }
+    assert!(trace.lines.iter().any(|line| matches!(line.event, Event::Generate(_))));
+    let summary =
+        replay(&trace, &snapshot, &ReplayConfig::default()).expect("the trace fits the manifest");
+    assert_eq!(summary.wasted_prefill_percent, 0.0, "{summary:?}");
+}
+
 #[test]
 fn callers_that_disconnect_leave_nothing_reserved() {
     let (workload, snapshot) = example("associacao");
