--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -162,6 +162,8 @@
                     return RelayResult::Ended(RequestEnding::CallerGone);
                 }
                 last_event = event.id.or(last_event);
+                let now = self.dispatcher.now();
+                self.dispatcher.router.borrow_mut().record_event(now, self.key);
             }
         }
         self.dispatcher
--- a/src/edge/direct/request_task.rs
+++ b/src/edge/direct/request_task.rs
@@ -97,7 +97,7 @@
             self.count_failure(&reason, &step);
             dispatcher.start_cleanups_and_wake();
         }
-        dispatcher.router.borrow_mut().finish(dispatcher.now(), self.key);
+        dispatcher.router.borrow_mut().finish(self.key);
         dispatcher.start_cleanups_and_wake();
     }
 
--- a/src/router.rs
+++ b/src/router.rs
@@ -233,7 +233,7 @@
         let service = request.configuration.service(&request.service);
         let Some(engine) = service.and_then(|service| service.engine) else { return };
         let time = self.engine_time.entry(request.service.clone()).or_default();
-        time.record_arrival(&prompt, engine.kv_tokens);
+        time.record_arrival(&prompt, &engine);
         self.last_prompt_at = Some(now);
     }
 
@@ -272,8 +272,8 @@
             let engine = service.engine?;
             let time = self.engine_time.get(&service.name);
             let demand = Demand {
-                prefill_share: time.and_then(EngineTimeStats::prefill_share),
-                kv_tokens: engine.kv_tokens,
+                prefill_share: time.map(|time| time.prefill_share(&engine)),
+                engine,
                 has_recent_requests: self
                     .last_prompt_at
                     .is_some_and(|last| now < last + RECENT_DEMAND_WINDOW),
@@ -297,8 +297,7 @@
     /// Ends a request: it is complete, was refused or aborted, or its caller
     /// disconnected. Resources that it still holds are queued for
     /// [`Router::take_cleanups`].
-    pub fn finish(&mut self, now: Duration, key: RequestKey) {
-        self.record_engine_time(now, key);
+    pub fn finish(&mut self, key: RequestKey) {
         let Some(request) = self.requests.get_mut(key) else { return };
         let held = request.take_cleanups();
         self.cleanups.extend(held);
--- a/src/router/configuration.rs
+++ b/src/router/configuration.rs
@@ -99,6 +99,14 @@
     /// Longest time that a reservation may last; zero if the configuration sets
     /// none.
     pub max_reservation: Duration,
+    /// Number of output tokens in one event of a stream.
+    pub tokens_per_event: u32,
+}
+
+impl Default for Engine {
+    fn default() -> Self {
+        Self { kv_tokens: 0, max_reservation: Duration::ZERO, tokens_per_event: 1 }
+    }
 }
 
 impl Configuration {
--- a/src/router/engine_time.rs
+++ b/src/router/engine_time.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use crate::router::configuration::Engine;
 use crate::router::request::Prompt;
 
 /// Weight of a new sample in the moving average of the prefill time.
@@ -41,41 +42,84 @@
 /// Number of requests after which a sample's weight has fallen to about a
 /// third.
 const SAMPLE_WINDOW_REQUESTS: f64 = 400.0;
-/// Decayed number of requests below which no prefill share is returned.
-const MIN_SAMPLE_REQUESTS: f64 = 100.0;
+/// Weight of the assumed request, in requests.
+const ASSUMED_REQUESTS: f64 = 4.0;
+/// Number of events after which a sample's weight has fallen to about a third.
+const SAMPLE_WINDOW_EVENTS: f64 = 200.0;
+/// Weight of the assumed interval, in events.
+const ASSUMED_EVENTS: f64 = 5.0;
 /// Prefills of shorter prompts say little about the speed of an engine and are
 /// not sampled.
 const MIN_PROMPT_TOKENS: u32 = 2_000;
 
+/// Size of a request and speed of an engine, assumed until real requests were
+/// observed.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct AssumedRequest {
+    /// Number of tokens in the prompt.
+    pub prompt_tokens: f64,
+    /// Time that an engine needs to prefill one prompt token.
+    pub prefill_time_per_token: Duration,
+    /// Number of events in the output.
+    pub events: f64,
+    /// Time between two events.
+    pub event_interval: Duration,
+}
+
+impl Default for AssumedRequest {
+    fn default() -> Self {
+        Self {
+            prompt_tokens: 5_000.0,
+            prefill_time_per_token: Duration::from_micros(18),
+            events: 72.0,
+            event_interval: Duration::from_millis(47),
+        }
+    }
+}
+
 /// Statistics of the engine time that the requests of a service take. Sums
 /// decay with each request, so that the latest ones weigh most.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct EngineTimeStats {
+    assumed: AssumedRequest,
     /// Shortest prefill time per token observed, in seconds.
     min_prefill_s_per_token: Option<f64>,
-    /// Decaying sum of the prompt tokens of requests that arrived.
-    prompt_tokens: f64,
-    /// Decaying sum over the requests that arrived: expected output tokens,
-    /// times the share of an engine's memory that the request takes up.
-    memory_weighted_output_tokens: f64,
     /// Decaying number of requests that arrived.
     requests: f64,
-    /// Decaying sum of the expected output tokens of requests that ended.
-    output_tokens: f64,
-    /// Decaying sum of the decode times of requests that ended, in seconds.
-    output_s: f64,
+    /// Decaying sum of the prompt tokens of requests that arrived.
+    prompt_tokens: f64,
+    /// Decaying sum over the requests that arrived: expected events, times the
+    /// share of an engine's memory that the request takes up.
+    memory_weighted_events: f64,
+    /// Decaying number of events that were received after another one.
+    events: f64,
+    /// Decaying sum of the intervals before these events, in seconds.
+    event_intervals_s: f64,
+}
+
+impl Default for EngineTimeStats {
+    fn default() -> Self {
+        Self {
+            assumed: AssumedRequest::default(),
+            min_prefill_s_per_token: None,
+            requests: 0.0,
+            prompt_tokens: 0.0,
+            memory_weighted_events: 0.0,
+            events: 0.0,
+            event_intervals_s: 0.0,
+        }
+    }
 }
 
 impl EngineTimeStats {
-    /// Records that a request arrived, for engines with memory for `kv_tokens`
-    /// tokens.
-    pub fn record_arrival(&mut self, prompt: &Prompt, kv_tokens: u32) {
+    /// Records that a request arrived for these engines.
+    pub fn record_arrival(&mut self, prompt: &Prompt, engine: &Engine) {
         let decay = 1.0 - 1.0 / SAMPLE_WINDOW_REQUESTS;
-        let output = f64::from(prompt.expected_output_tokens());
-        let share = f64::from(prompt.expected_tokens()) / f64::from(kv_tokens.max(1));
+        let events =
+            f64::from(prompt.expected_output_tokens()) / f64::from(engine.tokens_per_event.max(1));
+        let share = f64::from(prompt.expected_tokens()) / f64::from(engine.kv_tokens.max(1));
         self.prompt_tokens = self.prompt_tokens * decay + f64::from(prompt.tokens);
-        self.memory_weighted_output_tokens =
-            self.memory_weighted_output_tokens * decay + share * output;
+        self.memory_weighted_events = self.memory_weighted_events * decay + share * events;
         self.requests = self.requests * decay + 1.0;
     }
 
@@ -97,24 +141,32 @@
         Some(Duration::from_secs_f64(s_per_token * f64::from(tokens)))
     }
 
-    /// Records that generating the output of a request took `elapsed`.
-    pub fn record_decode(&mut self, prompt: &Prompt, elapsed: Duration) {
-        let decay = 1.0 - 1.0 / SAMPLE_WINDOW_REQUESTS;
-        self.output_tokens =
-            self.output_tokens * decay + f64::from(prompt.expected_output_tokens());
-        self.output_s = self.output_s * decay + elapsed.as_secs_f64();
+    /// Records that an event of a stream was received this long after the one
+    /// before it.
+    pub fn record_event(&mut self, interval: Duration) {
+        let decay = 1.0 - 1.0 / SAMPLE_WINDOW_EVENTS;
+        self.events = self.events * decay + 1.0;
+        self.event_intervals_s = self.event_intervals_s * decay + interval.as_secs_f64();
     }
 
-    /// Share of engine time that prefills take, from 0 to 1; `None` until there
-    /// are enough samples.
-    pub fn prefill_share(&self) -> Option<f64> {
-        let s_per_token =
-            self.min_prefill_s_per_token.filter(|_| self.requests >= MIN_SAMPLE_REQUESTS)?;
-        let prefill_s = self.prompt_tokens * s_per_token;
-        let decode_s =
-            self.memory_weighted_output_tokens * self.output_s / self.output_tokens.max(1.0);
-        let total_s = prefill_s + decode_s;
-        (decode_s > 0.0).then(|| prefill_s / total_s)
+    /// Share of engine time that prefills take, from 0 to 1. The fewer requests
+    /// were observed, the more the assumed one weighs.
+    pub fn prefill_share(&self, engine: &Engine) -> f64 {
+        let assumed_output = self.assumed.events * f64::from(engine.tokens_per_event.max(1));
+        let assumed_memory =
+            (self.assumed.prompt_tokens + assumed_output) / f64::from(engine.kv_tokens.max(1));
+        let prefill_s_per_token = self
+            .min_prefill_s_per_token
+            .unwrap_or(self.assumed.prefill_time_per_token.as_secs_f64());
+        let prompt_tokens = self.prompt_tokens + ASSUMED_REQUESTS * self.assumed.prompt_tokens;
+        let memory_weighted_events =
+            self.memory_weighted_events + ASSUMED_REQUESTS * assumed_memory * self.assumed.events;
+        let assumed_intervals_s = ASSUMED_EVENTS * self.assumed.event_interval.as_secs_f64();
+        let event_interval_s =
+            (self.event_intervals_s + assumed_intervals_s) / (self.events + ASSUMED_EVENTS);
+        let prefill_s = prompt_tokens * prefill_s_per_token;
+        let decode_s = memory_weighted_events * event_interval_s;
+        prefill_s / (prefill_s + decode_s)
     }
 }
 
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -39,8 +39,6 @@
 /// Idle timeout of a stream that another engine may resume, as a multiple of
 /// the route's longest interval between two events.
 const RESUME_IDLE_INTERVALS: u32 = 2;
-/// Longest interval between two events, if the route sets none.
-const DEFAULT_MAX_EVENT_INTERVAL: Duration = Duration::from_millis(300);
 
 impl Router {
     pub(super) fn advance_generate(
@@ -177,9 +175,7 @@
         request.phase = Phase::Relaying;
         request.response_started = true;
         let idle_timeout = if request.route().resumable {
-            let interval = request.route().max_event_interval;
-            RESUME_IDLE_INTERVALS
-                * if interval.is_zero() { DEFAULT_MAX_EVENT_INTERVAL } else { interval }
+            RESUME_IDLE_INTERVALS * request.max_event_interval()
         } else {
             request.deadline.saturating_sub(request.arrived_at)
         };
@@ -258,16 +254,15 @@
         Step::Refuse(self.refusal(now, key, reason, CAPACITY_RETRY_AFTER))
     }
 
-    /// Adds the decode time of a request whose output has ended, complete or
-    /// not, to the statistics of its service.
-    pub(super) fn record_engine_time(&mut self, now: Duration, key: RequestKey) {
-        let Some(request) = self.requests.get(key) else { return };
-        let Some(prompt) = request.prompt.filter(|_| request.phase == Phase::Relaying) else {
-            return;
-        };
-        let elapsed = now.saturating_sub(request.step_started_at);
-        let service = request.service.clone();
-        self.engine_time.entry(service).or_default().record_decode(&prompt, elapsed);
+    /// Records that an event of a request's stream was received from its engine.
+    pub fn record_event(&mut self, now: Duration, key: RequestKey) {
+        let Some(request) = self.requests.get_mut(key) else { return };
+        let Some(previous) = request.last_event_at.replace(now) else { return };
+        let interval = now.saturating_sub(previous);
+        if interval <= request.max_event_interval() {
+            let service = request.service.clone();
+            self.engine_time.entry(service).or_default().record_event(interval);
+        }
     }
 
     /// Drops the prefill result after a failed decode. An engine that did not
@@ -291,6 +286,7 @@
     ) -> Step {
         self.uncount_open(key);
         let request = &mut self.requests[key];
+        request.last_event_at = None;
         request.last_event = last_event.or(request.last_event);
         request.may_have_run = true;
         let resumable = request.route().resumable;
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -51,6 +51,8 @@
 /// Expected output as a share of `max_output_tokens`, if the caller gives no
 /// estimate.
 const DEFAULT_OUTPUT_SHARE: f64 = 0.4;
+/// Longest interval between two events, if the route sets none.
+const DEFAULT_MAX_EVENT_INTERVAL: Duration = Duration::from_millis(300);
 /// Factor on the caller's estimate, which is often too low.
 const HINT_ALLOWANCE: f64 = 1.25;
 
@@ -142,6 +144,8 @@
     pub(super) response_started: bool,
     /// Id of the last event that the caller has received, if any.
     pub(super) last_event: Option<u64>,
+    /// When the last event of the stream was received from its engine.
+    pub(super) last_event_at: Option<Duration>,
 }
 
 impl Request {
@@ -180,6 +184,7 @@
             prefill_result: None,
             response_started: false,
             last_event: incoming.resume_after,
+            last_event_at: None,
         }
     }
 
@@ -212,6 +217,12 @@
         self.response_started || self.prefills > 0
     }
 
+    /// Longest interval between two events of the stream.
+    pub(super) fn max_event_interval(&self) -> Duration {
+        let interval = self.route().max_event_interval;
+        if interval.is_zero() { DEFAULT_MAX_EVENT_INTERVAL } else { interval }
+    }
+
     /// Time left until the deadline, zero after it.
     pub fn remaining_time(&self, now: Duration) -> Duration {
         self.deadline.saturating_sub(now)
--- a/src/router/roles.rs
+++ b/src/router/roles.rs
@@ -3,7 +3,7 @@
 //! Prefill and decode take engine time in proportion to what the requests ask
 //! for. Engines change roles until the split of the pool follows that
 //! proportion. Since a change takes seconds, small deviations are tolerated
-//! (the dead band), and engines in use change one at a time. The entry that
+//! (the dead band), and only a few engines change at the same time. The entry that
 //! holds the lease gives the orders.
 
 use std::collections::HashMap;
@@ -11,6 +11,8 @@
 
 use compact_str::CompactString;
 
+use crate::router::configuration::Engine;
+use crate::router::engine_time::EngineTimeStats;
 use crate::router::upstreams::PoolRole;
 use crate::router::upstreams::Upstream;
 use crate::router::upstreams::UpstreamKey;
@@ -19,8 +21,6 @@
 /// Settings of the split between prefill and decode.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RoleSettings {
-    /// Request and engine speed assumed until the real demand is known.
-    pub assumed: AssumedRequest,
     /// Factor on the prefill share, so that prompts do not queue.
     pub prefill_headroom: f64,
     /// Dead band while the demand is unknown: largest deviation from the wanted
@@ -32,8 +32,11 @@
     /// Pause between two orders.
     pub order_interval: Duration,
     /// Share of the engines that may change roles at the same time while no
-    /// engine is in use. Otherwise they change one at a time.
+    /// engine is in use, but at least one engine.
     pub max_changing_share: f64,
+    /// Share of the engines that may change roles at the same time while engines
+    /// are in use, but at least one engine.
+    pub max_changing_share_in_use: f64,
     /// Pause before a change in the opposite direction.
     pub reversal_delay: Duration,
     /// Time after which an ordered change is no longer counted as pending.
@@ -46,12 +49,12 @@
 impl Default for RoleSettings {
     fn default() -> Self {
         Self {
-            assumed: AssumedRequest::default(),
             prefill_headroom: 1.5,
             dead_band_engines: 0.75,
-            dead_band_share: 0.12,
+            dead_band_share: 0.08,
             order_interval: Duration::from_millis(200),
             max_changing_share: 0.2,
+            max_changing_share_in_use: 0.1,
             reversal_delay: Duration::from_secs(30),
             change_timeout: Duration::from_secs(20),
             list_settle_time: Duration::from_secs(2),
@@ -59,50 +62,14 @@
     }
 }
 
-/// Size of a request and speed of an engine, assumed until real requests were
-/// observed.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct AssumedRequest {
-    /// Number of tokens in the prompt.
-    pub prompt_tokens: f64,
-    /// Number of tokens in the output.
-    pub output_tokens: f64,
-    /// Time that an engine needs to prefill one prompt token.
-    pub prefill_time_per_token: Duration,
-    /// Time between two output tokens.
-    pub output_token_interval: Duration,
-}
-
-impl Default for AssumedRequest {
-    fn default() -> Self {
-        Self {
-            prompt_tokens: 5_000.0,
-            output_tokens: 500.0,
-            prefill_time_per_token: Duration::from_micros(18),
-            output_token_interval: Duration::from_micros(6_700),
-        }
-    }
-}
-
-impl AssumedRequest {
-    /// Share of engine time that prefills take, on engines whose memory holds
-    /// `kv_tokens` tokens.
-    fn prefill_share(&self, kv_tokens: u32) -> f64 {
-        let prefill_s = self.prompt_tokens * self.prefill_time_per_token.as_secs_f64();
-        let memory = (self.prompt_tokens + self.output_tokens) / f64::from(kv_tokens.max(1));
-        let decode_s = memory * self.output_tokens * self.output_token_interval.as_secs_f64();
-        prefill_s / (prefill_s + decode_s)
-    }
-}
-
 /// Observed demand for the engines of a service.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Demand {
-    /// Share of engine time that prefills take, from 0 to 1; `None` until
-    /// known.
+    /// Share of engine time that prefills take, from 0 to 1; `None` before the
+    /// first request.
     pub prefill_share: Option<f64>,
-    /// Number of tokens that the memory of one engine holds.
-    pub kv_tokens: u32,
+    /// Properties of the engines.
+    pub engine: Engine,
     /// True if model requests arrived recently, so that engines are in use.
     pub has_recent_requests: bool,
 }
@@ -169,7 +136,11 @@
         if !self.is_list_stable(now, engines.len()) || now < self.next_order_at {
             return None;
         }
-        let share = if demand.has_recent_requests { 0.0 } else { self.settings.max_changing_share };
+        let share = if demand.has_recent_requests {
+            self.settings.max_changing_share_in_use
+        } else {
+            self.settings.max_changing_share
+        };
         let max_changes = (engines.len() as f64 * share).max(1.0) as usize;
         if self.pending_changes.len() >= max_changes {
             return None;
@@ -226,9 +197,9 @@
         engines: &[(UpstreamKey, &Upstream)],
         demand: Demand,
     ) -> Option<PoolRole> {
-        let share = demand.prefill_share;
-        let prefill_share =
-            share.unwrap_or_else(|| self.settings.assumed.prefill_share(demand.kv_tokens));
+        let prefill_share = demand
+            .prefill_share
+            .unwrap_or_else(|| EngineTimeStats::default().prefill_share(&demand.engine));
         let weighted = prefill_share * self.settings.prefill_headroom;
         let wanted_share = weighted / (weighted + 1.0 - prefill_share);
         let total = engines.len();
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod configuration;
+mod engine_time;
 mod follow;
 mod generate;
 mod harness;
