The assumed prefill time weighs as much as four prefills

Cause: the fastest of one or two prefills may have queued; a lease holder that knows no others then sees a prefill share of 0.59 in place of 0.14 and orders engines about.

--- a/src/router/engine_time.rs
+++ b/src/router/engine_time.rs
@@ -48,6 +48,9 @@
 const SAMPLE_WINDOW_EVENTS: f64 = 200.0;
 /// Weight of the assumed interval, in events.
 const ASSUMED_EVENTS: f64 = 5.0;
+/// Weight of the assumed prefill time, in prefills. The fastest of a few may
+/// have waited in a queue.
+const ASSUMED_PREFILLS: f64 = 4.0;
 /// Prefills of shorter prompts say little about the speed of an engine and are
 /// not sampled.
 const MIN_PROMPT_TOKENS: u32 = 2_000;
@@ -84,6 +87,8 @@
     assumed: AssumedRequest,
     /// Shortest prefill time per token observed, in seconds.
     min_prefill_s_per_token: Option<f64>,
+    /// Number of prefills that were sampled.
+    prefills: u32,
     /// Decaying number of requests that arrived.
     requests: f64,
     /// Decaying sum of the prompt tokens of requests that arrived.
@@ -102,6 +107,7 @@
         Self {
             assumed: AssumedRequest::default(),
             min_prefill_s_per_token: None,
+            prefills: 0,
             requests: 0.0,
             prompt_tokens: 0.0,
             memory_weighted_events: 0.0,
@@ -131,6 +137,7 @@
             let fastest =
                 self.min_prefill_s_per_token.map_or(sample, |previous| previous.min(sample));
             self.min_prefill_s_per_token = Some(fastest);
+            self.prefills = self.prefills.saturating_add(1);
         }
     }
 
@@ -155,9 +162,12 @@
         let assumed_output = self.assumed.events * f64::from(engine.tokens_per_event.max(1));
         let assumed_memory =
             (self.assumed.prompt_tokens + assumed_output) / f64::from(engine.kv_tokens.max(1));
-        let prefill_s_per_token = self
-            .min_prefill_s_per_token
-            .unwrap_or(self.assumed.prefill_time_per_token.as_secs_f64());
+        let assumed_prefill_s = self.assumed.prefill_time_per_token.as_secs_f64();
+        let fastest_prefill_s = self.min_prefill_s_per_token.unwrap_or(assumed_prefill_s);
+        let prefills = f64::from(self.prefills);
+        let prefill_s_per_token = (prefills * fastest_prefill_s
+            + ASSUMED_PREFILLS * assumed_prefill_s)
+            / (prefills + ASSUMED_PREFILLS);
         let prompt_tokens = self.prompt_tokens + ASSUMED_REQUESTS * self.assumed.prompt_tokens;
         let memory_weighted_events =
             self.memory_weighted_events + ASSUMED_REQUESTS * assumed_memory * self.assumed.events;
--- a/tests/router/engine_time.rs
+++ b/tests/router/engine_time.rs
@@ -88,3 +88,17 @@
     let assumed = |workload: Workload| EngineTimeStats::default().prefill_share(&workload.engine);
     assert!(assumed(long_outputs()) < assumed(short_outputs()));
 }
+
+/// A new lease holder may know two prefills only, both from a time when prefills queued.
+#[test]
+fn two_prefills_that_queued_do_not_triple_the_share() {
+    let workload = long_outputs();
+    let mut time = EngineTimeStats::default();
+    for _ in 0..2 {
+        time.record_arrival(&workload.prompt, &workload.engine);
+        time.record_prefill(workload.prompt.tokens, ms(900));
+    }
+    let assumed = EngineTimeStats::default().prefill_share(&workload.engine);
+    let share = time.prefill_share(&workload.engine);
+    assert!(share < 3.0 * assumed, "{share:.3}, assumed {assumed:.3}");
+}
