Callers that retry come after those that can still be on time; too large is refused at once

Change: how long a caller has waited before is learned from its timeout against the longest recent one of its route; late requests queue behind the others, ask 4 engines in place of 12 a round and wait 0.4 of the target in place of 0.5. A prompt that fills an engine is refused as such without being queued, and no reservation exceeds an engine's memory. Tests: order in the queue, engines asked, time to refusal, a caller timeout that is short for all, too large and nearly too large prompts; each failed before (no such order).

--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -33,7 +33,8 @@
     UnknownService,
     /// The manifest has no client account of the given name.
     UnknownAccount,
-    /// The prompt is longer than the model's `max_prompt_tokens`.
+    /// The prompt is longer than the model's `max_prompt_tokens`, or does not fit
+    /// into the memory of an engine.
     PromptTooLong,
     /// The request body is larger than the settings allow.
     BodyTooLarge,
--- a/src/router.rs
+++ b/src/router.rs
@@ -5,6 +5,7 @@
 //! I/O and reads no clock: times, the random seed and events are passed in.
 
 pub mod budget;
+pub mod caller_wait;
 pub mod configuration;
 pub mod engine_time;
 pub mod flow;
@@ -27,6 +28,7 @@
 pub use flow::Target;
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -40,6 +42,7 @@
 use crate::router::budget::BudgetLimits;
 use crate::router::budget::FALLBACK_SHARE;
 use crate::router::budget::WindowedRetryBudget;
+use crate::router::caller_wait::LongestCallerTimeout;
 use crate::router::configuration::Configuration;
 use crate::router::engine_time::EngineTimeStats;
 use crate::router::engine_time::PrefillTimeEstimate;
@@ -106,6 +109,8 @@
     /// Statistics of engine time, for the selection of engines and their roles.
     engine_time: HashMap<CompactString, EngineTimeStats>,
     roles: HashMap<CompactString, RoleBalancer>,
+    /// Longest caller timeout of each route, by its name.
+    caller_timeouts: HashMap<CompactString, LongestCallerTimeout>,
     /// Margins of the memory that is reserved for output.
     output_margins: HashMap<CompactString, OutputMargin>,
     /// When the last model request arrived.
@@ -139,6 +144,7 @@
             prefill_times: HashMap::new(),
             engine_time: HashMap::new(),
             roles: HashMap::new(),
+            caller_timeouts: HashMap::new(),
             output_margins: HashMap::new(),
             last_prompt_at: None,
             runnable: Vec::new(),
@@ -162,6 +168,9 @@
             .as_ref()
             .is_none_or(|in_force| in_force.version < configuration.version);
         if newer {
+            let routes: HashSet<&CompactString> =
+                configuration.routes.iter().map(|route| &route.name).collect();
+            self.caller_timeouts.retain(|route, _| routes.contains(route));
             self.configuration = Some(Arc::new(configuration));
         }
         newer
@@ -229,9 +238,11 @@
         let service = configuration.routes[route].pick_destination(&mut self.rng);
         self.budget(&service).record_request(now);
         let mut request = Request::new(now, incoming, configuration, route, service);
-        if let Some(prompt) = request.prompt {
+        let caller_timeout = self.caller_timeouts.entry(request.route().name.clone()).or_default();
+        request.earlier_wait = caller_timeout.record(request.remaining_time(now));
+        if let Some((prompt, engine)) = request.prompt.zip(request.engine()) {
             let margin = self.output_margins.get(&request.service).copied().unwrap_or_default();
-            request.reserved_tokens = margin.reserved_tokens(&prompt);
+            request.reserved_tokens = margin.reserved_tokens(&prompt, engine.kv_tokens);
         }
         self.record_demand(now, &request);
         Ok(self.requests.insert(request))
@@ -239,8 +250,7 @@
 
     fn record_demand(&mut self, now: Duration, request: &Request) {
         let Some(prompt) = request.prompt else { return };
-        let service = request.configuration.service(&request.service);
-        let Some(engine) = service.and_then(|service| service.engine) else { return };
+        let Some(engine) = request.engine() else { return };
         let time = self.engine_time.entry(request.service.clone()).or_default();
         time.record_arrival(&prompt, &engine);
         self.last_prompt_at = Some(now);
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -7,6 +7,7 @@
 
 use compact_str::CompactString;
 
+use crate::outcome::Refusal;
 use crate::outcome::RefusalReason;
 use crate::router::Router;
 use crate::router::flow::Cleanup;
@@ -48,6 +49,9 @@
         event: Event,
     ) -> Step {
         match event {
+            Event::Started if self.exceeds_engine_memory(key) => {
+                Step::Refuse(Refusal::not_run(RefusalReason::PromptTooLong, None))
+            }
             Event::Started => self.queue_for_reservation(now, key),
             Event::WaitEnded => self.try_reserve(now, key),
             Event::Reserved { reservation } => self.reservation_granted(now, key, reservation),
@@ -63,6 +67,14 @@
         }
     }
 
+    /// True if the prompt leaves no memory for output at any engine.
+    fn exceeds_engine_memory(&self, key: RequestKey) -> bool {
+        let request = &self.requests[key];
+        let engine = request.engine().filter(|engine| engine.kv_tokens > 0);
+        let prompt = request.prompt.zip(engine);
+        prompt.is_some_and(|(prompt, engine)| prompt.tokens >= engine.kv_tokens)
+    }
+
     fn reservation_granted(
         &mut self,
         now: Duration,
--- a/src/router/output_margin.rs
+++ b/src/router/output_margin.rs
@@ -42,10 +42,11 @@
         self.factor = (self.factor * (1.0 - shrink)).max(MIN_FACTOR);
     }
 
-    /// Prompt and output tokens to reserve engine memory for, at most those of
-    /// the largest output.
-    pub fn reserved_tokens(&self, prompt: &Prompt) -> u32 {
+    /// Prompt and output tokens to reserve for at an engine whose memory holds
+    /// `kv_tokens` tokens: at most all of it, and at most the largest output.
+    pub fn reserved_tokens(&self, prompt: &Prompt, kv_tokens: u32) -> u32 {
         let output = f64::from(prompt.expected_output_tokens()) * self.factor;
-        prompt.tokens + output.min(f64::from(prompt.max_output_tokens)) as u32
+        let output = output.min(f64::from(prompt.max_output_tokens)) as u32;
+        prompt.tokens.saturating_add(output).min(kv_tokens)
     }
 }
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -8,6 +8,7 @@
 
 use crate::outcome::Outcome;
 use crate::router::configuration::Configuration;
+use crate::router::configuration::Engine;
 use crate::router::configuration::Route;
 use crate::router::flow::Cleanup;
 use crate::router::flow::Target;
@@ -105,6 +106,11 @@
     /// Time at which the wait for a reservation ends. Set when the request
     /// joins the queue.
     pub(super) reservation_deadline: Duration,
+    /// Time that the caller has probably waited in earlier attempts.
+    pub(super) earlier_wait: Duration,
+    /// True if engines have not worked on the request yet and its response cannot
+    /// start within the latency target, counted from the first attempt.
+    pub(super) is_late: bool,
     /// Name of the service that the request goes to.
     pub service: CompactString,
     /// Size of the prompt; set for a model request that goes to engines.
@@ -170,6 +176,8 @@
             arrived_at: now,
             deadline: now + caller_timeout,
             reservation_deadline: now,
+            earlier_wait: Duration::ZERO,
+            is_late: false,
             service,
             prompt,
             reserved_tokens: 0,
@@ -223,6 +231,11 @@
         self.response_started || self.prefills > 0
     }
 
+    /// Properties of the engines that the request goes to, if it goes to any.
+    pub(super) fn engine(&self) -> Option<Engine> {
+        self.configuration.service(&self.service).and_then(|service| service.engine)
+    }
+
     /// Longest interval between two events of the stream.
     pub(super) fn max_event_interval(&self) -> Duration {
         let interval = self.route().max_event_interval;
--- a/src/router/reserving.rs
+++ b/src/router/reserving.rs
@@ -21,6 +21,8 @@
 const RESERVE_TIMEOUT: Duration = Duration::from_millis(120);
 /// Share of the latency target that a new request may wait for a reservation.
 const RESERVATION_WAIT_SHARE: f64 = 0.5;
+/// Share of the latency target that a late request may wait for a reservation.
+const LATE_RESERVATION_WAIT_SHARE: f64 = 0.4;
 /// How long a request that engines have already worked on may wait for a new
 /// reservation. Callers abort an idle stream after a little more than
 /// this.
@@ -32,6 +34,9 @@
 const REJECTION_BACKOFF: Duration = Duration::from_millis(100);
 /// Largest number of engines that get a reservation request in one round.
 const MAX_ENGINES_PER_ROUND: usize = 12;
+/// The same for a late request. It leaves most of the room that becomes free to
+/// the requests of other entries that can still be on time.
+const MAX_ENGINES_PER_LATE_ROUND: usize = 4;
 /// `Retry-After` of a request that was refused for lack of capacity, before
 /// jitter and the limit by the caller's remaining time.
 pub(super) const CAPACITY_RETRY_AFTER: Duration = Duration::from_millis(4_000);
@@ -42,19 +47,31 @@
         self.requests[key].phase = Phase::Reserving;
         let is_started = self.requests[key].has_engine_work();
         let queue = self.reservation_queues.entry(service).or_default();
-        let new_request_wait =
-            self.requests[key].route().latency_target.mul_f64(RESERVATION_WAIT_SHARE);
-        let max_wait = if is_started { STARTED_REQUEST_MAX_WAIT } else { new_request_wait };
-        self.requests[key].reservation_deadline = now + max_wait;
-        if !is_started && queue.expected_wait() > new_request_wait {
+        let request = &mut self.requests[key];
+        if is_started {
+            request.is_late = false;
+            request.reservation_deadline = now + STARTED_REQUEST_MAX_WAIT;
+            queue.push_front(key);
+            return self.try_reserve(now, key);
+        }
+        let on_time_wait = request.route().latency_target.mul_f64(RESERVATION_WAIT_SHARE);
+        request.is_late = request.earlier_wait >= on_time_wait;
+        let (expected_wait, max_wait) = if request.is_late {
+            let late_wait = request.route().latency_target.mul_f64(LATE_RESERVATION_WAIT_SHARE);
+            (queue.expected_late_wait(), late_wait)
+        } else {
+            (queue.expected_wait(), on_time_wait)
+        };
+        request.reservation_deadline = now + max_wait;
+        if expected_wait > max_wait {
             // It would be refused after the wait anyway: refuse it now, so that
             // the caller can retry earlier.
             return self.refuse_without_reservation(now, key);
         }
-        if is_started {
-            queue.push_front(key);
+        if self.requests[key].is_late {
+            queue.push_late(key);
         } else {
-            queue.push_back(key);
+            queue.push_on_time(key);
         }
         self.try_reserve(now, key)
     }
@@ -76,10 +93,14 @@
 
     pub(super) fn reserve_at_next_engine(&mut self, now: Duration, key: RequestKey) -> Step {
         let engines_asked = self.requests[key].excluded.len();
+        let max_engines = if self.requests[key].is_late {
+            MAX_ENGINES_PER_LATE_ROUND
+        } else {
+            MAX_ENGINES_PER_ROUND
+        };
         let next = self.select_decode_engine(now, key);
-        let Some(target) = next
-            .filter(|_| engines_asked < MAX_ENGINES_PER_ROUND)
-            .and_then(|next| self.target(next))
+        let Some(target) =
+            next.filter(|_| engines_asked < max_engines).and_then(|next| self.target(next))
         else {
             self.requests[key].excluded.clear();
             let until = self.reservation_deadline(key).min(now + RESERVATION_POLL_INTERVAL);
@@ -88,9 +109,7 @@
         let request = &mut self.requests[key];
         request.current = Some(target.clone());
         let tokens = request.reserved_tokens;
-        let service = request.configuration.service(&request.service);
-        let max_ttl =
-            service.and_then(|service| service.engine).map(|engine| engine.max_reservation);
+        let max_ttl = request.engine().map(|engine| engine.max_reservation);
         let ttl = max_ttl.filter(|max_ttl| !max_ttl.is_zero()).unwrap_or(RESERVATION_TTL);
         let ttl = ttl.min(RESERVATION_TTL);
         Step::Reserve { target, tokens, ttl, timeout: RESERVE_TIMEOUT }
--- /dev/null
+++ b/tests/router/caller_wait.rs
@@ -0,0 +1,81 @@
+//! Requests of callers that retry after a refusal, at times when capacity is short: they
+//! come after those that can still be answered within the latency target.
+
+use bamboodoor::router::Event;
+use bamboodoor::router::Step;
+use bamboodoor::router::caller_wait::LongestCallerTimeout;
+use bamboodoor::router::upstreams::PoolRole;
+
+use crate::harness::ENGINES;
+use crate::harness::Harness;
+use crate::harness::default_upstreams;
+use crate::harness::ms;
+use crate::harness::reserved;
+use crate::harness::upstream;
+
+#[test]
+fn a_shorter_timeout_than_that_of_other_callers_counts_as_earlier_wait() {
+    let mut longest = LongestCallerTimeout::default();
+    assert_eq!(longest.record(ms(14_000)), ms(0));
+    assert_eq!(longest.record(ms(9_500)).as_millis(), 4_500);
+}
+
+#[test]
+fn callers_that_all_have_a_shorter_timeout_do_not_count_as_waiting() {
+    let mut longest = LongestCallerTimeout::default();
+    longest.record(ms(14_000));
+    for _ in 0..1_000 {
+        longest.record(ms(3_000));
+    }
+    assert!(longest.record(ms(3_000)) < ms(10));
+}
+
+#[test]
+fn a_request_on_time_is_served_before_a_late_one_that_came_first() {
+    let mut harness = Harness::new(default_upstreams());
+    let (first, _) = harness.start_request("/stream/1");
+    let (late, step) = harness.start_retry("/stream/2", ms(4_000));
+    assert!(matches!(step, Step::Wait { .. }), "{step:?}");
+    let (on_time, step) = harness.start_request("/stream/3");
+    assert!(matches!(step, Step::Wait { .. }), "{step:?}");
+    harness.report(first, reserved());
+    assert_eq!(harness.router.take_runnable(), vec![on_time]);
+    assert!(matches!(harness.report(on_time, Event::WaitEnded), Step::Reserve { .. }));
+    harness.report(on_time, reserved());
+    assert_eq!(harness.router.take_runnable(), vec![late]);
+}
+
+/// Returns the number of reservation requests until the request is refused, while all
+/// engines are full, and the time until then.
+fn rejections_until_refused(earlier_wait_ms: u64) -> (usize, u64) {
+    let engines = (0..20).map(|number| upstream(&format!("d{number}"), ENGINES, PoolRole::Decode));
+    let mut harness = Harness::new(default_upstreams().into_iter().chain(engines).collect());
+    // Shows the caller's usual timeout.
+    let (first, _) = harness.start_request("/stream/1");
+    harness.router.finish(first);
+    let start = harness.now;
+    let (key, mut step) = harness.start_retry("/stream/2", ms(earlier_wait_ms));
+    let mut rejections = 0;
+    loop {
+        step = match step {
+            Step::Reserve { .. } => {
+                rejections += 1;
+                harness.report(key, Event::ReservationRejected)
+            }
+            Step::Wait { until } => {
+                let wait = until.saturating_sub(harness.now).max(ms(1));
+                harness.report_after(wait, key, Event::WaitEnded)
+            }
+            Step::Refuse(_) => return (rejections, (harness.now - start).as_millis() as u64),
+            other => panic!("unexpected step {other:?}"),
+        };
+    }
+}
+
+#[test]
+fn a_late_request_asks_few_engines_and_is_refused_early() {
+    let (on_time_rejections, on_time_ms) = rejections_until_refused(0);
+    let (late_rejections, late_ms) = rejections_until_refused(4_000);
+    assert!(late_rejections * 3 <= on_time_rejections, "{late_rejections}, {on_time_rejections}");
+    assert!(late_ms < on_time_ms, "{late_ms} ms, {on_time_ms} ms");
+}
--- a/tests/router/generate.rs
+++ b/tests/router/generate.rs
@@ -7,12 +7,15 @@
 use bamboodoor::router::Event;
 use bamboodoor::router::Step;
 use bamboodoor::router::flow::Failure;
+use bamboodoor::router::request::IncomingRequest;
+use bamboodoor::router::request::Prompt;
 use bamboodoor::router::upstreams::PoolRole;
 
 use crate::harness::BUDGET_SHARE;
 use crate::harness::ENGINES;
 use crate::harness::Harness;
 use crate::harness::default_upstreams;
+use crate::harness::incoming;
 use crate::harness::ms;
 use crate::harness::reserved;
 use crate::harness::target;
@@ -45,6 +48,27 @@
     }
 }
 
+/// Starts a request with a prompt of this size; the memory of an engine holds 50,000 tokens.
+fn start_with_prompt(tokens: u32) -> Step {
+    let mut harness = Harness::new(default_upstreams());
+    let prompt = Prompt { tokens, max_output_tokens: 1_000, output_hint: Some(400) };
+    harness.start(IncomingRequest { prompt: Some(prompt), ..incoming("/stream/1") }).1
+}
+
+#[test]
+fn a_prompt_larger_than_the_memory_of_an_engine_is_refused_at_once() {
+    let refused = refusal(start_with_prompt(50_000));
+    assert_eq!(refused.reason, RefusalReason::PromptTooLong);
+    assert_eq!(refused.outcome, Outcome::NotRun);
+    assert_eq!(refused.retry_after, None);
+}
+
+#[test]
+fn a_prompt_that_nearly_fills_an_engine_reserves_all_of_its_memory() {
+    let step = start_with_prompt(49_800);
+    assert!(matches!(step, Step::Reserve { tokens: 50_000, .. }), "{step:?}");
+}
+
 #[test]
 fn without_free_capacity_a_request_is_refused_as_not_run_within_half_of_the_latency_target() {
     let mut harness = Harness::new(default_upstreams());
--- a/tests/router/harness.rs
+++ b/tests/router/harness.rs
@@ -23,6 +23,8 @@
 pub const HOST: &str = "service.example";
 /// Share of the allowance in each retry budget that this entry has: a tenth.
 pub const BUDGET_SHARE: f64 = 0.1;
+/// Timeout of the callers.
+const CALLER_TIMEOUT: Duration = Duration::from_secs(14);
 /// Service whose upstreams are model engines.
 pub const ENGINES: &str = "engines";
 /// Plain service, with routes for lookups and bookings.
@@ -143,28 +145,30 @@
         instance_list.apply(self.now, record, upstreams);
     }
 
-    /// Has the router accept a request for a path, without starting it. The request
-    /// has a prompt if the path belongs to a route to model engines.
-    pub fn accept_request(&mut self, path: &str) -> RequestKey {
-        let prompt = Prompt { tokens: 5_000, max_output_tokens: 1_000, output_hint: Some(400) };
-        let incoming = IncomingRequest {
-            id: "request".into(),
-            host: HOST.into(),
-            path: path.into(),
-            caller_timeout: Some(ms(14_000)),
-            prompt: goes_to_engines(path).then_some(prompt),
-            resume_after: None,
-        };
+    /// Has the router accept a request, without starting it.
+    pub fn accept(&mut self, incoming: IncomingRequest) -> RequestKey {
         self.router.accept_request(self.now, incoming).expect("the router accepts the request")
     }
 
     /// Accepts and starts a request, and returns its key and its first step.
-    pub fn start_request(&mut self, path: &str) -> (RequestKey, Step) {
-        let key = self.accept_request(path);
+    pub fn start(&mut self, incoming: IncomingRequest) -> (RequestKey, Step) {
+        let key = self.accept(incoming);
         let step = self.router.start(self.now, key);
         (key, step)
     }
 
+    /// Accepts and starts [`incoming`], and returns its key and its first step.
+    pub fn start_request(&mut self, path: &str) -> (RequestKey, Step) {
+        self.start(incoming(path))
+    }
+
+    /// Accepts and starts [`incoming`], whose caller has waited for `earlier_wait` in
+    /// earlier attempts, and returns its key and its first step.
+    pub fn start_retry(&mut self, path: &str, earlier_wait: Duration) -> (RequestKey, Step) {
+        let caller_timeout = Some(CALLER_TIMEOUT - earlier_wait);
+        self.start(IncomingRequest { caller_timeout, ..incoming(path) })
+    }
+
     /// Advances the clock, reports the result of the last step, and returns the
     /// next step.
     pub fn report_after(&mut self, pause: Duration, key: RequestKey, event: Event) -> Step {
@@ -188,6 +192,20 @@
     }
 }
 
+/// Returns a request for a path. It has a prompt if the path belongs to a route to model
+/// engines.
+pub fn incoming(path: &str) -> IncomingRequest {
+    let prompt = Prompt { tokens: 5_000, max_output_tokens: 1_000, output_hint: Some(400) };
+    IncomingRequest {
+        id: "request".into(),
+        host: HOST.into(),
+        path: path.into(),
+        caller_timeout: Some(CALLER_TIMEOUT),
+        prompt: goes_to_engines(path).then_some(prompt),
+        resume_after: None,
+    }
+}
+
 /// True if the path belongs to a route to model engines.
 fn goes_to_engines(path: &str) -> bool {
     path.starts_with("/stream/") || path.starts_with("/resumable/")
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the router's decisions, without sockets and in virtual time.
 
 mod budget;
+mod caller_wait;
 mod configuration;
 mod engine_time;
 mod follow;
--- a/tests/router/output_margin.rs
+++ b/tests/router/output_margin.rs
@@ -17,6 +17,9 @@
 const PROMPT: Prompt =
     Prompt { tokens: 5_200, max_output_tokens: 20_000, output_hint: Some(5_000) };
 
+/// Memory of an engine, in tokens.
+const KV_TOKENS: u32 = 64_000;
+
 /// Returns the share of the last half of `streams` streams whose output exceeds its
 /// reservation. Outputs are `median` times the caller's estimate at the median and up to
 /// three times more or less. With full engines each such stream stalls.
@@ -26,7 +29,7 @@
     let mut stalled_late = 0;
     for number in 0..streams {
         let ratio = median * 3.0_f64.powf(rng.random_range(-1.0..1.0));
-        let reserved_output = margin.reserved_tokens(&PROMPT) - PROMPT.tokens;
+        let reserved_output = margin.reserved_tokens(&PROMPT, KV_TOKENS) - PROMPT.tokens;
         if 5_000.0 * ratio > f64::from(reserved_output) {
             margin.record_stalled();
             stalled_late += usize::from(number >= streams / 2);
@@ -59,11 +62,11 @@
 #[test]
 fn without_stalls_the_reservation_shrinks_below_the_first_one() {
     let mut margin = OutputMargin::default();
-    let first = margin.reserved_tokens(&PROMPT);
+    let first = margin.reserved_tokens(&PROMPT, KV_TOKENS);
     for _ in 0..200 {
         margin.record_steady();
     }
-    let later = margin.reserved_tokens(&PROMPT);
+    let later = margin.reserved_tokens(&PROMPT, KV_TOKENS);
     assert!(later < first && later > PROMPT.tokens, "{first} tokens, then {later}");
 }
 
@@ -73,7 +76,16 @@
     for _ in 0..100 {
         margin.record_stalled();
     }
-    assert_eq!(margin.reserved_tokens(&PROMPT), PROMPT.tokens + PROMPT.max_output_tokens);
+    assert_eq!(
+        margin.reserved_tokens(&PROMPT, KV_TOKENS),
+        PROMPT.tokens + PROMPT.max_output_tokens
+    );
+}
+
+#[test]
+fn a_reservation_fits_into_the_memory_of_an_engine() {
+    let prompt = Prompt { tokens: 60_000, ..PROMPT };
+    assert_eq!(OutputMargin::default().reserved_tokens(&prompt, KV_TOKENS), KV_TOKENS);
 }
 
 /// Relays a stream with this interval between its events, and returns the memory that the
