Test of late requests: engines of a round are counted, not those until the refusal

The number until the refusal also depends on the 100 ms for which an engine that rejected is left out; what is meant is a third of the engines a round. The check is now exact: three times the engines of a late round are those of a round on time.

--- a/tests/router/caller_wait.rs
+++ b/tests/router/caller_wait.rs
@@ -1,6 +1,8 @@
 //! Requests of callers that retry after a refusal, at times when capacity is short: they
 //! come after those that can still be answered within the latency target.
 
+use std::time::Duration;
+
 use bamboodoor::router::Event;
 use bamboodoor::router::Step;
 use bamboodoor::router::caller_wait::LongestCallerTimeout;
@@ -45,9 +47,16 @@
     assert_eq!(harness.router.take_runnable(), vec![late]);
 }
 
-/// Returns the number of reservation requests until the request is refused, while all
-/// engines are full, and the time until then.
-fn rejections_until_refused(earlier_wait_ms: u64) -> (usize, u64) {
+/// How a request fares while all engines are full.
+struct FullPool {
+    /// Number of reservation requests before the first wait.
+    first_round: usize,
+    /// Time from the arrival to the refusal.
+    refused_after: Duration,
+}
+
+/// Starts a request whose caller has waited for `earlier_wait_ms` at 22 full engines.
+fn run_at_full_pool(earlier_wait_ms: u64) -> FullPool {
     let engines = (0..20).map(|number| upstream(&format!("d{number}"), ENGINES, PoolRole::Decode));
     let mut harness = Harness::new(default_upstreams().into_iter().chain(engines).collect());
     // Shows the caller's usual timeout.
@@ -55,6 +64,7 @@
     harness.router.finish(first);
     let start = harness.now;
     let (key, mut step) = harness.start_retry("/stream/2", ms(earlier_wait_ms));
+    let mut first_round = None;
     let mut rejections = 0;
     loop {
         step = match step {
@@ -63,19 +73,23 @@
                 harness.report(key, Event::ReservationRejected)
             }
             Step::Wait { until } => {
+                first_round.get_or_insert(rejections);
                 let wait = until.saturating_sub(harness.now).max(ms(1));
                 harness.report_after(wait, key, Event::WaitEnded)
             }
-            Step::Refuse(_) => return (rejections, (harness.now - start).as_millis() as u64),
+            Step::Refuse(_) => {
+                let first_round = first_round.expect("the request waits before it is refused");
+                return FullPool { first_round, refused_after: harness.now - start };
+            }
             other => panic!("unexpected step {other:?}"),
         };
     }
 }
 
 #[test]
-fn a_late_request_asks_few_engines_and_is_refused_early() {
-    let (on_time_rejections, on_time_ms) = rejections_until_refused(0);
-    let (late_rejections, late_ms) = rejections_until_refused(4_000);
-    assert!(late_rejections * 3 <= on_time_rejections, "{late_rejections}, {on_time_rejections}");
-    assert!(late_ms < on_time_ms, "{late_ms} ms, {on_time_ms} ms");
+fn a_late_request_asks_a_third_of_the_engines_and_is_refused_earlier() {
+    let on_time = run_at_full_pool(0);
+    let late = run_at_full_pool(4_000);
+    assert_eq!(late.first_round * 3, on_time.first_round);
+    assert!(late.refused_after < on_time.refused_after);
 }
