--- a/src/bin/bamboodoor/main.rs
+++ b/src/bin/bamboodoor/main.rs
@@ -25,8 +25,7 @@
 use bamboodoor::replay::synthesis::Synthesis;
 
 /// The command ran, but its result is negative: the manifest was superseded, no log line of
-/// the request was found, processes disagree, the replay found violations, or the user to
-/// synthesize a trace for is unknown.
+/// the request was found, processes disagree, or the replay found violations.
 const EXIT_NEGATIVE_RESULT: u8 = 1;
 /// The arguments or an input file are not valid, or a local operation failed.
 const EXIT_INVALID: u8 = 2;
@@ -129,8 +128,7 @@
 
 fn run_synthesize(arguments: &arguments::Synthesize) -> Result<bool> {
     let Some(workload) = synthesis::workload_of(&arguments.user) else {
-        eprintln!("unknown user {}: expected associacao or qayrawan", arguments.user);
-        return Ok(false);
+        return Err(Error::UnknownWorkload { name: arguments.user.clone() });
     };
     let body = check::check(&arguments.manifest)?;
     let file = arguments.manifest.display().to_string();
--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -104,7 +104,9 @@
         let account = self.requests[key].account.clone();
         let weight = snapshot.account_weight(&account);
         if weight.is_none() && !snapshot.manifest.client_accounts.is_empty() {
-            self.refuse(key, Refusal::not_run(RefusalReason::UnknownAccount, None), out);
+            let detail = format!("x-client-account: no client account {account:?}");
+            let refusal = Refusal::not_run(RefusalReason::UnknownAccount, None);
+            self.refuse(key, Refusal { detail, ..refusal }, out);
             return;
         }
         let expected_tokens = self.expected_output_tokens(key);
--- a/src/error.rs
+++ b/src/error.rs
@@ -75,6 +75,12 @@
         /// What is wrong with the line.
         message: String,
     },
+    /// There is no workload of this name to synthesize a trace for.
+    #[error("unknown user {name}: expected associacao or qayrawan")]
+    UnknownWorkload {
+        /// Name that was given.
+        name: String,
+    },
     /// The output of log lines or of metrics cannot be set up.
     #[error("cannot set up logging or metrics: {0}")]
     Logging(String),
--- a/tests/commands/main.rs
+++ b/tests/commands/main.rs
@@ -5,6 +5,7 @@
 use std::process::Output;
 use std::process::Stdio;
 
+use bamboodoor::manifest::Snapshot;
 use standins::log::Log;
 
 const EXAMPLE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/examples/associacao.jsonc");
@@ -168,3 +169,30 @@
         (Some(0), Some(0))
     );
 }
+
+#[test]
+fn an_unknown_user_of_synthesize_is_an_invalid_argument() {
+    let output = bamboodoor(&["synthesize", "nobody", "--manifest", EXAMPLE]);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(text(&output.stderr).contains("nobody"));
+}
+
+/// Returns the text between `start` and the next `end` after it.
+fn between<'a>(text: &'a str, start: &str, end: &str) -> &'a str {
+    let (_, rest) = text.split_once(start).expect("the start is in the text");
+    rest.split_once(end).expect("the end is in the text").0
+}
+
+#[test]
+fn the_completion_of_the_readme_fits_the_manifest_of_its_fleet() {
+    let readme = include_str!("../../README.md");
+    let command = between(readme, "curl http://ADDRESS/v1/completions", "\n");
+    let account = between(command, "-H 'x-client-account: ", "'");
+    let body: serde_json::Value =
+        serde_json::from_str(between(command, "-d '", "'")).expect("the body is JSON");
+    let snapshot = Snapshot::parse(1, include_str!("../../examples/associacao.jsonc"))
+        .expect("the manifest is valid");
+    assert!(snapshot.account_weight(account).is_some(), "no client account {account}");
+    let model = body["model"].as_str().expect("the body names a model");
+    assert!(snapshot.model(model).is_some(), "no model {model}");
+}
--- a/tests/processes/refusals.rs
+++ b/tests/processes/refusals.rs
@@ -130,9 +130,10 @@
     .await;
     let (status, reason, _) = refusal(&fleet, "POST", "/services/desk/bookings", "slot").await;
     assert_eq!((status, reason.as_str()), (400, "key-required"));
-    let (status, reason, _) =
+    let (status, reason, detail) =
         refusal(&fleet, "POST", COMPLETIONS, r#"{"model":"redator","prompt":"p"}"#).await;
     assert_eq!((status, reason.as_str()), (403, "unknown-account"));
+    assert!(detail.starts_with("x-client-account:"), "{detail}");
 }
 
 #[tokio::test(flavor = "multi_thread")]
