Callers that retry are told from callers of little patience

Change: a request counts as a retry if at least the `Retry-After` of a refusal is missing (4 s, or a third of the time). Tests first: callers of 12 to 14 s do not count (they did), those that waited for a retry time do.

--- a/src/router.rs
+++ b/src/router.rs
@@ -5,7 +5,7 @@
 //! I/O and reads no clock: times, the random seed and events are passed in.
 
 pub mod budget;
-pub mod caller_wait;
+pub mod caller_retry;
 pub mod configuration;
 pub mod engine_time;
 pub mod flow;
@@ -42,7 +42,7 @@
 use crate::router::budget::BudgetLimits;
 use crate::router::budget::FALLBACK_SHARE;
 use crate::router::budget::WindowedRetryBudget;
-use crate::router::caller_wait::LongestCallerTimeout;
+use crate::router::caller_retry::LongestCallerTimeout;
 use crate::router::configuration::Configuration;
 use crate::router::engine_time::EngineTimeStats;
 use crate::router::engine_time::PrefillTimeEstimate;
@@ -52,6 +52,7 @@
 use crate::router::request::Request;
 use crate::router::request::RequestKey;
 use crate::router::reservation_queue::ReservationQueue;
+use crate::router::reserving::CAPACITY_RETRY_AFTER;
 use crate::router::roles::Demand;
 use crate::router::roles::RoleBalancer;
 use crate::router::roles::RoleChange;
@@ -238,9 +239,9 @@
         let service = configuration.routes[route].pick_destination(&mut self.rng);
         self.budget(&service).record_request(now);
         let mut request = Request::new(now, incoming, configuration, route, service);
-        let caller_timeout = self.caller_timeouts.entry(request.route().name.clone()).or_default();
-        request.earlier_wait = caller_timeout.record(request.remaining_time(now));
         if let Some((prompt, engine)) = request.prompt.zip(request.engine()) {
+            let longest = self.caller_timeouts.entry(request.route().name.clone()).or_default();
+            request.is_late = longest.record(request.remaining_time(now), CAPACITY_RETRY_AFTER);
             let margin = self.output_margins.get(&request.service).copied().unwrap_or_default();
             request.reserved_tokens = margin.reserved_tokens(&prompt, engine.kv_tokens);
         }
--- a/src/router/plain.rs
+++ b/src/router/plain.rs
@@ -21,7 +21,7 @@
 const BODY_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 /// `Retry-After` is at most the caller's remaining time divided by this, so
 /// that the caller has time left for the retry.
-const RETRY_AFTER_DIVISOR: u32 = 3;
+pub(super) const RETRY_AFTER_DIVISOR: u32 = 3;
 /// `Retry-After` of a call that was refused because no upstream could serve it,
 /// before jitter and the limit by the caller's remaining time.
 const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_millis(400);
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -106,10 +106,9 @@
     /// Time at which the wait for a reservation ends. Set when the request
     /// joins the queue.
     pub(super) reservation_deadline: Duration,
-    /// Time that the caller has probably waited in earlier attempts.
-    pub(super) earlier_wait: Duration,
-    /// True if engines have not worked on the request yet and its response cannot
-    /// start within the latency target, counted from the first attempt.
+    /// True if the caller has probably retried after a refusal, so that the
+    /// response cannot start within the latency target, and engines have not
+    /// worked on the request yet.
     pub(super) is_late: bool,
     /// Name of the service that the request goes to.
     pub service: CompactString,
@@ -176,7 +175,6 @@
             arrived_at: now,
             deadline: now + caller_timeout,
             reservation_deadline: now,
-            earlier_wait: Duration::ZERO,
             is_late: false,
             service,
             prompt,
--- a/src/router/reserving.rs
+++ b/src/router/reserving.rs
@@ -55,7 +55,6 @@
             return self.try_reserve(now, key);
         }
         let on_time_wait = request.route().latency_target.mul_f64(RESERVATION_WAIT_SHARE);
-        request.is_late = request.earlier_wait >= on_time_wait;
         let (expected_wait, max_wait) = if request.is_late {
             let late_wait = request.route().latency_target.mul_f64(LATE_RESERVATION_WAIT_SHARE);
             (queue.expected_late_wait(), late_wait)
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -1,7 +1,7 @@
 //! Tests of the router's decisions, without sockets and in virtual time.
 
 mod budget;
-mod caller_wait;
+mod caller_retry;
 mod configuration;
 mod engine_time;
 mod follow;
