Log each stalled stream with the margin that follows from it

The margin is a belief that decides on reservations, so on-call engineers must be able to see it change: one line `stream-stalled` (request, pause, factor), the first pause of a stream only. Behavior is unchanged.

--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -162,8 +162,7 @@
                     return RelayResult::Ended(RequestEnding::CallerGone);
                 }
                 last_event = event.id.or(last_event);
-                let now = self.dispatcher.now();
-                self.dispatcher.router.borrow_mut().record_event(now, self.key);
+                self.record_event();
             }
         }
         self.dispatcher
@@ -177,6 +176,18 @@
         ))
     }
 
+    fn record_event(&self) {
+        let now = self.dispatcher.now();
+        let stall = self.dispatcher.router.borrow_mut().record_event(now, self.key);
+        let Some(stall) = stall else { return };
+        spdlog::info!("stream-stalled", kv: {
+            instance: = self.dispatcher.name,
+            request_id: = self.request.id,
+            pause_ms = stall.interval.as_millis() as u64,
+            margin_factor = stall.margin_factor
+        });
+    }
+
     /// Counts and logs a refusal. Sends it to the caller only if no head has been sent yet.
     pub(super) fn send_refusal(&mut self, refusal: Refusal) {
         let version = {
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -15,6 +15,7 @@
 use crate::router::flow::Failure;
 use crate::router::flow::KvSource;
 use crate::router::flow::Step;
+use crate::router::output_margin::StreamStall;
 use crate::router::plain::MIN_SERVER_ERROR_STATUS;
 use crate::router::request::HeldResource;
 use crate::router::request::Phase;
@@ -268,17 +269,24 @@
 
     /// Records that an event of a request's stream was received from its engine. A
     /// pause that is longer than the route allows mostly shows that the engine
-    /// ran out of memory and preempted the stream.
-    pub fn record_event(&mut self, now: Duration, key: RequestKey) {
-        let Some(request) = self.requests.get_mut(key) else { return };
-        let Some(previous) = request.last_event_at.replace(now) else { return };
+    /// ran out of memory and preempted the stream; the first one of a stream
+    /// changes the margin of the memory that is reserved for output. Returns the
+    /// pause then.
+    pub fn record_event(&mut self, now: Duration, key: RequestKey) -> Option<StreamStall> {
+        let request = self.requests.get_mut(key)?;
+        let previous = request.last_event_at.replace(now)?;
         let interval = now.saturating_sub(previous);
         let service = request.service.clone();
         if interval <= request.max_event_interval() {
             self.engine_time.entry(service).or_default().record_event(interval);
-        } else if !std::mem::replace(&mut request.stalled, true) {
-            self.output_margins.entry(service).or_default().record_stalled();
+            return None;
         }
+        if std::mem::replace(&mut request.stalled, true) {
+            return None;
+        }
+        let margin = self.output_margins.entry(service).or_default();
+        margin.record_stalled();
+        Some(StreamStall { interval, margin_factor: margin.factor() })
     }
 
     /// Records that a stream has ended, unless it has paused for too long.
--- a/src/router/output_margin.rs
+++ b/src/router/output_margin.rs
@@ -6,6 +6,8 @@
 //! stall: it grows with each one and shrinks with each stream that does not, so
 //! that their share approaches [`TARGET_STALLED_SHARE`].
 
+use std::time::Duration;
+
 use crate::router::request::Prompt;
 
 /// Share of the streams that may stall.
@@ -18,6 +20,15 @@
 /// With this factor nearly every request reserves its largest output.
 const MAX_FACTOR: f64 = 8.0;
 
+/// Pause of a stream that was longer than its route allows.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct StreamStall {
+    /// Time between the two events.
+    pub interval: Duration,
+    /// Factor of the service's margin after the stall.
+    pub margin_factor: f64,
+}
+
 /// Factor on the expected output of the requests of one service.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct OutputMargin {
@@ -31,6 +42,11 @@
 }
 
 impl OutputMargin {
+    /// Factor on the expected output.
+    pub fn factor(&self) -> f64 {
+        self.factor
+    }
+
     /// Records that a stream paused for longer than its route allows.
     pub fn record_stalled(&mut self) {
         self.factor = (self.factor * (1.0 + STALL_GROWTH)).min(MAX_FACTOR);
--- a/tests/router/output_margin.rs
+++ b/tests/router/output_margin.rs
@@ -105,6 +105,20 @@
     }
 }
 
+#[test]
+fn only_the_first_long_pause_of_a_stream_is_reported() {
+    let mut harness = Harness::new(default_upstreams());
+    let (key, _) = harness.start_decode("/stream/1");
+    harness.report(key, Event::ResponseStarted { status: 200 });
+    let mut stalls = Vec::new();
+    for interval in [0, 60, 400, 60, 500] {
+        harness.now += ms(interval);
+        stalls.extend(harness.router.record_event(harness.now, key));
+    }
+    let pauses: Vec<Duration> = stalls.iter().map(|stall| stall.interval).collect();
+    assert_eq!(pauses, [ms(400)]);
+}
+
 #[test]
 fn a_stream_that_pauses_too_long_raises_the_next_reservation() {
     let steady = reserved_after_a_stream(ms(60));
