A reservation has no limit by a memory that the configuration does not give

Found while reading the diff: a configuration without the size of an engine's memory (0) would have made every reservation one of 0 tokens.

--- a/src/router/configuration.rs
+++ b/src/router/configuration.rs
@@ -94,7 +94,7 @@
 /// Properties of the model engines of a service.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Engine {
-    /// Number of tokens that the KV memory of one engine holds.
+    /// Number of tokens that the KV memory of one engine holds; 0 if unknown.
     pub kv_tokens: u32,
     /// Longest time that a reservation may last; zero if the configuration sets
     /// none.
--- a/src/router/output_margin.rs
+++ b/src/router/output_margin.rs
@@ -4,7 +4,7 @@
 //! memory runs out preempt streams. How often that happens depends on the lengths
 //! and on the load of a deployment, so the margin is learned from the streams that
 //! stall: it grows with each one and shrinks with each stream that does not, so
-//! that their share approaches [`TARGET_STALLED_SHARE`].
+//! that their share approaches a small target.
 
 use std::time::Duration;
 
@@ -59,10 +59,12 @@
     }
 
     /// Prompt and output tokens to reserve for at an engine whose memory holds
-    /// `kv_tokens` tokens: at most all of it, and at most the largest output.
+    /// `kv_tokens` tokens: at most all of it, if it is known (not 0), and at most
+    /// the largest output.
     pub fn reserved_tokens(&self, prompt: &Prompt, kv_tokens: u32) -> u32 {
         let output = f64::from(prompt.expected_output_tokens()) * self.factor;
         let output = output.min(f64::from(prompt.max_output_tokens)) as u32;
-        prompt.tokens.saturating_add(output).min(kv_tokens)
+        let tokens = prompt.tokens.saturating_add(output);
+        if kv_tokens == 0 { tokens } else { tokens.min(kv_tokens) }
     }
 }
--- a/src/router/reservation_queue.rs
+++ b/src/router/reservation_queue.rs
@@ -2,10 +2,10 @@
 //! engine.
 //!
 //! Requests that engines have already worked on go first, then those whose
-//! response can still start within the latency target, then those whose callers
-//! have waited longer than that in earlier attempts; each first come, first
-//! served. Only the request at the head asks the engines, so that those behind it
-//! cause no load while they wait.
+//! response can still start within the latency target, then the late ones, whose
+//! callers retry after a refusal; each first come, first served. Only the request
+//! at the head asks the engines, so that those behind it cause no load while they
+//! wait.
 
 use std::collections::VecDeque;
 use std::time::Duration;
--- a/tests/router/output_margin.rs
+++ b/tests/router/output_margin.rs
@@ -105,6 +105,12 @@
     }
 }
 
+#[test]
+fn without_a_known_memory_a_reservation_has_no_such_limit() {
+    let margin = OutputMargin::default();
+    assert_eq!(margin.reserved_tokens(&PROMPT, 0), margin.reserved_tokens(&PROMPT, KV_TOKENS));
+}
+
 #[test]
 fn only_the_first_long_pause_of_a_stream_is_reported() {
     let mut harness = Harness::new(default_upstreams());
