A pause does not end the last run that a stream is allowed

The instance list shows neither engine leaving before. Ruled out: orders (none to these engines), an upstream that broke off. Change: the short idle timeout applies only while another run is allowed. Test first: the second run had an idle timeout of 600 ms, now until the deadline. Open: a spent retry budget still turns such a pause into an end, as the pause is reported after the response was given up.

--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -33,8 +33,6 @@
 /// Largest number of prefills of one request; after a failure of the last one
 /// the decode engine prefills the prompt itself.
 const MAX_PREFILLS: u32 = 3;
-/// Largest number of attempts of one request, that is, of decodes sent.
-const MAX_ATTEMPTS: u32 = 5;
 /// Sends that another run takes out of the retry budget: a prefill and a
 /// decode.
 const SENDS_PER_RUN: usize = 2;
@@ -187,7 +185,7 @@
         let source = request.prefill_result.take();
         request.phase = Phase::Relaying;
         request.response_started = true;
-        let idle_timeout = if request.route().resumable {
+        let idle_timeout = if request.route().resumable && request.allows_another_run() {
             RESUME_IDLE_INTERVALS * request.max_event_interval()
         } else {
             request.deadline.saturating_sub(request.arrived_at)
@@ -338,7 +336,7 @@
     /// another run.
     fn try_spend_rerun(&mut self, now: Duration, key: RequestKey) -> bool {
         let request = &self.requests[key];
-        let allowed = request.runs < request.route().max_runs && request.attempts < MAX_ATTEMPTS;
+        let allowed = request.allows_another_run();
         let service = request.service.clone();
         allowed && self.budget(&service).try_spend(now, SENDS_PER_RUN)
     }
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -52,6 +52,8 @@
 /// Expected output as a share of `max_output_tokens`, if the caller gives no
 /// estimate.
 const DEFAULT_OUTPUT_SHARE: f64 = 0.4;
+/// Largest number of attempts of one request, that is, of decodes sent.
+const MAX_ATTEMPTS: u32 = 5;
 /// Longest interval between two events, if the route sets none.
 const DEFAULT_MAX_EVENT_INTERVAL: Duration = Duration::from_millis(300);
 /// Factor on the caller's estimate, which is often too low.
@@ -234,6 +236,11 @@
         self.configuration.service(&self.service).and_then(|service| service.engine)
     }
 
+    /// True if the limits on runs and attempts permit another run.
+    pub(super) fn allows_another_run(&self) -> bool {
+        self.runs < self.route().max_runs && self.attempts < MAX_ATTEMPTS
+    }
+
     /// Longest interval between two events of the stream.
     pub(super) fn max_event_interval(&self) -> Duration {
         let interval = self.route().max_event_interval;
--- a/tests/router/generate.rs
+++ b/tests/router/generate.rs
@@ -193,6 +193,21 @@
     }
 }
 
+/// Two engines in a row pause: the second pause must not end the response, as no further run
+/// is allowed.
+#[test]
+fn a_pause_of_the_last_run_that_is_allowed_does_not_end_the_response() {
+    let mut harness = Harness::new(default_upstreams());
+    let (key, _) = harness.start_decode("/resumable/1");
+    let step = harness.report(key, Event::ResponseStarted { status: 200 });
+    assert!(matches!(step, Step::Relay { idle_timeout } if idle_timeout == ms(600)), "{step:?}");
+    harness.report(key, Event::ResponseInterrupted { last_event: Some(73) });
+    harness.report(key, reserved());
+    harness.report(key, Event::Prefilled { handle: "next".into() });
+    let step = harness.report(key, Event::ResponseStarted { status: 200 });
+    assert!(matches!(step, Step::Relay { idle_timeout } if idle_timeout == ms(14_000)), "{step:?}");
+}
+
 #[test]
 fn a_stream_interrupted_past_its_latency_target_may_still_wait_for_capacity() {
     let mut harness = Harness::new(default_upstreams());
