Two tests check what their names say

The error of an invalid trace must name the very line (only the prefix was checked), and of a claim appended twice a takeover shows which one owns the key.

--- a/tests/core/claims.rs
+++ b/tests/core/claims.rs
@@ -60,6 +60,10 @@
 owners! {
     the_claim_at_the_lowest_offset_owns_the_key: [claim(1, 0), claim(2, 0)] => Some((1, None));
     a_claim_appended_twice_does_not_change_the_owner: [claim(1, 0), claim(1, 0)] => Some((1, None));
+    the_first_of_a_claim_appended_twice_is_the_one_that_owns_the_key:
+        [claim(1, 0), claim(1, 0), claim(2, 1)] => Some((2, None));
+    the_second_of_a_claim_appended_twice_owns_nothing:
+        [claim(1, 0), claim(1, 0), claim(2, 2)] => Some((1, None));
     a_takeover_that_names_the_owning_claim_gets_the_key:
         [claim(1, 0), claim(2, 1)] => Some((2, None));
     a_takeover_that_names_an_older_claim_is_ignored:
--- a/tests/core/traces.rs
+++ b/tests/core/traces.rs
@@ -77,7 +77,9 @@
 fn the_error_of_an_invalid_trace_names_the_line() {
     let text = std::fs::read_to_string(format!("{DIRECTORY}/qayrawan-1.3.jsonl"))
         .expect("the trace can be read");
-    let broken = text.replacen("\"kind\":\"call\"", "\"kind\":\"cal\"", 1);
+    let kind = "\"kind\":\"call\"";
+    let line = 1 + text.lines().position(|line| line.contains(kind)).expect("the trace has a call");
+    let broken = text.replacen(kind, "\"kind\":\"cal\"", 1);
     let error = Trace::read(broken.as_bytes()).expect_err("the trace is invalid").to_string();
-    assert!(error.starts_with("trace line "), "{error}");
+    assert!(error.starts_with(&format!("trace line {line}: ")), "line {line}: {error}");
 }
