Log and count the rate limits that upstreams name

The adapter decodes the header once, from every response, and the upstream's record in the router keeps it with its time. A response without one lifts a limit only if its request was sent after the limit was last named, as responses may overtake each other; responses to calls of the entry's own only name limits.

--- a/src/edge/direct/dispatch.rs
+++ b/src/edge/direct/dispatch.rs
@@ -68,6 +68,7 @@
         incoming: IncomingRequest,
         request: ForwardedRequest,
     ) -> CallerResponse {
+        self.record_notices();
         let accepted = self.router.borrow_mut().accept_request(self.now(), incoming);
         let key = match accepted {
             Ok(key) => key,
@@ -94,6 +95,23 @@
         CallerResponse::Refused(refusal)
     }
 
+    /// Passes to the router what responses have said about their upstreams, and logs each
+    /// rate limit that changed.
+    pub(super) fn record_notices(&self) {
+        for notice in self.upstream_client.take_notices() {
+            self.metrics.count_rate_limit_notice(notice.rate_limit);
+            let mut router = self.router.borrow_mut();
+            let Some(change) = router.record_notice(self.now(), &notice) else { continue };
+            let upstream = router.target(notice.upstream).map(|target| target.id);
+            spdlog::info!("upstream-limit", kv: {
+                instance: = self.name,
+                upstream: = upstream.unwrap_or_default(),
+                requests_per_s = change.after.unwrap_or(UNLIMITED),
+                previous_requests_per_s = change.before.unwrap_or(UNLIMITED)
+            });
+        }
+    }
+
     fn log_arrived_request(&self, key: RequestKey) {
         let router = self.router.borrow();
         let Some(request) = router.request(key) else { return };
@@ -129,6 +147,9 @@
     }
 }
 
+/// Value in log lines for a rate limit that is not there.
+const UNLIMITED: f64 = -1.0;
+
 /// Refusal of a request whose task ended without a response.
 fn task_ended_refusal() -> Refusal {
     Refusal::with_outcome(RefusalReason::UpstreamLost, crate::outcome::Outcome::Unknown)
--- a/src/edge/direct/lease_task.rs
+++ b/src/edge/direct/lease_task.rs
@@ -83,6 +83,7 @@
 
     /// Sends the next role order if one is due and this entry holds the lease.
     async fn send_due_order(&mut self) {
+        self.dispatcher.record_notices();
         let now = self.dispatcher.now();
         // Called without the lease as well: the router records here when the number of
         // listed engines changes, and has no order due until that number is stable.
--- a/src/edge/direct/metrics.rs
+++ b/src/edge/direct/metrics.rs
@@ -15,6 +15,7 @@
 use crate::edge::logs::dropped_lines;
 use crate::outcome::Refusal;
 use crate::router::follow::Feed;
+use crate::router::upstream_notice::RateLimitNotice;
 
 /// Upper bound of the first histogram bucket, in seconds; each next bound is twice as high.
 const FIRST_BUCKET_S: f64 = 0.005;
@@ -47,6 +48,11 @@
     result: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RateLimitLabels {
+    limit: &'static str,
+}
+
 /// Metrics of an entry, with their registry.
 pub struct Metrics {
     registry: Registry,
@@ -56,6 +62,7 @@
     answered: Family<StatusLabels, Counter>,
     steps: Family<KindLabels, Counter>,
     store_reads: Family<StoreReadLabels, Counter>,
+    rate_limit_notices: Family<RateLimitLabels, Counter>,
     first_part: Family<KindLabels, Histogram>,
     step_duration: Family<KindLabels, Histogram>,
     open_requests: Gauge,
@@ -74,6 +81,7 @@
             answered: Family::default(),
             steps: Family::default(),
             store_reads: Family::default(),
+            rate_limit_notices: Family::default(),
             first_part: Family::new_with_constructor(histogram),
             step_duration: Family::new_with_constructor(histogram),
             open_requests: Gauge::default(),
@@ -99,6 +107,8 @@
         registry.register("answered", "Answers of upstreams passed on", self.answered.clone());
         registry.register("steps", "Exchanges with upstreams begun", self.steps.clone());
         registry.register("store_reads", "Reads of the platform's store", self.store_reads.clone());
+        let help = "Responses of upstreams, by what they say of a rate limit";
+        registry.register("rate_limit_notices", help, self.rate_limit_notices.clone());
         let unit = Unit::Seconds;
         let help = "From arrival to the head of the answer";
         registry.register_with_unit("first_part", help, unit, self.first_part.clone());
@@ -146,6 +156,16 @@
         self.store_reads.get_or_create(&StoreReadLabels { feed: feed.to_string(), result }).inc();
     }
 
+    /// Counts a response of an upstream by what it says of the upstream's rate limit.
+    pub fn count_rate_limit_notice(&self, notice: RateLimitNotice) {
+        let limit = match notice {
+            RateLimitNotice::Named(_) => "named",
+            RateLimitNotice::Absent => "absent",
+            RateLimitNotice::Invalid => "invalid",
+        };
+        self.rate_limit_notices.get_or_create(&RateLimitLabels { limit }).inc();
+    }
+
     /// Encodes all metrics as OpenMetrics text, with these values for the gauges: requests
     /// in flight, listed upstreams, and version of the configuration in force.
     pub fn encode(&self, open_requests: usize, upstreams: usize, generation: u64) -> String {
--- a/src/edge/direct/request_task.rs
+++ b/src/edge/direct/request_task.rs
@@ -93,6 +93,7 @@
             step_started = now;
             self.log_failure(now, &event);
             let reason = failure_reason(&event);
+            dispatcher.record_notices();
             step = dispatcher.router.borrow_mut().advance(now, self.key, event);
             self.count_failure(&reason, &step);
             dispatcher.start_cleanups_and_wake();
--- a/src/edge/direct/upstream_client.rs
+++ b/src/edge/direct/upstream_client.rs
@@ -16,6 +16,7 @@
 use crate::router::Target;
 use crate::router::flow::Failure;
 use crate::router::flow::KvSource;
+use crate::router::upstream_notice::UpstreamNotice;
 use crate::router::upstreams::PoolRole;
 
 /// A caller's HTTP request in the form in which it is forwarded to upstreams.
@@ -164,6 +165,10 @@
     /// only logged, since the upstream frees both after a while.
     async fn clean_up(&self, cleanup: Cleanup);
 
+    /// Returns what the heads of responses have said about their upstreams since the last
+    /// call, in the order of arrival.
+    fn take_notices(&self) -> Vec<UpstreamNotice>;
+
     /// Keeps a connection for reuse after its response was read completely. `keep_alive` is
     /// [`UpstreamResponse::keep_alive`] of that response.
     fn release_connection(&self, connection: Connection, keep_alive: Option<Duration>);
--- a/src/router.rs
+++ b/src/router.rs
@@ -20,6 +20,7 @@
 mod reserving;
 pub mod roles;
 mod selection;
+pub mod upstream_notice;
 pub mod upstreams;
 
 pub use flow::Cleanup;
--- /dev/null
+++ b/src/router/upstream_notice.rs
@@ -0,0 +1,74 @@
+//! What upstreams say of themselves in the heads of their responses.
+
+use std::time::Duration;
+
+use crate::router::Router;
+use crate::router::upstreams::UpstreamKey;
+
+/// What the head of one response says about its upstream.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct UpstreamNotice {
+    /// Upstream that sent the response.
+    pub upstream: UpstreamKey,
+    /// When the request was sent that the response answers.
+    pub sent_at: Duration,
+    /// What the response says about the upstream's rate limit.
+    pub rate_limit: RateLimitNotice,
+}
+
+/// What the head of a response says about the rate limit of its upstream.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum RateLimitNotice {
+    /// The upstream accepts this many requests a second from all entries together.
+    Named(f64),
+    /// The upstream names no limit.
+    Absent,
+    /// The limit cannot be parsed; it is ignored.
+    Invalid,
+}
+
+/// Rate limit that an upstream has named.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct NamedRateLimit {
+    /// Requests a second that the upstream accepts from all entries together.
+    pub requests_per_s: f64,
+    /// When the latest response that named a limit was received.
+    pub named_at: Duration,
+}
+
+/// Change of an upstream's rate limit, in requests a second; `None` is no limit.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RateLimitChange {
+    /// Limit before the change.
+    pub before: Option<f64>,
+    /// Limit from now on.
+    pub after: Option<f64>,
+}
+
+impl Router {
+    /// Records what a response says about its upstream. Returns the change if its
+    /// rate limit differs from now on.
+    ///
+    /// A response without a limit lifts one only if its request was sent after the
+    /// limit was last named, since responses may arrive out of order.
+    pub fn record_notice(
+        &mut self,
+        now: Duration,
+        notice: &UpstreamNotice,
+    ) -> Option<RateLimitChange> {
+        let upstream = self.upstreams.get_mut(notice.upstream)?;
+        let current = upstream.rate_limit;
+        upstream.rate_limit = match notice.rate_limit {
+            RateLimitNotice::Named(requests_per_s) => {
+                Some(NamedRateLimit { requests_per_s, named_at: now })
+            }
+            RateLimitNotice::Absent => current.filter(|limit| notice.sent_at < limit.named_at),
+            RateLimitNotice::Invalid => current,
+        };
+        let change = RateLimitChange {
+            before: current.map(|limit| limit.requests_per_s),
+            after: upstream.rate_limit.map(|limit| limit.requests_per_s),
+        };
+        (change.before != change.after).then_some(change)
+    }
+}
--- a/src/router/upstreams.rs
+++ b/src/router/upstreams.rs
@@ -13,6 +13,7 @@
 use crate::policy::ejection::EjectionLimits;
 use crate::policy::ejection::Health;
 use crate::router::engine_time::PrefillWaitEstimate;
+use crate::router::upstream_notice::NamedRateLimit;
 
 new_key_type! {
     /// Identifies one incarnation of an upstream within one entry.
@@ -70,6 +71,8 @@
     pub health: Health,
     /// Backoff after a rejection for lack of capacity.
     pub capacity_backoff: CapacityBackoff,
+    /// Rate limit that the upstream names in its responses, if it does.
+    pub rate_limit: Option<NamedRateLimit>,
 }
 
 /// Backoff from an upstream that lacked capacity: until it ends, the upstream
@@ -140,6 +143,7 @@
             prefill_wait: PrefillWaitEstimate::default(),
             health: Health::default(),
             capacity_backoff: CapacityBackoff::default(),
+            rate_limit: None,
         });
         self.by_id.insert(id, key);
         self.by_service.entry(service).or_default().push(key);
--- a/standins/src/platform/replica.rs
+++ b/standins/src/platform/replica.rs
@@ -94,6 +94,10 @@
     pub break_next_stream: Switch,
     /// Delay before each request is executed or prefilled, and before each event of a stream.
     pub response_delay: Delay,
+    /// Rate limit that it names in all its responses, in the text of the header; `None` names none.
+    pub rate_limit: Mutex<Option<String>>,
+    /// Times at which requests and calls of any kind arrived, in this order.
+    pub arrivals: Mutex<Vec<Instant>>,
 }
 
 impl Replica {
@@ -117,6 +121,8 @@
             mismatch_next_id: Switch::default(),
             break_next_stream: Switch::default(),
             response_delay: Delay::default(),
+            rate_limit: Mutex::default(),
+            arrivals: Mutex::default(),
         });
         let served = replica.clone();
         let address = server::serve(move |request| served.clone().handle(request)).await;
@@ -158,9 +164,29 @@
         executed.iter().filter(|received| received.id == id).count()
     }
 
+    /// Names a rate limit from now on, or none.
+    pub fn set_rate_limit(&self, limit: Option<&str>) {
+        let mut named = self.rate_limit.lock().expect("the mutex is not poisoned");
+        *named = limit.map(str::to_string);
+    }
+
     async fn handle(
         self: Arc<Self>,
         request: Request<Incoming>,
+    ) -> Result<Response<Body>, std::io::Error> {
+        self.arrivals.lock().expect("the mutex is not poisoned").push(Instant::now());
+        let mut response = self.clone().respond(request).await?;
+        let limit = self.rate_limit.lock().expect("the mutex is not poisoned").clone();
+        if let Some(limit) = limit {
+            let limit = limit.parse().expect("the header is valid");
+            response.headers_mut().insert("server-limit", limit);
+        }
+        Ok(response)
+    }
+
+    async fn respond(
+        self: Arc<Self>,
+        request: Request<Incoming>,
     ) -> Result<Response<Body>, std::io::Error> {
         let path = request.uri().path().to_string();
         if request.method() == Method::DELETE {
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -12,3 +12,4 @@
 mod output_margin;
 mod plain;
 mod roles;
+mod upstream_notice;
