--- a/tests/router/harness.rs
+++ b/tests/router/harness.rs
@@ -109,7 +109,13 @@
     /// Creates a router with [`default_configuration`] and these
     /// upstreams. Its virtual time starts at 1 s.
     pub fn new(upstreams: Vec<ListedUpstream>) -> Self {
-        let settings = RouterSettings { zone: "north".into(), ..RouterSettings::default() };
+        Self::with_seed(upstreams, 0)
+    }
+
+    /// The same, with this seed of the router's random numbers.
+    pub fn with_seed(upstreams: Vec<ListedUpstream>, random_seed: u64) -> Self {
+        let settings =
+            RouterSettings { zone: "north".into(), random_seed, ..RouterSettings::default() };
         let mut harness = Self { router: Router::new(settings), now: ms(1_000), offset: 0 };
         harness.router.configure(default_configuration());
         harness.router.set_budget_share(BUDGET_SHARE);
--- /dev/null
+++ b/tests/router/rate_limit.rs
@@ -0,0 +1,88 @@
+//! Rate limits that upstreams name, which hold over all entries together.
+
+use std::time::Duration;
+
+use crate::fleet::Fleet;
+use crate::fleet::FleetSettings;
+
+/// Time over which a limit is played.
+const PLAYED: Duration = Duration::from_secs(60);
+
+/// Returns the limits of three upstreams of which the last names none.
+fn two_of_three(limit_per_s: f64) -> Vec<Option<f64>> {
+    vec![Some(limit_per_s), Some(limit_per_s / 2.0), None]
+}
+
+macro_rules! limits_kept {
+    ($($name:ident: $settings:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            for seed in 1..=5 {
+                let mut fleet = Fleet::new(FleetSettings { seed, ..$settings });
+                fleet.run(PLAYED);
+                fleet.assert_limits_kept();
+            }
+        }
+    )*};
+}
+
+limits_kept! {
+    five_entries_keep_the_limits_of_two_upstreams_out_of_three: FleetSettings {
+        limits_per_s: two_of_three(3.3),
+        ..FleetSettings::default()
+    };
+    five_entries_keep_the_limits_of_all_upstreams: FleetSettings {
+        limits_per_s: vec![Some(3.3), Some(1.9), Some(2.2)],
+        ..FleetSettings::default()
+    };
+    many_entries_keep_the_limits_of_all_upstreams: FleetSettings {
+        entries: 68,
+        limits_per_s: vec![Some(10.0); 5],
+        requests_per_s: 155.0,
+        ..FleetSettings::default()
+    };
+    many_entries_keep_a_limit_far_below_one_request_an_entry: FleetSettings {
+        entries: 68,
+        limits_per_s: vec![Some(0.3), None],
+        requests_per_s: 155.0,
+        ..FleetSettings::default()
+    };
+    retries_after_failures_keep_the_limits: FleetSettings {
+        limits_per_s: two_of_three(3.3),
+        failing_share: 0.3,
+        ..FleetSettings::default()
+    };
+    a_limit_of_zero_is_kept: FleetSettings {
+        limits_per_s: vec![Some(0.0), None],
+        ..FleetSettings::default()
+    };
+}
+
+#[test]
+fn a_limit_that_changes_is_kept_and_one_that_is_lifted_is_forgotten() {
+    let settings = FleetSettings { limits_per_s: two_of_three(8.0), ..FleetSettings::default() };
+    let mut fleet = Fleet::new(settings);
+    for limit_per_s in [8.0, 2.0, 6.0] {
+        fleet.set_limits(two_of_three(limit_per_s));
+        fleet.run(PLAYED);
+        fleet.assert_limits_kept();
+    }
+    fleet.set_limits(vec![None; 3]);
+    fleet.run(PLAYED);
+    fleet.set_limits(vec![None; 3]);
+    fleet.run(PLAYED);
+    let mean = (0..3).map(|upstream| fleet.sent(upstream)).sum::<usize>() / 3;
+    assert!((0..3).all(|upstream| fleet.sent(upstream) * 2 > mean), "a lifted limit is still kept");
+}
+
+#[test]
+fn a_restarted_entry_keeps_the_limits_again() {
+    let settings = FleetSettings { limits_per_s: two_of_three(3.3), ..FleetSettings::default() };
+    let mut fleet = Fleet::new(settings);
+    for entry in 0..5 {
+        fleet.run(Duration::from_secs(10));
+        fleet.restart_entry(entry);
+    }
+    fleet.run(PLAYED);
+    fleet.assert_limits_kept();
+}
