Entries keep the rate limits that upstreams name, all together

Seen by the users: an upstream that named a limit got 30 requests in 4 s, 25 allowed. Class of fault: a bound over all entries that no entry knows its part of.

Each entry now sends at 0.8 of the limit times its share, which the store already assigns for the retry budgets. Permits are evenly spaced from a random time on and expire after a second, so those of 68 entries with one permit in 30 s each neither add up nor fall due together. A call goes to an upstream that has a permit, waits for a booked one up to half of the latency target, or is refused at once as rate-limited with the time of the next permit. Reservations (with the decode that follows), prefills, retries, role orders and cleanups take permits as well. A share that cannot be renewed is halved: the store may have given it to others, but gives nothing while it is down; 0.8 covers shares that add up to 1.5.

--- a/src/edge/direct/dispatch.rs
+++ b/src/edge/direct/dispatch.rs
@@ -132,6 +132,14 @@
     pub(super) fn start_cleanups_and_wake(self: &Rc<Self>) {
         let cleanups = self.router.borrow_mut().take_cleanups();
         for cleanup in cleanups {
+            if !self.router.borrow_mut().permit_cleanup(self.now(), &cleanup) {
+                spdlog::info!("clean-up-skipped", kv: {
+                    instance: = self.name,
+                    upstream: = cleanup.held().target.id,
+                    detail = "the upstream is at its rate limit"
+                });
+                continue;
+            }
             let dispatcher = self.clone();
             tokio::task::spawn_local(
                 async move { dispatcher.upstream_client.clean_up(cleanup).await },
--- a/src/edge/direct/lease_task.rs
+++ b/src/edge/direct/lease_task.rs
@@ -77,8 +77,12 @@
             // A lease that is not renewed expires by itself.
             Err(error) => spdlog::debug!("lease-not-renewed", kv: { detail: = error }),
         }
-        let share = self.lease.share(self.dispatcher.now()).unwrap_or(0.0);
-        self.dispatcher.router.borrow_mut().set_budget_share(share.max(FALLBACK_SHARE));
+        let now = self.dispatcher.now();
+        let budget_share = self.lease.share(now).unwrap_or(0.0);
+        let rate_limit_share = self.lease.rate_limit_share(now);
+        let mut router = self.dispatcher.router.borrow_mut();
+        router.set_budget_share(budget_share.max(FALLBACK_SHARE));
+        router.set_rate_limit_share(now, rate_limit_share.max(FALLBACK_SHARE));
     }
 
     /// Sends the next role order if one is due and this entry holds the lease.
@@ -90,6 +94,7 @@
         let due = self.dispatcher.router.borrow_mut().next_role_change(now);
         let Some(due) = due.filter(|_| self.lease.fencing_token(now).is_some()) else { return };
         let Some(target) = self.dispatcher.router.borrow().target(due.key) else { return };
+        self.dispatcher.router.borrow_mut().take_order_permits(now, &due);
         let response = self.send_order(&due, &target).await;
         self.dispatcher.router.borrow_mut().record_role_change(self.dispatcher.now(), &due);
         spdlog::info!("role-ordered", kv: {
--- a/src/edge/problem.rs
+++ b/src/edge/problem.rs
@@ -46,6 +46,7 @@
         RefusalReason::TooManyConnections
         | RefusalReason::LogUnavailable
         | RefusalReason::Overloaded
+        | RefusalReason::RateLimited
         | RefusalReason::NoUpstream
         | RefusalReason::RetryBudget
         | RefusalReason::ShuttingDown
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -58,6 +58,8 @@
     /// The latency target of the request cannot be met at the current load, or
     /// upstreams rejected the request.
     Overloaded,
+    /// All upstreams that could serve the request are at the rate limits that they name.
+    RateLimited,
     /// The client account exceeds its fair share of a busy pool.
     FairShare,
     /// No upstream of the pool accepts requests, or none could be reached.
--- a/src/router.rs
+++ b/src/router.rs
@@ -15,6 +15,7 @@
 pub mod lease;
 pub mod output_margin;
 mod plain;
+pub mod rate_limit;
 pub mod request;
 pub mod reservation_queue;
 mod reserving;
@@ -106,6 +107,8 @@
     budgets: HashMap<CompactString, WindowedRetryBudget>,
     /// This entry's share of the allowance in every retry budget.
     budget_share: f64,
+    /// This entry's share of the rate limits of upstreams.
+    rate_limit_share: f64,
     /// Prefill times with the wait for the engine, for the timeout of prefills.
     prefill_times: HashMap<CompactString, PrefillTimeEstimate>,
     /// Statistics of engine time, for the selection of engines and their roles.
@@ -129,6 +132,9 @@
 /// configuration yet; another entry may be able to serve it.
 const OTHER_ENTRY_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Calls that a role order takes: the query of the engine's state and the order.
+const SENDS_PER_ORDER: u32 = 2;
+
 /// Engines count as in use if a model request arrived within this time.
 const RECENT_DEMAND_WINDOW: Duration = Duration::from_secs(2);
 
@@ -143,6 +149,7 @@
             reservation_queues: HashMap::new(),
             budgets: HashMap::new(),
             budget_share: FALLBACK_SHARE,
+            rate_limit_share: FALLBACK_SHARE,
             prefill_times: HashMap::new(),
             engine_time: HashMap::new(),
             roles: HashMap::new(),
@@ -306,6 +313,23 @@
         })
     }
 
+    /// Takes the sends of a role order, the state query before it included, out of the
+    /// rate limit of its engine.
+    pub fn take_order_permits(&mut self, now: Duration, change: &RoleChange) {
+        self.upstreams.take_permits(now, change.key, SENDS_PER_ORDER);
+    }
+
+    /// True if the rate limit of the upstream allows a cleanup now. Takes the permit
+    /// then. Otherwise the upstream frees the resource by itself after a while.
+    pub fn permit_cleanup(&mut self, now: Duration, cleanup: &Cleanup) -> bool {
+        let key = cleanup.held().target.key;
+        let allowed = self.upstreams.get(key).is_none_or(|upstream| upstream.permits(now));
+        if allowed {
+            self.upstreams.take_permits(now, key, 1);
+        }
+        allowed
+    }
+
     /// Records that the lease holder tried to order this change, whether or not
     /// the order reached the engine.
     pub fn record_role_change(&mut self, now: Duration, change: &RoleChange) {
@@ -335,6 +359,12 @@
         self.budget_share = share;
     }
 
+    /// Sets this entry's share, from 0 to 1, of the rate limits that upstreams name.
+    pub fn set_rate_limit_share(&mut self, now: Duration, share: f64) {
+        self.rate_limit_share = share;
+        self.upstreams.set_rate_limit_share(now, share);
+    }
+
     fn budget(&mut self, service: &CompactString) -> &mut WindowedRetryBudget {
         let limits = self.settings.budget;
         let budget = self.budgets.entry(service.clone());
--- a/src/router/flow.rs
+++ b/src/router/flow.rs
@@ -172,3 +172,12 @@
     /// Discard a prefill result.
     DiscardPrefill(HeldResource),
 }
+
+impl Cleanup {
+    /// Resource to free, with the upstream that holds it.
+    pub fn held(&self) -> &HeldResource {
+        match self {
+            Self::ReleaseReservation(held) | Self::DiscardPrefill(held) => held,
+        }
+    }
+}
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -101,6 +101,7 @@
             // The decode engine prefills the prompt itself, more slowly.
             return self.decode(now, key);
         };
+        self.upstreams.take_permits(now, target.key, 1);
         let timeout = self.prefill_timeout(key);
         let request = &mut self.requests[key];
         request.phase = Phase::Prefilling;
@@ -156,6 +157,7 @@
         let Some(reservation) = self.requests[key].reservation.take() else { return Step::Abort };
         if !self.upstreams.accepts_work(reservation.target.key) {
             // The engine started to leave during the prefill.
+            self.upstreams.give_back_permit(reservation.target.key);
             self.cleanups.push(Cleanup::ReleaseReservation(reservation));
             self.uncount_open(key);
             return self.queue_for_reservation(now, key);
@@ -203,13 +205,23 @@
         match self.requests[key].phase {
             // The failure does not show that the engines are full, so another
             // one is asked even after the deadline for the reservation.
-            Phase::Reserving => self.reserve_at_next_engine(now, key),
+            Phase::Reserving => {
+                self.give_back_decode_permit(key);
+                self.reserve_at_next_engine(now, key)
+            }
             Phase::Prefilling => self.prefill_failed(now, key, failure),
             Phase::Decoding => self.decode_failed(now, key, failure),
             Phase::Relaying => Step::Abort,
         }
     }
 
+    /// Gives back the permit for a decode that does not follow, as its reservation failed.
+    fn give_back_decode_permit(&mut self, key: RequestKey) {
+        if let Some(target) = &self.requests[key].current {
+            self.upstreams.give_back_permit(target.key);
+        }
+    }
+
     fn prefill_failed(&mut self, now: Duration, key: RequestKey, failure: Failure) -> Step {
         self.uncount_prefill(key);
         let reservation = self.requests[key].reservation.as_ref().map(|held| held.target.clone());
--- a/src/router/lease.rs
+++ b/src/router/lease.rs
@@ -9,6 +9,9 @@
 
 use std::time::Duration;
 
+/// Part of its last share of rate limits that a member uses while it cannot renew it.
+const LAPSED_SHARE_PART: f64 = 0.5;
+
 /// Durations that govern the lease.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LeaseSettings {
@@ -115,6 +118,14 @@
         (now < self.share_until).then_some(self.share)
     }
 
+    /// This member's share of the rate limits of upstreams, from 0 to 1. If it was not
+    /// renewed in time, it is a part of the last one: the store may have assigned it to
+    /// other members, but it assigns nothing while it is down.
+    pub fn rate_limit_share(&self, now: Duration) -> f64 {
+        let lapsed = self.share * LAPSED_SHARE_PART;
+        self.share(now).unwrap_or(lapsed)
+    }
+
     /// Fencing token for orders; `None` if no order may be given now: the lease
     /// is not held, was won too recently, or is about to expire.
     pub fn fencing_token(&self, now: Duration) -> Option<u64> {
--- a/src/router/plain.rs
+++ b/src/router/plain.rs
@@ -9,6 +9,7 @@
 use crate::router::flow::Event;
 use crate::router::flow::Failure;
 use crate::router::flow::Step;
+use crate::router::flow::Target;
 use crate::router::request::RequestKey;
 
 /// Shortest wait for a response before an idempotent call goes to another
@@ -17,6 +18,8 @@
 /// Share of the latency target after which an idempotent call goes to another
 /// upstream.
 const CALL_TIMEOUT_SHARE: f64 = 0.7;
+/// Share of the latency target that a call may wait for an upstream at its rate limit.
+const PERMIT_WAIT_SHARE: f64 = 0.5;
 /// Longest pause between two parts of the body of a plain response.
 const BODY_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 /// `Retry-After` is at most the caller's remaining time divided by this, so
@@ -43,16 +46,41 @@
     }
 
     fn call(&mut self, now: Duration, key: RequestKey) -> Step {
-        let Some(target) =
-            self.select_service_upstream(now, key).and_then(|upstream| self.target(upstream))
-        else {
-            return Step::Refuse(self.refusal(
-                now,
-                key,
-                RefusalReason::NoUpstream,
-                NO_UPSTREAM_RETRY_AFTER,
-            ));
+        let booked = self.requests[key].booked_upstream.take();
+        let target = booked.and_then(|upstream| self.target(upstream));
+        if let Some(target) = target.filter(|target| self.upstreams.accepts_work(target.key)) {
+            return self.call_upstream(now, key, target);
+        }
+        let selected = self.select_service_upstream(now, key);
+        let Some(target) = selected.and_then(|upstream| self.target(upstream)) else {
+            return self.wait_for_permit(now, key);
+        };
+        self.upstreams.take_permits(now, target.key, 1);
+        self.call_upstream(now, key, target)
+    }
+
+    /// Books the next permit of an upstream that is at its rate limit and waits for it. If
+    /// it comes too late or there is no upstream, refuses the request.
+    fn wait_for_permit(&mut self, now: Duration, key: RequestKey) -> Step {
+        let service = self.requests[key].service.clone();
+        let role = self.call_role(now, &service);
+        let next = self.upstreams.next_sendable(&service, role, now);
+        let Some((upstream, at)) = next.filter(|(_, at)| *at > now) else {
+            let reason = RefusalReason::NoUpstream;
+            return Step::Refuse(self.refusal(now, key, reason, NO_UPSTREAM_RETRY_AFTER));
         };
+        let request = &mut self.requests[key];
+        let max_wait = request.route().latency_target.mul_f64(PERMIT_WAIT_SHARE);
+        if at > request.arrived_at + max_wait {
+            let wait = at.saturating_sub(now);
+            return Step::Refuse(self.refusal(now, key, RefusalReason::RateLimited, wait));
+        }
+        request.booked_upstream = Some(upstream);
+        self.upstreams.take_permits(now, upstream, 1);
+        Step::Wait { until: at }
+    }
+
+    fn call_upstream(&mut self, now: Duration, key: RequestKey, target: Target) -> Step {
         self.count_open(key, &target);
         let request = &mut self.requests[key];
         request.attempts += 1;
--- /dev/null
+++ b/src/router/rate_limit.rs
@@ -0,0 +1,113 @@
+//! Rate limit that an upstream names, and this entry's part of it.
+//!
+//! The limit counts over all entries together, but entries do not tell each other
+//! what they send. Each one therefore sends at the limit times its share. Its
+//! permits are spaced evenly from a random time on and expire if they are not used,
+//! so that the permits of many entries, each with far less than one a second,
+//! neither add up while there is no load nor fall due together.
+
+use std::time::Duration;
+
+/// Part of a named limit that all entries together use. The rest covers shares that
+/// overlap while the store reassigns them.
+const USED_PART: f64 = 0.8;
+/// Requests a second that all entries together send at least, to learn that a limit
+/// was raised or lifted.
+const MIN_REQUESTS_PER_S: f64 = 0.1;
+/// Smallest share of an entry; keeps intervals finite.
+const MIN_SHARE: f64 = 1e-4;
+/// Time for which an unused permit stays valid.
+const PERMIT_VALIDITY: Duration = Duration::from_secs(1);
+
+/// Rate limit of one upstream, with the permits of this entry.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RateLimit {
+    requests_per_s: f64,
+    share: f64,
+    named_at: Duration,
+    /// Time from which the next permit is valid, unless it has expired since.
+    next_permit_at: Duration,
+}
+
+impl RateLimit {
+    /// Creates a limit of `requests_per_s` over all entries, of which this entry has
+    /// the share `share`. `phase`, from 0 to 1, is the part of an interval after which
+    /// its first permit is valid.
+    pub fn new(now: Duration, requests_per_s: f64, share: f64, phase: f64) -> Self {
+        let next_permit_at = now + interval(requests_per_s, share).mul_f64(phase);
+        Self { requests_per_s, share, named_at: now, next_permit_at }
+    }
+
+    /// Records that a response named the limit again, possibly another one.
+    pub fn rename(&mut self, now: Duration, requests_per_s: f64) {
+        self.named_at = now;
+        self.change(now, requests_per_s, self.share);
+    }
+
+    /// Sets this entry's share of the limit, from 0 to 1.
+    pub fn set_share(&mut self, now: Duration, share: f64) {
+        self.change(now, self.requests_per_s, share);
+    }
+
+    /// Requests a second that the upstream accepts from all entries together.
+    pub fn requests_per_s(&self) -> f64 {
+        self.requests_per_s
+    }
+
+    /// When the latest response that named the limit was received.
+    pub fn named_at(&self) -> Duration {
+        self.named_at
+    }
+
+    /// Returns the earliest time, now or later, at which a request may be sent.
+    pub fn permit_at(&self, now: Duration) -> Duration {
+        self.next_permit(now).max(now)
+    }
+
+    /// True if a request may be sent now.
+    pub fn allows(&self, now: Duration) -> bool {
+        self.next_permit(now) <= now
+    }
+
+    /// Takes the next permit, even if it is only valid later, and those of `permits - 1`
+    /// requests that follow.
+    pub fn take(&mut self, now: Duration, permits: u32) {
+        self.next_permit_at = self.next_permit(now) + self.interval() * permits;
+    }
+
+    /// Gives back a permit of a request that was not sent.
+    pub fn give_back(&mut self) {
+        self.next_permit_at = self.next_permit_at.saturating_sub(self.interval());
+    }
+
+    /// Changes the limit or the share. The wait for the next permit changes in proportion
+    /// to the interval.
+    fn change(&mut self, now: Duration, requests_per_s: f64, share: f64) {
+        let wait = self.next_permit_at.saturating_sub(now);
+        let previous_interval = self.interval();
+        self.requests_per_s = requests_per_s;
+        self.share = share;
+        if !wait.is_zero() {
+            let factor = self.interval().as_secs_f64() / previous_interval.as_secs_f64();
+            self.next_permit_at = now + wait.mul_f64(factor);
+        }
+    }
+
+    /// Time from which the next permit is valid; those that expired are skipped.
+    fn next_permit(&self, now: Duration) -> Duration {
+        let expired_for = now.saturating_sub(self.next_permit_at + PERMIT_VALIDITY);
+        let interval = self.interval();
+        let skipped = (expired_for.as_secs_f64() / interval.as_secs_f64()).ceil();
+        self.next_permit_at + interval.mul_f64(skipped)
+    }
+
+    fn interval(&self) -> Duration {
+        interval(self.requests_per_s, self.share)
+    }
+}
+
+/// Time between two permits of an entry with this share of a limit.
+fn interval(requests_per_s: f64, share: f64) -> Duration {
+    let all_per_s = (requests_per_s * USED_PART).max(MIN_REQUESTS_PER_S);
+    Duration::from_secs_f64(1.0 / (all_per_s * share.max(MIN_SHARE)))
+}
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -142,6 +142,8 @@
     /// Upstream of the last step. Before another prefill it is set back to the
     /// decode engine of the reservation.
     pub(super) current: Option<Target>,
+    /// Upstream whose permit a waiting call has taken in advance.
+    pub(super) booked_upstream: Option<UpstreamKey>,
     /// Upstream whose `open_requests` and `open_tokens` include this request.
     pub(super) counted_upstream: Option<Target>,
     /// Prefill engine whose `prefilling_tokens` include this prompt.
@@ -191,6 +193,7 @@
             step_started_at: now,
             excluded: Vec::new(),
             current: None,
+            booked_upstream: None,
             counted_upstream: None,
             prefilling_engine: None,
             reservation: None,
--- a/src/router/reserving.rs
+++ b/src/router/reserving.rs
@@ -32,6 +32,9 @@
 /// How long an engine that rejected a reservation gets no request for one of as
 /// many tokens or more.
 const REJECTION_BACKOFF: Duration = Duration::from_millis(100);
+/// Sends that a reservation takes out of an engine's rate limit: its own and that of the
+/// decode that follows.
+const SENDS_PER_RESERVATION: u32 = 2;
 /// Largest number of engines that get a reservation request in one round.
 const MAX_ENGINES_PER_ROUND: usize = 12;
 /// The same for a late request. It leaves most of the room that becomes free to
@@ -84,10 +87,12 @@
         if !self.reservation_queues.get(&service).is_some_and(|queue| queue.is_head(key)) {
             return Step::Wait { until };
         }
-        if self.upstreams.available(&service, PoolRole::Decode, now).next().is_none() {
-            return Step::Wait { until: until.min(now + RESERVATION_POLL_INTERVAL) };
+        match self.upstreams.next_sendable(&service, PoolRole::Decode, now) {
+            None => Step::Wait { until: until.min(now + RESERVATION_POLL_INTERVAL) },
+            Some((_, at)) if at > until => self.refuse_rate_limited(now, key, at),
+            Some((_, at)) if at > now => Step::Wait { until: at },
+            Some(_) => self.reserve_at_next_engine(now, key),
         }
-        self.reserve_at_next_engine(now, key)
     }
 
     pub(super) fn reserve_at_next_engine(&mut self, now: Duration, key: RequestKey) -> Step {
@@ -105,6 +110,7 @@
             let until = self.reservation_deadline(key).min(now + RESERVATION_POLL_INTERVAL);
             return Step::Wait { until };
         };
+        self.upstreams.take_permits(now, target.key, SENDS_PER_RESERVATION);
         let request = &mut self.requests[key];
         request.current = Some(target.clone());
         let tokens = request.reserved_tokens;
@@ -133,9 +139,26 @@
         Step::Refuse(self.refusal(now, key, reason, CAPACITY_RETRY_AFTER))
     }
 
+    /// Refuses a request at once whose decode engines are all at their rate limits until
+    /// `sendable_at`.
+    fn refuse_rate_limited(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        sendable_at: Duration,
+    ) -> Step {
+        self.leave_reservation_queue(key);
+        if self.requests[key].response_started {
+            return Step::Abort;
+        }
+        let wait = sendable_at.saturating_sub(now);
+        Step::Refuse(self.refusal(now, key, RefusalReason::RateLimited, wait))
+    }
+
     pub(super) fn reservation_rejected(&mut self, now: Duration, key: RequestKey) -> Step {
         if let Some(target) = self.requests[key].current.clone() {
             self.requests[key].excluded.push(target.key);
+            self.upstreams.give_back_permit(target.key);
         }
         let tokens = self.requests[key].reserved_tokens;
         self.back_off(now, key, tokens, REJECTION_BACKOFF);
--- a/src/router/roles.rs
+++ b/src/router/roles.rs
@@ -149,7 +149,7 @@
         if self.is_early_reversal(now, role) {
             return None;
         }
-        let key = self.candidate(&engines, role)?;
+        let key = self.candidate(now, &engines, role)?;
         Some(RoleChange { key, role })
     }
 
@@ -223,9 +223,10 @@
 
     /// Selects the engine that changes to `role`: from the zone with the most
     /// engines of the other role, the last by id, so that every lease holder
-    /// selects the same.
+    /// selects the same. Engines at their rate limits are left out.
     fn candidate(
         &self,
+        now: Duration,
         engines: &[(UpstreamKey, &Upstream)],
         role: PoolRole,
     ) -> Option<UpstreamKey> {
@@ -239,6 +240,7 @@
         }
         let best = others
             .iter()
+            .filter(|(_, engine)| engine.permits(now))
             .filter(|(key, _)| !self.pending_changes.iter().any(|pending| pending.key == *key))
             .max_by_key(|(_, engine)| (in_zone[&engine.listed.zone], &engine.listed.id));
         best.map(|(key, _)| *key)
--- a/src/router/selection.rs
+++ b/src/router/selection.rs
@@ -41,7 +41,7 @@
         let tokens = request.reserved_tokens;
         let candidates = self
             .upstreams
-            .available(&request.service, PoolRole::Decode, now)
+            .sendable(&request.service, PoolRole::Decode, now)
             .filter(|(_, engine)| engine.capacity_backoff.allows(now, tokens));
         let cost = |engine: &Upstream| {
             engine.open_tokens as f64 + zone_cost(engine, &self.settings.zone, ZONE_COST_TOKENS)
@@ -61,11 +61,11 @@
         let decode = request.current.as_ref().and_then(|target| self.upstreams.get(target.key));
         let zone = decode.map_or(&self.settings.zone, |decode| &decode.listed.zone);
         let s_per_token = self.prefill_s_per_token(&request.service);
-        let available = self.upstreams.available(&request.service, PoolRole::Prefill, now);
+        let sendable = self.upstreams.sendable(&request.service, PoolRole::Prefill, now);
         let any_allowed =
-            available.clone().any(|(_, engine)| engine.capacity_backoff.allows(now, 0));
+            sendable.clone().any(|(_, engine)| engine.capacity_backoff.allows(now, 0));
         let engines =
-            available.filter(|(_, engine)| !any_allowed || engine.capacity_backoff.allows(now, 0));
+            sendable.filter(|(_, engine)| !any_allowed || engine.capacity_backoff.allows(now, 0));
         let cost = |engine: &Upstream| {
             let wait_s = engine.prefill_wait.expected(now).as_secs_f64();
             let load = engine.prefilling_tokens as f64 + wait_s / s_per_token;
@@ -80,23 +80,29 @@
         time.unwrap_or(FALLBACK_PREFILL_TIME_PER_TOKEN).as_secs_f64()
     }
 
-    /// Selects the upstream for a call to a plain service.
+    /// Selects the upstream for a call to a plain service, of those that may be sent a
+    /// request now.
     pub(super) fn select_service_upstream(
         &mut self,
         now: Duration,
         key: RequestKey,
     ) -> Option<UpstreamKey> {
         let request = &self.requests[key];
-        let any_service =
-            self.upstreams.available(&request.service, PoolRole::Service, now).next().is_some();
-        // Decode engines accept plain requests, too.
-        let role = if any_service { PoolRole::Service } else { PoolRole::Decode };
-        let available = self.upstreams.available(&request.service, role, now);
+        let role = self.call_role(now, &request.service);
+        let sendable = self.upstreams.sendable(&request.service, role, now);
         let cost = |upstream: &Upstream| {
             f64::from(upstream.open_requests)
                 + zone_cost(upstream, &self.settings.zone, ZONE_COST_CALLS)
         };
-        cheapest(available, &request.excluded, &mut self.rng, JITTER_CALLS, cost)
+        cheapest(sendable, &request.excluded, &mut self.rng, JITTER_CALLS, cost)
+    }
+
+    /// Role of the upstreams that calls to a service go to: decode engines accept plain
+    /// requests, too.
+    pub(super) fn call_role(&self, now: Duration, service: &str) -> PoolRole {
+        let any_service =
+            self.upstreams.available(service, PoolRole::Service, now).next().is_some();
+        if any_service { PoolRole::Service } else { PoolRole::Decode }
     }
 
     /// Returns the upstream with this key as a target of steps, if it is still
--- a/src/router/upstream_notice.rs
+++ b/src/router/upstream_notice.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
+use rand::RngExt;
+
 use crate::router::Router;
+use crate::router::rate_limit::RateLimit;
 use crate::router::upstreams::UpstreamKey;
 
 /// What the head of one response says about its upstream.
@@ -27,15 +30,6 @@
     Invalid,
 }
 
-/// Rate limit that an upstream has named.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct NamedRateLimit {
-    /// Requests a second that the upstream accepts from all entries together.
-    pub requests_per_s: f64,
-    /// When the latest response that named a limit was received.
-    pub named_at: Duration,
-}
-
 /// Change of an upstream's rate limit, in requests a second; `None` is no limit.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RateLimitChange {
@@ -56,18 +50,25 @@
         now: Duration,
         notice: &UpstreamNotice,
     ) -> Option<RateLimitChange> {
+        let share = self.rate_limit_share;
         let upstream = self.upstreams.get_mut(notice.upstream)?;
         let current = upstream.rate_limit;
-        upstream.rate_limit = match notice.rate_limit {
-            RateLimitNotice::Named(requests_per_s) => {
-                Some(NamedRateLimit { requests_per_s, named_at: now })
+        match (notice.rate_limit, &mut upstream.rate_limit) {
+            (RateLimitNotice::Named(requests_per_s), Some(limit)) => {
+                limit.rename(now, requests_per_s);
             }
-            RateLimitNotice::Absent => current.filter(|limit| notice.sent_at < limit.named_at),
-            RateLimitNotice::Invalid => current,
-        };
+            (RateLimitNotice::Named(requests_per_s), limit) => {
+                let phase = self.rng.random_range(0.0..1.0);
+                *limit = Some(RateLimit::new(now, requests_per_s, share, phase));
+            }
+            (RateLimitNotice::Absent, limit) => {
+                *limit = current.filter(|limit| notice.sent_at < limit.named_at());
+            }
+            (RateLimitNotice::Invalid, _) => {}
+        }
         let change = RateLimitChange {
-            before: current.map(|limit| limit.requests_per_s),
-            after: upstream.rate_limit.map(|limit| limit.requests_per_s),
+            before: current.map(|limit| limit.requests_per_s()),
+            after: upstream.rate_limit.map(|limit| limit.requests_per_s()),
         };
         (change.before != change.after).then_some(change)
     }
--- a/src/router/upstreams.rs
+++ b/src/router/upstreams.rs
@@ -13,7 +13,7 @@
 use crate::policy::ejection::EjectionLimits;
 use crate::policy::ejection::Health;
 use crate::router::engine_time::PrefillWaitEstimate;
-use crate::router::upstream_notice::NamedRateLimit;
+use crate::router::rate_limit::RateLimit;
 
 new_key_type! {
     /// Identifies one incarnation of an upstream within one entry.
@@ -72,7 +72,14 @@
     /// Backoff after a rejection for lack of capacity.
     pub capacity_backoff: CapacityBackoff,
     /// Rate limit that the upstream names in its responses, if it does.
-    pub rate_limit: Option<NamedRateLimit>,
+    pub rate_limit: Option<RateLimit>,
+}
+
+impl Upstream {
+    /// True if the rate limit of the upstream, if any, allows a request now.
+    pub fn permits(&self, now: Duration) -> bool {
+        self.rate_limit.is_none_or(|limit| limit.allows(now))
+    }
 }
 
 /// Backoff from an upstream that lacked capacity: until it ends, the upstream
@@ -185,18 +192,77 @@
 
     /// Upstreams of a service and role that accept new work: not leaving and
     /// not ejected. If all of them are ejected, all that are not leaving are
-    /// returned.
+    /// returned. They may be at their rate limits.
     pub fn available(
         &self,
         service: &str,
         role: PoolRole,
         now: Duration,
     ) -> impl Iterator<Item = (UpstreamKey, &Upstream)> + Clone {
-        let listed = self
-            .service_upstreams(service)
-            .filter(move |(_, upstream)| upstream.listed.role == role && !upstream.listed.leaving);
-        let any_not_ejected = listed.clone().any(|(_, upstream)| !upstream.health.is_ejected(now));
-        listed.filter(move |(_, upstream)| !any_not_ejected || !upstream.health.is_ejected(now))
+        without_ejected(self.not_leaving(service, role), now)
+    }
+
+    /// Upstreams of a service and role that accept new work and may be sent a request
+    /// now under their rate limits. If all of them are ejected, the ejected ones are
+    /// returned.
+    pub fn sendable(
+        &self,
+        service: &str,
+        role: PoolRole,
+        now: Duration,
+    ) -> impl Iterator<Item = (UpstreamKey, &Upstream)> + Clone {
+        let permitted =
+            self.not_leaving(service, role).filter(move |(_, upstream)| upstream.permits(now));
+        without_ejected(permitted, now)
+    }
+
+    fn not_leaving(
+        &self,
+        service: &str,
+        role: PoolRole,
+    ) -> impl Iterator<Item = (UpstreamKey, &Upstream)> + Clone {
+        self.service_upstreams(service)
+            .filter(move |(_, upstream)| upstream.listed.role == role && !upstream.listed.leaving)
+    }
+
+    /// Returns the upstream of a service and role that may be sent a request first under
+    /// its rate limit, and when; `None` if no upstream accepts new work.
+    pub fn next_sendable(
+        &self,
+        service: &str,
+        role: PoolRole,
+        now: Duration,
+    ) -> Option<(UpstreamKey, Duration)> {
+        let available = self.available(service, role, now);
+        let sendable_at = available.map(|(key, upstream)| {
+            (key, upstream.rate_limit.map_or(now, |limit| limit.permit_at(now)))
+        });
+        sendable_at.min_by_key(|(_, at)| *at)
+    }
+
+    /// Takes the permits for a number of requests to an upstream, if it has a rate limit.
+    pub fn take_permits(&mut self, now: Duration, key: UpstreamKey, permits: u32) {
+        let upstream = self.upstreams.get_mut(key);
+        if let Some(limit) = upstream.and_then(|upstream| upstream.rate_limit.as_mut()) {
+            limit.take(now, permits);
+        }
+    }
+
+    /// Gives back the permit for a request that was not sent.
+    pub fn give_back_permit(&mut self, key: UpstreamKey) {
+        let upstream = self.upstreams.get_mut(key);
+        if let Some(limit) = upstream.and_then(|upstream| upstream.rate_limit.as_mut()) {
+            limit.give_back();
+        }
+    }
+
+    /// Sets this entry's share, from 0 to 1, of the rate limits of all upstreams.
+    pub fn set_rate_limit_share(&mut self, now: Duration, share: f64) {
+        for upstream in self.upstreams.values_mut() {
+            if let Some(limit) = &mut upstream.rate_limit {
+                limit.set_share(now, share);
+            }
+        }
     }
 
     /// True if the upstream is listed and not leaving.
@@ -236,3 +302,12 @@
         health.is_ejected(now)
     }
 }
+
+/// Leaves out the ejected upstreams, unless all of them are ejected.
+fn without_ejected<'a>(
+    upstreams: impl Iterator<Item = (UpstreamKey, &'a Upstream)> + Clone,
+    now: Duration,
+) -> impl Iterator<Item = (UpstreamKey, &'a Upstream)> + Clone {
+    let any_not_ejected = upstreams.clone().any(|(_, upstream)| !upstream.health.is_ejected(now));
+    upstreams.filter(move |(_, upstream)| !any_not_ejected || !upstream.health.is_ejected(now))
+}
--- a/tests/router/fleet.rs
+++ b/tests/router/fleet.rs
@@ -139,6 +139,13 @@
         self.name_limits();
     }
 
+    /// Sets the share of the limits that each entry uses.
+    pub fn set_shares(&mut self, shares: &[f64]) {
+        for (entry, share) in self.entries.iter_mut().zip(shares) {
+            entry.router.set_rate_limit_share(self.now, *share);
+        }
+    }
+
     fn name_limits(&mut self) {
         for (backend, limit_per_s) in self.backends.iter_mut().zip(&self.settings.limits_per_s) {
             backend.limit_per_s = *limit_per_s;
@@ -280,7 +287,9 @@
         .map(|number| upstream(&format!("s{number}"), DESK, PoolRole::Service))
         .collect();
     let mut entry = Harness::with_seed(upstreams, seed);
-    entry.router.set_budget_share(1.0 / settings.entries as f64);
+    let share = 1.0 / settings.entries as f64;
+    entry.router.set_budget_share(share);
+    entry.router.set_rate_limit_share(entry.now, share);
     entry
 }
 
--- a/tests/router/lease.rs
+++ b/tests/router/lease.rs
@@ -114,3 +114,13 @@
     assert_eq!(lease.share(ms(4_900)), Some(0.25));
     assert_eq!(lease.share(ms(5_000)), None);
 }
+
+/// The store may have given the share to others, but gives nothing while it is down.
+#[test]
+fn without_renewals_half_of_the_last_share_of_rate_limits_is_used() {
+    let mut lease = lease();
+    assert_eq!(lease.rate_limit_share(ms(0)), 0.0);
+    renew(&mut lease, 0, 3_000, granted(4));
+    assert_eq!(lease.rate_limit_share(ms(6_900)), 0.25);
+    assert_eq!(lease.rate_limit_share(ms(7_100)), 0.125);
+}
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -13,5 +13,6 @@
 mod output_margin;
 mod plain;
 mod rate_limit;
+mod rate_limited_engines;
 mod roles;
 mod upstream_notice;
--- a/tests/router/rate_limit.rs
+++ b/tests/router/rate_limit.rs
@@ -8,6 +8,9 @@
 /// Time over which a limit is played.
 const PLAYED: Duration = Duration::from_secs(60);
 
+/// Half of the latency target of the route.
+const MAX_WAIT: Duration = Duration::from_millis(450);
+
 /// Returns the limits of three upstreams of which the last names none.
 fn two_of_three(limit_per_s: f64) -> Vec<Option<f64>> {
     vec![Some(limit_per_s), Some(limit_per_s / 2.0), None]
@@ -86,3 +89,52 @@
     fleet.run(PLAYED);
     fleet.assert_limits_kept();
 }
+
+/// Four of five entries lost the store one after the other: each keeps a part of its last share,
+/// while the store gave what it had to the others.
+#[test]
+fn limits_are_kept_while_the_shares_of_entries_overlap() {
+    let settings = FleetSettings {
+        limits_per_s: vec![Some(3.3), Some(1.9), Some(2.2)],
+        ..FleetSettings::default()
+    };
+    let mut fleet = Fleet::new(settings);
+    fleet.set_shares(&[0.1, 0.125, 0.167, 0.25, 1.0]);
+    fleet.run(PLAYED);
+    fleet.assert_limits_kept();
+}
+
+#[test]
+fn no_request_is_refused_while_an_upstream_names_no_limit() {
+    let settings = FleetSettings { limits_per_s: two_of_three(3.3), ..FleetSettings::default() };
+    let mut fleet = Fleet::new(settings);
+    fleet.run(PLAYED);
+    assert_eq!(fleet.refused.len(), 0);
+}
+
+macro_rules! limits_used {
+    ($($name:ident: $entries:literal, $limits:expr, $requests_per_s:literal;)*) => {$(
+        /// At least half of what the upstreams take is served; the rest is refused within half
+        /// of the latency target, with a time to come back.
+        #[test]
+        fn $name() {
+            let limits_per_s: Vec<Option<f64>> = $limits;
+            let taken_per_s: f64 = limits_per_s.iter().flatten().sum();
+            let mut fleet = Fleet::new(FleetSettings {
+                entries: $entries,
+                limits_per_s,
+                requests_per_s: $requests_per_s,
+                ..FleetSettings::default()
+            });
+            fleet.run(PLAYED);
+            assert!(fleet.served as f64 >= 0.5 * taken_per_s * PLAYED.as_secs_f64(), "{}", fleet.served);
+            assert!(fleet.refused.iter().all(|waited| *waited <= MAX_WAIT));
+            assert_eq!(fleet.retry_after.len(), fleet.refused.len());
+        }
+    )*};
+}
+
+limits_used! {
+    five_entries_use_the_limits_of_all_upstreams: 5, vec![Some(3.3), Some(1.9), Some(2.2)], 25.0;
+    many_entries_use_the_limits_of_all_upstreams: 68, vec![Some(10.0); 5], 155.0;
+}
