Soak: replicas name rate limits, and a check that they are kept

Seeds from 1000 on draw replicas that name a rate limit for 6 to 12 s beside the other faults; lower seeds keep their known plans.

--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -26,6 +26,7 @@
 use crate::fleet::ReplicaNode;
 use crate::inject::AppliedAction;
 use crate::plan::Action;
+use crate::rate_limits::check_rate_limits;
 
 /// Time after the last action within which every entry must serve every route again.
 pub const RECOVERY_TIMEOUT: Duration = Duration::from_secs(15);
@@ -68,16 +69,16 @@
 }
 
 /// Arrival of a request at a replica, once for each attempt of an entry.
-struct Arrival {
+pub(crate) struct Arrival {
     /// Index of the replica in the fleet.
-    node: usize,
-    request: ReceivedRequest,
+    pub(crate) node: usize,
+    pub(crate) request: ReceivedRequest,
     kind: ArrivalKind,
 }
 
 /// What a replica did with a request that arrived.
 #[derive(Clone, Copy, PartialEq, Eq)]
-enum ArrivalKind {
+pub(crate) enum ArrivalKind {
     Executed,
     Prefilled,
     Rejected,
@@ -116,6 +117,7 @@
         }
     }
     violations.extend(check_retry_budget(&arrivals, &nodes, record.requests));
+    violations.extend(check_rate_limits(record, &arrivals, &nodes, &by_id));
     violations.extend(check_order_fencing(&record.orders()));
     violations.extend(record.check_stops());
     violations.extend(check_no_open_streams(&nodes));
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -82,6 +82,19 @@
     pub service: &'static str,
     /// Time at which the store listed it as leaving; `None` until then.
     pub leaving_since: Mutex<Option<Instant>>,
+    /// Rate limits that it has named, in the order of time.
+    pub rate_limits: Mutex<Vec<NamedRateLimit>>,
+}
+
+/// Rate limit that a replica named for a time.
+#[derive(Debug, Clone, Copy)]
+pub struct NamedRateLimit {
+    /// Requests a second that it takes from all entries together.
+    pub requests_per_s: f64,
+    /// Time from which it named the limit.
+    pub from: Instant,
+    /// Time until which it names the limit.
+    pub until: Instant,
 }
 
 impl ReplicaNode {
@@ -89,7 +102,23 @@
         let (replica, address) = Replica::start(id, kind).await;
         replica.response_delay.set(if kind == Kind::Plain { DESK_DELAY } else { ENGINE_DELAY });
         let proxy = Proxy::start(address).await;
-        Arc::new(Self { replica, proxy, service, leaving_since: Mutex::new(None) })
+        let (leaving_since, rate_limits) = (Mutex::default(), Mutex::default());
+        Arc::new(Self { replica, proxy, service, leaving_since, rate_limits })
+    }
+
+    /// Names a rate limit for this long, unless it names one already.
+    pub async fn name_rate_limit(&self, requests_per_s: f64, duration: Duration) {
+        let from = Instant::now();
+        {
+            let mut limits = self.rate_limits.lock().expect("the mutex is not poisoned");
+            if limits.last().is_some_and(|limit| from < limit.until) {
+                return;
+            }
+            limits.push(NamedRateLimit { requests_per_s, from, until: from + duration });
+        }
+        self.replica.set_rate_limit(Some(&requests_per_s.to_string()));
+        tokio::time::sleep(duration).await;
+        self.replica.set_rate_limit(None);
     }
 
     /// Time at which the store listed it as leaving; `None` until then.
--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -63,7 +63,10 @@
     pub fn affects_replica(&self) -> bool {
         matches!(
             self.action,
-            Action::ReplicaLink(..) | Action::ReplicaFault(..) | Action::ReplicaFull(..)
+            Action::ReplicaLink(..)
+                | Action::ReplicaFault(..)
+                | Action::ReplicaFull(..)
+                | Action::RateLimit(..)
         )
     }
 
@@ -160,6 +163,12 @@
                 tokio::time::sleep(duration).await;
                 node.replica.full.set(false);
             }
+            Action::RateLimit(position, tenths_per_s, duration) => {
+                fleet
+                    .node(position)
+                    .name_rate_limit(f64::from(tenths_per_s) / 10.0, duration)
+                    .await;
+            }
             Action::ReplaceReplica(position) => fleet.clone().replace_replica(position).await,
             Action::Stop(entry) => return self.stop_entry(entry).await,
             Action::Kill(entry) => {
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -10,6 +10,7 @@
 mod inject;
 pub mod plan;
 pub mod proxy;
+mod rate_limits;
 
 use std::path::Path;
 use std::time::Duration;
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -47,6 +47,8 @@
     ReplicaFault(usize, OneTimeFault),
     /// A replica has no capacity and rejects reservations.
     ReplicaFull(usize, Duration),
+    /// A replica names a rate limit, in tenths of a request a second.
+    RateLimit(usize, u32, Duration),
     /// A replica leaves as planned, and a new one takes its position.
     ReplaceReplica(usize),
     /// An entry is stopped with SIGTERM as planned, and started again.
@@ -87,6 +89,12 @@
 /// drawn, during which no response may break off.
 const PLANNED_ONLY_SEED_INTERVAL: u64 = 4;
 
+/// First seed whose plan has replicas that name rate limits beside the other actions. Lower seeds
+/// are known by their plans.
+const FIRST_RATE_LIMIT_SEED: u64 = 1_000;
+/// Longest pause between two rate limits.
+const MAX_RATE_LIMIT_PAUSE_MS: u64 = 4_000;
+
 /// Returns the plan of a seed, ordered by time. An action starts once, or two or three times
 /// 400 ms apart. The next action starts less than 1.5 s after the first of these starts, so that
 /// actions overlap.
@@ -108,10 +116,27 @@
         }
         at += Duration::from_millis(rng.random_range(0..1_500));
     }
+    if seed >= FIRST_RATE_LIMIT_SEED {
+        actions.extend(draw_rate_limits(&mut rng, size));
+    }
     actions.sort_by_key(|action| action.at);
     actions
 }
 
+fn draw_rate_limits(rng: &mut ChaCha8Rng, size: RunSize) -> Vec<ScheduledAction> {
+    let mut actions = Vec::new();
+    let mut at = Duration::ZERO;
+    while at < size.fault_duration {
+        let replica = rng.random_range(0..size.replicas);
+        let tenths_per_s = rng.random_range(5..60);
+        let duration = Duration::from_millis(rng.random_range(6_000..12_000));
+        let action = Action::RateLimit(replica, tenths_per_s, duration);
+        actions.push(ScheduledAction { at, action });
+        at += Duration::from_millis(rng.random_range(0..MAX_RATE_LIMIT_PAUSE_MS));
+    }
+    actions
+}
+
 fn draw_action(rng: &mut ChaCha8Rng, size: RunSize) -> Action {
     let entry = rng.random_range(0..size.entries);
     let replica = rng.random_range(0..size.replicas);
