--- a/src/edge/direct/lease_task.rs
+++ b/src/edge/direct/lease_task.rs
@@ -79,10 +79,12 @@
         }
         let now = self.dispatcher.now();
         let budget_share = self.lease.share(now).unwrap_or(0.0);
-        let rate_limit_share = self.lease.rate_limit_share(now);
+        // An entry to which the store assigns no share uses none: there may be more
+        // entries than shares.
+        let rate_limit_share = self.lease.rate_limit_share(now).unwrap_or(FALLBACK_SHARE);
         let mut router = self.dispatcher.router.borrow_mut();
         router.set_budget_share(budget_share.max(FALLBACK_SHARE));
-        router.set_rate_limit_share(now, rate_limit_share.max(FALLBACK_SHARE));
+        router.set_rate_limit_share(now, rate_limit_share);
     }
 
     /// Sends the next role order if one is due and this entry holds the lease.
--- a/src/router/lease.rs
+++ b/src/router/lease.rs
@@ -118,12 +118,14 @@
         (now < self.share_until).then_some(self.share)
     }
 
-    /// This member's share of the rate limits of upstreams, from 0 to 1. If it was not
-    /// renewed in time, it is a part of the last one: the store may have assigned it to
-    /// other members, but it assigns nothing while it is down.
-    pub fn rate_limit_share(&self, now: Duration) -> f64 {
+    /// This member's share of the rate limits of upstreams, from 0 to 1; `None` before
+    /// the store's first response. If it was not renewed in time, it is a part of the
+    /// last one: the store may have assigned it to other members, but it assigns nothing
+    /// while it is down.
+    pub fn rate_limit_share(&self, now: Duration) -> Option<f64> {
+        let known = self.generation > 0;
         let lapsed = self.share * LAPSED_SHARE_PART;
-        self.share(now).unwrap_or(lapsed)
+        known.then(|| self.share(now).unwrap_or(lapsed))
     }
 
     /// Fencing token for orders; `None` if no order may be given now: the lease
--- a/src/router/rate_limit.rs
+++ b/src/router/rate_limit.rs
@@ -14,8 +14,8 @@
 /// Requests a second that all entries together send at least, to learn that a limit
 /// was raised or lifted.
 const MIN_REQUESTS_PER_S: f64 = 0.1;
-/// Smallest share of an entry; keeps intervals finite.
-const MIN_SHARE: f64 = 1e-4;
+/// Share that an entry uses if it has none or less, to learn that a limit was lifted.
+const MIN_SHARE: f64 = 1.0 / 4_096.0;
 /// Time for which an unused permit stays valid.
 const PERMIT_VALIDITY: Duration = Duration::from_secs(1);
 
--- a/tests/router/lease.rs
+++ b/tests/router/lease.rs
@@ -119,8 +119,16 @@
 #[test]
 fn without_renewals_half_of_the_last_share_of_rate_limits_is_used() {
     let mut lease = lease();
-    assert_eq!(lease.rate_limit_share(ms(0)), 0.0);
+    assert_eq!(lease.rate_limit_share(ms(0)), None);
     renew(&mut lease, 0, 3_000, granted(4));
-    assert_eq!(lease.rate_limit_share(ms(6_900)), 0.25);
-    assert_eq!(lease.rate_limit_share(ms(7_100)), 0.125);
+    assert_eq!(lease.rate_limit_share(ms(6_900)), Some(0.25));
+    assert_eq!(lease.rate_limit_share(ms(7_100)), Some(0.125));
+}
+
+/// There are more entries than partitions, so some of them get none.
+#[test]
+fn an_entry_to_which_the_store_assigns_no_share_uses_none_of_the_rate_limits() {
+    let mut lease = lease();
+    renew(&mut lease, 0, 3_000, RenewalResponse { generation: 4, holds: false, share: 0.0 });
+    assert_eq!(lease.rate_limit_share(ms(3_100)), Some(0.0));
 }
--- a/tests/router/rate_limit.rs
+++ b/tests/router/rate_limit.rs
@@ -138,3 +138,20 @@
     five_entries_use_the_limits_of_all_upstreams: 5, vec![Some(3.3), Some(1.9), Some(2.2)], 25.0;
     many_entries_use_the_limits_of_all_upstreams: 68, vec![Some(10.0); 5], 155.0;
 }
+
+/// The store assigns 64 partitions, so most of 410 entries have no share.
+#[test]
+fn more_entries_than_shares_keep_the_limits() {
+    let settings = FleetSettings {
+        entries: 410,
+        limits_per_s: vec![Some(10.0); 5],
+        requests_per_s: 155.0,
+        ..FleetSettings::default()
+    };
+    let mut fleet = Fleet::new(settings);
+    let shares: Vec<f64> =
+        (0..410).map(|entry| if entry < 64 { 1.0 / 64.0 } else { 0.0 }).collect();
+    fleet.set_shares(&shares);
+    fleet.run(PLAYED);
+    fleet.assert_limits_kept();
+}
