--- a/benches/route.rs
+++ b/benches/route.rs
@@ -62,6 +62,7 @@
         id: format!("engine-{number}").into(),
         service: ENGINES.into(),
         address: ([10, 0, 0, 1], 1_000 + number).into(),
+        version: "v1".into(),
         zone: ZONES[usize::from(number) % ZONES.len()].into(),
         role: if is_prefill { PoolRole::Prefill } else { PoolRole::Decode },
         leaving: false,
--- a/src/edge/direct/dispatch.rs
+++ b/src/edge/direct/dispatch.rs
@@ -122,6 +122,7 @@
             patience_ms = crate::clock::as_ms(request.remaining_time(request.arrived_at)),
             prompt_tokens = request.prompt.map_or(0, |prompt| prompt.tokens),
             max_output_tokens = request.prompt.map_or(0, |prompt| prompt.max_output_tokens),
+            resumes: = request.resumes.as_deref().unwrap_or_default(),
             output_hint = request.prompt.and_then(|prompt| prompt.output_hint).unwrap_or(0),
             generation = request.version()
         });
--- a/src/edge/direct/metrics.rs
+++ b/src/edge/direct/metrics.rs
@@ -14,6 +14,7 @@
 
 use crate::edge::logs::dropped_lines;
 use crate::outcome::Refusal;
+use crate::router::Target;
 use crate::router::follow::Feed;
 use crate::router::upstream_notice::RateLimitNotice;
 
@@ -53,6 +54,11 @@
     limit: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct VersionLabels {
+    version: &'static str,
+}
+
 /// Metrics of an entry, with their registry.
 pub struct Metrics {
     registry: Registry,
@@ -63,6 +69,7 @@
     steps: Family<KindLabels, Counter>,
     store_reads: Family<StoreReadLabels, Counter>,
     rate_limit_notices: Family<RateLimitLabels, Counter>,
+    continued_streams: Family<VersionLabels, Counter>,
     first_part: Family<KindLabels, Histogram>,
     step_duration: Family<KindLabels, Histogram>,
     open_requests: Gauge,
@@ -82,6 +89,7 @@
             steps: Family::default(),
             store_reads: Family::default(),
             rate_limit_notices: Family::default(),
+            continued_streams: Family::default(),
             first_part: Family::new_with_constructor(histogram),
             step_duration: Family::new_with_constructor(histogram),
             open_requests: Gauge::default(),
@@ -109,6 +117,8 @@
         registry.register("store_reads", "Reads of the platform's store", self.store_reads.clone());
         let help = "Responses of upstreams, by what they say of a rate limit";
         registry.register("rate_limit_notices", help, self.rate_limit_notices.clone());
+        let help = "Interrupted streams that continued, by the version of the new engine";
+        registry.register("continued_streams", help, self.continued_streams.clone());
         let unit = Unit::Seconds;
         let help = "From arrival to the head of the answer";
         registry.register_with_unit("first_part", help, unit, self.first_part.clone());
@@ -166,6 +176,17 @@
         self.rate_limit_notices.get_or_create(&RateLimitLabels { limit }).inc();
     }
 
+    /// Counts a stream that continues at an engine, by whether the engine has the software
+    /// version at which the stream began.
+    pub fn count_continuation(&self, begun_version: Option<&str>, target: &Target) {
+        let version = match begun_version {
+            None => "unknown",
+            Some(begun) if begun == target.version => "same",
+            Some(_) => "other",
+        };
+        self.continued_streams.get_or_create(&VersionLabels { version }).inc();
+    }
+
     /// Encodes all metrics as OpenMetrics text, with these values for the gauges: requests
     /// in flight, listed upstreams, and version of the configuration in force.
     pub fn encode(&self, open_requests: usize, upstreams: usize, generation: u64) -> String {
--- a/src/edge/direct/request_log.rs
+++ b/src/edge/direct/request_log.rs
@@ -6,6 +6,7 @@
 use crate::outcome::Refusal;
 use crate::router::Event;
 use crate::router::Step;
+use crate::router::Target;
 use crate::router::request::Request;
 
 /// Returns the name of a step in logs and metrics.
@@ -66,6 +67,20 @@
     });
 }
 
+/// Logs that a stream continues at an engine after it was interrupted, in the same response or
+/// in one to another request of its caller. `begun_version` is empty if it is not known.
+pub(super) fn log_continuation(instance: &str, request: &Request, target: &Target) {
+    spdlog::info!("stream-continued", kv: {
+        instance: = instance,
+        request_id: = request.id,
+        upstream: = target.id,
+        version: = target.version,
+        begun_version: = request.begun_version.as_deref().unwrap_or_default(),
+        resumes: = request.resumes.as_deref().unwrap_or_default(),
+        after_event = request.last_event().unwrap_or(0)
+    });
+}
+
 /// Logs an event that is a failure.
 pub(super) fn log_failure_event(instance: &str, now: Duration, request: &Request, event: &Event) {
     let (what, detail) = match event {
--- a/src/edge/direct/request_task.rs
+++ b/src/edge/direct/request_task.rs
@@ -19,6 +19,7 @@
 use crate::edge::direct::dispatch::Dispatcher;
 use crate::edge::direct::request_log::RequestEnding;
 use crate::edge::direct::request_log::failure_reason;
+use crate::edge::direct::request_log::log_continuation;
 use crate::edge::direct::request_log::log_failure_event;
 use crate::edge::direct::request_log::log_step;
 use crate::edge::direct::request_log::step_kind;
@@ -120,6 +121,9 @@
     /// Executes a step and returns its result, or `None` if the request has ended.
     async fn execute_step(&mut self, step: Step) -> Option<Event> {
         log_step(&self.dispatcher.name, &self.request.id, &step);
+        if let Step::Decode { target, after_event: Some(_), .. } = &step {
+            self.record_continuation(target);
+        }
         match step {
             Step::Refuse(refusal) => {
                 self.send_refusal(refusal);
@@ -139,6 +143,14 @@
         }
     }
 
+    /// Logs and counts that a stream continues at an engine.
+    fn record_continuation(&self, target: &Target) {
+        let router = self.dispatcher.router.borrow();
+        let Some(request) = router.request(self.key) else { return };
+        self.dispatcher.metrics.count_continuation(request.begun_version.as_deref(), target);
+        log_continuation(&self.dispatcher.name, request, target);
+    }
+
     /// Executes a step on an upstream until it completes, the deadline passes or the caller
     /// disconnects. Returns `None` if the caller disconnected.
     async fn execute_until_deadline(&mut self, step: Step) -> Option<Event> {
--- a/src/edge/direct/store_follower.rs
+++ b/src/edge/direct/store_follower.rs
@@ -19,6 +19,7 @@
 use crate::router::follow::Read;
 use crate::router::follow::ReadTiming;
 use crate::router::instance_list::InstanceRecord;
+use crate::router::instance_list::InstanceState;
 use crate::router::lease::RenewalResponse;
 
 /// One record of a feed of the store.
@@ -256,13 +257,11 @@
         let now = self.dispatcher.now();
         let record = self.store.decode_list_record(record);
         let (id, offset) = (record.id.clone(), record.offset);
-        let state = match &record.state {
-            crate::router::instance_list::InstanceState::Present(listed) if listed.leaving => {
-                "leaving"
-            }
-            crate::router::instance_list::InstanceState::Present(_) => "present",
-            crate::router::instance_list::InstanceState::Removed => "removed",
-            crate::router::instance_list::InstanceState::Unreadable => "unreadable",
+        let (state, version) = match &record.state {
+            InstanceState::Present(listed) if listed.leaving => ("leaving", listed.version.clone()),
+            InstanceState::Present(listed) => ("present", listed.version.clone()),
+            InstanceState::Removed => ("removed", CompactString::default()),
+            InstanceState::Unreadable => ("unreadable", CompactString::default()),
         };
         let mut router = self.dispatcher.router.borrow_mut();
         let (instance_list, upstreams) = router.instance_list();
@@ -270,6 +269,7 @@
             spdlog::info!("upstream-listed", kv: {
                 upstream: = id,
                 state = state,
+                version: = version,
                 offset = offset
             });
         }
--- a/src/router/flow.rs
+++ b/src/router/flow.rs
@@ -19,6 +19,8 @@
     pub id: CompactString,
     /// Address on which the upstream listens.
     pub address: SocketAddr,
+    /// Version of its software.
+    pub version: CompactString,
 }
 
 /// Prefill result (KV cache) at the engine that computed it.
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -284,6 +284,9 @@
     /// pause then.
     pub fn record_event(&mut self, now: Duration, key: RequestKey) -> Option<StreamStall> {
         let request = self.requests.get_mut(key)?;
+        if request.last_event.is_none() && request.begun_version.is_none() {
+            request.begun_version = request.current.as_ref().map(|engine| engine.version.clone());
+        }
         let previous = request.last_event_at.replace(now)?;
         let interval = now.saturating_sub(previous);
         let service = request.service.clone();
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -36,6 +36,9 @@
     /// Id of the last event that the caller has received, if it continues a
     /// stream.
     pub resume_after: Option<u64>,
+    /// Id of the request that brought the first event of the stream that the
+    /// caller continues, if it names one.
+    pub resumes: Option<CompactString>,
 }
 
 /// Size of a model request, in tokens.
@@ -155,6 +158,12 @@
     pub(super) response_started: bool,
     /// Id of the last event that the caller has received, if any.
     pub(super) last_event: Option<u64>,
+    /// Id of the request that brought the first event, if the caller continues a
+    /// stream.
+    pub resumes: Option<CompactString>,
+    /// Software version of the engine that brought the first event of the stream, if
+    /// known.
+    pub begun_version: Option<CompactString>,
     /// When the last event of the stream was received from its engine.
     pub(super) last_event_at: Option<Duration>,
     /// True once the stream has paused for longer than its route allows.
@@ -200,6 +209,8 @@
             prefill_result: None,
             response_started: false,
             last_event: incoming.resume_after,
+            resumes: incoming.resumes,
+            begun_version: None,
             last_event_at: None,
             stalled: false,
         }
@@ -220,6 +231,11 @@
         self.current.as_ref().map(|target| target.id.clone()).unwrap_or_default()
     }
 
+    /// Id of the last event that the caller has received, if any.
+    pub fn last_event(&self) -> Option<u64> {
+        self.last_event
+    }
+
     /// Whether the request has taken effect so far.
     pub fn outcome(&self) -> Outcome {
         match (self.may_have_run, self.runs) {
--- a/src/router/selection.rs
+++ b/src/router/selection.rs
@@ -112,6 +112,7 @@
             key,
             id: upstream.listed.id.clone(),
             address: upstream.listed.address,
+            version: upstream.listed.version.clone(),
         })
     }
 
--- a/src/router/upstreams.rs
+++ b/src/router/upstreams.rs
@@ -43,6 +43,8 @@
     pub address: SocketAddr,
     /// Availability zone in which the upstream runs.
     pub zone: CompactString,
+    /// Version of its software; not that of model weights.
+    pub version: CompactString,
     /// Role of the upstream, which assigns it to a pool of its service.
     pub role: PoolRole,
     /// True if the upstream is leaving and accepts no new work.
--- a/standins/src/platform/replica.rs
+++ b/standins/src/platform/replica.rs
@@ -64,6 +64,8 @@
     pub id: String,
     /// Kind at the start; role orders change the stage of an engine, but not this.
     pub kind: Kind,
+    /// Version of its software in its record.
+    pub version: Mutex<String>,
     /// Role orders that it received.
     pub orders: Orders,
     /// Requests that it executed, in the order of execution, without prefills.
@@ -106,6 +108,7 @@
         let replica = Arc::new(Self {
             id: id.to_string(),
             kind,
+            version: Mutex::new("v1".to_string()),
             orders: Orders::default(),
             executed_requests: Mutex::default(),
             prefill_requests: Mutex::default(),
@@ -137,8 +140,9 @@
         address: SocketAddr,
         state: &str,
     ) -> serde_json::Value {
+        let version = self.version.lock().expect("the mutex is not poisoned").clone();
         let mut record = json!({
-            "service": service, "address": address.to_string(), "zone": "north", "version": "v1",
+            "service": service, "address": address.to_string(), "zone": "north", "version": version,
             "slots": 64, "state": state, "coldLeftMs": 0, "seq": 1
         });
         if let Some(stage) = self.stage() {
--- a/tests/router/harness.rs
+++ b/tests/router/harness.rs
@@ -73,6 +73,7 @@
         service: service.into(),
         address: ([10, 0, 0, 1], port).into(),
         zone: "north".into(),
+        version: "v1".into(),
         role,
         leaving: false,
         started_ms: 1,
@@ -209,6 +210,7 @@
         caller_timeout: Some(CALLER_TIMEOUT),
         prompt: goes_to_engines(path).then_some(prompt),
         resume_after: None,
+        resumes: None,
     }
 }
 
