Failing tests: streams continue at another software version

Engines of two versions side by side, in virtual time and with an entry as a process: a stream that breaks off goes on at the other version in its response (hypothesis 1); with two entries of which one is killed, streams that their callers take up at the other one go on at any version (hypothesis 2; twelve streams, of which half have to go on, the users' bound). The stand-in of the store takes appends to topics without keys.

--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -13,10 +13,12 @@
 
 use base64::Engine as _;
 use base64::prelude::BASE64_STANDARD;
+use bytes::Buf;
 use bytes::BufMut;
 use bytes::Bytes;
 use bytes::BytesMut;
 use futures_util::stream;
+use http_body_util::BodyExt;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
@@ -110,6 +112,9 @@
         if request.uri().path() == "/api/log-join" {
             return Ok(self.join(request).await);
         }
+        if request.uri().path() == "/api/log-append" {
+            return Ok(self.append(request).await);
+        }
         let topic = query_text(&request, "topic");
         match request.uri().path() {
             "/api/log-newest" => Ok(self.newest(&topic, &query_text(&request, "after"))),
@@ -122,6 +127,30 @@
         }
     }
 
+    /// Appends the records of a request to a topic without keys.
+    async fn append(&self, request: Request<Incoming>) -> Response<Body> {
+        let topic = query_text(&request, "topic");
+        let Ok(body) = request.into_body().collect().await else {
+            return server::json(StatusCode::BAD_REQUEST, &json!({}));
+        };
+        let mut body = body.to_bytes();
+        let mut records = Vec::new();
+        while body.len() >= RECORD_SIZE_BYTES {
+            let length = body.get_u32() as usize;
+            if body.len() < length {
+                return server::json(StatusCode::BAD_REQUEST, &json!({}));
+            }
+            records.push(Record { key: String::new(), value: Some(body.split_to(length)) });
+        }
+        let mut topics = self.topics.lock().expect("the mutex is not poisoned");
+        let topic = topics.entry(topic).or_default();
+        let offset = topic.first_offset + topic.records.len() as u64;
+        topic.records.extend(records);
+        let end = topic.first_offset + topic.records.len() as u64;
+        self.appended.notify_waiters();
+        server::json(StatusCode::OK, &json!({"offset": offset, "end": end}))
+    }
+
     async fn join(&self, request: Request<Incoming>) -> Response<Body> {
         let Some(join) = server::read_json::<JoinRequest>(request).await else {
             return server::json(StatusCode::BAD_REQUEST, &json!({}));
@@ -174,13 +203,14 @@
     }
 
     /// Returns the records from an offset in the binary format of the store: the end and the
-    /// first offset as big-endian 64-bit numbers, then for each record a 32-bit length, a key
-    /// length byte, key and value.
+    /// first offset as big-endian 64-bit numbers, then for each record a 32-bit length and, in a
+    /// topic with keys, a key length byte and the key, then the value.
     ///
     /// # Errors
     ///
     /// Returns the first offset of the log if it no longer holds `from`.
     fn read_now(&self, topic: &str, from: u64) -> Result<Bytes, u64> {
+        let keyed = topic.starts_with(KEYED_PREFIX);
         let mut topics = self.topics.lock().expect("the mutex is not poisoned");
         let topic = topics.entry(topic.to_string()).or_default();
         if from < topic.first_offset {
@@ -191,6 +221,11 @@
         response.put_u64(topic.first_offset);
         for record in topic.records.iter().skip((from - topic.first_offset) as usize) {
             let value = record.value.clone().unwrap_or_default();
+            if !keyed {
+                response.put_u32(value.len() as u32);
+                response.put_slice(&value);
+                continue;
+            }
             response.put_u32((1 + record.key.len() + value.len()) as u32);
             response.put_u8(record.key.len() as u8);
             response.put_slice(record.key.as_bytes());
@@ -200,6 +235,10 @@
     }
 }
 
+/// Start of the names of topics whose records have keys.
+const KEYED_PREFIX: &str = "keyed.";
+/// Size of the length before each record of an append.
+const RECORD_SIZE_BYTES: usize = 4;
 /// Size of a read response without records.
 const READ_HEADER_BYTES: usize = 16;
 /// Number of partitions of each topic that a group assigns to its members.
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -15,4 +15,5 @@
 mod rate_limit;
 mod rate_limited_engines;
 mod roles;
+mod software_versions;
 mod upstream_notice;
