An interrupted stream continues only at its software version

Seen by the users: streams that hold events of two software versions of an upstream. First cause (hypothesis 1): an entry that continues a stream within its response chose the engine by load and zone alone. The request now keeps the version of the engine that brought its first event; only decode engines of that version are asked for it, ejected ones too before others. If none accepts work, the response ends at once: the caller may take the stream up.

--- a/src/edge/problem.rs
+++ b/src/edge/problem.rs
@@ -48,6 +48,7 @@
         | RefusalReason::Overloaded
         | RefusalReason::RateLimited
         | RefusalReason::NoUpstream
+        | RefusalReason::VersionUnavailable
         | RefusalReason::RetryBudget
         | RefusalReason::ShuttingDown
         | RefusalReason::NotReady => StatusCode::SERVICE_UNAVAILABLE,
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -64,6 +64,9 @@
     FairShare,
     /// No upstream of the pool accepts requests, or none could be reached.
     NoUpstream,
+    /// No engine of the software version at which the stream began accepts work, or that
+    /// version is not known.
+    VersionUnavailable,
     /// A retry was needed, but the retry budget of the pool is exhausted.
     RetryBudget,
     /// All allowed attempts of the request failed.
--- a/src/router/plain.rs
+++ b/src/router/plain.rs
@@ -64,7 +64,7 @@
     fn wait_for_permit(&mut self, now: Duration, key: RequestKey) -> Step {
         let service = self.requests[key].service.clone();
         let role = self.call_role(now, &service);
-        let next = self.upstreams.next_sendable(&service, role, now);
+        let next = self.upstreams.next_sendable(&service, role, None, now);
         let Some((upstream, at)) = next.filter(|(_, at)| *at > now) else {
             let reason = RefusalReason::NoUpstream;
             return Step::Refuse(self.refusal(now, key, reason, NO_UPSTREAM_RETRY_AFTER));
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -255,6 +255,12 @@
         self.configuration.service(&self.service).and_then(|service| service.engine)
     }
 
+    /// Software version that an engine must have for the stream to continue there;
+    /// `None` if any will do.
+    pub(super) fn required_version(&self) -> Option<&str> {
+        self.begun_version.as_deref()
+    }
+
     /// True if the limits on runs and attempts permit another run.
     pub(super) fn allows_another_run(&self) -> bool {
         self.runs < self.route().max_runs && self.attempts < MAX_ATTEMPTS
--- a/src/router/reserving.rs
+++ b/src/router/reserving.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use crate::outcome::Refusal;
 use crate::outcome::RefusalReason;
 use crate::router::Router;
 use crate::router::flow::Step;
@@ -87,7 +88,10 @@
         if !self.reservation_queues.get(&service).is_some_and(|queue| queue.is_head(key)) {
             return Step::Wait { until };
         }
-        match self.upstreams.next_sendable(&service, PoolRole::Decode, now) {
+        let version = self.requests[key].required_version();
+        let next = self.upstreams.next_sendable(&service, PoolRole::Decode, version, now);
+        match next {
+            None if version.is_some() => self.refuse_version_unavailable(key),
             None => Step::Wait { until: until.min(now + RESERVATION_POLL_INTERVAL) },
             Some((_, at)) if at > until => self.refuse_rate_limited(now, key, at),
             Some((_, at)) if at > now => Step::Wait { until: at },
@@ -155,6 +159,17 @@
         Step::Refuse(self.refusal(now, key, RefusalReason::RateLimited, wait))
     }
 
+    /// Refuses a stream, or ends it if its response has started, because no engine of
+    /// the version at which it began accepts work.
+    fn refuse_version_unavailable(&mut self, key: RequestKey) -> Step {
+        self.leave_reservation_queue(key);
+        if self.requests[key].response_started {
+            return Step::Abort;
+        }
+        let outcome = self.requests[key].outcome();
+        Step::Refuse(Refusal::with_outcome(RefusalReason::VersionUnavailable, outcome))
+    }
+
     pub(super) fn reservation_rejected(&mut self, now: Duration, key: RequestKey) -> Step {
         if let Some(target) = self.requests[key].current.clone() {
             self.requests[key].excluded.push(target.key);
--- a/src/router/selection.rs
+++ b/src/router/selection.rs
@@ -31,7 +31,8 @@
 
 impl Router {
     /// Selects the decode engine to ask for a reservation next. Engines that
-    /// have just rejected one of this size or a smaller one are left out.
+    /// have just rejected one of this size or a smaller one are left out, and those of
+    /// another version than the one at which the stream began.
     pub(super) fn select_decode_engine(
         &mut self,
         now: Duration,
@@ -41,7 +42,7 @@
         let tokens = request.reserved_tokens;
         let candidates = self
             .upstreams
-            .sendable(&request.service, PoolRole::Decode, now)
+            .sendable(&request.service, PoolRole::Decode, request.required_version(), now)
             .filter(|(_, engine)| engine.capacity_backoff.allows(now, tokens));
         let cost = |engine: &Upstream| {
             engine.open_tokens as f64 + zone_cost(engine, &self.settings.zone, ZONE_COST_TOKENS)
@@ -61,7 +62,7 @@
         let decode = request.current.as_ref().and_then(|target| self.upstreams.get(target.key));
         let zone = decode.map_or(&self.settings.zone, |decode| &decode.listed.zone);
         let s_per_token = self.prefill_s_per_token(&request.service);
-        let sendable = self.upstreams.sendable(&request.service, PoolRole::Prefill, now);
+        let sendable = self.upstreams.sendable(&request.service, PoolRole::Prefill, None, now);
         let any_allowed =
             sendable.clone().any(|(_, engine)| engine.capacity_backoff.allows(now, 0));
         let engines =
@@ -89,7 +90,7 @@
     ) -> Option<UpstreamKey> {
         let request = &self.requests[key];
         let role = self.call_role(now, &request.service);
-        let sendable = self.upstreams.sendable(&request.service, role, now);
+        let sendable = self.upstreams.sendable(&request.service, role, None, now);
         let cost = |upstream: &Upstream| {
             f64::from(upstream.open_requests)
                 + zone_cost(upstream, &self.settings.zone, ZONE_COST_CALLS)
--- a/src/router/upstreams.rs
+++ b/src/router/upstreams.rs
@@ -82,6 +82,11 @@
     pub fn permits(&self, now: Duration) -> bool {
         self.rate_limit.is_none_or(|limit| limit.allows(now))
     }
+
+    /// True if the upstream has this software version, or any will do.
+    pub fn has_version(&self, version: Option<&str>) -> bool {
+        version.is_none_or(|version| self.listed.version == version)
+    }
 }
 
 /// Backoff from an upstream that lacked capacity: until it ends, the upstream
@@ -204,17 +209,19 @@
         without_ejected(self.not_leaving(service, role), now)
     }
 
-    /// Upstreams of a service and role that accept new work and may be sent a request
-    /// now under their rate limits. If all of them are ejected, the ejected ones are
-    /// returned.
+    /// Upstreams of a service, role and version that accept new work and may be sent a
+    /// request now under their rate limits; without a version, those of any. If all of
+    /// them are ejected, the ejected ones are returned.
     pub fn sendable(
         &self,
         service: &str,
         role: PoolRole,
+        version: Option<&str>,
         now: Duration,
     ) -> impl Iterator<Item = (UpstreamKey, &Upstream)> + Clone {
-        let permitted =
-            self.not_leaving(service, role).filter(move |(_, upstream)| upstream.permits(now));
+        let permitted = self
+            .not_leaving(service, role)
+            .filter(move |(_, upstream)| upstream.permits(now) && upstream.has_version(version));
         without_ejected(permitted, now)
     }
 
@@ -227,16 +234,20 @@
             .filter(move |(_, upstream)| upstream.listed.role == role && !upstream.listed.leaving)
     }
 
-    /// Returns the upstream of a service and role that may be sent a request first under
-    /// its rate limit, and when; `None` if no upstream accepts new work.
+    /// Returns the upstream of a service, role and version that may be sent a request
+    /// first under its rate limit, and when; `None` if no such upstream accepts new work.
+    /// Without a version, those of any count.
     pub fn next_sendable(
         &self,
         service: &str,
         role: PoolRole,
+        version: Option<&str>,
         now: Duration,
     ) -> Option<(UpstreamKey, Duration)> {
-        let available = self.available(service, role, now);
-        let sendable_at = available.map(|(key, upstream)| {
+        let usable = self
+            .not_leaving(service, role)
+            .filter(move |(_, upstream)| upstream.has_version(version));
+        let sendable_at = without_ejected(usable, now).map(|(key, upstream)| {
             (key, upstream.rate_limit.map_or(now, |limit| limit.permit_at(now)))
         });
         sendable_at.min_by_key(|(_, at)| *at)
