A stream that its caller takes up continues at its software version

Class of fault: knowledge that has to outlive the process that has it.

While engines of several versions are listed, an entry appends the version of each resumable stream to a log of the store within 100 ms of its first event, and those of the streams in flight when a second version comes. An entry that may have missed it reads the log before it continues a stream; what the log does not hold is refused at once as version-unavailable while there are several versions, and goes on while there is one. With one version nothing is written, and read only for streams taken up in the first 14 s of an entry.

--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -8,6 +8,7 @@
 pub mod dispatch;
 pub mod lease_task;
 pub mod metrics;
+pub mod origin_log;
 mod relay;
 mod request_log;
 mod request_task;
--- a/src/edge/direct/dispatch.rs
+++ b/src/edge/direct/dispatch.rs
@@ -13,6 +13,7 @@
 
 use crate::clock::Clock;
 use crate::edge::direct::metrics::Metrics;
+use crate::edge::direct::origin_log::OriginLog;
 use crate::edge::direct::request_log::log_refusal;
 use crate::edge::direct::request_task::CallerChannel;
 use crate::edge::direct::request_task::RequestTask;
@@ -38,6 +39,8 @@
     pub clock: Arc<dyn Clock>,
     /// Metrics of this entry.
     pub metrics: Metrics,
+    /// Access of requests to the origins of streams in the store.
+    pub(super) origin_log: OriginLog,
     /// Wake-up signals of the requests that execute `Step::Wait`.
     pub(super) waiting: RefCell<HashMap<RequestKey, Rc<Notify>>>,
 }
@@ -51,8 +54,15 @@
         clock: Arc<dyn Clock>,
     ) -> Self {
         let router = RefCell::new(router);
-        let (metrics, waiting) = (Metrics::default(), RefCell::default());
-        Self { name, router, upstream_client, clock, metrics, waiting }
+        Self {
+            name,
+            router,
+            upstream_client,
+            clock,
+            metrics: Metrics::default(),
+            origin_log: OriginLog::default(),
+            waiting: RefCell::default(),
+        }
     }
 
     /// Returns the time since the clock's epoch.
--- /dev/null
+++ b/src/edge/direct/origin_log.rs
@@ -0,0 +1,150 @@
+//! Log of stream origins in the platform's store: appends those of this entry's streams,
+//! and reads it for requests whose callers take up a stream.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use prost::Message;
+use tokio::sync::Notify;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use crate::edge::direct::dispatch::Dispatcher;
+use crate::edge::direct::store_follower::Store;
+use crate::edge::direct::store_follower::StoreError;
+use crate::edge::direct::upstream_client::UpstreamClient;
+use crate::router::Router;
+use crate::router::stream_origins::StreamOrigin;
+use crate::schema::record;
+
+/// Time for which origins are collected before they are appended in one record. Callers
+/// that lose their entry come back later than that.
+const BATCH_DELAY: Duration = Duration::from_millis(100);
+/// Pause after an append that failed.
+const RETRY_DELAY: Duration = Duration::from_millis(300);
+/// Largest number of appends of one batch.
+const MAX_APPENDS: u32 = 4;
+/// Time limit of each call to the store.
+const STORE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Signals between requests and the tasks that call the store.
+#[derive(Debug, Default)]
+pub struct OriginLog {
+    unsent: Notify,
+    requested: Notify,
+    readers: std::cell::RefCell<Vec<oneshot::Sender<()>>>,
+}
+
+impl OriginLog {
+    /// Wakes the task that appends, if the router has origins for it.
+    pub(super) fn wake_appender(&self, router: &Router) {
+        if router.has_unsent_origins() {
+            self.unsent.notify_one();
+        }
+    }
+
+    /// Waits until the log has been read up to its present end, at most for `limit`. The
+    /// router then knows what it says.
+    pub(super) async fn read(&self, limit: Duration) {
+        let (done, read) = oneshot::channel();
+        self.readers.borrow_mut().push(done);
+        self.requested.notify_one();
+        // After a failed read or the timeout the router goes on with what it knows.
+        let _ = timeout(limit, read).await;
+    }
+}
+
+/// Appends the origins of this entry's streams until the process ends.
+pub async fn append<S: Store, U: UpstreamClient>(store: Rc<S>, dispatcher: Rc<Dispatcher<U>>) {
+    loop {
+        dispatcher.origin_log.unsent.notified().await;
+        tokio::time::sleep(BATCH_DELAY).await;
+        let origins = dispatcher.router.borrow_mut().take_unsent_origins();
+        if !origins.is_empty() {
+            append_batch(&*store, &origins).await;
+        }
+    }
+}
+
+/// Appends a batch. A lost response may mean that it was appended; twice does no harm.
+async fn append_batch<S: Store>(store: &S, origins: &[StreamOrigin]) {
+    let record = encode(origins);
+    for _ in 0..MAX_APPENDS {
+        match store.append_origins(record.clone(), STORE_TIMEOUT).await {
+            Ok(()) => {
+                spdlog::info!("origins-appended", kv: { streams = origins.len() });
+                return;
+            }
+            Err(error) => {
+                spdlog::warn!("origins-not-appended", kv: {
+                    streams = origins.len(),
+                    detail: = error
+                });
+            }
+        }
+        tokio::time::sleep(RETRY_DELAY).await;
+    }
+}
+
+/// Reads the log whenever requests ask for it, until the process ends.
+pub async fn read<S: Store, U: UpstreamClient>(store: Rc<S>, dispatcher: Rc<Dispatcher<U>>) {
+    let next_offset = Cell::new(0);
+    loop {
+        dispatcher.origin_log.requested.notified().await;
+        let readers = std::mem::take(&mut *dispatcher.origin_log.readers.borrow_mut());
+        if let Err(error) = read_to_end(&*store, &dispatcher, &next_offset).await {
+            spdlog::warn!("origins-not-read", kv: { detail: = error });
+        }
+        for reader in readers {
+            // A reader whose caller has disconnected is gone.
+            let _ = reader.send(());
+        }
+    }
+}
+
+async fn read_to_end<S: Store, U: UpstreamClient>(
+    store: &S,
+    dispatcher: &Dispatcher<U>,
+    next_offset: &Cell<u64>,
+) -> Result<(), StoreError> {
+    let mut restarted = false;
+    loop {
+        let page = match store.read_origins(next_offset.get(), STORE_TIMEOUT).await {
+            Err(StoreError::HistoryLost { first_offset }) if !restarted => {
+                next_offset.set(first_offset);
+                restarted = true;
+                continue;
+            }
+            page => page?,
+        };
+        let origins = page.records.into_iter().flat_map(decode).collect();
+        dispatcher.router.borrow_mut().record_origins(dispatcher.now(), origins);
+        next_offset.set(page.next_offset);
+        if page.next_offset >= page.end_offset {
+            return Ok(());
+        }
+    }
+}
+
+fn encode(origins: &[StreamOrigin]) -> Bytes {
+    let origins = origins.iter().map(|origin| record::StreamOrigin {
+        request_id: origin.request_id.to_string(),
+        version: origin.version.to_string(),
+    });
+    record::StreamOriginBatch { origins: origins.collect() }.encode_to_vec().into()
+}
+
+/// Decodes a record; one that is not valid holds no origins.
+fn decode(record: Bytes) -> Vec<StreamOrigin> {
+    let batch = record::StreamOriginBatch::decode(record).unwrap_or_else(|error| {
+        spdlog::warn!("origins-unreadable", kv: { detail: = error });
+        record::StreamOriginBatch::default()
+    });
+    let origins = batch.origins.into_iter().map(|origin| StreamOrigin {
+        request_id: origin.request_id.into(),
+        version: origin.version.into(),
+    });
+    origins.collect()
+}
--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -179,6 +179,7 @@
     fn record_event(&self) {
         let now = self.dispatcher.now();
         let stall = self.dispatcher.router.borrow_mut().record_event(now, self.key);
+        self.dispatcher.origin_log.wake_appender(&self.dispatcher.router.borrow());
         let Some(stall) = stall else { return };
         spdlog::info!("stream-stalled", kv: {
             instance: = self.dispatcher.name,
--- a/src/edge/direct/request_log.rs
+++ b/src/edge/direct/request_log.rs
@@ -16,6 +16,7 @@
         Step::Prefill { .. } => "prefill",
         Step::Decode { .. } => "decode",
         Step::Call { .. } => "call",
+        Step::LookUpOrigin { .. } => "look-up-origin",
         Step::Wait { .. } => "wait",
         Step::Relay { .. } => "relay",
         Step::Refuse(_) => "refuse",
@@ -56,7 +57,11 @@
             (&target.id, format!("source {source:?} after {after_event:?}"))
         }
         Step::Call { target, timeout, .. } => (&target.id, format!("timeout {timeout:?}")),
-        Step::Wait { .. } | Step::Relay { .. } | Step::Refuse(_) | Step::Abort => return,
+        Step::LookUpOrigin { .. }
+        | Step::Wait { .. }
+        | Step::Relay { .. }
+        | Step::Refuse(_)
+        | Step::Abort => return,
     };
     let kind = step_kind(step);
     spdlog::info!("{kind}", kv: {
--- a/src/edge/direct/request_task.rs
+++ b/src/edge/direct/request_task.rs
@@ -143,6 +143,18 @@
         }
     }
 
+    /// Logs what is known of the origin of a stream that the caller takes up.
+    fn log_origin(&self, begun_by: &str) {
+        let router = self.dispatcher.router.borrow();
+        let version = router.stream_origins().version(begun_by);
+        spdlog::info!("stream-origin", kv: {
+            instance: = self.dispatcher.name,
+            request_id: = self.request.id,
+            resumes: = begun_by,
+            version: = version.map_or("unknown", CompactString::as_str)
+        });
+    }
+
     /// Logs and counts that a stream continues at an engine.
     fn record_continuation(&self, target: &Target) {
         let router = self.dispatcher.router.borrow();
@@ -223,6 +235,11 @@
                 let ready = timeout(limit, exchange).await.unwrap_or(Err(Failure::Silent));
                 self.store_response(ready)
             }
+            Step::LookUpOrigin { request_id, timeout: limit } => {
+                self.dispatcher.origin_log.read(limit).await;
+                self.log_origin(&request_id);
+                Event::OriginsRead
+            }
             Step::Wait { until } => {
                 self.wait_until_runnable(until).await;
                 Event::WaitEnded
--- a/src/edge/direct/store_follower.rs
+++ b/src/edge/direct/store_follower.rs
@@ -53,12 +53,26 @@
     pub next_offset: u64,
 }
 
+/// Records of a log without keys, from an offset on.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct LogPage {
+    /// Records in the order of their offsets.
+    pub records: Vec<Bytes>,
+    /// Offset from which the next read continues.
+    pub next_offset: u64,
+    /// End offset of the log, which the next record written to it gets.
+    pub end_offset: u64,
+}
+
 /// Why a call to the store failed.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum StoreError {
     /// The store no longer retains records from the requested offset.
     #[error("the store no longer retains records from the requested offset")]
-    HistoryLost,
+    HistoryLost {
+        /// Offset of the first record that the store retains.
+        first_offset: u64,
+    },
     /// The store rejected the call with this HTTP status.
     #[error("the store responded with HTTP status {0}")]
     Rejected(u16),
@@ -103,6 +117,13 @@
         timeout: Duration,
     ) -> Result<RenewalResponse, StoreError>;
 
+    /// Appends a record to the log of stream origins, which all entries share. The store
+    /// retains it for at least as long as a stream lasts.
+    async fn append_origins(&self, record: Bytes, timeout: Duration) -> Result<(), StoreError>;
+
+    /// Reads the log of stream origins from the offset `from` on.
+    async fn read_origins(&self, from: u64, timeout: Duration) -> Result<LogPage, StoreError>;
+
     /// Decodes a record of the instance list.
     fn decode_list_record(&self, record: StoreRecord) -> InstanceRecord;
 
@@ -196,6 +217,8 @@
             for id in instance_list.remove_retained(now, upstreams) {
                 spdlog::info!("upstream-lapsed", kv: { upstream: = id });
             }
+            router.record_versions(now);
+            self.dispatcher.origin_log.wake_appender(&router);
         }
         match self.cursor.next() {
             Read::Newest { .. } => Duration::ZERO,
@@ -206,7 +229,7 @@
     /// Records that a read failed or, if the history of the feed is lost, starts over with a
     /// full read. Returns the pause until the next read.
     fn handle_failure(&mut self, timing: &ReadTiming, error: &StoreError) -> Duration {
-        if *error == StoreError::HistoryLost {
+        if matches!(error, StoreError::HistoryLost { .. }) {
             spdlog::info!("history-lost", kv: { feed: = self.feed });
             self.cursor.restart();
             return Duration::ZERO;
--- a/src/router.rs
+++ b/src/router.rs
@@ -21,6 +21,7 @@
 mod reserving;
 pub mod roles;
 mod selection;
+pub mod stream_origins;
 pub mod upstream_notice;
 pub mod upstreams;
 
@@ -59,6 +60,8 @@
 use crate::router::roles::RoleBalancer;
 use crate::router::roles::RoleChange;
 use crate::router::roles::RoleSettings;
+use crate::router::stream_origins::StreamOrigins;
+use crate::router::stream_origins::VersionHistory;
 use crate::router::upstreams::Upstreams;
 
 /// Settings of the decision core, fixed when the entry starts.
@@ -118,6 +121,10 @@
     caller_timeouts: HashMap<CompactString, LongestCallerTimeout>,
     /// Margins of the memory that is reserved for output.
     output_margins: HashMap<CompactString, OutputMargin>,
+    /// Software versions of the engines of each service.
+    version_histories: HashMap<CompactString, VersionHistory>,
+    /// Where streams began that their callers may take up.
+    stream_origins: StreamOrigins,
     /// When the last model request arrived.
     last_prompt_at: Option<Duration>,
     /// Waiting requests that may go on now; see [`Router::take_runnable`].
@@ -155,6 +162,8 @@
             roles: HashMap::new(),
             caller_timeouts: HashMap::new(),
             output_margins: HashMap::new(),
+            version_histories: HashMap::new(),
+            stream_origins: StreamOrigins::default(),
             last_prompt_at: None,
             runnable: Vec::new(),
             cleanups: Vec::new(),
--- a/src/router/flow.rs
+++ b/src/router/flow.rs
@@ -88,6 +88,14 @@
         /// retried once the upstream may have received it.
         fresh_connection: bool,
     },
+    /// Read from the store at which software version a stream began that the caller takes
+    /// up.
+    LookUpOrigin {
+        /// Id of the request that brought the first event of the stream.
+        request_id: CompactString,
+        /// Longest wait for the store.
+        timeout: Duration,
+    },
     /// Wait for the turn in the reservation queue, or for the next round of
     /// reservation requests to the engines.
     Wait {
@@ -134,6 +142,8 @@
 pub enum Event {
     /// The request has arrived; no step was carried out yet.
     Started,
+    /// The origins of streams were read from the store, as far as that was possible.
+    OriginsRead,
     /// The engine has made a reservation.
     Reserved {
         /// Identifier of the reservation at the engine.
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -51,7 +51,11 @@
             Event::Started if self.exceeds_engine_memory(key) => {
                 Step::Refuse(Refusal::not_run(RefusalReason::PromptTooLong, None))
             }
+            Event::Started if self.requests[key].last_event.is_some() => {
+                self.take_up_stream(now, key)
+            }
             Event::Started => self.queue_for_reservation(now, key),
+            Event::OriginsRead => self.origins_read(now, key),
             Event::WaitEnded => self.try_reserve(now, key),
             Event::Reserved { reservation } => self.reservation_granted(now, key, reservation),
             Event::ReservationRejected => self.reservation_rejected(now, key),
@@ -284,9 +288,11 @@
     /// pause then.
     pub fn record_event(&mut self, now: Duration, key: RequestKey) -> Option<StreamStall> {
         let request = self.requests.get_mut(key)?;
-        if request.last_event.is_none() && request.begun_version.is_none() {
+        if request.begun_version.is_none() {
             request.begun_version = request.current.as_ref().map(|engine| engine.version.clone());
+            self.record_origin(now, key);
         }
+        let request = self.requests.get_mut(key)?;
         let previous = request.last_event_at.replace(now)?;
         let interval = now.saturating_sub(previous);
         let service = request.service.clone();
--- a/src/schema/bamboodoor.record.rs
+++ b/src/schema/bamboodoor.record.rs
@@ -119,3 +119,20 @@
     #[prost(bool, tag = "6")]
     pub not_run: bool,
 }
+/// A record of the log of stream origins: one append carries a batch.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct StreamOriginBatch {
+    /// Streams that have begun.
+    #[prost(message, repeated, tag = "1")]
+    pub origins: ::prost::alloc::vec::Vec<StreamOrigin>,
+}
+/// Where a stream began.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StreamOrigin {
+    /// Id of the request that brought the first event of the stream.
+    #[prost(string, tag = "1")]
+    pub request_id: ::prost::alloc::string::String,
+    /// Software version of the engine that sent it.
+    #[prost(string, tag = "2")]
+    pub version: ::prost::alloc::string::String,
+}
--- a/src/schema/bamboodoor.record.serde.rs
+++ b/src/schema/bamboodoor.record.serde.rs
@@ -989,3 +989,203 @@
         deserializer.deserialize_struct("bamboodoor.record.Publish", FIELDS, GeneratedVisitor)
     }
 }
+impl serde::Serialize for StreamOrigin {
+    #[allow(deprecated)]
+    fn serialize<S>(&self, serializer: S) -> std::result::Result<S::Ok, S::Error>
+    where
+        S: serde::Serializer,
+    {
+        use serde::ser::SerializeStruct;
+        let mut len = 0;
+        if !self.request_id.is_empty() {
+            len += 1;
+        }
+        if !self.version.is_empty() {
+            len += 1;
+        }
+        let mut struct_ser = serializer.serialize_struct("bamboodoor.record.StreamOrigin", len)?;
+        if !self.request_id.is_empty() {
+            struct_ser.serialize_field("request_id", &self.request_id)?;
+        }
+        if !self.version.is_empty() {
+            struct_ser.serialize_field("version", &self.version)?;
+        }
+        struct_ser.end()
+    }
+}
+impl<'de> serde::Deserialize<'de> for StreamOrigin {
+    #[allow(deprecated)]
+    fn deserialize<D>(deserializer: D) -> std::result::Result<Self, D::Error>
+    where
+        D: serde::Deserializer<'de>,
+    {
+        const FIELDS: &[&str] = &[
+            "request_id",
+            "requestId",
+            "version",
+        ];
+
+        #[allow(clippy::enum_variant_names)]
+        enum GeneratedField {
+            RequestId,
+            Version,
+        }
+        impl<'de> serde::Deserialize<'de> for GeneratedField {
+            fn deserialize<D>(deserializer: D) -> std::result::Result<GeneratedField, D::Error>
+            where
+                D: serde::Deserializer<'de>,
+            {
+                struct GeneratedVisitor;
+
+                impl serde::de::Visitor<'_> for GeneratedVisitor {
+                    type Value = GeneratedField;
+
+                    fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                        write!(formatter, "expected one of: {:?}", &FIELDS)
+                    }
+
+                    #[allow(unused_variables)]
+                    fn visit_str<E>(self, value: &str) -> std::result::Result<GeneratedField, E>
+                    where
+                        E: serde::de::Error,
+                    {
+                        match value {
+                            "requestId" | "request_id" => Ok(GeneratedField::RequestId),
+                            "version" => Ok(GeneratedField::Version),
+                            _ => Err(serde::de::Error::unknown_field(value, FIELDS)),
+                        }
+                    }
+                }
+                deserializer.deserialize_identifier(GeneratedVisitor)
+            }
+        }
+        struct GeneratedVisitor;
+        impl<'de> serde::de::Visitor<'de> for GeneratedVisitor {
+            type Value = StreamOrigin;
+
+            fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                formatter.write_str("struct bamboodoor.record.StreamOrigin")
+            }
+
+            fn visit_map<V>(self, mut map_: V) -> std::result::Result<StreamOrigin, V::Error>
+                where
+                    V: serde::de::MapAccess<'de>,
+            {
+                let mut request_id__ = None;
+                let mut version__ = None;
+                while let Some(k) = map_.next_key()? {
+                    match k {
+                        GeneratedField::RequestId => {
+                            if request_id__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("requestId"));
+                            }
+                            request_id__ = Some(map_.next_value()?);
+                        }
+                        GeneratedField::Version => {
+                            if version__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("version"));
+                            }
+                            version__ = Some(map_.next_value()?);
+                        }
+                    }
+                }
+                Ok(StreamOrigin {
+                    request_id: request_id__.unwrap_or_default(),
+                    version: version__.unwrap_or_default(),
+                })
+            }
+        }
+        deserializer.deserialize_struct("bamboodoor.record.StreamOrigin", FIELDS, GeneratedVisitor)
+    }
+}
+impl serde::Serialize for StreamOriginBatch {
+    #[allow(deprecated)]
+    fn serialize<S>(&self, serializer: S) -> std::result::Result<S::Ok, S::Error>
+    where
+        S: serde::Serializer,
+    {
+        use serde::ser::SerializeStruct;
+        let mut len = 0;
+        if !self.origins.is_empty() {
+            len += 1;
+        }
+        let mut struct_ser = serializer.serialize_struct("bamboodoor.record.StreamOriginBatch", len)?;
+        if !self.origins.is_empty() {
+            struct_ser.serialize_field("origins", &self.origins)?;
+        }
+        struct_ser.end()
+    }
+}
+impl<'de> serde::Deserialize<'de> for StreamOriginBatch {
+    #[allow(deprecated)]
+    fn deserialize<D>(deserializer: D) -> std::result::Result<Self, D::Error>
+    where
+        D: serde::Deserializer<'de>,
+    {
+        const FIELDS: &[&str] = &[
+            "origins",
+        ];
+
+        #[allow(clippy::enum_variant_names)]
+        enum GeneratedField {
+            Origins,
+        }
+        impl<'de> serde::Deserialize<'de> for GeneratedField {
+            fn deserialize<D>(deserializer: D) -> std::result::Result<GeneratedField, D::Error>
+            where
+                D: serde::Deserializer<'de>,
+            {
+                struct GeneratedVisitor;
+
+                impl serde::de::Visitor<'_> for GeneratedVisitor {
+                    type Value = GeneratedField;
+
+                    fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                        write!(formatter, "expected one of: {:?}", &FIELDS)
+                    }
+
+                    #[allow(unused_variables)]
+                    fn visit_str<E>(self, value: &str) -> std::result::Result<GeneratedField, E>
+                    where
+                        E: serde::de::Error,
+                    {
+                        match value {
+                            "origins" => Ok(GeneratedField::Origins),
+                            _ => Err(serde::de::Error::unknown_field(value, FIELDS)),
+                        }
+                    }
+                }
+                deserializer.deserialize_identifier(GeneratedVisitor)
+            }
+        }
+        struct GeneratedVisitor;
+        impl<'de> serde::de::Visitor<'de> for GeneratedVisitor {
+            type Value = StreamOriginBatch;
+
+            fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                formatter.write_str("struct bamboodoor.record.StreamOriginBatch")
+            }
+
+            fn visit_map<V>(self, mut map_: V) -> std::result::Result<StreamOriginBatch, V::Error>
+                where
+                    V: serde::de::MapAccess<'de>,
+            {
+                let mut origins__ = None;
+                while let Some(k) = map_.next_key()? {
+                    match k {
+                        GeneratedField::Origins => {
+                            if origins__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("origins"));
+                            }
+                            origins__ = Some(map_.next_value()?);
+                        }
+                    }
+                }
+                Ok(StreamOriginBatch {
+                    origins: origins__.unwrap_or_default(),
+                })
+            }
+        }
+        deserializer.deserialize_struct("bamboodoor.record.StreamOriginBatch", FIELDS, GeneratedVisitor)
+    }
+}
--- a/tests/router/harness.rs
+++ b/tests/router/harness.rs
@@ -150,6 +150,7 @@
         let record = InstanceRecord { id: id.into(), offset: self.offset, state };
         let (instance_list, upstreams) = self.router.instance_list();
         instance_list.apply(self.now, record, upstreams);
+        self.router.record_versions(self.now);
     }
 
     /// Has the router accept a request, without starting it.
--- a/tests/router/software_versions.rs
+++ b/tests/router/software_versions.rs
@@ -1,15 +1,23 @@
 //! Engines of several software versions side by side: a stream continues only at the version at
 //! which it began.
 
+use std::time::Duration;
+
+use bamboodoor::outcome::Outcome;
+use bamboodoor::outcome::RefusalReason;
 use bamboodoor::router::Event;
 use bamboodoor::router::Step;
 use bamboodoor::router::Target;
+use bamboodoor::router::instance_list::InstanceState;
+use bamboodoor::router::request::IncomingRequest;
 use bamboodoor::router::request::RequestKey;
+use bamboodoor::router::stream_origins::StreamOrigin;
 use bamboodoor::router::upstreams::ListedUpstream;
 use bamboodoor::router::upstreams::PoolRole;
 
 use crate::harness::ENGINES;
 use crate::harness::Harness;
+use crate::harness::incoming;
 use crate::harness::ms;
 use crate::harness::reserved;
 use crate::harness::target;
@@ -73,3 +81,125 @@
     assert_ne!(target(&step).version, engine.version);
     harness.report(key, reserved());
 }
+
+/// Longer than any stream lasts, so that an entry knows all versions of that time.
+const LONGEST_STREAM: Duration = Duration::from_secs(14);
+
+/// Has a caller take up a stream after event 5 and returns the first step.
+fn take_up(harness: &mut Harness, resumes: Option<&str>) -> (RequestKey, Step) {
+    let resumes = resumes.map(Into::into);
+    let resume_after = Some(5);
+    harness.start(IncomingRequest { resume_after, resumes, ..incoming("/resumable/2") })
+}
+
+fn origin(request_id: &str, version: &str) -> StreamOrigin {
+    StreamOrigin { request_id: request_id.into(), version: version.into() }
+}
+
+fn assert_refused(step: Step) {
+    let Step::Refuse(refusal) = step else { panic!("unexpected step {step:?}") };
+    assert_eq!(refusal.reason, RefusalReason::VersionUnavailable);
+    assert_eq!(refusal.outcome, Outcome::NotRun);
+    assert_eq!(refusal.retry_after, None);
+}
+
+#[test]
+fn a_stream_that_is_taken_up_continues_at_the_version_that_the_store_names() {
+    for seed in 0..20 {
+        let mut harness = harness(&["v1", "v2", "v2", "v1"], seed);
+        let (key, step) = take_up(&mut harness, Some("first"));
+        assert!(matches!(&step, Step::LookUpOrigin { request_id, .. } if request_id == "first"));
+        harness.router.record_origins(harness.now, vec![origin("first", "v2")]);
+        let step = harness.report(key, Event::OriginsRead);
+        assert_eq!(target(&step).version, "v2", "seed {seed}");
+    }
+}
+
+#[test]
+fn a_stream_that_is_taken_up_where_it_began_needs_no_lookup() {
+    let mut harness = harness(&["v1", "v2", "v2", "v1"], 0);
+    let (key, engine) = start_stream(&mut harness, 5);
+    harness.router.finish(key);
+    let (_, step) = take_up(&mut harness, Some("request"));
+    assert_eq!(target(&step).version, engine.version);
+}
+
+#[test]
+fn a_stream_whose_version_is_not_known_is_refused_while_there_are_several() {
+    let mut harness = harness(&["v1", "v2"], 0);
+    let (key, _) = take_up(&mut harness, Some("first"));
+    let step = harness.report(key, Event::OriginsRead);
+    assert_refused(step);
+    let (_, step) = take_up(&mut harness, None);
+    assert_refused(step);
+}
+
+/// The last engine of v1 has gone, but streams that it began may still be taken up.
+#[test]
+fn a_version_counts_for_as_long_as_its_streams_may_be_taken_up() {
+    let mut harness = harness(&["v1", "v2"], 0);
+    harness.apply_record("d0", InstanceState::Removed);
+    harness.apply_record("p1", InstanceState::Removed);
+    harness.now += LONGEST_STREAM - ms(100);
+    let (key, step) = take_up(&mut harness, Some("first"));
+    assert!(matches!(step, Step::LookUpOrigin { .. }), "{step:?}");
+    harness.router.record_origins(harness.now, vec![origin("first", "v1")]);
+    assert_refused(harness.report(key, Event::OriginsRead));
+    harness.now += ms(200);
+    let (_, step) = take_up(&mut harness, Some("second"));
+    assert_eq!(target(&step).version, "v2");
+}
+
+/// A new entry does not know which versions there were; the store does if there were several.
+#[test]
+fn a_new_entry_asks_the_store_and_goes_on_with_the_only_version() {
+    let mut harness = Harness::new(vec![
+        engine("p1", PoolRole::Prefill, "v1"),
+        engine("d1", PoolRole::Decode, "v1"),
+    ]);
+    let (key, step) = take_up(&mut harness, Some("first"));
+    assert!(matches!(step, Step::LookUpOrigin { .. }), "{step:?}");
+    let step = harness.report(key, Event::OriginsRead);
+    assert_eq!(target(&step).version, "v1");
+    harness.now += LONGEST_STREAM;
+    let (_, step) = take_up(&mut harness, Some("second"));
+    assert!(!matches!(step, Step::LookUpOrigin { .. }), "{step:?}");
+}
+
+#[test]
+fn origins_are_appended_only_while_there_are_several_versions() {
+    let mut harness = Harness::new(vec![
+        engine("p1", PoolRole::Prefill, "v1"),
+        engine("d1", PoolRole::Decode, "v1"),
+    ]);
+    start_stream(&mut harness, 2);
+    assert!(!harness.router.has_unsent_origins());
+    // The streams in flight are appended as soon as there is another version.
+    harness.list_upstream(engine("d2", PoolRole::Decode, "v2"));
+    assert_eq!(harness.router.take_unsent_origins(), vec![origin("request", "v1")]);
+    harness.list_upstream(engine("d3", PoolRole::Decode, "v2"));
+    assert!(!harness.router.has_unsent_origins());
+}
+
+/// Taken up while there was one version, so the origin is not known from the store.
+#[test]
+fn a_stream_taken_up_before_a_second_version_came_stays_at_its_version() {
+    let mut harness = Harness::new(vec![
+        engine("p1", PoolRole::Prefill, "v1"),
+        engine("d1", PoolRole::Decode, "v1"),
+        engine("d2", PoolRole::Decode, "v1"),
+    ]);
+    harness.now += LONGEST_STREAM;
+    let (key, step) = take_up(&mut harness, Some("first"));
+    let begun_at = target(&step);
+    harness.report(key, reserved());
+    harness.report(key, Event::Prefilled { handle: "handle".into() });
+    harness.report(key, Event::ResponseStarted { status: 200 });
+    harness.router.record_event(harness.now, key);
+    for number in 3..9 {
+        harness.list_upstream(engine(&format!("d{number}"), PoolRole::Decode, "v2"));
+    }
+    assert_eq!(harness.router.take_unsent_origins(), vec![origin("first", "v1")]);
+    let step = harness.report(key, Event::ResponseInterrupted { last_event: Some(6) });
+    assert_eq!(target(&step).version, begun_at.version);
+}
