Soak: two software versions side by side, and callers that take up streams

The check follows each stream over its requests: events of two versions in at most two streams, the users' bound.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -69,11 +69,32 @@
     pub sent_at: Instant,
     /// Time at which its outcome was known.
     pub ended_at: Instant,
+    /// Stream that it takes up, if it does.
+    pub resumed: Option<ResumedStream>,
     /// Outcome that the caller saw.
     pub outcome: RequestOutcome,
 }
 
+/// Broken stream that a caller takes up with another request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ResumedStream {
+    /// Id of the request that began the stream.
+    pub first_id: String,
+    /// Number of events that the caller has received.
+    pub after_event: u64,
+}
+
 impl CallerRequest {
+    /// Number of complete events in its response.
+    pub fn received_events(&self) -> u64 {
+        let body = match &self.outcome {
+            RequestOutcome::Complete { status: 200, body, .. }
+            | RequestOutcome::Incomplete { body } => body,
+            _ => return 0,
+        };
+        String::from_utf8_lossy(body).matches("\n\n").count() as u64
+    }
+
     /// Method and path, as the replica should receive them.
     pub fn line(&self) -> String {
         format!("{} /{}/{}", method(self.route), self.route, self.id)
@@ -154,18 +175,47 @@
             Some(open) => open,
             None => self.connect(entry).await?,
         };
+        let record = self.exchange(&mut connection, route, disconnect_after, None).await;
+        let complete = matches!(record.outcome, RequestOutcome::Complete { .. });
+        let broke_off = matches!(record.outcome, RequestOutcome::Incomplete { .. });
+        if self.fleet.several_versions && route == "resumable" && broke_off {
+            self.take_up(&record).await;
+        }
+        self.requests.lock().expect("the mutex is not poisoned").push(record);
+        complete.then_some(connection)
+    }
+
+    /// Takes up a broken stream at the next entry, if any of its events have arrived.
+    async fn take_up(&self, broken: &CallerRequest) {
+        let after_event = broken.received_events();
+        let next_entry = (broken.entry + 1) % self.fleet.entries.len();
+        if after_event == 0 {
+            return;
+        }
+        let Some(mut connection) = self.connect(next_entry).await else { return };
+        let resumed = ResumedStream { first_id: broken.id.clone(), after_event };
+        let record = self.exchange(&mut connection, broken.route, None, Some(resumed)).await;
+        self.requests.lock().expect("the mutex is not poisoned").push(record);
+    }
+
+    /// Sends one request with a new id and returns it with its outcome.
+    async fn exchange(
+        &self,
+        connection: &mut Connection,
+        route: &'static str,
+        disconnect_after: Option<Duration>,
+        resumed: Option<ResumedStream>,
+    ) -> CallerRequest {
         let id = format!("r{}", self.next_id.fetch_add(1, Ordering::SeqCst));
         let (sent_at, entry) = (Instant::now(), connection.entry);
-        let exchange = exchange(&mut connection.sender, build_request(&id, route));
+        let request = build_request(&id, route, resumed.as_ref());
+        let exchange = exchange(&mut connection.sender, request);
         let outcome = match timeout(disconnect_after.unwrap_or(RESPONSE_TIMEOUT), exchange).await {
             Ok(outcome) => outcome,
             Err(_) if disconnect_after.is_some() => RequestOutcome::Disconnected,
             Err(_) => RequestOutcome::Incomplete { body: Bytes::new() },
         };
-        let complete = matches!(outcome, RequestOutcome::Complete { .. });
-        let record = CallerRequest { id, route, entry, sent_at, ended_at: Instant::now(), outcome };
-        self.requests.lock().expect("the mutex is not poisoned").push(record);
-        complete.then_some(connection)
+        CallerRequest { id, route, entry, sent_at, ended_at: Instant::now(), resumed, outcome }
     }
 
     async fn connect(&self, entry: usize) -> Option<Connection> {
@@ -215,8 +265,8 @@
     RequestOutcome::Complete { status: status.as_u16(), signature, body: received.freeze() }
 }
 
-fn build_request(id: &str, route: &str) -> Request<Full<Bytes>> {
-    Request::builder()
+fn build_request(id: &str, route: &str, resumed: Option<&ResumedStream>) -> Request<Full<Bytes>> {
+    let mut request = Request::builder()
         .method(method(route))
         .uri(format!("/{route}/{id}"))
         .header("host", "service.example")
@@ -224,7 +274,11 @@
         .header("bamboodoor-deadline-ms", CALLER_TIMEOUT.as_millis().to_string())
         .header("bamboodoor-model", "m")
         .header("bamboodoor-token-count", "100,700")
-        .header("bamboodoor-prompt-prefix", "5c1e07a2:100")
-        .body(Full::from(Bytes::from(id.to_string())))
-        .expect("the request is valid")
+        .header("bamboodoor-prompt-prefix", "5c1e07a2:100");
+    if let Some(resumed) = resumed {
+        request = request
+            .header("last-event-id", resumed.after_event.to_string())
+            .header("resumes", &resumed.first_id);
+    }
+    request.body(Full::from(Bytes::from(id.to_string()))).expect("the request is valid")
 }
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -27,6 +27,7 @@
 use crate::inject::AppliedAction;
 use crate::plan::Action;
 use crate::rate_limits::check_rate_limits;
+use crate::versions::check_versions;
 
 /// Time after the last action within which every entry must serve every route again.
 pub const RECOVERY_TIMEOUT: Duration = Duration::from_secs(15);
@@ -73,7 +74,7 @@
     /// Index of the replica in the fleet.
     pub(crate) node: usize,
     pub(crate) request: ReceivedRequest,
-    kind: ArrivalKind,
+    pub(crate) kind: ArrivalKind,
 }
 
 /// What a replica did with a request that arrived.
@@ -118,6 +119,7 @@
     }
     violations.extend(check_retry_budget(&arrivals, &nodes, record.requests));
     violations.extend(check_rate_limits(record, &arrivals, &nodes, &by_id));
+    violations.extend(check_versions(record, &arrivals, &nodes));
     violations.extend(check_order_fencing(&record.orders()));
     violations.extend(record.check_stops());
     violations.extend(check_no_open_streams(&nodes));
@@ -143,7 +145,8 @@
 
 fn expected_body(request: &CallerRequest) -> Bytes {
     if request.route == "stream" || request.route == "resumable" {
-        return (1..=EVENTS_PER_STREAM).map(event).collect::<String>().into();
+        let first_event = request.resumed.as_ref().map_or(0, |resumed| resumed.after_event) + 1;
+        return (first_event..=EVENTS_PER_STREAM).map(event).collect::<String>().into();
     }
     format!("{{\"echo\":\"{}\"}}", request.line()).into()
 }
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -223,17 +223,32 @@
     pub nodes: Mutex<Vec<Arc<ReplicaNode>>>,
     /// Replicas that serve now, by position; a replacement takes the position of the old one.
     current: Mutex<Vec<Arc<ReplicaNode>>>,
+    /// True if the replicas have two software versions, and callers take up broken streams.
+    pub several_versions: bool,
 }
 
+/// Software versions of the replicas, if there are several.
+const VERSIONS: [&str; 2] = ["v1", "v2"];
+
 impl Fleet {
     /// Starts the store with its first configuration, the replicas, and `entries` processes of
-    /// `program`, whose settings files and logs go to `dir`.
-    pub async fn start(program: &Path, dir: &Path, entries: usize) -> Arc<Self> {
+    /// `program`, whose settings files and logs go to `dir`. The replicas may have two software
+    /// versions.
+    pub async fn start(
+        program: &Path,
+        dir: &Path,
+        entries: usize,
+        several_versions: bool,
+    ) -> Arc<Self> {
         let (store, address) = Store::start().await;
         store.put_json(OPERATOR_TOPIC, "config", &configuration(1));
         let mut nodes = Vec::new();
         for (number, (service, kind)) in INITIAL_REPLICAS.into_iter().enumerate() {
-            nodes.push(ReplicaNode::start(&format!("replica-{number}"), service, kind).await);
+            let node = ReplicaNode::start(&format!("replica-{number}"), service, kind).await;
+            if several_versions {
+                node.replica.set_version(VERSIONS[number % VERSIONS.len()]);
+            }
+            nodes.push(node);
         }
         let mut started = Vec::new();
         for number in 0..entries {
@@ -244,6 +259,7 @@
             entries: started,
             current: Mutex::new(nodes.clone()),
             nodes: Mutex::new(nodes),
+            several_versions,
         });
         fleet.publish_replicas();
         fleet
@@ -273,6 +289,9 @@
         let number = self.nodes.lock().expect("the mutex is not poisoned").len();
         let id = format!("replica-{number}");
         let new = ReplicaNode::start(&id, old.service, old.replica.kind).await;
+        if self.several_versions {
+            new.replica.set_version(VERSIONS[number % VERSIONS.len()]);
+        }
         self.nodes.lock().expect("the mutex is not poisoned").push(new.clone());
         self.current.lock().expect("the mutex is not poisoned")[position] = new.clone();
         self.publish_replica(&new, "ready");
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod plan;
 pub mod proxy;
 mod rate_limits;
+mod versions;
 
 use std::path::Path;
 use std::time::Duration;
@@ -68,7 +69,8 @@
 /// `seed` plans, and checks the guarantees. The settings files and logs of the entries go to `dir`,
 /// which must exist.
 pub async fn run(seed: u64, program: &Path, dir: &Path, settings: RunSettings) -> Report {
-    let fleet = Fleet::start(program, dir, settings.entries).await;
+    let several_versions = seed >= plan::FIRST_EXTENDED_SEED;
+    let fleet = Fleet::start(program, dir, settings.entries, several_versions).await;
     let publisher = fleet.clone();
     let heartbeat = tokio::spawn(async move {
         loop {
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -89,9 +89,9 @@
 /// drawn, during which no response may break off.
 const PLANNED_ONLY_SEED_INTERVAL: u64 = 4;
 
-/// First seed whose plan has replicas that name rate limits beside the other actions. Lower seeds
-/// are known by their plans.
-const FIRST_RATE_LIMIT_SEED: u64 = 1_000;
+/// First seed whose replicas have two software versions and name rate limits beside the other
+/// actions. Lower seeds are known by their plans.
+pub const FIRST_EXTENDED_SEED: u64 = 1_000;
 /// Longest pause between two rate limits.
 const MAX_RATE_LIMIT_PAUSE_MS: u64 = 4_000;
 
@@ -116,7 +116,7 @@
         }
         at += Duration::from_millis(rng.random_range(0..1_500));
     }
-    if seed >= FIRST_RATE_LIMIT_SEED {
+    if seed >= FIRST_EXTENDED_SEED {
         actions.extend(draw_rate_limits(&mut rng, size));
     }
     actions.sort_by_key(|action| action.at);
--- a/standins/src/platform/replica.rs
+++ b/standins/src/platform/replica.rs
@@ -140,7 +140,7 @@
         address: SocketAddr,
         state: &str,
     ) -> serde_json::Value {
-        let version = self.version.lock().expect("the mutex is not poisoned").clone();
+        let version = self.version();
         let mut record = json!({
             "service": service, "address": address.to_string(), "zone": "north", "version": version,
             "slots": 64, "state": state, "coldLeftMs": 0, "seq": 1
@@ -168,6 +168,16 @@
         executed.iter().filter(|received| received.id == id).count()
     }
 
+    /// Sets the version of its software in its next records.
+    pub fn set_version(&self, version: &str) {
+        *self.version.lock().expect("the mutex is not poisoned") = version.to_string();
+    }
+
+    /// Version of its software.
+    pub fn version(&self) -> String {
+        self.version.lock().expect("the mutex is not poisoned").clone()
+    }
+
     /// Names a rate limit from now on, or none.
     pub fn set_rate_limit(&self, limit: Option<&str>) {
         let mut named = self.rate_limit.lock().expect("the mutex is not poisoned");
