--- a/src/router/selection.rs
+++ b/src/router/selection.rs
@@ -17,6 +17,9 @@
 /// Cost of an upstream in another availability zone for a model request, in
 /// tokens: KV transfers run at half the speed across zones.
 const ZONE_COST_TOKENS: f64 = 4_000.0;
+/// Cost of a prefill engine of another software version than the decode engine, in tokens:
+/// what one version computes need not suit the other.
+const VERSION_COST_TOKENS: f64 = 8_000.0;
 /// Cost of an upstream in another availability zone for a plain call, in open
 /// requests.
 const ZONE_COST_CALLS: f64 = 0.5;
@@ -50,8 +53,8 @@
         cheapest(candidates, &request.excluded, &mut self.rng, JITTER_TOKENS, cost)
     }
 
-    /// Selects the prefill engine for a request, preferring the zone of its
-    /// decode engine. Engines that have just rejected a prefill are left out,
+    /// Selects the prefill engine for a request, preferring the zone and the software
+    /// version of its decode engine. Engines that have just rejected a prefill are left out,
     /// unless all of them have.
     pub(super) fn select_prefill_engine(
         &mut self,
@@ -61,6 +64,7 @@
         let request = &self.requests[key];
         let decode = request.current.as_ref().and_then(|target| self.upstreams.get(target.key));
         let zone = decode.map_or(&self.settings.zone, |decode| &decode.listed.zone);
+        let version = decode.map(|decode| decode.listed.version.as_str());
         let s_per_token = self.prefill_s_per_token(&request.service);
         let sendable = self.upstreams.sendable(&request.service, PoolRole::Prefill, None, now);
         let any_allowed =
@@ -70,7 +74,8 @@
         let cost = |engine: &Upstream| {
             let wait_s = engine.prefill_wait.expected(now).as_secs_f64();
             let load = engine.prefilling_tokens as f64 + wait_s / s_per_token;
-            load + zone_cost(engine, zone, ZONE_COST_TOKENS)
+            let version_cost = if engine.has_version(version) { 0.0 } else { VERSION_COST_TOKENS };
+            load + zone_cost(engine, zone, ZONE_COST_TOKENS) + version_cost
         };
         cheapest(engines, &request.excluded, &mut self.rng, JITTER_TOKENS, cost)
     }
--- a/tests/router/software_versions.rs
+++ b/tests/router/software_versions.rs
@@ -203,3 +203,36 @@
     let step = harness.report(key, Event::ResponseInterrupted { last_event: Some(6) });
     assert_eq!(target(&step).version, begun_at.version);
 }
+
+/// Returns a router with prefill engines of two versions, and decode engines of `v2` only.
+fn harness_with_prefill_versions() -> Harness {
+    Harness::new(vec![
+        engine("p1", PoolRole::Prefill, "v1"),
+        engine("p2", PoolRole::Prefill, "v1"),
+        engine("p3", PoolRole::Prefill, "v2"),
+        engine("d1", PoolRole::Decode, "v2"),
+        engine("d2", PoolRole::Decode, "v2"),
+    ])
+}
+
+/// Starts a request and returns the version of its prefill engine.
+fn prefill_version(harness: &mut Harness) -> compact_str::CompactString {
+    let (key, _) = harness.start_request("/stream/1");
+    target(&harness.report(key, reserved())).version
+}
+
+#[test]
+fn a_prompt_is_prefilled_at_the_version_of_its_decode_engine() {
+    for _ in 0..20 {
+        let mut harness = harness_with_prefill_versions();
+        assert_eq!(prefill_version(&mut harness), "v2");
+    }
+}
+
+/// The only engine of that version has a queue: the request would come late.
+#[test]
+fn a_prompt_is_prefilled_at_another_version_rather_than_late() {
+    let mut harness = harness_with_prefill_versions();
+    let versions: Vec<_> = (0..12).map(|_| prefill_version(&mut harness)).collect();
+    assert!(versions.iter().any(|version| version == "v1"), "{versions:?}");
+}
