--- a/src/edge/direct/dispatch.rs
+++ b/src/edge/direct/dispatch.rs
@@ -105,20 +105,32 @@
         CallerResponse::Refused(refusal)
     }
 
-    /// Passes to the router what responses have said about their upstreams, and logs each
-    /// rate limit that changed.
+    /// Passes to the router what responses have said about their upstreams, and logs what
+    /// changed.
     pub(super) fn record_notices(&self) {
         for notice in self.upstream_client.take_notices() {
-            self.metrics.count_rate_limit_notice(notice.rate_limit);
+            if let Some(rate_limit) = notice.rate_limit {
+                self.metrics.count_rate_limit_notice(rate_limit);
+            }
             let mut router = self.router.borrow_mut();
-            let Some(change) = router.record_notice(self.now(), &notice) else { continue };
+            let changes = router.record_notice(self.now(), &notice);
             let upstream = router.target(notice.upstream).map(|target| target.id);
-            spdlog::info!("upstream-limit", kv: {
-                instance: = self.name,
-                upstream: = upstream.unwrap_or_default(),
-                requests_per_s = change.after.unwrap_or(UNLIMITED),
-                previous_requests_per_s = change.before.unwrap_or(UNLIMITED)
-            });
+            let upstream = upstream.unwrap_or_default();
+            if changes.leaving {
+                self.metrics.count_leaving_upstream();
+                spdlog::info!("upstream-leaving", kv: {
+                    instance: = self.name,
+                    upstream: = upstream
+                });
+            }
+            if let Some(change) = changes.rate_limit {
+                spdlog::info!("upstream-limit", kv: {
+                    instance: = self.name,
+                    upstream: = upstream,
+                    requests_per_s = change.after.unwrap_or(UNLIMITED),
+                    previous_requests_per_s = change.before.unwrap_or(UNLIMITED)
+                });
+            }
         }
     }
 
--- a/src/edge/direct/metrics.rs
+++ b/src/edge/direct/metrics.rs
@@ -70,6 +70,7 @@
     store_reads: Family<StoreReadLabels, Counter>,
     rate_limit_notices: Family<RateLimitLabels, Counter>,
     continued_streams: Family<VersionLabels, Counter>,
+    leaving_upstreams: Counter,
     first_part: Family<KindLabels, Histogram>,
     step_duration: Family<KindLabels, Histogram>,
     open_requests: Gauge,
@@ -90,6 +91,7 @@
             store_reads: Family::default(),
             rate_limit_notices: Family::default(),
             continued_streams: Family::default(),
+            leaving_upstreams: Counter::default(),
             first_part: Family::new_with_constructor(histogram),
             step_duration: Family::new_with_constructor(histogram),
             open_requests: Gauge::default(),
@@ -119,6 +121,8 @@
         registry.register("rate_limit_notices", help, self.rate_limit_notices.clone());
         let help = "Interrupted streams that continued, by the version of the new engine";
         registry.register("continued_streams", help, self.continued_streams.clone());
+        let help = "Upstreams that said in a response that they are leaving";
+        registry.register("leaving_upstreams", help, self.leaving_upstreams.clone());
         let unit = Unit::Seconds;
         let help = "From arrival to the head of the answer";
         registry.register_with_unit("first_part", help, unit, self.first_part.clone());
@@ -176,6 +180,11 @@
         self.rate_limit_notices.get_or_create(&RateLimitLabels { limit }).inc();
     }
 
+    /// Counts an upstream that said in a response that it is leaving.
+    pub fn count_leaving_upstream(&self) {
+        self.leaving_upstreams.inc();
+    }
+
     /// Counts a stream that continues at an engine, by whether the engine has the software
     /// version at which the stream began.
     pub fn count_continuation(&self, begun_version: Option<&str>, target: &Target) {
--- a/src/router/roles.rs
+++ b/src/router/roles.rs
@@ -254,5 +254,5 @@
 }
 
 fn is_engine(upstream: &Upstream) -> bool {
-    !upstream.listed.leaving && upstream.listed.role != PoolRole::Service
+    !upstream.is_leaving() && upstream.listed.role != PoolRole::Service
 }
--- a/src/router/upstream_notice.rs
+++ b/src/router/upstream_notice.rs
@@ -15,8 +15,20 @@
     pub upstream: UpstreamKey,
     /// When the request was sent that the response answers.
     pub sent_at: Duration,
-    /// What the response says about the upstream's rate limit.
-    pub rate_limit: RateLimitNotice,
+    /// What the response says about the upstream's rate limit; `None` for a response that
+    /// need not name one.
+    pub rate_limit: Option<RateLimitNotice>,
+    /// True if the response says that the upstream is leaving.
+    pub leaving: bool,
+}
+
+/// What a notice changed in the record of its upstream.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct NoticeChanges {
+    /// Change of the rate limit, if it differs from now on.
+    pub rate_limit: Option<RateLimitChange>,
+    /// True if the upstream is known to be leaving only from now on.
+    pub leaving: bool,
 }
 
 /// What the head of a response says about the rate limit of its upstream.
@@ -40,12 +52,17 @@
 }
 
 impl Router {
-    /// Records what a response says about its upstream. Returns the change if its
-    /// rate limit differs from now on.
+    /// Records what a response says about its upstream. An upstream that says that it is
+    /// leaving gets no more work, whatever the instance list says of that incarnation.
     ///
     /// A response without a limit lifts one only if its request was sent after the
     /// limit was last named, since responses may arrive out of order.
-    pub fn record_notice(
+    pub fn record_notice(&mut self, now: Duration, notice: &UpstreamNotice) -> NoticeChanges {
+        let leaving = notice.leaving && self.upstreams.mark_leaving(notice.upstream);
+        NoticeChanges { rate_limit: self.record_rate_limit(now, notice), leaving }
+    }
+
+    fn record_rate_limit(
         &mut self,
         now: Duration,
         notice: &UpstreamNotice,
@@ -53,7 +70,7 @@
         let share = self.rate_limit_share;
         let upstream = self.upstreams.get_mut(notice.upstream)?;
         let current = upstream.rate_limit;
-        match (notice.rate_limit, &mut upstream.rate_limit) {
+        match (notice.rate_limit?, &mut upstream.rate_limit) {
             (RateLimitNotice::Named(requests_per_s), Some(limit)) => {
                 limit.rename(now, requests_per_s);
             }
--- a/src/router/upstreams.rs
+++ b/src/router/upstreams.rs
@@ -59,6 +59,8 @@
 pub struct Upstream {
     /// Newest record of the upstream in the instance list.
     pub listed: ListedUpstream,
+    /// True if the upstream has said in a response that it is leaving.
+    pub said_leaving: bool,
     /// Requests of this entry that are in flight at the upstream.
     pub open_requests: u32,
     /// Prompt tokens and expected output tokens of the requests in flight.
@@ -83,6 +85,11 @@
         self.rate_limit.is_none_or(|limit| limit.allows(now))
     }
 
+    /// True if the upstream is leaving and gets no new work.
+    pub fn is_leaving(&self) -> bool {
+        self.listed.leaving || self.said_leaving
+    }
+
     /// True if the upstream has this software version, or any will do.
     pub fn has_version(&self, version: Option<&str>) -> bool {
         version.is_none_or(|version| self.listed.version == version)
@@ -131,6 +138,9 @@
     upstreams: SlotMap<UpstreamKey, Upstream>,
     by_id: HashMap<CompactString, UpstreamKey>,
     by_service: HashMap<CompactString, Vec<UpstreamKey>>,
+    /// Start times of the upstreams that have said that they are leaving, by id. Kept when
+    /// a record vanishes, since it may come back.
+    said_leaving: HashMap<CompactString, u64>,
 }
 
 impl Upstreams {
@@ -149,8 +159,10 @@
             self.remove(&listed.id);
         }
         let (id, service) = (listed.id.clone(), listed.service.clone());
+        let said_leaving = self.said_leaving.get(&id) == Some(&listed.started_ms);
         let key = self.upstreams.insert(Upstream {
             listed,
+            said_leaving,
             open_requests: 0,
             open_tokens: 0,
             prefilling_tokens: 0,
@@ -164,6 +176,17 @@
         key
     }
 
+    /// Records that an upstream has said that it is leaving. Returns true if it was not
+    /// known to be.
+    pub fn mark_leaving(&mut self, key: UpstreamKey) -> bool {
+        let Some(upstream) = self.upstreams.get_mut(key) else { return false };
+        let was_leaving = upstream.is_leaving();
+        upstream.said_leaving = true;
+        let listed = &upstream.listed;
+        self.said_leaving.insert(listed.id.clone(), listed.started_ms);
+        !was_leaving
+    }
+
     /// Removes the upstream with this id, if there is one.
     pub fn remove(&mut self, id: &str) {
         let Some(key) = self.by_id.remove(id) else { return };
@@ -231,7 +254,7 @@
         role: PoolRole,
     ) -> impl Iterator<Item = (UpstreamKey, &Upstream)> + Clone {
         self.service_upstreams(service)
-            .filter(move |(_, upstream)| upstream.listed.role == role && !upstream.listed.leaving)
+            .filter(move |(_, upstream)| upstream.listed.role == role && !upstream.is_leaving())
     }
 
     /// Returns the upstream of a service, role and version that may be sent a request
@@ -280,7 +303,7 @@
 
     /// True if the upstream is listed and not leaving.
     pub fn accepts_work(&self, key: UpstreamKey) -> bool {
-        self.upstreams.get(key).is_some_and(|upstream| !upstream.listed.leaving)
+        self.upstreams.get(key).is_some_and(|upstream| !upstream.is_leaving())
     }
 
     /// Number of listed upstreams.
--- a/standins/src/platform/replica.rs
+++ b/standins/src/platform/replica.rs
@@ -96,6 +96,8 @@
     pub break_next_stream: Switch,
     /// Delay before each request is executed or prefilled, and before each event of a stream.
     pub response_delay: Delay,
+    /// Says in all its responses that it is leaving.
+    pub leaving: Switch,
     /// Rate limit that it names in all its responses, in the text of the header; `None` names none.
     pub rate_limit: Mutex<Option<String>>,
     /// Times at which requests and calls of any kind arrived, in this order.
@@ -124,6 +126,7 @@
             mismatch_next_id: Switch::default(),
             break_next_stream: Switch::default(),
             response_delay: Delay::default(),
+            leaving: Switch::default(),
             rate_limit: Mutex::default(),
             arrivals: Mutex::default(),
         });
@@ -184,12 +187,21 @@
         *named = limit.map(str::to_string);
     }
 
+    /// Number of requests and calls of any kind that arrived.
+    pub fn arrival_count(&self) -> usize {
+        self.arrivals.lock().expect("the mutex is not poisoned").len()
+    }
+
     async fn handle(
         self: Arc<Self>,
         request: Request<Incoming>,
     ) -> Result<Response<Body>, std::io::Error> {
         self.arrivals.lock().expect("the mutex is not poisoned").push(Instant::now());
         let mut response = self.clone().respond(request).await?;
+        if self.leaving.is_on() {
+            let leaving = "1".parse().expect("the header is valid");
+            response.headers_mut().insert("server-leaving", leaving);
+        }
         let limit = self.rate_limit.lock().expect("the mutex is not poisoned").clone();
         if let Some(limit) = limit {
             let limit = limit.parse().expect("the header is valid");
--- a/tests/router/rate_limited_engines.rs
+++ b/tests/router/rate_limited_engines.rs
@@ -36,7 +36,12 @@
 fn limit(harness: &mut Harness, id: &str, requests_per_s: f64) {
     let upstream = key_of(harness, id);
     let rate_limit = RateLimitNotice::Named(requests_per_s);
-    let notice = UpstreamNotice { upstream, sent_at: harness.now, rate_limit };
+    let notice = UpstreamNotice {
+        upstream,
+        sent_at: harness.now,
+        rate_limit: Some(rate_limit),
+        leaving: false,
+    };
     harness.router.record_notice(harness.now, &notice);
 }
 
