An upstream that turns an entry away with Retry-After gets nothing until then

The header was not read, and the fixed back-offs of 100 ms and 1.5 s went on asking. Selection, reservations and their decode, prefills, role orders and cleanups skip the upstream; a call or stream that no other upstream takes is refused at once with that time (rate-limited).

--- a/src/edge/direct/dispatch.rs
+++ b/src/edge/direct/dispatch.rs
@@ -123,6 +123,14 @@
                     upstream: = upstream
                 });
             }
+            if let Some(retry_after) = notice.retry_after {
+                self.metrics.count_turned_away();
+                spdlog::info!("upstream-retry-after", kv: {
+                    instance: = self.name,
+                    upstream: = upstream,
+                    retry_after_ms = crate::clock::as_ms(retry_after)
+                });
+            }
             if let Some(change) = changes.rate_limit {
                 spdlog::info!("upstream-limit", kv: {
                     instance: = self.name,
--- a/src/edge/direct/metrics.rs
+++ b/src/edge/direct/metrics.rs
@@ -71,6 +71,7 @@
     rate_limit_notices: Family<RateLimitLabels, Counter>,
     continued_streams: Family<VersionLabels, Counter>,
     leaving_upstreams: Counter,
+    turned_away: Counter,
     first_part: Family<KindLabels, Histogram>,
     step_duration: Family<KindLabels, Histogram>,
     open_requests: Gauge,
@@ -92,6 +93,7 @@
             rate_limit_notices: Family::default(),
             continued_streams: Family::default(),
             leaving_upstreams: Counter::default(),
+            turned_away: Counter::default(),
             first_part: Family::new_with_constructor(histogram),
             step_duration: Family::new_with_constructor(histogram),
             open_requests: Gauge::default(),
@@ -123,6 +125,8 @@
         registry.register("continued_streams", help, self.continued_streams.clone());
         let help = "Upstreams that said in a response that they are leaving";
         registry.register("leaving_upstreams", help, self.leaving_upstreams.clone());
+        let help = "Requests that upstreams turned away with a time to stay away";
+        registry.register("turned_away", help, self.turned_away.clone());
         let unit = Unit::Seconds;
         let help = "From arrival to the head of the answer";
         registry.register_with_unit("first_part", help, unit, self.first_part.clone());
@@ -185,6 +189,11 @@
         self.leaving_upstreams.inc();
     }
 
+    /// Counts a request that an upstream turned away with a time to stay away.
+    pub fn count_turned_away(&self) {
+        self.turned_away.inc();
+    }
+
     /// Counts a stream that continues at an engine, by whether the engine has the software
     /// version at which the stream began.
     pub fn count_continuation(&self, begun_version: Option<&str>, target: &Target) {
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -159,8 +159,8 @@
 
     fn decode(&mut self, now: Duration, key: RequestKey) -> Step {
         let Some(reservation) = self.requests[key].reservation.take() else { return Step::Abort };
-        if !self.upstreams.accepts_work(reservation.target.key) {
-            // The engine started to leave during the prefill.
+        if !self.upstreams.accepts_work(now, reservation.target.key) {
+            // The engine started to leave, or turned this entry away, during the prefill.
             self.upstreams.give_back_permit(reservation.target.key);
             self.cleanups.push(Cleanup::ReleaseReservation(reservation));
             self.uncount_open(key);
--- a/src/router/plain.rs
+++ b/src/router/plain.rs
@@ -48,7 +48,7 @@
     fn call(&mut self, now: Duration, key: RequestKey) -> Step {
         let booked = self.requests[key].booked_upstream.take();
         let target = booked.and_then(|upstream| self.target(upstream));
-        if let Some(target) = target.filter(|target| self.upstreams.accepts_work(target.key)) {
+        if let Some(target) = target.filter(|target| self.upstreams.accepts_work(now, target.key)) {
             return self.call_upstream(now, key, target);
         }
         let selected = self.select_service_upstream(now, key);
--- a/src/router/upstream_notice.rs
+++ b/src/router/upstream_notice.rs
@@ -20,6 +20,9 @@
     pub rate_limit: Option<RateLimitNotice>,
     /// True if the response says that the upstream is leaving.
     pub leaving: bool,
+    /// How long the upstream wants no requests of this entry, if it turned one away and
+    /// says so.
+    pub retry_after: Option<Duration>,
 }
 
 /// What a notice changed in the record of its upstream.
@@ -59,6 +62,9 @@
     /// limit was last named, since responses may arrive out of order.
     pub fn record_notice(&mut self, now: Duration, notice: &UpstreamNotice) -> NoticeChanges {
         let leaving = notice.leaving && self.upstreams.mark_leaving(notice.upstream);
+        if let Some(retry_after) = notice.retry_after {
+            self.upstreams.turn_away(notice.upstream, now + retry_after);
+        }
         NoticeChanges { rate_limit: self.record_rate_limit(now, notice), leaving }
     }
 
--- a/src/router/upstreams.rs
+++ b/src/router/upstreams.rs
@@ -75,14 +75,23 @@
     pub health: Health,
     /// Backoff after a rejection for lack of capacity.
     pub capacity_backoff: CapacityBackoff,
+    /// Time until which the upstream wants no requests of this entry.
+    pub turned_away_until: Duration,
     /// Rate limit that the upstream names in its responses, if it does.
     pub rate_limit: Option<RateLimit>,
 }
 
 impl Upstream {
-    /// True if the rate limit of the upstream, if any, allows a request now.
+    /// True if the upstream takes a request now: it is not at its rate limit, if it has
+    /// one, and has not turned this entry away for a time.
     pub fn permits(&self, now: Duration) -> bool {
-        self.rate_limit.is_none_or(|limit| limit.allows(now))
+        self.sendable_at(now) <= now
+    }
+
+    /// Returns the earliest time, now or later, at which the upstream takes a request.
+    pub fn sendable_at(&self, now: Duration) -> Duration {
+        let permit_at = self.rate_limit.map_or(now, |limit| limit.permit_at(now));
+        permit_at.max(self.turned_away_until)
     }
 
     /// True if the upstream is leaving and gets no new work.
@@ -169,6 +178,7 @@
             prefill_wait: PrefillWaitEstimate::default(),
             health: Health::default(),
             capacity_backoff: CapacityBackoff::default(),
+            turned_away_until: Duration::ZERO,
             rate_limit: None,
         });
         self.by_id.insert(id, key);
@@ -270,9 +280,8 @@
         let usable = self
             .not_leaving(service, role)
             .filter(move |(_, upstream)| upstream.has_version(version));
-        let sendable_at = without_ejected(usable, now).map(|(key, upstream)| {
-            (key, upstream.rate_limit.map_or(now, |limit| limit.permit_at(now)))
-        });
+        let sendable_at =
+            without_ejected(usable, now).map(|(key, upstream)| (key, upstream.sendable_at(now)));
         sendable_at.min_by_key(|(_, at)| *at)
     }
 
@@ -301,9 +310,19 @@
         }
     }
 
-    /// True if the upstream is listed and not leaving.
-    pub fn accepts_work(&self, key: UpstreamKey) -> bool {
-        self.upstreams.get(key).is_some_and(|upstream| !upstream.is_leaving())
+    /// True if the upstream is listed, not leaving, and has not turned this entry away for
+    /// a time. It may be at its rate limit.
+    pub fn accepts_work(&self, now: Duration, key: UpstreamKey) -> bool {
+        self.upstreams
+            .get(key)
+            .is_some_and(|upstream| !upstream.is_leaving() && upstream.turned_away_until <= now)
+    }
+
+    /// Records that an upstream wants no requests of this entry until a time.
+    pub fn turn_away(&mut self, key: UpstreamKey, until: Duration) {
+        if let Some(upstream) = self.upstreams.get_mut(key) {
+            upstream.turned_away_until = upstream.turned_away_until.max(until);
+        }
     }
 
     /// Number of listed upstreams.
--- a/standins/src/platform/replica.rs
+++ b/standins/src/platform/replica.rs
@@ -96,6 +96,9 @@
     pub break_next_stream: Switch,
     /// Delay before each request is executed or prefilled, and before each event of a stream.
     pub response_delay: Delay,
+    /// Rejects requests, prefills and reservations with status 503 and this `Retry-After`, in
+    /// seconds; `None` rejects none.
+    pub retry_after: Mutex<Option<String>>,
     /// Says in all its responses that it is leaving.
     pub leaving: Switch,
     /// Rate limit that it names in all its responses, in the text of the header; `None` names none.
@@ -126,6 +129,7 @@
             mismatch_next_id: Switch::default(),
             break_next_stream: Switch::default(),
             response_delay: Delay::default(),
+            retry_after: Mutex::default(),
             leaving: Switch::default(),
             rate_limit: Mutex::default(),
             arrivals: Mutex::default(),
@@ -219,6 +223,14 @@
             self.released_paths.lock().expect("the mutex is not poisoned").push(path);
             return Ok(server::json(StatusCode::OK, &json!({})));
         }
+        let retry_after = self.retry_after.lock().expect("the mutex is not poisoned").clone();
+        if let Some(retry_after) = retry_after {
+            let received = receive(request).await;
+            let mut response = self.reject(&received, StatusCode::SERVICE_UNAVAILABLE);
+            let retry_after = retry_after.parse().expect("the header is valid");
+            response.headers_mut().insert("retry-after", retry_after);
+            return Ok(response);
+        }
         match path.as_str() {
             "/api/hold-take" => return Ok(self.reserve()),
             "/api/report" => return Ok(self.report_stage()),
--- a/tests/router/fleet.rs
+++ b/tests/router/fleet.rs
@@ -205,8 +205,13 @@
     fn tell(&mut self, entry: usize, upstream: UpstreamKey, backend: usize, sent_at: Duration) {
         let limit_per_s = self.backends[backend].limit_per_s;
         let rate_limit = limit_per_s.map_or(RateLimitNotice::Absent, RateLimitNotice::Named);
-        let notice =
-            UpstreamNotice { upstream, sent_at, rate_limit: Some(rate_limit), leaving: false };
+        let notice = UpstreamNotice {
+            upstream,
+            sent_at,
+            rate_limit: Some(rate_limit),
+            leaving: false,
+            retry_after: None,
+        };
         self.entries[entry].router.record_notice(self.now, &notice);
         if limit_per_s.is_some() {
             self.told_at.entry((entry, backend)).or_insert(self.now);
--- a/tests/router/rate_limited_engines.rs
+++ b/tests/router/rate_limited_engines.rs
@@ -41,6 +41,7 @@
         sent_at: harness.now,
         rate_limit: Some(rate_limit),
         leaving: false,
+        retry_after: None,
     };
     harness.router.record_notice(harness.now, &notice);
 }
