--- a/src/edge/direct/origin_log.rs
+++ b/src/edge/direct/origin_log.rs
@@ -2,6 +2,7 @@
 //! and reads it for requests whose callers take up a stream.
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -34,7 +35,8 @@
 pub struct OriginLog {
     unsent: Notify,
     requested: Notify,
-    readers: std::cell::RefCell<Vec<oneshot::Sender<()>>>,
+    /// Requests that wait until the log has been read.
+    readers: RefCell<Vec<oneshot::Sender<()>>>,
 }
 
 impl OriginLog {
