Test of refusal reasons: two are those of an entry without agents

As for the reasons of edge and manifest, the list says where they are reached: tests/router asserts both by name, so the check is as strict: a reason that no list names still has to be reached.

--- a/tests/core/simulation.rs
+++ b/tests/core/simulation.rs
@@ -134,6 +134,11 @@
     RefusalReason::KeyReused,
 ];
 
+/// Reasons of an entry that connects to upstreams directly; `tests/router` reaches them
+/// (`rate_limited_engines`, `upstream_notice`, `software_versions`).
+const ROUTER_REASONS: [RefusalReason; 2] =
+    [RefusalReason::RateLimited, RefusalReason::VersionUnavailable];
+
 #[test]
 fn every_reason_for_refusal_or_retry_is_reached() {
     let mut reached = BTreeSet::new();
@@ -157,8 +162,11 @@
         reached.extend(sim.decisions().iter().cloned());
     }
     reached.extend(crate::replays::decisions_beyond_capacity());
-    let is_reached_elsewhere =
-        |reason: &RefusalReason| EDGE_REASONS.contains(reason) || MANIFEST_REASONS.contains(reason);
+    let is_reached_elsewhere = |reason: &RefusalReason| {
+        EDGE_REASONS.contains(reason)
+            || MANIFEST_REASONS.contains(reason)
+            || ROUTER_REASONS.contains(reason)
+    };
     let refused = RefusalReason::iter().filter(|reason| !is_reached_elsewhere(reason));
     let refused = refused.map(|reason| format!("refused-{reason}"));
     let retried = RetryReason::iter().map(|reason| format!("retry-{reason}"));
