--- a/src/router/rate_limit.rs
+++ b/src/router/rate_limit.rs
@@ -39,7 +39,7 @@
     }
 
     /// Records that a response named the limit again, possibly another one.
-    pub fn rename(&mut self, now: Duration, requests_per_s: f64) {
+    pub fn record_named(&mut self, now: Duration, requests_per_s: f64) {
         self.named_at = now;
         self.change(now, requests_per_s, self.share);
     }
--- a/src/router/upstream_notice.rs
+++ b/src/router/upstream_notice.rs
@@ -78,7 +78,7 @@
         let current = upstream.rate_limit;
         match (notice.rate_limit?, &mut upstream.rate_limit) {
             (RateLimitNotice::Named(requests_per_s), Some(limit)) => {
-                limit.rename(now, requests_per_s);
+                limit.record_named(now, requests_per_s);
             }
             (RateLimitNotice::Named(requests_per_s), limit) => {
                 let phase = self.rng.random_range(0.0..1.0);
