Log and count whether a response paused or broke off, and why one is aborted

The relay now reports ResponsePaused, which the router treats as before: no decision changes. aborted carries the last failure and the time that was left; bamboodoor_aborted_total{reason} counts it.

--- a/src/edge/direct/metrics.rs
+++ b/src/edge/direct/metrics.rs
@@ -65,6 +65,7 @@
     refused: Family<RefusalLabels, Counter>,
     retried: Family<ReasonLabels, Counter>,
     failed: Family<ReasonLabels, Counter>,
+    aborted: Family<ReasonLabels, Counter>,
     answered: Family<StatusLabels, Counter>,
     steps: Family<KindLabels, Counter>,
     store_reads: Family<StoreReadLabels, Counter>,
@@ -87,6 +88,7 @@
             refused: Family::default(),
             retried: Family::default(),
             failed: Family::default(),
+            aborted: Family::default(),
             answered: Family::default(),
             steps: Family::default(),
             store_reads: Family::default(),
@@ -116,6 +118,8 @@
         registry.register("refused", "Requests given up on", self.refused.clone());
         registry.register("retried", "Steps tried again, by cause", self.retried.clone());
         registry.register("failed", "Steps that came to nothing", self.failed.clone());
+        let help = "Responses aborted after their head was sent, by the last failure";
+        registry.register("aborted", help, self.aborted.clone());
         registry.register("answered", "Answers of upstreams passed on", self.answered.clone());
         registry.register("steps", "Exchanges with upstreams begun", self.steps.clone());
         registry.register("store_reads", "Reads of the platform's store", self.store_reads.clone());
@@ -155,6 +159,12 @@
         self.failed.get_or_create(&ReasonLabels { reason: reason.to_string() }).inc();
     }
 
+    /// Counts a response that is aborted after its head was sent, by the reason of the last
+    /// failure.
+    pub fn count_aborted(&self, reason: impl ToString) {
+        self.aborted.get_or_create(&ReasonLabels { reason: reason.to_string() }).inc();
+    }
+
     /// Records a response of an upstream whose head is relayed `elapsed` after the
     /// arrival of the request. `kind` is `generated` or `plain`.
     pub fn record_response(&self, status: u16, kind: &'static str, elapsed: Duration) {
--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -144,7 +144,8 @@
                 Err(_) if self.remaining_time().is_zero() => {
                     return RelayResult::Failed(Event::DeadlinePassed);
                 }
-                Err(_) | Ok(Some(Err(_))) => {
+                Err(_) => return RelayResult::Failed(Event::ResponsePaused { last_event }),
+                Ok(Some(Err(_))) => {
                     return RelayResult::Failed(Event::ResponseInterrupted { last_event });
                 }
                 Ok(None) => break,
--- a/src/edge/direct/request_log.rs
+++ b/src/edge/direct/request_log.rs
@@ -29,6 +29,7 @@
     match event {
         Event::Failed(failure) => Some(failure.to_string()),
         Event::ResponseInterrupted { .. } => Some("broke-off".to_string()),
+        Event::ResponsePaused { .. } => Some("paused".to_string()),
         Event::DeadlinePassed => Some("deadline-passed".to_string()),
         _ => None,
     }
@@ -91,6 +92,7 @@
     let (what, detail) = match event {
         Event::Failed(failure) => ("failed", failure.to_string()),
         Event::ResponseInterrupted { last_event } => ("broke-off", format!("after {last_event:?}")),
+        Event::ResponsePaused { last_event } => ("paused", format!("after {last_event:?}")),
         Event::DeadlinePassed => ("deadline-passed", String::new()),
         _ => return,
     };
@@ -106,6 +108,21 @@
     });
 }
 
+/// Logs that a response is aborted after its head was sent. `cause` is the event that led to
+/// it, as in the metrics of failures.
+pub(super) fn log_aborted(instance: &str, now: Duration, request: &Request, cause: &str) {
+    spdlog::info!("aborted", kv: {
+        instance: = instance,
+        request_id: = request.id,
+        route: = request.route().name,
+        upstream: = request.upstream_id(),
+        generation = request.version(),
+        age_ms = as_ms(now.saturating_sub(request.arrived_at)),
+        remaining_ms = as_ms(request.remaining_time(now)),
+        detail: = cause
+    });
+}
+
 /// How a request that was neither refused nor aborted ended; logged under these names in
 /// kebab case.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
--- a/src/edge/direct/request_task.rs
+++ b/src/edge/direct/request_task.rs
@@ -19,6 +19,7 @@
 use crate::edge::direct::dispatch::Dispatcher;
 use crate::edge::direct::request_log::RequestEnding;
 use crate::edge::direct::request_log::failure_reason;
+use crate::edge::direct::request_log::log_aborted;
 use crate::edge::direct::request_log::log_continuation;
 use crate::edge::direct::request_log::log_failure_event;
 use crate::edge::direct::request_log::log_step;
@@ -86,8 +87,12 @@
         let dispatcher = self.dispatcher.clone();
         let mut step_started = dispatcher.now();
         let mut step = dispatcher.router.borrow_mut().start(step_started, self.key);
+        let mut last_failure = None;
         loop {
             let kind = step_kind(&step);
+            if step == Step::Abort {
+                self.record_abort(last_failure.as_deref().unwrap_or_default());
+            }
             let Some(event) = self.execute_step(step).await else { break };
             let now = dispatcher.now();
             dispatcher.metrics.record_step(kind, now.saturating_sub(step_started));
@@ -97,6 +102,7 @@
             dispatcher.record_notices();
             step = dispatcher.router.borrow_mut().advance(now, self.key, event);
             self.count_failure(&reason, &step);
+            last_failure = reason.or(last_failure);
             dispatcher.start_cleanups_and_wake();
         }
         dispatcher.router.borrow_mut().finish(self.key);
@@ -129,20 +135,24 @@
                 self.send_refusal(refusal);
                 None
             }
-            Step::Abort => {
-                spdlog::info!("aborted", kv: {
-                    instance: = self.dispatcher.name,
-                    request_id: = self.request.id
-                });
-                // The channel closes without `ResponsePart::End`, so the caller sees that
-                // the response is incomplete.
-                None
-            }
+            // The channel closes without `ResponsePart::End`, so the caller sees that the
+            // response is incomplete.
+            Step::Abort => None,
             Step::Relay { idle_timeout } => self.relay_response(idle_timeout).await,
             step => self.execute_until_deadline(step).await,
         }
     }
 
+    /// Counts and logs that the response is aborted after its head was sent.
+    fn record_abort(&self, cause: &str) {
+        self.dispatcher.metrics.count_aborted(cause);
+        let now = self.dispatcher.now();
+        let router = self.dispatcher.router.borrow();
+        if let Some(request) = router.request(self.key) {
+            log_aborted(&self.dispatcher.name, now, request, cause);
+        }
+    }
+
     /// Logs what is known of the origin of a stream that the caller takes up.
     fn log_origin(&self, begun_by: &str) {
         let router = self.dispatcher.router.borrow();
--- a/src/router/flow.rs
+++ b/src/router/flow.rs
@@ -172,6 +172,12 @@
         /// Id of the last event that was relayed to the caller, if any.
         last_event: Option<u64>,
     },
+    /// No part of the response was received for the idle timeout of
+    /// [`Step::Relay`], while its connection stayed open.
+    ResponsePaused {
+        /// Id of the last event that was relayed to the caller, if any.
+        last_event: Option<u64>,
+    },
     /// The deadline of the request passed during the step.
     DeadlinePassed,
 }
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -62,7 +62,7 @@
             Event::Prefilled { handle } => self.prefill_completed(now, key, handle),
             Event::ResponseStarted { status } => self.generate_response_started(key, status),
             Event::Failed(failure) => self.generate_failed(now, key, failure),
-            Event::ResponseInterrupted { last_event } => {
+            Event::ResponseInterrupted { last_event } | Event::ResponsePaused { last_event } => {
                 self.stream_interrupted(now, key, last_event)
             }
             Event::DeadlinePassed => self.generate_deadline_passed(now, key),
--- a/src/router/plain.rs
+++ b/src/router/plain.rs
@@ -40,7 +40,7 @@
             Event::ResponseStarted { status } => self.call_response_started(now, key, status),
             Event::Failed(failure) => self.call_failed(now, key, failure),
             Event::DeadlinePassed => self.call_deadline_passed(now, key),
-            Event::ResponseInterrupted { .. } => Step::Abort,
+            Event::ResponseInterrupted { .. } | Event::ResponsePaused { .. } => Step::Abort,
             _ => Step::Relay { idle_timeout: BODY_IDLE_TIMEOUT },
         }
     }
