--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -11,6 +11,7 @@
 mod instance_list;
 mod lease;
 mod output_margin;
+mod pauses;
 mod plain;
 mod rate_limit;
 mod rate_limited_engines;
--- /dev/null
+++ b/tests/router/pauses.rs
@@ -0,0 +1,92 @@
+//! Responses whose upstream is silent for a while and then goes on.
+
+use std::time::Duration;
+
+use bamboodoor::router::Event;
+use bamboodoor::router::Step;
+use bamboodoor::router::request::RequestKey;
+
+use crate::harness::Harness;
+use crate::harness::default_upstreams;
+use crate::harness::ms;
+use crate::harness::reserved;
+
+/// Longest time for which a test looks for a replacement.
+const MAX_SEARCH: Duration = Duration::from_secs(10);
+
+/// Starts a resumable stream whose response has started.
+fn start_stream(harness: &mut Harness) -> RequestKey {
+    let (key, step) = harness.start_decode("/resumable/1");
+    assert!(matches!(step, Step::Decode { .. }), "{step:?}");
+    harness.report(key, Event::ResponseStarted { status: 200 });
+    key
+}
+
+/// Reports a pause of the stream and then, while the router looks for another engine, that
+/// every engine rejects the reservation. Returns the first other step.
+fn pause_without_capacity(harness: &mut Harness, key: RequestKey) -> Step {
+    let mut step = harness.report(key, Event::ResponsePaused { last_event: Some(5) });
+    let started_at = harness.now;
+    while harness.now < started_at + MAX_SEARCH {
+        step = match step {
+            Step::Reserve { .. } => harness.report(key, Event::ReservationRejected),
+            Step::Wait { until } => {
+                let pause = until.saturating_sub(harness.now);
+                harness.report_after(pause, key, Event::WaitEnded)
+            }
+            other => return other,
+        };
+    }
+    panic!("the search for an engine does not end");
+}
+
+#[test]
+fn a_paused_stream_is_not_aborted_while_no_engine_has_capacity() {
+    let mut harness = Harness::new(default_upstreams());
+    let key = start_stream(&mut harness);
+    let step = pause_without_capacity(&mut harness, key);
+    assert!(matches!(step, Step::Relay { .. }), "{step:?}");
+}
+
+#[test]
+fn paused_streams_are_not_aborted_when_the_retry_budget_is_spent() {
+    let mut harness = Harness::new(default_upstreams());
+    let streams: Vec<RequestKey> = (0..60).map(|_| start_stream(&mut harness)).collect();
+    for (index, key) in streams.into_iter().enumerate() {
+        let mut step = harness.report(key, Event::ResponsePaused { last_event: Some(5) });
+        if matches!(step, Step::Reserve { .. }) {
+            step = harness.report(key, reserved());
+        }
+        assert!(!matches!(step, Step::Abort | Step::Refuse(_)), "{index}: {step:?}");
+    }
+}
+
+#[test]
+fn a_paused_stream_is_not_aborted_without_another_engine_of_its_version() {
+    let mut upstreams = default_upstreams();
+    for listed in &mut upstreams {
+        if listed.id == "d2" {
+            listed.version = "v2".into();
+        }
+    }
+    let mut harness = Harness::new(upstreams);
+    let mut key = start_stream(&mut harness);
+    while harness.router.request(key).is_some_and(|request| request.upstream_id() != "d1") {
+        harness.router.finish(key);
+        key = start_stream(&mut harness);
+    }
+    harness.router.record_event(harness.now, key);
+    let step = harness.report(key, Event::ResponsePaused { last_event: Some(5) });
+    assert!(!matches!(step, Step::Abort | Step::Refuse(_)), "{step:?}");
+    let step = pause_without_capacity(&mut harness, key);
+    assert!(matches!(step, Step::Relay { .. }), "{step:?}");
+}
+
+#[test]
+fn a_plain_response_whose_body_pauses_is_not_aborted() {
+    let mut harness = Harness::new(default_upstreams());
+    let (key, _) = harness.start_request("/booking/1");
+    harness.report(key, Event::ResponseStarted { status: 200 });
+    let step = harness.report_after(ms(2_000), key, Event::ResponsePaused { last_event: None });
+    assert!(matches!(step, Step::Relay { .. }), "{step:?}");
+}
