A paused run is kept until its replacement decodes

Callers saw streams end early, without the rest of the response, while their engine was sound: silent for a second and then going on. Cause: a pause of twice the route's interval counted as an interruption. The run was given up first; only then did the router look for the retry budget, for capacity within 3 s and for an engine of the stream's version, and without one of them it aborted the response. Class: giving up what one has before its replacement is certain.

Now the paused response stays open while another engine reserves and prefills, and is closed when that one decodes. If the paused one goes on first, or nothing else is found within the idle timeout, the stream returns to it, until its deadline. The retry budget is only spent on a replacement that got its reservation. The body of a plain response may pause until the deadline, too.

--- a/src/edge/direct/dispatch.rs
+++ b/src/edge/direct/dispatch.rs
@@ -92,6 +92,7 @@
             request,
             response: None,
             caller: CallerChannel::AwaitingHead(Some(head)),
+            paused: None,
         };
         tokio::task::spawn_local(task.run());
         response.await.unwrap_or_else(|_| CallerResponse::Refused(task_ended_refusal()))
--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -1,13 +1,17 @@
 //! Passes responses of upstreams and refusals on to the caller of a request.
 
+use std::future::pending;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::HeaderMap;
+use hyper::body::Frame;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
 use crate::edge::direct::request_log::RequestEnding;
+use crate::edge::direct::request_log::log_kept_run;
 use crate::edge::direct::request_log::log_refusal;
 use crate::edge::direct::request_log::log_request_ending;
 use crate::edge::direct::request_task::CallerChannel;
@@ -26,8 +30,49 @@
 /// upstream's response is not read.
 const PART_CHANNEL_CAPACITY: usize = 16;
 
+/// Frame of a body, its end, or an error of its connection.
+type BodyFrame = Option<Result<Frame<Bytes>, hyper::Error>>;
+
+/// Response of an upstream that is being relayed.
+pub(super) struct OpenStream {
+    response: UpstreamResponse,
+    splitter: EventSplitter,
+    /// Id of the last event that was relayed, if any.
+    last_event: Option<u64>,
+    /// Frame that was received while the stream was not relayed.
+    unread: Option<BodyFrame>,
+}
+
+impl OpenStream {
+    fn new(response: UpstreamResponse) -> Self {
+        Self { response, splitter: EventSplitter::default(), last_event: None, unread: None }
+    }
+
+    async fn next_frame(&mut self) -> BodyFrame {
+        match self.unread.take() {
+            Some(frame) => frame,
+            None => self.response.body.frame().await,
+        }
+    }
+
+    /// Waits until a paused stream goes on or ends; forever without a stream. Returns false,
+    /// and drops the stream, if its connection was lost.
+    pub(super) async fn resumed(paused: &mut Option<Self>) -> bool {
+        let Some(stream) = paused else { return pending().await };
+        let frame = stream.next_frame().await;
+        if matches!(frame, Some(Err(_))) {
+            *paused = None;
+            return false;
+        }
+        stream.unread = Some(frame);
+        true
+    }
+}
+
 /// Result of passing a response on.
 enum RelayResult {
+    /// The upstream's response is complete; its end is not passed on yet.
+    Complete,
     /// The request has ended.
     Ended(RequestEnding),
     /// The upstream failed or the deadline passed; the router decides what follows.
@@ -37,7 +82,7 @@
 impl RelayResult {
     fn into_event(self) -> Option<Event> {
         match self {
-            Self::Ended(_) => None,
+            Self::Complete | Self::Ended(_) => None,
             Self::Failed(event) => Some(event),
         }
     }
@@ -72,7 +117,10 @@
     /// Passes the stored response on. Returns `None` once all of it was handed over to the
     /// caller's connection or the caller has disconnected, else the event with which it
     /// failed.
-    pub(super) async fn relay_response(&mut self, idle_timeout: Duration) -> Option<Event> {
+    pub(super) async fn relay_response(&mut self, idle_timeout: Option<Duration>) -> Option<Event> {
+        if let Some(stream) = self.paused.take() {
+            return self.relay_kept_run(stream, idle_timeout).await;
+        }
         match self.response.take()? {
             ReadyResponse::Buffered { status, headers, body } => {
                 self.record_response_metrics(status);
@@ -90,11 +138,7 @@
                     self.log_request_ending(RequestEnding::CallerGone, status);
                     return None;
                 };
-                let result = self.relay_body(response, &parts, idle_timeout).await;
-                if let RelayResult::Ended(ending) = result {
-                    self.log_request_ending(ending, status);
-                }
-                result.into_event()
+                self.relay_stream(OpenStream::new(response), &parts, idle_timeout).await
             }
         }
     }
@@ -122,24 +166,59 @@
         }
     }
 
+    /// Goes on with a stream that paused.
+    async fn relay_kept_run(
+        &mut self,
+        stream: OpenStream,
+        idle_timeout: Option<Duration>,
+    ) -> Option<Event> {
+        let CallerChannel::ReadingBody(parts) = &self.caller else { return None };
+        let parts = parts.clone();
+        if let Some(request) = self.dispatcher.router.borrow().request(self.key) {
+            log_kept_run(&self.dispatcher.name, self.dispatcher.now(), request);
+        }
+        self.relay_stream(stream, &parts, idle_timeout).await
+    }
+
+    /// Relays a stream to its end or its next failure.
+    async fn relay_stream(
+        &mut self,
+        mut stream: OpenStream,
+        parts: &mpsc::Sender<ResponsePart>,
+        idle_timeout: Option<Duration>,
+    ) -> Option<Event> {
+        let status = stream.response.status;
+        let result = self.relay_body(&mut stream, parts, idle_timeout).await;
+        match &result {
+            RelayResult::Ended(ending) => self.log_request_ending(*ending, status),
+            RelayResult::Complete => {
+                let fully_sent = self.end_response(stream, parts).await;
+                self.log_request_ending(ending_for(fully_sent), status);
+            }
+            RelayResult::Failed(Event::ResponsePaused { .. }) => self.paused = Some(stream),
+            RelayResult::Failed(_) => {}
+        }
+        result.into_event()
+    }
+
     /// Relays the body. An event stream is relayed event by event, so that it can be
     /// resumed after the last complete one; an incomplete event follows only if the stream
     /// ends with it.
     async fn relay_body(
         &mut self,
-        mut response: UpstreamResponse,
+        stream: &mut OpenStream,
         parts: &mpsc::Sender<ResponsePart>,
-        idle_timeout: Duration,
+        idle_timeout: Option<Duration>,
     ) -> RelayResult {
-        let mut splitter = EventSplitter::default();
-        let mut last_event = None;
         loop {
-            let limit = idle_timeout.min(self.remaining_time());
+            let remaining_time = self.remaining_time();
+            let limit = idle_timeout.unwrap_or(remaining_time).min(remaining_time);
             let frame = tokio::select! {
                 biased;
                 () = parts.closed() => return RelayResult::Ended(RequestEnding::CallerGone),
-                frame = timeout(limit, response.body.frame()) => frame,
+                frame = timeout(limit, stream.next_frame()) => frame,
             };
+            let last_event = stream.last_event;
             let data = match frame {
                 Err(_) if self.remaining_time().is_zero() => {
                     return RelayResult::Failed(Event::DeadlinePassed);
@@ -148,33 +227,39 @@
                 Ok(Some(Err(_))) => {
                     return RelayResult::Failed(Event::ResponseInterrupted { last_event });
                 }
-                Ok(None) => break,
+                Ok(None) => return RelayResult::Complete,
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             };
-            if !response.is_event_stream {
+            if !stream.response.is_event_stream {
                 if parts.send(ResponsePart::Data(data)).await.is_err() {
                     return RelayResult::Ended(RequestEnding::CallerGone);
                 }
                 continue;
             }
-            splitter.push(&data);
-            while let Some(event) = splitter.next_event() {
+            stream.splitter.push(&data);
+            while let Some(event) = stream.splitter.next_event() {
                 if parts.send(ResponsePart::Data(event.bytes)).await.is_err() {
                     return RelayResult::Ended(RequestEnding::CallerGone);
                 }
-                last_event = event.id.or(last_event);
+                stream.last_event = event.id.or(stream.last_event);
                 self.record_event();
             }
         }
-        self.dispatcher
-            .upstream_client
-            .release_connection(response.connection, response.keep_alive);
-        let incomplete = splitter.take_incomplete();
+    }
+
+    /// Releases the connection of a stream that is complete and ends the response. Returns
+    /// false if the caller has disconnected.
+    async fn end_response(
+        &self,
+        mut stream: OpenStream,
+        parts: &mpsc::Sender<ResponsePart>,
+    ) -> bool {
+        let incomplete = stream.splitter.take_incomplete();
+        let UpstreamResponse { connection, keep_alive, .. } = stream.response;
+        self.dispatcher.upstream_client.release_connection(connection, keep_alive);
         let incomplete_sent =
             incomplete.is_empty() || parts.send(ResponsePart::Data(incomplete)).await.is_ok();
-        RelayResult::Ended(ending_for(
-            incomplete_sent && parts.send(ResponsePart::End).await.is_ok(),
-        ))
+        incomplete_sent && parts.send(ResponsePart::End).await.is_ok()
     }
 
     fn record_event(&self) {
--- a/src/edge/direct/request_log.rs
+++ b/src/edge/direct/request_log.rs
@@ -108,6 +108,17 @@
     });
 }
 
+/// Logs that the entry goes on waiting for the upstream of a response that paused.
+pub(super) fn log_kept_run(instance: &str, now: Duration, request: &Request) {
+    spdlog::info!("run-kept", kv: {
+        instance: = instance,
+        request_id: = request.id,
+        upstream: = request.upstream_id(),
+        age_ms = as_ms(now.saturating_sub(request.arrived_at)),
+        remaining_ms = as_ms(request.remaining_time(now))
+    });
+}
+
 /// Logs that a response is aborted after its head was sent. `cause` is the event that led to
 /// it, as in the metrics of failures.
 pub(super) fn log_aborted(instance: &str, now: Duration, request: &Request, cause: &str) {
--- a/src/edge/direct/request_task.rs
+++ b/src/edge/direct/request_task.rs
@@ -17,6 +17,7 @@
 use tokio::time::timeout;
 
 use crate::edge::direct::dispatch::Dispatcher;
+use crate::edge::direct::relay::OpenStream;
 use crate::edge::direct::request_log::RequestEnding;
 use crate::edge::direct::request_log::failure_reason;
 use crate::edge::direct::request_log::log_aborted;
@@ -79,6 +80,8 @@
     /// Response of the upstream, from its head on until `Step::Relay` passes it on.
     pub(super) response: Option<ReadyResponse>,
     pub(super) caller: CallerChannel,
+    /// Stream that paused, while the router looks for another engine.
+    pub(super) paused: Option<OpenStream>,
 }
 
 impl<U: UpstreamClient> RequestTask<U> {
@@ -119,7 +122,7 @@
     fn count_failure(&self, failure: &Option<String>, step: &Step) {
         let Some(reason) = failure else { return };
         self.dispatcher.metrics.count_failure(reason);
-        if !matches!(step, Step::Refuse(_) | Step::Abort) {
+        if !matches!(step, Step::Refuse(_) | Step::Abort | Step::Relay { .. }) {
             self.dispatcher.metrics.count_retry(reason);
         }
     }
@@ -130,6 +133,10 @@
         if let Step::Decode { target, after_event: Some(_), .. } = &step {
             self.record_continuation(target);
         }
+        if matches!(step, Step::Decode { .. }) {
+            // Closes the connection, so that the engine of the paused run stops.
+            self.paused = None;
+        }
         match step {
             Step::Refuse(refusal) => {
                 self.send_refusal(refusal);
@@ -178,14 +185,29 @@
     async fn execute_until_deadline(&mut self, step: Step) -> Option<Event> {
         let remaining_time = self.remaining_time();
         let mut caller = std::mem::replace(&mut self.caller, CallerChannel::AwaitingHead(None));
-        let event = tokio::select! {
-            biased;
-            () = caller.disconnected() => None,
-            event = timeout(remaining_time, self.execute_on_upstream(step)) => {
-                Some(event.unwrap_or(Event::DeadlinePassed))
+        let mut paused = self.paused.take();
+        let event = {
+            let (dispatcher, key) = (self.dispatcher.clone(), self.key);
+            let execution = timeout(remaining_time, self.execute_on_upstream(step));
+            let mut execution = std::pin::pin!(execution);
+            loop {
+                tokio::select! {
+                    biased;
+                    () = caller.disconnected() => break None,
+                    event = execution.as_mut() => {
+                        break Some(event.unwrap_or(Event::DeadlinePassed));
+                    }
+                    resumed = OpenStream::resumed(&mut paused) => {
+                        if resumed {
+                            break Some(Event::ResponseResumed);
+                        }
+                        dispatcher.router.borrow_mut().record_lost_paused_run(key);
+                    }
+                }
             }
         };
         self.caller = caller;
+        self.paused = paused;
         if event.is_none() {
             self.log_request_ending(RequestEnding::CallerGone, 0);
         }
--- a/src/router.rs
+++ b/src/router.rs
@@ -14,6 +14,7 @@
 pub mod instance_list;
 pub mod lease;
 pub mod output_margin;
+mod pauses;
 mod plain;
 pub mod rate_limit;
 pub mod request;
--- a/src/router/flow.rs
+++ b/src/router/flow.rs
@@ -104,8 +104,10 @@
     },
     /// Relay the response whose head was just received.
     Relay {
-        /// Longest pause between two parts of the response.
-        idle_timeout: Duration,
+        /// Pause between two parts of the response after which the router decides
+        /// whether to look for another upstream, with [`Event::ResponsePaused`];
+        /// `None` waits until the deadline of the request.
+        idle_timeout: Option<Duration>,
     },
     /// Refuse the request with a final response.
     Refuse(Refusal),
@@ -173,11 +175,15 @@
         last_event: Option<u64>,
     },
     /// No part of the response was received for the idle timeout of
-    /// [`Step::Relay`], while its connection stayed open.
+    /// [`Step::Relay`], while its connection stayed open. It stays open until
+    /// [`Step::Decode`].
     ResponsePaused {
         /// Id of the last event that was relayed to the caller, if any.
         last_event: Option<u64>,
     },
+    /// Another part of the paused response was received during a step that looks for
+    /// a replacement; the step was cancelled.
+    ResponseResumed,
     /// The deadline of the request passed during the step.
     DeadlinePassed,
 }
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -35,10 +35,7 @@
 const MAX_PREFILLS: u32 = 3;
 /// Sends that another run takes out of the retry budget: a prefill and a
 /// decode.
-const SENDS_PER_RUN: usize = 2;
-/// Idle timeout of a stream that another engine may resume, as a multiple of
-/// the route's longest interval between two events.
-const RESUME_IDLE_INTERVALS: u32 = 2;
+pub(super) const SENDS_PER_RUN: usize = 2;
 
 impl Router {
     pub(super) fn advance_generate(
@@ -62,9 +59,11 @@
             Event::Prefilled { handle } => self.prefill_completed(now, key, handle),
             Event::ResponseStarted { status } => self.generate_response_started(key, status),
             Event::Failed(failure) => self.generate_failed(now, key, failure),
-            Event::ResponseInterrupted { last_event } | Event::ResponsePaused { last_event } => {
+            Event::ResponseInterrupted { last_event } => {
                 self.stream_interrupted(now, key, last_event)
             }
+            Event::ResponsePaused { last_event } => self.stream_paused(now, key, last_event),
+            Event::ResponseResumed => self.return_to_paused_run(key),
             Event::DeadlinePassed => self.generate_deadline_passed(now, key),
             Event::ResponseRelayed => Step::Abort,
         }
@@ -93,6 +92,9 @@
         let request = &mut self.requests[key];
         request.reservation = Some(HeldResource { target, id: reservation });
         request.excluded.clear();
+        if !self.pay_for_replacement(now, key) {
+            return self.return_to_paused_run(key);
+        }
         if self.requests[key].prefill_result.is_some() {
             return self.decode(now, key);
         }
@@ -158,7 +160,9 @@
     }
 
     fn decode(&mut self, now: Duration, key: RequestKey) -> Step {
-        let Some(reservation) = self.requests[key].reservation.take() else { return Step::Abort };
+        let Some(reservation) = self.requests[key].reservation.take() else {
+            return self.return_to_paused_run(key);
+        };
         if !self.upstreams.accepts_work(now, reservation.target.key) {
             // The engine started to leave, or turned this entry away, during the prefill.
             self.upstreams.give_back_permit(reservation.target.key);
@@ -167,6 +171,7 @@
             return self.queue_for_reservation(now, key);
         }
         let request = &mut self.requests[key];
+        request.may_have_run |= request.paused_run.take().is_some();
         request.phase = Phase::Decoding;
         request.attempts += 1;
         request.runs += 1;
@@ -191,17 +196,12 @@
         let source = request.prefill_result.take();
         request.phase = Phase::Relaying;
         request.response_started = true;
-        let idle_timeout = if request.route().resumable && request.allows_another_run() {
-            RESUME_IDLE_INTERVALS * request.max_event_interval()
-        } else {
-            request.deadline.saturating_sub(request.arrived_at)
-        };
         let target = request.current.clone();
         let engines = target.into_iter().chain(source.map(|held| held.target));
         for target in engines.filter(|_| status < MIN_SERVER_ERROR_STATUS) {
             self.upstreams.record_success(target.key);
         }
-        Step::Relay { idle_timeout }
+        self.relay_stream(key)
     }
 
     fn generate_failed(&mut self, now: Duration, key: RequestKey, failure: Failure) -> Step {
--- a/src/router/plain.rs
+++ b/src/router/plain.rs
@@ -20,8 +20,6 @@
 const CALL_TIMEOUT_SHARE: f64 = 0.7;
 /// Share of the latency target that a call may wait for an upstream at its rate limit.
 const PERMIT_WAIT_SHARE: f64 = 0.5;
-/// Longest pause between two parts of the body of a plain response.
-const BODY_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 /// `Retry-After` is at most the caller's remaining time divided by this, so
 /// that the caller has time left for the retry.
 pub(super) const RETRY_AFTER_DIVISOR: u32 = 3;
@@ -40,8 +38,8 @@
             Event::ResponseStarted { status } => self.call_response_started(now, key, status),
             Event::Failed(failure) => self.call_failed(now, key, failure),
             Event::DeadlinePassed => self.call_deadline_passed(now, key),
-            Event::ResponseInterrupted { .. } | Event::ResponsePaused { .. } => Step::Abort,
-            _ => Step::Relay { idle_timeout: BODY_IDLE_TIMEOUT },
+            Event::ResponseInterrupted { .. } => Step::Abort,
+            _ => Step::Relay { idle_timeout: None },
         }
     }
 
@@ -99,13 +97,13 @@
         let Some(target) = self.requests[key].current.clone() else { return Step::Abort };
         if status < MIN_SERVER_ERROR_STATUS {
             self.upstreams.record_success(target.key);
-            return Step::Relay { idle_timeout: BODY_IDLE_TIMEOUT };
+            return Step::Relay { idle_timeout: None };
         }
         self.requests[key].excluded.push(target.key);
         if self.try_spend_retry(now, key) {
             return self.call(now, key);
         }
-        Step::Relay { idle_timeout: BODY_IDLE_TIMEOUT }
+        Step::Relay { idle_timeout: None }
     }
 
     fn call_failed(&mut self, now: Duration, key: RequestKey, failure: Failure) -> Step {
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -168,6 +168,11 @@
     pub(super) last_event_at: Option<Duration>,
     /// True once the stream has paused for longer than its route allows.
     pub(super) stalled: bool,
+    /// Engine of a run that is silent but still open, while another engine is sought.
+    pub(super) paused_run: Option<Target>,
+    /// True if the run that replaces the paused one has not been taken out of the
+    /// retry budget yet.
+    pub(super) replacement_unpaid: bool,
 }
 
 impl Request {
@@ -213,6 +218,8 @@
             begun_version: None,
             last_event_at: None,
             stalled: false,
+            paused_run: None,
+            replacement_unpaid: false,
         }
     }
 
--- a/src/router/reserving.rs
+++ b/src/router/reserving.rs
@@ -24,10 +24,6 @@
 const RESERVATION_WAIT_SHARE: f64 = 0.5;
 /// Share of the latency target that a late request may wait for a reservation.
 const LATE_RESERVATION_WAIT_SHARE: f64 = 0.4;
-/// How long a request that engines have already worked on may wait for a new
-/// reservation. Callers abort an idle stream after a little more than
-/// this.
-const STARTED_REQUEST_MAX_WAIT: Duration = Duration::from_millis(3_000);
 /// Pause between two rounds of reservation requests to the engines.
 const RESERVATION_POLL_INTERVAL: Duration = Duration::from_millis(30);
 /// How long an engine that rejected a reservation gets no request for one of as
@@ -54,7 +50,7 @@
         let request = &mut self.requests[key];
         if is_started {
             request.is_late = false;
-            request.reservation_deadline = now + STARTED_REQUEST_MAX_WAIT;
+            request.reservation_deadline = now + request.max_replacement_wait();
             queue.push_front(key);
             return self.try_reserve(now, key);
         }
@@ -133,7 +129,7 @@
     fn refuse_without_reservation(&mut self, now: Duration, key: RequestKey) -> Step {
         self.leave_reservation_queue(key);
         if self.requests[key].response_started {
-            return Step::Abort;
+            return self.return_to_paused_run(key);
         }
         let service = self.requests[key].service.clone();
         let none_available =
@@ -153,7 +149,7 @@
     ) -> Step {
         self.leave_reservation_queue(key);
         if self.requests[key].response_started {
-            return Step::Abort;
+            return self.return_to_paused_run(key);
         }
         let wait = sendable_at.saturating_sub(now);
         Step::Refuse(self.refusal(now, key, RefusalReason::RateLimited, wait))
@@ -164,7 +160,7 @@
     fn refuse_version_unavailable(&mut self, key: RequestKey) -> Step {
         self.leave_reservation_queue(key);
         if self.requests[key].response_started {
-            return Step::Abort;
+            return self.return_to_paused_run(key);
         }
         let outcome = self.requests[key].outcome();
         Step::Refuse(Refusal::with_outcome(RefusalReason::VersionUnavailable, outcome))
