An idempotent call is abandoned only for a retry that is paid for

Callers of lookups were refused with 504 after 0.7 of the latency target, with most of their time left and the upstream at work, when many upstreams were silent at once: the call timed out early for a retry, and the retry budget then forbade it. The edge now asks the router when the time limit is exceeded, as it does for prefills; the retry is taken out of the budget first, and without one the call keeps waiting until its deadline.

The test failed before (the edge reported Failed(Silent) at once): the fourth of 100 calls got Refuse(DeadlineExceeded, Unknown).

--- a/src/edge/direct/request_task.rs
+++ b/src/edge/direct/request_task.rs
@@ -32,6 +32,7 @@
 use crate::edge::direct::upstream_client::UpstreamClient;
 use crate::edge::direct::upstream_client::UpstreamResponse;
 use crate::router::Event;
+use crate::router::Router;
 use crate::router::Step;
 use crate::router::Target;
 use crate::router::flow::Failure;
@@ -253,18 +254,18 @@
                 self.receive_response(response).await
             }
             Step::Call { target, remaining_time, timeout: limit, fresh_connection } => {
+                let upstream_client = &self.dispatcher.upstream_client;
                 let exchange = async {
-                    let upstream_client = &self.dispatcher.upstream_client;
                     let call = upstream_client.call(
                         &self.request,
                         &target,
                         remaining_time,
                         fresh_connection,
                     );
-                    let response = call.await?;
-                    self.buffer_if_small(response).await
+                    self.buffer_if_small(call.await?).await
                 };
-                let ready = timeout(limit, exchange).await.unwrap_or(Err(Failure::Silent));
+                let abandon = |router: &mut Router, now| router.abandon_call(now, self.key);
+                let ready = self.wait_or_abandon(exchange, limit, abandon).await;
                 self.store_response(ready)
             }
             Step::LookUpOrigin { request_id, timeout: limit } => {
@@ -289,18 +290,28 @@
         remaining_time: Duration,
         limit: Duration,
     ) -> Result<CompactString, Failure> {
-        let dispatcher = &self.dispatcher;
-        let prefill = dispatcher.upstream_client.prefill(&self.request, target, remaining_time);
-        let mut prefill = std::pin::pin!(prefill);
-        if let Ok(result) = timeout(limit, prefill.as_mut()).await {
+        let upstream_client = &self.dispatcher.upstream_client;
+        let prefill = upstream_client.prefill(&self.request, target, remaining_time);
+        let abandon = |router: &mut Router, now| router.abandon_prefill(now, self.key);
+        self.wait_or_abandon(prefill, limit, abandon).await
+    }
+
+    /// Waits for an exchange with an upstream. After `limit`, `abandon` decides whether it
+    /// is abandoned; otherwise the wait continues until the deadline of the request.
+    async fn wait_or_abandon<T>(
+        &self,
+        exchange: impl Future<Output = Result<T, Failure>>,
+        limit: Duration,
+        abandon: impl FnOnce(&mut Router, Duration) -> bool,
+    ) -> Result<T, Failure> {
+        let mut exchange = std::pin::pin!(exchange);
+        if let Ok(result) = timeout(limit, exchange.as_mut()).await {
             return result;
         }
-        let now = dispatcher.now();
-        if dispatcher.router.borrow_mut().abandon_prefill(now, self.key) {
+        if abandon(&mut self.dispatcher.router.borrow_mut(), self.dispatcher.now()) {
             return Err(Failure::Silent);
         }
-        // The caller of this function bounds the wait by the deadline of the request.
-        prefill.await
+        exchange.await
     }
 
     async fn receive_response(&mut self, response: Result<UpstreamResponse, Failure>) -> Event {
--- a/src/router/flow.rs
+++ b/src/router/flow.rs
@@ -81,7 +81,9 @@
         target: Target,
         /// Time left until the request's deadline, sent to the upstream.
         remaining_time: Duration,
-        /// Longest wait for the response; the call has failed after it.
+        /// Time limit for the response. Once it is exceeded,
+        /// [`Router::abandon_call`](crate::router::Router::abandon_call) decides whether
+        /// the wait continues.
         timeout: Duration,
         /// True if the call must not use a connection that has been idle for
         /// long: the upstream may be closing it, and this call must not be
--- a/src/router/plain.rs
+++ b/src/router/plain.rs
@@ -106,6 +106,23 @@
         Step::Relay { idle_timeout: None }
     }
 
+    /// Decides whether a call that exceeded its timeout is abandoned. Returns true if it
+    /// can be retried at another upstream, and takes the retry out of the retry budget.
+    /// Returns false if not: it then keeps waiting, as its upstream may still respond.
+    ///
+    /// # Panics
+    /// If no request with this key is in flight.
+    pub fn abandon_call(&mut self, now: Duration, key: RequestKey) -> bool {
+        let Some(target) = self.requests[key].current.clone() else { return false };
+        let excluded = self.requests[key].excluded.len();
+        self.requests[key].excluded.push(target.key);
+        let abandoned = self.try_spend_retry(now, key);
+        let request = &mut self.requests[key];
+        request.excluded.truncate(excluded);
+        request.retry_paid = abandoned;
+        abandoned
+    }
+
     fn call_failed(&mut self, now: Duration, key: RequestKey, failure: Failure) -> Step {
         self.record_step_failure(now, key, failure);
         if failure.proves_not_run() {
@@ -114,8 +131,9 @@
             self.requests[key].may_have_run = true;
         }
         let repeatable = failure.proves_not_run() || self.requests[key].route().idempotent;
+        let paid = std::mem::take(&mut self.requests[key].retry_paid);
         let unsent = failure == Failure::NotSent && self.requests[key].attempts < MAX_ATTEMPTS;
-        if repeatable && (unsent || self.try_spend_retry(now, key)) {
+        if paid || (repeatable && (unsent || self.try_spend_retry(now, key))) {
             return self.call(now, key);
         }
         let reason = match failure {
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -170,6 +170,8 @@
     pub(super) stalled: bool,
     /// Engine of a run that is silent but still open, while another engine is sought.
     pub(super) paused_run: Option<Target>,
+    /// True if the retry of an abandoned call has been taken out of the retry budget.
+    pub(super) retry_paid: bool,
     /// True if the run that replaces the paused one has not been taken out of the
     /// retry budget yet.
     pub(super) replacement_unpaid: bool,
@@ -219,6 +221,7 @@
             last_event_at: None,
             stalled: false,
             paused_run: None,
+            retry_paid: false,
             replacement_unpaid: false,
         }
     }
--- a/tests/router/plain.rs
+++ b/tests/router/plain.rs
@@ -5,6 +5,7 @@
 use bamboodoor::router::Event;
 use bamboodoor::router::Step;
 use bamboodoor::router::flow::Failure;
+use bamboodoor::router::request::RequestKey;
 
 use crate::harness::Harness;
 use crate::harness::default_upstreams;
@@ -103,3 +104,20 @@
     let step = harness.report_after(ms(200), key, Event::Failed(Failure::NotRun));
     assert!(matches!(step, Step::Call { remaining_time, .. } if remaining_time == ms(13_800)));
 }
+
+/// Reports that a call exceeded its timeout. Returns the next step, or `None` if the entry
+/// keeps waiting for the upstream.
+fn exceed_timeout(harness: &mut Harness, key: RequestKey) -> Option<Step> {
+    let abandoned = harness.router.abandon_call(harness.now, key);
+    abandoned.then(|| harness.report(key, Event::Failed(Failure::Silent)))
+}
+
+#[test]
+fn idempotent_calls_are_not_refused_early_when_the_retry_budget_is_spent() {
+    let mut harness = Harness::new(default_upstreams());
+    let calls: Vec<RequestKey> = (0..100).map(|_| harness.start_request("/lookup/1").0).collect();
+    for (index, key) in calls.into_iter().enumerate() {
+        let step = exceed_timeout(&mut harness, key);
+        assert!(matches!(step, None | Some(Step::Call { .. })), "{index}: {step:?}");
+    }
+}
