Time limits in force apply to open connections of callers

Callers saw their complete request end in a closed connection: after a change to a longer idleTimeoutMs, a connection accepted before was still closed at the shorter limit, and a head that had begun was cut at the idle limit, as the HTTP library has one timer for both with a limit that is fixed when the connection is accepted. headerTimeoutMs was not read.

Now the socket of the connection keeps the time: the longest limit in force while it waited decides (router/connection_limits.rs), and the head has its own limit.

The tests of requests beside SIGTERM, in the reservation queue, of streams and of bodies beside a new configuration passed before; they stay as guards.

--- /dev/null
+++ b/src/edge/direct/caller_stream.rs
@@ -0,0 +1,249 @@
+//! Socket of a caller's connection, which ends when its caller is silent for too long.
+//!
+//! The HTTP library has one timer for the idle time and for the head of a request, with a
+//! limit that is fixed for each connection. Here the limits in force decide, and a
+//! connection is closed only after a look into the buffer of its socket.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::future::Future;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+use std::task::Waker;
+use std::time::Duration;
+
+use hyper::body::Body;
+use hyper::body::Frame;
+use hyper::body::SizeHint;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+use tokio::time::Sleep;
+
+use crate::clock::BootClock;
+use crate::clock::Clock;
+use crate::router::connection_limits::CallerWait;
+use crate::router::connection_limits::ConnectionLimits;
+
+/// Time limits of the connections of a server.
+#[derive(Clone)]
+pub struct ConnectionTimeouts {
+    /// Clock of the limits.
+    pub clock: Arc<dyn Clock>,
+    /// Limits, which may change while connections are open.
+    pub limits: Rc<RefCell<ConnectionLimits>>,
+    /// Called for each connection that is closed at a limit.
+    pub timed_out: Rc<dyn Fn(CallerWait)>,
+}
+
+impl Default for ConnectionTimeouts {
+    fn default() -> Self {
+        Self {
+            clock: Arc::new(BootClock::default()),
+            limits: Rc::default(),
+            timed_out: Rc::new(|_| ()),
+        }
+    }
+}
+
+/// What happens on a connection, shared by its socket and its requests.
+pub(super) struct Activity {
+    timeouts: ConnectionTimeouts,
+    requests_in_flight: Cell<usize>,
+    /// True from the first bytes of a head until the request starts. Of a head that was sent
+    /// before the response to the request before it, only the later part is seen.
+    head_begun: Cell<bool>,
+    /// When the present wait began.
+    since: Cell<Duration>,
+    /// Wakes the task of the connection.
+    waker: RefCell<Option<Waker>>,
+}
+
+impl Activity {
+    /// Creates the activity of a connection that was just accepted.
+    pub(super) fn new(timeouts: ConnectionTimeouts) -> Rc<Self> {
+        let since = Cell::new(timeouts.clock.now());
+        Rc::new(Self {
+            timeouts,
+            requests_in_flight: Cell::default(),
+            head_begun: Cell::default(),
+            since,
+            waker: RefCell::default(),
+        })
+    }
+
+    /// Records that a request starts, until the returned value is dropped.
+    pub(super) fn start_request(self: &Rc<Self>) -> RequestInFlight {
+        self.requests_in_flight.update(|requests| requests + 1);
+        self.head_begun.set(false);
+        RequestInFlight(self.clone())
+    }
+
+    /// Returns what the connection waits for and since when; `None` during a request.
+    fn wait(&self) -> Option<(CallerWait, Duration)> {
+        let idle = self.requests_in_flight.get() == 0;
+        let wait = if self.head_begun.get() { CallerWait::Head } else { CallerWait::NextRequest };
+        idle.then(|| (wait, self.since.get()))
+    }
+
+    fn record_read(&self) {
+        if self.requests_in_flight.get() == 0 && !self.head_begun.replace(true) {
+            self.since.set(self.timeouts.clock.now());
+        }
+    }
+
+    /// Records that bytes of a response were sent. Its last bytes may be sent after the
+    /// request has ended.
+    fn record_write(&self) {
+        if self.wait().is_some_and(|(wait, _)| wait == CallerWait::NextRequest) {
+            self.since.set(self.timeouts.clock.now());
+        }
+    }
+
+    /// Returns the time that is left of a wait.
+    fn remaining(&self, (wait, since): (CallerWait, Duration)) -> Duration {
+        let close_at = self.timeouts.limits.borrow().close_at(wait, since);
+        close_at.saturating_sub(self.timeouts.clock.now())
+    }
+}
+
+/// Request in flight on a connection, until it is dropped.
+pub(super) struct RequestInFlight(Rc<Activity>);
+
+impl Drop for RequestInFlight {
+    fn drop(&mut self) {
+        self.0.requests_in_flight.update(|requests| requests - 1);
+        self.0.since.set(self.0.timeouts.clock.now());
+        // The idle time starts when the connection is read again.
+        if let Some(waker) = self.0.waker.take() {
+            waker.wake();
+        }
+    }
+}
+
+/// Body of a response; its request is in flight until the body has been sent.
+pub(super) struct TrackedBody<B> {
+    pub(super) body: B,
+    pub(super) _in_flight: RequestInFlight,
+}
+
+impl<B: Body + Unpin> Body for TrackedBody<B> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
+        Pin::new(&mut self.get_mut().body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// Socket of a caller's connection. Once the connection has waited for too long, a read
+/// returns the end of the input, at which the HTTP library closes the connection.
+pub(super) struct CallerStream {
+    stream: TcpStream,
+    activity: Rc<Activity>,
+    timer: Pin<Box<Sleep>>,
+    /// Wait for which the timer was set.
+    timed_wait: Option<(CallerWait, Duration)>,
+}
+
+impl CallerStream {
+    /// Creates the socket of a connection that was just accepted.
+    pub(super) fn new(stream: TcpStream, activity: Rc<Activity>) -> Self {
+        let timer = Box::pin(tokio::time::sleep(Duration::ZERO));
+        Self { stream, activity, timer, timed_wait: None }
+    }
+
+    /// True if the connection has waited for too long; else wakes the task when it may have.
+    fn poll_timed_out(&mut self, context: &mut Context<'_>) -> bool {
+        self.activity.waker.replace(Some(context.waker().clone()));
+        let Some(wait) = self.activity.wait() else { return false };
+        if self.timed_wait != Some(wait) {
+            self.timed_wait = Some(wait);
+            self.set_timer(self.activity.remaining(wait));
+        }
+        while self.timer.as_mut().poll(context).is_ready() {
+            let remaining = self.activity.remaining(wait);
+            if remaining.is_zero() {
+                (self.activity.timeouts.timed_out)(wait.0);
+                return true;
+            }
+            self.set_timer(remaining);
+        }
+        false
+    }
+
+    fn set_timer(&mut self, remaining: Duration) {
+        self.timer.as_mut().reset(Instant::now() + remaining);
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        let filled_before = buffer.filled().len();
+        if let Poll::Ready(result) = Pin::new(&mut this.stream).poll_read(context, buffer) {
+            if buffer.filled().len() > filled_before {
+                this.activity.record_read();
+            }
+            return Poll::Ready(result);
+        }
+        if this.poll_timed_out(context) { Poll::Ready(Ok(())) } else { Poll::Pending }
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let this = self.get_mut();
+        let written = Pin::new(&mut this.stream).poll_write(context, bytes);
+        this.activity.record_write();
+        written
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(context)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let this = self.get_mut();
+        let written = Pin::new(&mut this.stream).poll_write_vectored(context, buffers);
+        this.activity.record_write();
+        written
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- a/src/edge/direct/dispatch.rs
+++ b/src/edge/direct/dispatch.rs
@@ -23,6 +23,8 @@
 use crate::outcome::Refusal;
 use crate::outcome::RefusalReason;
 use crate::router::Router;
+use crate::router::configuration::Configuration;
+use crate::router::connection_limits::ConnectionLimits;
 use crate::router::request::IncomingRequest;
 use crate::router::request::RequestKey;
 
@@ -37,6 +39,8 @@
     pub upstream_client: U,
     /// Clock whose time is passed to the router.
     pub clock: Arc<dyn Clock>,
+    /// Time limits on the connections of callers.
+    pub connection_limits: Rc<RefCell<ConnectionLimits>>,
     /// Metrics of this entry.
     pub metrics: Metrics,
     /// Access of requests to the origins of streams in the store.
@@ -59,6 +63,7 @@
             router,
             upstream_client,
             clock,
+            connection_limits: Rc::default(),
             metrics: Metrics::default(),
             origin_log: OriginLog::default(),
             waiting: RefCell::default(),
@@ -70,6 +75,17 @@
         self.clock.now()
     }
 
+    /// Applies a configuration, unless it is not newer than the one in force. Returns true if
+    /// it was applied.
+    pub(super) fn configure(&self, configuration: Configuration) -> bool {
+        let limits = configuration.limits;
+        let applied = self.router.borrow_mut().configure(configuration);
+        if applied {
+            self.connection_limits.borrow_mut().change(self.now(), limits);
+        }
+        applied
+    }
+
     /// Serves a request and returns the response to its caller. The router decides on
     /// `incoming`; upstreams get `request`. Dropping the future or the response body means
     /// that the caller disconnected, and cancels the request.
--- a/src/edge/direct/metrics.rs
+++ b/src/edge/direct/metrics.rs
@@ -15,6 +15,7 @@
 use crate::edge::logs::dropped_lines;
 use crate::outcome::Refusal;
 use crate::router::Target;
+use crate::router::connection_limits::CallerWait;
 use crate::router::follow::Feed;
 use crate::router::upstream_notice::RateLimitNotice;
 
@@ -59,6 +60,11 @@
     version: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct WaitLabels {
+    reason: &'static str,
+}
+
 /// Metrics of an entry, with their registry.
 pub struct Metrics {
     registry: Registry,
@@ -72,6 +78,7 @@
     continued_streams: Family<VersionLabels, Counter>,
     leaving_upstreams: Counter,
     turned_away: Counter,
+    connections_timed_out: Family<WaitLabels, Counter>,
     first_part: Family<KindLabels, Histogram>,
     step_duration: Family<KindLabels, Histogram>,
     open_requests: Gauge,
@@ -94,6 +101,7 @@
             continued_streams: Family::default(),
             leaving_upstreams: Counter::default(),
             turned_away: Counter::default(),
+            connections_timed_out: Family::default(),
             first_part: Family::new_with_constructor(histogram),
             step_duration: Family::new_with_constructor(histogram),
             open_requests: Gauge::default(),
@@ -127,6 +135,8 @@
         registry.register("leaving_upstreams", help, self.leaving_upstreams.clone());
         let help = "Requests that upstreams turned away with a time to stay away";
         registry.register("turned_away", help, self.turned_away.clone());
+        let help = "Connections of callers closed at a time limit, by what they waited for";
+        registry.register("connections_timed_out", help, self.connections_timed_out.clone());
         let unit = Unit::Seconds;
         let help = "From arrival to the head of the answer";
         registry.register_with_unit("first_part", help, unit, self.first_part.clone());
@@ -194,6 +204,16 @@
         self.turned_away.inc();
     }
 
+    /// Counts a caller's connection that was closed at a time limit.
+    pub fn count_timed_out_connection(&self, wait: CallerWait) {
+        self.connections_timed_out.get_or_create(&WaitLabels { reason: wait.into() }).inc();
+    }
+
+    /// Returns the number of callers' connections that were closed at this time limit.
+    pub fn timed_out_connections(&self, wait: CallerWait) -> u64 {
+        self.connections_timed_out.get_or_create(&WaitLabels { reason: wait.into() }).get()
+    }
+
     /// Counts a stream that continues at an engine, by whether the engine has the software
     /// version at which the stream began.
     pub fn count_continuation(&self, begun_version: Option<&str>, target: &Target) {
--- a/src/edge/direct/server.rs
+++ b/src/edge/direct/server.rs
@@ -11,12 +11,15 @@
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
 use socket2::SockRef;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
 
+use crate::edge::direct::caller_stream::Activity;
+use crate::edge::direct::caller_stream::CallerStream;
+use crate::edge::direct::caller_stream::ConnectionTimeouts;
+use crate::edge::direct::caller_stream::TrackedBody;
 use crate::edge::direct::response::ResponseBody;
 
 /// Pause after a failed accept, so that an error that persists, such as a lack of free file
@@ -28,17 +31,17 @@
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Limits of the connections of callers.
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 pub struct ServerSettings {
-    /// Time within which the head of a request must arrive on an open connection.
-    pub idle_timeout: Duration,
+    /// Time limits of the connections.
+    pub timeouts: ConnectionTimeouts,
     /// Maximum size of the read buffer and thus of a request head, in bytes.
     pub max_header_bytes: usize,
 }
 
 impl Default for ServerSettings {
     fn default() -> Self {
-        Self { idle_timeout: Duration::from_secs(15), max_header_bytes: 64 << 10 }
+        Self { timeouts: ConnectionTimeouts::default(), max_header_bytes: 64 << 10 }
     }
 }
 
@@ -57,7 +60,7 @@
 /// lets requests in flight finish. Returns once all connections are closed.
 pub async fn serve<S, F>(
     listener: TcpListener,
-    settings: impl Fn() -> ServerSettings,
+    settings: ServerSettings,
     stop: CancellationToken,
     open: OpenConnections,
     service: S,
@@ -73,7 +76,7 @@
         match accepted {
             Ok((stream, _)) => {
                 let connection =
-                    serve_connection(stream, settings(), stop.clone(), service.clone());
+                    serve_connection(stream, settings.clone(), stop.clone(), service.clone());
                 let guard = OpenConnectionGuard::new(open.clone());
                 tokio::task::spawn_local(async move {
                     connection.await;
@@ -122,15 +125,21 @@
     // Setting an option fails only on a socket that is already closed.
     let _ = stream.set_nodelay(true);
     let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(CALLER_TCP_USER_TIMEOUT));
+    let activity = Activity::new(settings.timeouts);
+    let requests = activity.clone();
     let service = service_fn(move |request| {
+        let in_flight = requests.start_request();
         let response = service(request);
-        async move { Ok::<_, Infallible>(response.await) }
+        async move {
+            let response = response.await;
+            let tracked = response.map(|body| TrackedBody { body, _in_flight: in_flight });
+            Ok::<_, Infallible>(tracked)
+        }
     });
     let connection = hyper::server::conn::http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(settings.idle_timeout)
+        .header_read_timeout(None)
         .max_buf_size(settings.max_header_bytes)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(CallerStream::new(stream, activity)), service);
     let mut connection = std::pin::pin!(connection);
     // An error means that the caller disconnected or sent invalid HTTP; hyper has
     // responded to the latter.
--- a/src/edge/direct/store_follower.rs
+++ b/src/edge/direct/store_follower.rs
@@ -259,7 +259,7 @@
             Some(Ok(configuration)) => {
                 let version = configuration.version;
                 let routes = configuration.routes.len();
-                let accepted = self.dispatcher.router.borrow_mut().configure(configuration);
+                let accepted = self.dispatcher.configure(configuration);
                 spdlog::info!("configuration", kv: {
                     generation = version,
                     routes = routes,
--- a/src/router.rs
+++ b/src/router.rs
@@ -7,6 +7,7 @@
 pub mod budget;
 pub mod caller_retry;
 pub mod configuration;
+pub mod connection_limits;
 pub mod engine_time;
 pub mod flow;
 pub mod follow;
--- a/src/router/configuration.rs
+++ b/src/router/configuration.rs
@@ -27,6 +27,8 @@
     pub max_header_bytes: usize,
     /// Largest size of a request body, in bytes.
     pub max_body_bytes: usize,
+    /// Time within which the head of a request must arrive once it has begun.
+    pub header_timeout: Duration,
     /// Time after which an open connection without a request is closed.
     pub idle_timeout: Duration,
 }
@@ -36,6 +38,7 @@
         Self {
             max_header_bytes: 16 << 10,
             max_body_bytes: 4 << 20,
+            header_timeout: Duration::from_secs(15),
             idle_timeout: Duration::from_secs(15),
         }
     }
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -3,6 +3,7 @@
 mod budget;
 mod caller_retry;
 mod configuration;
+mod connection_limits;
 mod engine_time;
 mod fleet;
 mod follow;
