Look into the socket before an idle connection is closed

A caller whose request arrived while the process was paused for longer than the idle limit saw a closed connection. The wait for events is interrupted when the process resumes, so the runtime reports the timer that has passed before it reports the bytes in the socket's buffer.

The connection now peeks into its socket first, and waits for the event if something is there.

--- a/src/edge/direct/caller_stream.rs
+++ b/src/edge/direct/caller_stream.rs
@@ -8,6 +8,7 @@
 use std::cell::RefCell;
 use std::future::Future;
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -19,6 +20,7 @@
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::SizeHint;
+use socket2::SockRef;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -181,6 +183,9 @@
         while self.timer.as_mut().poll(context).is_ready() {
             let remaining = self.activity.remaining(wait);
             if remaining.is_zero() {
+                if self.has_unread_input() {
+                    return false;
+                }
                 (self.activity.timeouts.timed_out)(wait.0);
                 return true;
             }
@@ -189,6 +194,13 @@
         false
     }
 
+    /// True if the socket holds bytes or an end that the runtime has not reported yet, such
+    /// as what arrived while the process was paused. The runtime wakes the task for them.
+    fn has_unread_input(&self) -> bool {
+        let peeked = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
+        !matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+    }
+
     fn set_timer(&mut self, remaining: Duration) {
         self.timer.as_mut().reset(Instant::now() + remaining);
     }
