A head that has begun is read to its end when kept connections are closed

A caller of a kept connection whose request arrived in parts around the end of a graceful shutdown saw a closed connection: the HTTP library's shutdown closes a connection between requests even if part of a head was read, and without a look into the socket's buffer.

A stopping server now ends the input of a connection that waits for a request and holds nothing unread; a head that has begun has its usual time limit, and its response says Connection: close as all responses of a leaving entry do.

--- a/src/edge/direct/caller_stream.rs
+++ b/src/edge/direct/caller_stream.rs
@@ -63,6 +63,8 @@
     head_begun: Cell<bool>,
     /// When the present wait began.
     since: Cell<Duration>,
+    /// True once the connection is to be closed at its next wait for a request.
+    closing: Cell<bool>,
     /// Wakes the task of the connection.
     waker: RefCell<Option<Waker>>,
 }
@@ -76,6 +78,7 @@
             requests_in_flight: Cell::default(),
             head_begun: Cell::default(),
             since,
+            closing: Cell::default(),
             waker: RefCell::default(),
         })
     }
@@ -87,6 +90,12 @@
         RequestInFlight(self.clone())
     }
 
+    /// Has the connection closed at its next wait for a request, or now if it waits for one.
+    /// The task of the connection must be polled afterwards.
+    pub(super) fn close_when_idle(&self) {
+        self.closing.set(true);
+    }
+
     /// Returns what the connection waits for and since when; `None` during a request.
     fn wait(&self) -> Option<(CallerWait, Duration)> {
         let idle = self.requests_in_flight.get() == 0;
@@ -155,8 +164,8 @@
     }
 }
 
-/// Socket of a caller's connection. Once the connection has waited for too long, a read
-/// returns the end of the input, at which the HTTP library closes the connection.
+/// Socket of a caller's connection. Once the connection has waited for too long, or waits
+/// and is to be closed, a read returns the end of the input, at which the HTTP library closes the connection.
 pub(super) struct CallerStream {
     stream: TcpStream,
     activity: Rc<Activity>,
@@ -172,10 +181,13 @@
         Self { stream, activity, timer, timed_wait: None }
     }
 
-    /// True if the connection has waited for too long; else wakes the task when it may have.
-    fn poll_timed_out(&mut self, context: &mut Context<'_>) -> bool {
+    /// True if the connection has waited for too long or is to be closed; else wakes the task when it may have.
+    fn poll_ended(&mut self, context: &mut Context<'_>) -> bool {
         self.activity.waker.replace(Some(context.waker().clone()));
         let Some(wait) = self.activity.wait() else { return false };
+        if self.activity.closing.get() && wait.0 == CallerWait::NextRequest {
+            return !self.has_unread_input();
+        }
         if self.timed_wait != Some(wait) {
             self.timed_wait = Some(wait);
             self.set_timer(self.activity.remaining(wait));
@@ -220,7 +232,7 @@
             }
             return Poll::Ready(result);
         }
-        if this.poll_timed_out(context) { Poll::Ready(Ok(())) } else { Poll::Pending }
+        if this.poll_ended(context) { Poll::Ready(Ok(())) } else { Poll::Pending }
     }
 }
 
--- a/src/edge/direct/server.rs
+++ b/src/edge/direct/server.rs
@@ -57,7 +57,8 @@
 }
 
 /// Accepts and serves connections until `stop` is cancelled, then closes the listener and
-/// lets requests in flight finish. Returns once all connections are closed.
+/// lets requests finish that are in flight or whose head has begun. The service tells callers
+/// of a stop with `Connection: close`. Returns once all connections are closed.
 pub async fn serve<S, F>(
     listener: TcpListener,
     settings: ServerSettings,
@@ -126,7 +127,7 @@
     let _ = stream.set_nodelay(true);
     let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(CALLER_TCP_USER_TIMEOUT));
     let activity = Activity::new(settings.timeouts);
-    let requests = activity.clone();
+    let (requests, stopped) = (activity.clone(), activity.clone());
     let service = service_fn(move |request| {
         let in_flight = requests.start_request();
         let response = service(request);
@@ -145,7 +146,7 @@
     // responded to the latter.
     tokio::select! {
         _ = connection.as_mut() => return,
-        () = stop.cancelled() => connection.as_mut().graceful_shutdown(),
+        () = stop.cancelled() => stopped.close_when_idle(),
     }
     let _ = connection.await;
 }
