--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -4,6 +4,7 @@
 mod caller_retry;
 mod configuration;
 mod connection_limits;
+mod ended_tasks;
 mod engine_time;
 mod fleet;
 mod follow;
