--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -3,6 +3,8 @@
 mod budget;
 mod caller_retry;
 mod configuration;
+mod connection_limits;
+mod ended_tasks;
 mod engine_time;
 mod fleet;
 mod follow;
