Known red: rate limits with the permits of all entries at the same moments

The bound on a rate limit is to hold whatever the phases of the entries' permits are.

Not mended here: an entry knows the size of its share and nothing else, so 68 entries are alike. Each has to send some time, and where all phases coincide 68 requests arrive at once, at any rate. Only which partitions an entry holds tells the entries apart, and the router does not get their numbers.

--- a/tests/router/fleet.rs
+++ b/tests/router/fleet.rs
@@ -41,6 +41,9 @@
     pub requests_per_s: f64,
     /// Share of the requests that upstreams answer with status 500.
     pub failing_share: f64,
+    /// True if the permits of all entries fall due at the same moments: they learn of the
+    /// limits at once and draw the same phases.
+    pub same_phases: bool,
     /// Seed of arrivals, failures and entries.
     pub seed: u64,
 }
@@ -52,6 +55,7 @@
             limits_per_s: vec![None],
             requests_per_s: 25.0,
             failing_share: 0.0,
+            same_phases: false,
             seed: 1,
         }
     }
@@ -112,7 +116,8 @@
         let backends: Vec<Backend> =
             settings.limits_per_s.iter().map(|_| Backend::default()).collect();
         let entries = (0..settings.entries)
-            .map(|entry| new_entry(&settings, settings.seed * 1_000 + entry as u64))
+            .map(|entry| if settings.same_phases { 0 } else { entry as u64 })
+            .map(|entry| new_entry(&settings, settings.seed * 1_000 + entry))
             .collect();
         let rng = ChaCha8Rng::seed_from_u64(settings.seed);
         let mut fleet = Self {
@@ -130,6 +135,9 @@
         };
         fleet.schedule(Duration::ZERO, Due::Arrival);
         fleet.name_limits();
+        if fleet.settings.same_phases {
+            fleet.tell_all();
+        }
         fleet
     }
 
@@ -201,6 +209,18 @@
         }
     }
 
+    /// Tells all entries of all limits at once.
+    fn tell_all(&mut self) {
+        for entry in 0..self.entries.len() {
+            let desk = self.entries[entry].router.upstreams().service_upstreams(DESK);
+            let upstreams: Vec<(UpstreamKey, usize)> =
+                desk.map(|(key, upstream)| (key, backend_of(&upstream.listed.id))).collect();
+            for (key, backend) in upstreams {
+                self.tell(entry, key, backend, self.now);
+            }
+        }
+    }
+
     /// Passes on what the response says of the limit.
     fn tell(&mut self, entry: usize, upstream: UpstreamKey, backend: usize, sent_at: Duration) {
         let limit_per_s = self.backends[backend].limit_per_s;
--- a/tests/router/rate_limit.rs
+++ b/tests/router/rate_limit.rs
@@ -172,3 +172,37 @@
         fleet.assert_limits_kept();
     }
 }
+
+/// Time in which the permits of all entries fall due at least once, however sparse they are.
+const ALL_PERMITS: Duration = Duration::from_secs(700);
+
+macro_rules! limits_kept_at_the_same_moments {
+    ($($name:ident: $entries:literal, $limit_per_s:literal;)*) => {$(
+        /// The permits of all entries fall due at the same moments.
+        #[test]
+        fn $name() {
+            let mut fleet = Fleet::new(FleetSettings {
+                entries: $entries,
+                limits_per_s: vec![Some($limit_per_s), None],
+                requests_per_s: 155.0,
+                same_phases: true,
+                ..FleetSettings::default()
+            });
+            fleet.run(ALL_PERMITS);
+            fleet.assert_limits_kept();
+        }
+    )*};
+}
+
+limits_kept_at_the_same_moments! {
+    same_phases_of_5_entries_keep_a_limit_of_0_3_a_second: 5, 0.3;
+    same_phases_of_5_entries_keep_a_limit_of_1_a_second: 5, 1.0;
+    same_phases_of_5_entries_keep_a_limit_of_3_a_second: 5, 3.0;
+    same_phases_of_5_entries_keep_a_limit_of_10_a_second: 5, 10.0;
+    same_phases_of_5_entries_keep_a_limit_of_30_a_second: 5, 30.0;
+    same_phases_of_68_entries_keep_a_limit_of_0_3_a_second: 68, 0.3;
+    same_phases_of_68_entries_keep_a_limit_of_1_a_second: 68, 1.0;
+    same_phases_of_68_entries_keep_a_limit_of_3_a_second: 68, 3.0;
+    same_phases_of_68_entries_keep_a_limit_of_10_a_second: 68, 10.0;
+    same_phases_of_68_entries_keep_a_limit_of_30_a_second: 68, 30.0;
+}
