Bound the bytes that an upstream or the store may send in an exchange

What callers saw: an upstream in trouble sends bytes without end. Requests that may not be repeated had no answer before their deadline of 8 s while the entry read on (informational responses, a chunk size without end, spaces after it, small chunks, the body of a rejection), and a generation that had been rejected as not run got 504 instead of a run elsewhere. In the tests one upstream or the store could send 495 MB of one response of the store, 48 MB of a reservation, 42 MB of a prefill response and 20 MB of a plain body before the entry closed; the smallest entries have 88 MB of memory.

Cause: the bodies of the entry's own calls were collected without a bound, the bound of a plain body without length was 16 MiB for each, and hyper passes over informational responses, leading zeros of a chunk size and spaces after it without counting them.

The stream under hyper now counts what it reads and fails beyond an allowance that is set anew for the head, the body and each part that is relayed, so the kind of bytes does not matter; bodies are read into one buffer with a bound of their own.

--- a/src/edge/direct/connections.rs
+++ b/src/edge/direct/connections.rs
@@ -11,6 +11,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use compact_str::CompactString;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
@@ -22,6 +23,10 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::edge::direct::bounded_read::BoundedStream;
+use crate::edge::direct::bounded_read::MAX_HEAD_READ_BYTES;
+use crate::edge::direct::bounded_read::ReadAllowance;
+use crate::edge::direct::bounded_read::ResponsePlace;
 use crate::router::flow::Failure;
 
 /// Timeouts of client connections.
@@ -54,6 +59,9 @@
 #[derive(Debug)]
 pub struct Connection {
     address: SocketAddr,
+    /// Name of the peer of the current exchange, for log lines.
+    peer: CompactString,
+    allowance: ReadAllowance,
     sender: SendRequest<Full<Bytes>>,
     task: ConnectionTask,
 }
@@ -97,9 +105,9 @@
         Self { settings: Rc::new(settings), idle: Rc::default() }
     }
 
-    /// Sends a request and waits for the head of the response. With `fresh_connection`, no
-    /// connection is reused that was idle for longer than
-    /// [`ConnectionSettings::max_fresh_idle`].
+    /// Sends a request and waits for the head of the response. `peer` names the receiver in
+    /// log lines. With `fresh_connection`, no connection is reused that was idle for longer
+    /// than [`ConnectionSettings::max_fresh_idle`].
     ///
     /// # Errors
     /// `NotSent` if no connection could be made or hyper returned the request unsent;
@@ -107,26 +115,23 @@
     pub async fn send(
         &self,
         address: SocketAddr,
+        peer: &str,
         request: Request<Full<Bytes>>,
         fresh_connection: bool,
     ) -> Result<Exchange, Failure> {
         let mut request = request;
         while let Some(mut connection) = self.take_idle(address, fresh_connection) {
-            match connection.sender.try_send_request(request).await {
+            match connection.exchange(peer, request).await {
                 Ok(response) => return Ok(Exchange { response, connection }),
-                Err(mut error) => match error.take_message() {
-                    Some(unsent) => request = unsent,
-                    None => return Err(Failure::Broken),
-                },
+                Err(Some(unsent)) => request = unsent,
+                Err(None) => return Err(Failure::Broken),
             }
         }
         let mut connection = self.connect(address).await.ok_or(Failure::NotSent)?;
-        match connection.sender.try_send_request(request).await {
+        match connection.exchange(peer, request).await {
             Ok(response) => Ok(Exchange { response, connection }),
-            Err(mut error) => match error.take_message() {
-                Some(_) => Err(Failure::NotSent),
-                None => Err(Failure::Broken),
-            },
+            Err(Some(_)) => Err(Failure::NotSent),
+            Err(None) => Err(Failure::Broken),
         }
     }
 
@@ -176,16 +181,18 @@
             tokio::time::timeout(self.settings.connect_timeout, connecting).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
         SockRef::from(&stream).set_tcp_user_timeout(Some(self.settings.tcp_user_timeout)).ok()?;
+        let allowance = ReadAllowance::default();
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_READ_BUFFER_BYTES)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(BoundedStream::new(stream, allowance.clone())))
             .await
             .ok()?;
         let task = tokio::task::spawn_local(async move {
             // hyper also reports the error to the exchange that waits for a response.
             let _ = connection.await;
         });
-        Some(Connection { address, sender, task: ConnectionTask(task.abort_handle()) })
+        let (peer, task) = (CompactString::default(), ConnectionTask(task.abort_handle()));
+        Some(Connection { address, peer, allowance, sender, task })
     }
 }
 
@@ -193,6 +200,48 @@
 const MAX_READ_BUFFER_BYTES: usize = 64 << 10;
 
 impl Connection {
+    /// Sends a request and waits for the head of the response. The error is the request if it
+    /// was not sent.
+    async fn exchange(
+        &mut self,
+        peer: &str,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Option<Request<Full<Bytes>>>> {
+        self.peer = peer.into();
+        self.limit_reads(MAX_HEAD_READ_BYTES);
+        let mut error = match self.sender.try_send_request(request).await {
+            Ok(response) => return Ok(response),
+            Err(error) => error,
+        };
+        if error.error().is_parse_too_large() {
+            self.log_too_large(ResponsePlace::Head);
+        } else {
+            self.log_if_exceeded(ResponsePlace::Head);
+        }
+        Err(error.take_message())
+    }
+
+    /// Sets how many more bytes the peer may send; with the next one the connection fails.
+    pub(super) fn limit_reads(&self, bytes: usize) {
+        self.allowance.set(bytes);
+    }
+
+    /// Logs that the response is too large if the connection has failed for that.
+    pub(super) fn log_if_exceeded(&self, place: ResponsePlace) {
+        if self.allowance.is_exceeded() {
+            self.log_too_large(place);
+        }
+    }
+
+    /// Logs that the response is too large. The caller drops the connection, which closes it.
+    pub(super) fn log_too_large(&self, place: ResponsePlace) {
+        spdlog::warn!("response-too-large", kv: {
+            upstream: = self.peer,
+            address: = self.address,
+            place: = place
+        });
+    }
+
     fn is_closed(&self) -> bool {
         self.sender.is_closed() || self.task.0.is_finished()
     }
--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -7,6 +7,8 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
+use crate::edge::direct::bounded_read::MAX_PART_READ_BYTES;
+use crate::edge::direct::bounded_read::ResponsePlace;
 use crate::edge::direct::request_log::RequestEnding;
 use crate::edge::direct::request_log::log_refusal;
 use crate::edge::direct::request_log::log_request_ending;
@@ -135,6 +137,7 @@
         let mut last_event = None;
         loop {
             let limit = idle_timeout.min(self.remaining_time());
+            response.connection.limit_reads(MAX_PART_READ_BYTES);
             let frame = tokio::select! {
                 biased;
                 () = parts.closed() => return RelayResult::Ended(RequestEnding::CallerGone),
@@ -145,6 +148,7 @@
                     return RelayResult::Failed(Event::DeadlinePassed);
                 }
                 Err(_) | Ok(Some(Err(_))) => {
+                    response.connection.log_if_exceeded(ResponsePlace::Body);
                     return RelayResult::Failed(Event::ResponseInterrupted { last_event });
                 }
                 Ok(None) => break,
--- a/src/edge/direct/request_task.rs
+++ b/src/edge/direct/request_task.rs
@@ -6,9 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use compact_str::CompactString;
-use http_body_util::BodyExt;
 use hyper::HeaderMap;
 use hyper::body::Body;
 use tokio::sync::Notify;
@@ -16,6 +14,7 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
+use crate::edge::direct::bounded_read::read_body;
 use crate::edge::direct::dispatch::Dispatcher;
 use crate::edge::direct::request_log::RequestEnding;
 use crate::edge::direct::request_log::failure_reason;
@@ -40,7 +39,7 @@
 const MAX_BUFFERED_BYTES: u64 = 256 << 10;
 /// Maximum size of a response without `Content-Length` that is no event stream. It is read
 /// completely as well; a larger one counts as failed.
-const MAX_UNSIZED_BYTES: u64 = 16 << 20;
+const MAX_UNSIZED_BYTES: usize = 1 << 20;
 
 /// Channel that carries the response to the task that serves the caller's connection.
 pub(super) enum CallerChannel {
@@ -300,24 +299,16 @@
     /// # Errors
     /// `Broken` if the body ends early or exceeds [`MAX_UNSIZED_BYTES`].
     async fn buffer_if_small(&self, response: UpstreamResponse) -> Result<ReadyResponse, Failure> {
-        let small =
-            response.body.size_hint().exact().is_none_or(|bytes| bytes <= MAX_BUFFERED_BYTES);
+        let length = response.body.size_hint().exact();
+        let small = length.is_none_or(|bytes| bytes <= MAX_BUFFERED_BYTES);
         if response.is_event_stream || !small {
             return Ok(ReadyResponse::Streamed(response));
         }
-        let UpstreamResponse { status, headers, mut body, connection, keep_alive, .. } = response;
-        let mut buffered = BytesMut::new();
-        while let Some(frame) = body.frame().await {
-            let Ok(frame) = frame else { return Err(Failure::Broken) };
-            if let Ok(data) = frame.into_data() {
-                buffered.extend_from_slice(&data);
-            }
-            if buffered.len() as u64 > MAX_UNSIZED_BYTES {
-                return Err(Failure::Broken);
-            }
-        }
+        let UpstreamResponse { status, headers, body, connection, keep_alive, .. } = response;
+        let body = read_body(&connection, body, MAX_UNSIZED_BYTES, |_| true);
+        let body = body.await.map_err(|_| Failure::Broken)?;
         self.dispatcher.upstream_client.release_connection(connection, keep_alive);
-        Ok(ReadyResponse::Buffered { status, headers, body: buffered.freeze() })
+        Ok(ReadyResponse::Buffered { status, headers, body })
     }
 
     /// Waits until the router reports the request as runnable, at most until `until`.
