Bound the size of an event and search it only once

What callers saw: a stream whose event never ended was not cut at the deadline of its request, 8 s; it went on until the stand-in gave up after 12 s or more.

Cause: the event was buffered without bound, and all of it was searched again for its end at each part, which takes processor time that grows with the square of its size.

An event is at most 64 KiB now; beyond that the stream counts as interrupted and continues elsewhere if it may. The search goes on where the last one ended.

The test of the splitter is a guard.

--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -27,6 +27,8 @@
 /// Number of body parts that are buffered for the caller. While the buffer is full, the
 /// upstream's response is not read.
 const PART_CHANNEL_CAPACITY: usize = 16;
+/// Maximum size of an event, which is buffered until it is complete.
+const MAX_EVENT_BYTES: usize = 64 << 10;
 
 /// Result of passing a response on.
 enum RelayResult {
@@ -168,6 +170,10 @@
                 last_event = event.id.or(last_event);
                 self.record_event();
             }
+            if splitter.pending_bytes() > MAX_EVENT_BYTES {
+                response.connection.log_too_large(ResponsePlace::Event);
+                return RelayResult::Failed(Event::ResponseInterrupted { last_event });
+            }
         }
         self.dispatcher
             .upstream_client
--- a/src/edge/direct/sse.rs
+++ b/src/edge/direct/sse.rs
@@ -19,6 +19,8 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     pending: BytesMut,
+    /// Number of pending bytes before which no event ends.
+    searched_bytes: usize,
 }
 
 impl EventSplitter {
@@ -29,7 +31,13 @@
 
     /// Removes and returns the next complete event, if there is one.
     pub fn next_event(&mut self) -> Option<SseEvent> {
-        let end = find(&self.pending, EVENT_END)? + EVENT_END.len();
+        let from = std::mem::take(&mut self.searched_bytes);
+        let Some(found) = find(&self.pending[from..], EVENT_END) else {
+            // The last byte may be the first one of the event's end.
+            self.searched_bytes = self.pending.len().saturating_sub(EVENT_END.len() - 1);
+            return None;
+        };
+        let end = from + found + EVENT_END.len();
         let bytes = self.pending.split_to(end).freeze();
         let id = event_id(&bytes);
         Some(SseEvent { bytes, id })
@@ -37,9 +45,15 @@
 
     /// Removes and returns the remaining bytes, which are no complete event.
     pub fn take_incomplete(&mut self) -> Bytes {
+        self.searched_bytes = 0;
         self.pending.split().freeze()
     }
 
+    /// Returns the number of bytes that are buffered.
+    pub fn pending_bytes(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Returns true if no bytes are buffered.
     pub fn is_empty(&self) -> bool {
         self.pending.is_empty()
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -7,6 +7,7 @@
 
 mod carry_forward;
 mod claims;
+mod event_splitter;
 mod fold;
 mod messages;
 mod orders;
