End a response that is relayed without pause at the deadline

What callers saw: a response whose parts arrive without pause was relayed beyond the deadline of its request, for as long as the upstream sent.

Cause: the deadline was checked only when no part arrived within the remaining time, and a timeout of zero still returns a part that has already arrived. It is checked before each part now.

On the product before, events_without_end_last_until_the_deadline failed with "left: (200, Some(..)) right: (200, None)": with a deadline of 1 s the stream ended only when the stand-in gave up after 12 s; a_long_body_lasts_until_the_deadline failed with 3.29 s (limit 2 s).

--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -138,7 +138,11 @@
         let mut splitter = EventSplitter::default();
         let mut last_event = None;
         loop {
-            let limit = idle_timeout.min(self.remaining_time());
+            let remaining_time = self.remaining_time();
+            if remaining_time.is_zero() {
+                return RelayResult::Failed(Event::DeadlinePassed);
+            }
+            let limit = idle_timeout.min(remaining_time);
             response.connection.limit_reads(MAX_PART_READ_BYTES);
             let frame = tokio::select! {
                 biased;
