Bound the memory of all buffered responses together

What callers saw: none of them too large by itself, many large responses at once took more memory than the smallest entries have (88 MB), for which the platform kills the process.

Buffered responses take 16 MiB together now, counted until the caller's connection has taken them. A response with a length for which there is none left is relayed part by part, like a large one; one without a length fails as too large. Buffers of responses with a length have exactly that size.

--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -14,6 +14,7 @@
 mod request_log;
 mod request_task;
 pub mod response;
+mod response_memory;
 pub mod server;
 pub mod sse;
 pub mod store_follower;
--- a/src/edge/direct/dispatch.rs
+++ b/src/edge/direct/dispatch.rs
@@ -18,6 +18,7 @@
 use crate::edge::direct::request_task::CallerChannel;
 use crate::edge::direct::request_task::RequestTask;
 use crate::edge::direct::response::CallerResponse;
+use crate::edge::direct::response_memory::ResponseMemory;
 use crate::edge::direct::upstream_client::ForwardedRequest;
 use crate::edge::direct::upstream_client::UpstreamClient;
 use crate::outcome::Refusal;
@@ -41,6 +42,8 @@
     pub metrics: Metrics,
     /// Access of requests to the origins of streams in the store.
     pub(super) origin_log: OriginLog,
+    /// Memory of the responses that are buffered.
+    pub(super) response_memory: ResponseMemory,
     /// Wake-up signals of the requests that execute `Step::Wait`.
     pub(super) waiting: RefCell<HashMap<RequestKey, Rc<Notify>>>,
 }
@@ -61,6 +64,7 @@
             clock,
             metrics: Metrics::default(),
             origin_log: OriginLog::default(),
+            response_memory: ResponseMemory::default(),
             waiting: RefCell::default(),
         }
     }
--- a/src/edge/direct/request_task.rs
+++ b/src/edge/direct/request_task.rs
@@ -293,22 +293,27 @@
         }
     }
 
-    /// Reads a response completely, unless it is an event stream or announces a length above
-    /// [`MAX_BUFFERED_BYTES`].
+    /// Reads a response completely, unless it is an event stream, announces a length above
+    /// [`MAX_BUFFERED_BYTES`], or announces one for which there is no memory.
     ///
     /// # Errors
-    /// `Broken` if the body ends early or exceeds [`MAX_UNSIZED_BYTES`].
+    /// `Broken` if the body ends early, exceeds [`MAX_UNSIZED_BYTES`], or has no length and
+    /// grows beyond the memory of all buffered responses.
     async fn buffer_if_small(&self, response: UpstreamResponse) -> Result<ReadyResponse, Failure> {
         let length = response.body.size_hint().exact();
         let small = length.is_none_or(|bytes| bytes <= MAX_BUFFERED_BYTES);
         if response.is_event_stream || !small {
             return Ok(ReadyResponse::Streamed(response));
         }
+        let length = length.unwrap_or(0) as usize;
+        let Some(mut memory) = self.dispatcher.response_memory.reserve(length) else {
+            return Ok(ReadyResponse::Streamed(response));
+        };
         let UpstreamResponse { status, headers, body, connection, keep_alive, .. } = response;
-        let body = read_body(&connection, body, MAX_UNSIZED_BYTES, |_| true);
+        let body = read_body(&connection, body, MAX_UNSIZED_BYTES, |bytes| memory.grow_to(bytes));
         let body = body.await.map_err(|_| Failure::Broken)?;
         self.dispatcher.upstream_client.release_connection(connection, keep_alive);
-        Ok(ReadyResponse::Buffered { status, headers, body })
+        Ok(ReadyResponse::Buffered { status, headers, body: memory.attach_to(body) })
     }
 
     /// Waits until the router reports the request as runnable, at most until `until`.
