--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -4,6 +4,7 @@
 //! All of it runs on one thread: an entry has only a fraction of a core, and each message
 //! between threads or actors would cost a wake-up.
 
+pub mod bounded_read;
 pub mod caller_stream;
 pub mod connections;
 pub mod dispatch;
@@ -14,6 +15,7 @@
 mod request_log;
 mod request_task;
 pub mod response;
+mod response_memory;
 pub mod server;
 pub mod sse;
 pub mod store_follower;
--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -10,6 +10,8 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
+use crate::edge::direct::bounded_read::MAX_PART_READ_BYTES;
+use crate::edge::direct::bounded_read::ResponsePlace;
 use crate::edge::direct::request_log::RequestEnding;
 use crate::edge::direct::request_log::log_kept_run;
 use crate::edge::direct::request_log::log_refusal;
@@ -29,6 +31,8 @@
 /// Number of body parts that are buffered for the caller. While the buffer is full, the
 /// upstream's response is not read.
 const PART_CHANNEL_CAPACITY: usize = 16;
+/// Maximum size of an event, which is buffered until it is complete.
+const MAX_EVENT_BYTES: usize = 64 << 10;
 
 /// Frame of a body, its end, or an error of its connection.
 type BodyFrame = Option<Result<Frame<Bytes>, hyper::Error>>;
@@ -212,7 +216,11 @@
     ) -> RelayResult {
         loop {
             let remaining_time = self.remaining_time();
+            if remaining_time.is_zero() {
+                return RelayResult::Failed(Event::DeadlinePassed);
+            }
             let limit = idle_timeout.unwrap_or(remaining_time).min(remaining_time);
+            stream.response.connection.limit_reads(MAX_PART_READ_BYTES);
             let frame = tokio::select! {
                 biased;
                 () = parts.closed() => return RelayResult::Ended(RequestEnding::CallerGone),
@@ -225,6 +233,7 @@
                 }
                 Err(_) => return RelayResult::Failed(Event::ResponsePaused { last_event }),
                 Ok(Some(Err(_))) => {
+                    stream.response.connection.log_if_exceeded(ResponsePlace::Body);
                     return RelayResult::Failed(Event::ResponseInterrupted { last_event });
                 }
                 Ok(None) => return RelayResult::Complete,
@@ -244,6 +253,11 @@
                 stream.last_event = event.id.or(stream.last_event);
                 self.record_event();
             }
+            if stream.splitter.pending_bytes() > MAX_EVENT_BYTES {
+                stream.response.connection.log_too_large(ResponsePlace::Event);
+                let last_event = stream.last_event;
+                return RelayResult::Failed(Event::ResponseInterrupted { last_event });
+            }
         }
     }
 
