Stand-in store: Store-Era in all responses, and a return from an older copy

Topics and groups go back to a copy, the era rises by one, and the connections of requests that are being processed break. A read from an offset beyond the end gets 410 with `first`.

--- a/standins/src/platform/groups.rs
+++ b/standins/src/platform/groups.rs
@@ -29,7 +29,7 @@
 /// Topic and number of one of its partitions, from 0.
 pub type Partition = (String, u64);
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Member {
     expires_at: Instant,
     /// Generation that the last request of the member named.
@@ -37,7 +37,7 @@
 }
 
 /// Members of a consumer group, and who owns which partition.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Group {
     generation: u64,
     members: BTreeMap<String, Member>,
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -1,13 +1,15 @@
 //! Stand-in for the platform's store: topics of keyed records.
 //!
 //! Each topic has one log of records, whose history can be dropped, and the newest value of each
-//! key.
+//! key. The store can come back from an older copy of itself, in a new era.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -23,6 +25,8 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
 use serde_json::json;
 use tokio::sync::Notify;
 
@@ -44,7 +48,7 @@
     value: Option<Bytes>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct Topic {
     /// Offset of the first record in `records`.
     first_offset: u64,
@@ -53,11 +57,23 @@
     newest_values: BTreeMap<String, (u64, Bytes)>,
 }
 
+/// Copy of all that a store holds, to which it can go back. The default is that of an empty
+/// store.
+#[derive(Debug, Clone, Default)]
+pub struct StoreCopy {
+    topics: HashMap<String, Topic>,
+    groups: HashMap<String, Group>,
+}
+
 /// Stand-in store, shared between its server and the test.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Store {
     topics: Mutex<HashMap<String, Topic>>,
     groups: Mutex<HashMap<String, Group>>,
+    /// Number of the era, which rises by one with each return from an older copy.
+    era: AtomicU64,
+    /// Text of the era header in place of the number; `None` for the number.
+    era_text: Mutex<Option<String>>,
     appended: Notify,
     /// Responds to every request with status 503.
     pub down: Switch,
@@ -65,6 +81,20 @@
     pub request_delay: Delay,
 }
 
+impl Default for Store {
+    fn default() -> Self {
+        Self {
+            topics: Mutex::default(),
+            groups: Mutex::default(),
+            era: AtomicU64::new(FIRST_ERA),
+            era_text: Mutex::default(),
+            appended: Notify::default(),
+            down: Switch::default(),
+            request_delay: Delay::default(),
+        }
+    }
+}
+
 impl Store {
     /// Starts a store on a free loopback port, and returns it with its address.
     pub async fn start() -> (Arc<Self>, SocketAddr) {
@@ -101,9 +131,56 @@
         topic.records.clear();
     }
 
+    /// Takes a copy of all that the store holds.
+    pub fn copy(&self) -> StoreCopy {
+        let topics = self.topics.lock().expect("the mutex is not poisoned").clone();
+        let groups = self.groups.lock().expect("the mutex is not poisoned").clone();
+        StoreCopy { topics, groups }
+    }
+
+    /// Comes back from a copy, in the next era: what was written since is lost, and its
+    /// offsets and generations are given out again. Breaks the connections of requests that
+    /// are being processed.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut topics = self.topics.lock().expect("the mutex is not poisoned");
+        let mut groups = self.groups.lock().expect("the mutex is not poisoned");
+        self.era.fetch_add(1, Ordering::SeqCst);
+        *topics = copy.topics.clone();
+        *groups = copy.groups.clone();
+        self.appended.notify_waiters();
+    }
+
+    /// Number of the present era.
+    pub fn era(&self) -> u64 {
+        self.era.load(Ordering::SeqCst)
+    }
+
+    /// Sends this text as the era in all responses from now on; `None` for the number.
+    pub fn set_era_text(&self, text: Option<&str>) {
+        *self.era_text.lock().expect("the mutex is not poisoned") = text.map(str::to_string);
+    }
+
+    /// Processes a request; all responses name the era. A return from a copy meanwhile breaks
+    /// the connection.
     async fn handle(
         self: Arc<Self>,
         request: Request<Incoming>,
+    ) -> Result<Response<Body>, std::io::Error> {
+        let era = self.era();
+        let mut response = self.clone().respond(request).await?;
+        if era != self.era() {
+            return Err(std::io::Error::other("the store came back from a copy meanwhile"));
+        }
+        let era_text = self.era_text.lock().expect("the mutex is not poisoned").clone();
+        let era_text = era_text.unwrap_or_else(|| era.to_string());
+        let value = HeaderValue::from_str(&era_text).expect("the text is valid in a header");
+        response.headers_mut().insert(STORE_ERA, value);
+        Ok(response)
+    }
+
+    async fn respond(
+        self: Arc<Self>,
+        request: Request<Incoming>,
     ) -> Result<Response<Body>, std::io::Error> {
         self.request_delay.wait().await;
         if self.down.is_on() {
@@ -208,16 +285,17 @@
     ///
     /// # Errors
     ///
-    /// Returns the first offset of the log if it no longer holds `from`.
+    /// Returns the first offset of the log if it no longer holds `from`, or does not reach it.
     fn read_now(&self, topic: &str, from: u64) -> Result<Bytes, u64> {
         let keyed = topic.starts_with(KEYED_PREFIX);
         let mut topics = self.topics.lock().expect("the mutex is not poisoned");
         let topic = topics.entry(topic.to_string()).or_default();
-        if from < topic.first_offset {
+        let end_offset = topic.first_offset + topic.records.len() as u64;
+        if from < topic.first_offset || from > end_offset {
             return Err(topic.first_offset);
         }
         let mut response = BytesMut::new();
-        response.put_u64(topic.first_offset + topic.records.len() as u64);
+        response.put_u64(end_offset);
         response.put_u64(topic.first_offset);
         for record in topic.records.iter().skip((from - topic.first_offset) as usize) {
             let value = record.value.clone().unwrap_or_default();
@@ -235,6 +313,10 @@
     }
 }
 
+/// Header of all responses that names the era.
+const STORE_ERA: HeaderName = HeaderName::from_static("store-era");
+/// Era of a store that never came back from a copy.
+const FIRST_ERA: u64 = 1;
 /// Start of the names of topics whose records have keys.
 const KEYED_PREFIX: &str = "keyed.";
 /// Size of the length before each record of an append.
