Start the feeds of the store over when its era rises

Callers saw a configuration that the operator had written again after the store came back from an older copy be ignored for good, and replicas that were leaving since get new requests.

Cause: offsets are given out again, so a read from the old position succeeds and misses what lies before it, and records at lower offsets counted as old. Store-Era, which says so, was read nowhere.

A follower compares the era after each read with the one of its position, drops an answer to a read of an earlier era and reads in full. Another answer that names the new era ends a long poll. The offsets of the instance list are forgotten; upstreams that the copy lacks stay for the grace period of an outage, and one that was leaving stays so though the copy lists it as ready. The configuration in force never goes back.

The core tests use the new functions.

--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -15,5 +15,6 @@
 pub mod response;
 pub mod server;
 pub mod sse;
+mod store_eras;
 pub mod store_follower;
 pub mod upstream_client;
--- a/src/edge/direct/dispatch.rs
+++ b/src/edge/direct/dispatch.rs
@@ -41,6 +41,8 @@
     pub metrics: Metrics,
     /// Access of requests to the origins of streams in the store.
     pub(super) origin_log: OriginLog,
+    /// Signal that the store came back from an older copy.
+    pub(super) era_risen: Notify,
     /// Wake-up signals of the requests that execute `Step::Wait`.
     pub(super) waiting: RefCell<HashMap<RequestKey, Rc<Notify>>>,
 }
@@ -61,6 +63,7 @@
             clock,
             metrics: Metrics::default(),
             origin_log: OriginLog::default(),
+            era_risen: Notify::new(),
             waiting: RefCell::default(),
         }
     }
--- a/src/edge/direct/metrics.rs
+++ b/src/edge/direct/metrics.rs
@@ -54,6 +54,23 @@
     limit: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EraLabels {
+    era: &'static str,
+}
+
+/// What a response of the store says about its era, if it is not the known one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum StoreEraResult {
+    /// It has risen: the store came back from an older copy.
+    Risen,
+    /// It is lower than the known one.
+    Fell,
+    /// It cannot be parsed.
+    Invalid,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct VersionLabels {
     version: &'static str,
@@ -68,6 +85,7 @@
     answered: Family<StatusLabels, Counter>,
     steps: Family<KindLabels, Counter>,
     store_reads: Family<StoreReadLabels, Counter>,
+    store_eras: Family<EraLabels, Counter>,
     rate_limit_notices: Family<RateLimitLabels, Counter>,
     continued_streams: Family<VersionLabels, Counter>,
     leaving_upstreams: Counter,
@@ -90,6 +108,7 @@
             answered: Family::default(),
             steps: Family::default(),
             store_reads: Family::default(),
+            store_eras: Family::default(),
             rate_limit_notices: Family::default(),
             continued_streams: Family::default(),
             leaving_upstreams: Counter::default(),
@@ -119,6 +138,8 @@
         registry.register("answered", "Answers of upstreams passed on", self.answered.clone());
         registry.register("steps", "Exchanges with upstreams begun", self.steps.clone());
         registry.register("store_reads", "Reads of the platform's store", self.store_reads.clone());
+        let help = "Changes of the era that the platform's store names";
+        registry.register("store_eras", help, self.store_eras.clone());
         let help = "Responses of upstreams, by what they say of a rate limit";
         registry.register("rate_limit_notices", help, self.rate_limit_notices.clone());
         let help = "Interrupted streams that continued, by the version of the new engine";
@@ -174,6 +195,11 @@
         self.store_reads.get_or_create(&StoreReadLabels { feed: feed.to_string(), result }).inc();
     }
 
+    /// Counts a change of the era that responses of the store name.
+    pub fn count_store_era(&self, result: StoreEraResult) {
+        self.store_eras.get_or_create(&EraLabels { era: result.into() }).inc();
+    }
+
     /// Counts a response of an upstream by what it says of the upstream's rate limit.
     pub fn count_rate_limit_notice(&self, notice: RateLimitNotice) {
         let limit = match notice {
--- a/src/edge/direct/store_follower.rs
+++ b/src/edge/direct/store_follower.rs
@@ -21,6 +21,7 @@
 use crate::router::instance_list::InstanceRecord;
 use crate::router::instance_list::InstanceState;
 use crate::router::lease::RenewalResponse;
+use crate::router::store_era::StoreEraNotice;
 
 /// One record of a feed of the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -124,6 +125,11 @@
     /// Reads the log of stream origins from the offset `from` on.
     async fn read_origins(&self, from: u64, timeout: Duration) -> Result<LogPage, StoreError>;
 
+    /// Returns what responses, also those of failed calls, have said about the era of the
+    /// store since the last call of this function, in the order of arrival. A response that
+    /// says the same as the one before it need not be included.
+    fn take_era_notices(&self) -> Vec<StoreEraNotice>;
+
     /// Decodes a record of the instance list.
     fn decode_list_record(&self, record: StoreRecord) -> InstanceRecord;
 
@@ -157,6 +163,12 @@
     }
 }
 
+/// Response to a read of a feed.
+enum ReadResponse {
+    Page(NewestPage),
+    Changes(Changes),
+}
+
 /// State of the task that follows one feed.
 struct Follower<S, U> {
     store: Rc<S>,
@@ -167,15 +179,45 @@
 }
 
 impl<S: Store, U: UpstreamClient> Follower<S, U> {
-    /// Performs the next read of the feed and applies its records.
+    /// Performs the next read of the feed and applies its records. If the store is in a new
+    /// era, the next read is a full one instead.
     async fn read(&mut self, timing: &ReadTiming) -> Result<(), StoreError> {
-        match self.cursor.next().clone() {
+        let response = tokio::select! {
+            response = self.send_read(timing) => response,
+            // The rest of a long poll would only delay the full read.
+            () = self.dispatcher.era_risen.notified() => {
+                Err(StoreError::Failed("another response named a new era".to_string()))
+            }
+        };
+        self.dispatcher.record_store_eras(&*self.store);
+        let era = self.dispatcher.router.borrow().store_era();
+        if self.cursor.enter_era(era) {
+            return Ok(());
+        }
+        let response = response?;
+        self.record_reachable();
+        self.apply_response(response);
+        Ok(())
+    }
+
+    async fn send_read(&self, timing: &ReadTiming) -> Result<ReadResponse, StoreError> {
+        match self.cursor.next() {
             Read::Newest { after } => {
-                let page = self
-                    .store
-                    .newest_records(self.feed, after.as_deref(), timing.response_timeout)
-                    .await?;
-                self.record_reachable();
+                let timeout = timing.response_timeout;
+                let page = self.store.newest_records(self.feed, after.as_deref(), timeout);
+                page.await.map(ReadResponse::Page)
+            }
+            Read::Changes { from } => {
+                let timeout = timing.long_poll + timing.response_timeout;
+                let changes = self.store.changes_since(self.feed, *from, timing.long_poll, timeout);
+                changes.await.map(ReadResponse::Changes)
+            }
+        }
+    }
+
+    fn apply_response(&mut self, response: ReadResponse) {
+        match response {
+            ReadResponse::Page(page) => {
                 let keys = page.records.iter().map(|record| record.key.clone()).collect();
                 self.apply_records(page.records);
                 if let Some((keys, end_offset)) =
@@ -184,16 +226,11 @@
                     self.apply_full_list(&keys, end_offset);
                 }
             }
-            Read::Changes { from } => {
-                let timeout = timing.long_poll + timing.response_timeout;
-                let changes =
-                    self.store.changes_since(self.feed, from, timing.long_poll, timeout).await?;
-                self.record_reachable();
+            ReadResponse::Changes(changes) => {
                 self.apply_records(changes.records);
                 self.cursor.record_changes(changes.next_offset);
             }
         }
-        Ok(())
     }
 
     fn record_reachable(&mut self) {
--- a/src/router.rs
+++ b/src/router.rs
@@ -21,6 +21,7 @@
 mod reserving;
 pub mod roles;
 mod selection;
+pub mod store_era;
 pub mod stream_origins;
 pub mod upstream_notice;
 pub mod upstreams;
@@ -60,6 +61,7 @@
 use crate::router::roles::RoleBalancer;
 use crate::router::roles::RoleChange;
 use crate::router::roles::RoleSettings;
+use crate::router::store_era::StoreEra;
 use crate::router::stream_origins::StreamOrigins;
 use crate::router::stream_origins::VersionHistory;
 use crate::router::upstreams::Upstreams;
@@ -100,6 +102,8 @@
     settings: RouterSettings,
     /// Configuration in force; `None` before the first one was applied.
     configuration: Option<Arc<Configuration>>,
+    /// Highest era that the store has named; `None` before the first one.
+    store_era: Option<StoreEra>,
     upstreams: Upstreams,
     instance_list: InstanceList,
     requests: SlotMap<RequestKey, Request>,
@@ -150,6 +154,7 @@
     pub fn new(settings: RouterSettings) -> Self {
         Self {
             configuration: None,
+            store_era: None,
             upstreams: Upstreams::default(),
             instance_list: InstanceList::new(settings.outage_grace),
             requests: SlotMap::with_key(),
--- a/src/router/follow.rs
+++ b/src/router/follow.rs
@@ -2,13 +2,16 @@
 //!
 //! A feed is a sequence of records, each with a key and an offset. It is first
 //! read in full, as pages of the newest record of each key, and then from the
-//! offset at which that read began. If the history from that offset is gone, the
-//! feed is read in full again.
+//! offset at which that read began. If the history from that offset is gone, or the
+//! store is in a new era, the feed is read in full again.
 
 use std::time::Duration;
 
 use compact_str::CompactString;
 
+use crate::router::store_era::StoreEra;
+use crate::router::store_era::is_other_era;
+
 /// Feed of the store that an entry follows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, strum::Display, strum::EnumIter)]
 #[strum(serialize_all = "kebab-case")]
@@ -107,11 +110,13 @@
     /// End offset of the feed when the first page was read. Pages are no
     /// snapshot, so changes are read from here on.
     first_page_end: u64,
+    /// Era of the store in which the position was read; `None` if not known.
+    era: Option<StoreEra>,
 }
 
 impl Default for Cursor {
     fn default() -> Self {
-        Self { next: Read::Newest { after: None }, keys: Vec::new(), first_page_end: 0 }
+        Self { next: Read::Newest { after: None }, keys: Vec::new(), first_page_end: 0, era: None }
     }
 }
 
@@ -154,6 +159,16 @@
 
     /// Starts over with a full read, because the history to read is gone.
     pub fn restart(&mut self) {
-        *self = Self::default();
+        *self = Self { era: self.era, ..Self::default() };
+    }
+
+    /// Starts over with a full read if the store is in another era than the position was
+    /// read in. Returns true if so: a response to the last read does not count.
+    pub fn enter_era(&mut self, era: Option<StoreEra>) -> bool {
+        let changed = is_other_era(&mut self.era, era);
+        if changed {
+            self.restart();
+        }
+        changed
     }
 }
--- a/src/router/instance_list.rs
+++ b/src/router/instance_list.rs
@@ -5,7 +5,8 @@
 //! also expire while the list cannot be written. An upstream whose record is
 //! found to have vanished within a short grace period after an outage of the
 //! list is retained: it stays usable until the grace period ends or it fails to
-//! respond.
+//! respond. The same holds in a new era of the store, whose copy may be older than
+//! the record.
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -82,6 +83,15 @@
         was_unavailable
     }
 
+    /// Starts over with the offsets, since the store came back from an older copy. Starts
+    /// the grace period, in which instances write their records again. An upstream that
+    /// was leaving stays so, also if the copy lists it as ready.
+    pub fn start_over(&mut self, now: Duration, upstreams: &mut Upstreams) {
+        self.offsets.clear();
+        self.grace_until = Some(now + self.grace);
+        upstreams.keep_leaving();
+    }
+
     /// Applies a record, unless it or a newer one of the same instance was
     /// applied before. Returns true if an upstream was added, changed or
     /// removed.
@@ -124,12 +134,10 @@
         upstreams: &mut Upstreams,
     ) -> usize {
         let present: HashSet<&CompactString> = present.iter().collect();
-        let missing: Vec<CompactString> = self
-            .offsets
-            .iter()
-            .filter(|(id, offset)| **offset < end_offset && !present.contains(id))
-            .map(|(id, _)| id.clone())
-            .collect();
+        let is_older =
+            |id: &CompactString| self.offsets.get(id).is_none_or(|offset| *offset < end_offset);
+        let missing: Vec<CompactString> =
+            upstreams.ids().filter(|id| !present.contains(id) && is_older(id)).cloned().collect();
         missing.iter().filter(|id| self.remove_or_retain(now, id, upstreams)).count()
     }
 
--- /dev/null
+++ b/src/router/store_era.rs
@@ -0,0 +1,75 @@
+//! Eras of the platform's store.
+//!
+//! The store may come back from a copy of itself that is some seconds old. It then has
+//! lost what was written since, and gives out offsets and generations again. It says so
+//! with the number of its era, which rises by one each time. In a new era an entry reads
+//! the feeds in full.
+
+use std::time::Duration;
+
+use crate::router::Router;
+
+/// Number of an era of the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StoreEra(pub u64);
+
+/// What a response of the store says about its era.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StoreEraNotice {
+    /// The store is in this era.
+    Named(StoreEra),
+    /// The era cannot be parsed; it is ignored.
+    Invalid,
+}
+
+/// Outcome of a notice about the era.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreEraChange {
+    /// The era is the one that was known, or the first one.
+    None,
+    /// The store came back from an older copy.
+    Risen {
+        /// Era before.
+        before: StoreEra,
+        /// Era from now on.
+        after: StoreEra,
+    },
+    /// The era is lower than the known one, which stays.
+    Fell {
+        /// Era that stays in force.
+        known: StoreEra,
+        /// Era that the response named.
+        named: StoreEra,
+    },
+}
+
+/// Sets a known era. Returns true if it was known before and is another one now.
+pub(super) fn is_other_era(known: &mut Option<StoreEra>, era: Option<StoreEra>) -> bool {
+    let before = std::mem::replace(known, era);
+    before.is_some() && before != era
+}
+
+impl Router {
+    /// Era of the store; `None` before a response has named one.
+    pub fn store_era(&self) -> Option<StoreEra> {
+        self.store_era
+    }
+
+    /// Records the era that a response of the store named. If it has risen, what rests on
+    /// the previous era starts over.
+    pub fn record_store_era(&mut self, now: Duration, named: StoreEra) -> StoreEraChange {
+        let Some(known) = self.store_era else {
+            self.store_era = Some(named);
+            return StoreEraChange::None;
+        };
+        if named < known {
+            return StoreEraChange::Fell { known, named };
+        }
+        if named == known {
+            return StoreEraChange::None;
+        }
+        self.store_era = Some(named);
+        self.instance_list.start_over(now, &mut self.upstreams);
+        StoreEraChange::Risen { before: known, after: named }
+    }
+}
--- a/src/router/upstreams.rs
+++ b/src/router/upstreams.rs
@@ -147,8 +147,9 @@
     upstreams: SlotMap<UpstreamKey, Upstream>,
     by_id: HashMap<CompactString, UpstreamKey>,
     by_service: HashMap<CompactString, Vec<UpstreamKey>>,
-    /// Start times of the upstreams that have said that they are leaving, by id. Kept when
-    /// a record vanishes, since it may come back.
+    /// Start times of the upstreams that are leaving for good, by id: they have said so, or
+    /// their records did when they vanished or the store came back from an older copy. Kept
+    /// when a record vanishes, since it may come back.
     said_leaving: HashMap<CompactString, u64>,
 }
 
@@ -197,10 +198,28 @@
         !was_leaving
     }
 
+    /// Keeps the upstreams that are listed as leaving in that state, whatever later records
+    /// of the same incarnation say.
+    pub fn keep_leaving(&mut self) {
+        for upstream in self.upstreams.values_mut().filter(|upstream| upstream.listed.leaving) {
+            upstream.said_leaving = true;
+            let listed = &upstream.listed;
+            self.said_leaving.insert(listed.id.clone(), listed.started_ms);
+        }
+    }
+
+    /// Ids of all listed upstreams.
+    pub fn ids(&self) -> impl Iterator<Item = &CompactString> {
+        self.by_id.keys()
+    }
+
     /// Removes the upstream with this id, if there is one.
     pub fn remove(&mut self, id: &str) {
         let Some(key) = self.by_id.remove(id) else { return };
         let Some(upstream) = self.upstreams.remove(key) else { return };
+        if upstream.listed.leaving {
+            self.said_leaving.insert(upstream.listed.id.clone(), upstream.listed.started_ms);
+        }
         if let Some(keys) = self.by_service.get_mut(&upstream.listed.service) {
             keys.retain(|&other| other != key);
         }
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -16,4 +16,5 @@
 mod rate_limited_engines;
 mod roles;
 mod software_versions;
+mod store_era;
 mod upstream_notice;
--- /dev/null
+++ b/tests/router/store_era.rs
@@ -0,0 +1,142 @@
+//! The store comes back from an older copy, in a new era: what starts over, and what stays.
+
+use bamboodoor::router::configuration::Configuration;
+use bamboodoor::router::follow::Cursor;
+use bamboodoor::router::follow::Read;
+use bamboodoor::router::instance_list::InstanceRecord;
+use bamboodoor::router::instance_list::InstanceState;
+use bamboodoor::router::store_era::StoreEra;
+use bamboodoor::router::store_era::StoreEraChange;
+use bamboodoor::router::upstreams::ListedUpstream;
+use bamboodoor::router::upstreams::PoolRole;
+
+use crate::harness::DESK;
+use crate::harness::Harness;
+use crate::harness::default_configuration;
+use crate::harness::default_upstreams;
+use crate::harness::ms;
+use crate::harness::upstream;
+
+fn risen(before: u64, after: u64) -> StoreEraChange {
+    StoreEraChange::Risen { before: StoreEra(before), after: StoreEra(after) }
+}
+
+/// Router that knows era 1.
+fn harness() -> Harness {
+    let mut harness = Harness::new(default_upstreams());
+    assert_eq!(harness.router.record_store_era(harness.now, StoreEra(1)), StoreEraChange::None);
+    harness
+}
+
+/// Names the era in a response of the store.
+fn name_era(harness: &mut Harness, era: u64) -> StoreEraChange {
+    harness.router.record_store_era(harness.now, StoreEra(era))
+}
+
+/// Applies a record of the plain upstream `s1` at an offset.
+fn apply(harness: &mut Harness, offset: u64, state: InstanceState) {
+    let record = InstanceRecord { id: "s1".into(), offset, state };
+    let now = harness.now;
+    let (instance_list, upstreams) = harness.router.instance_list();
+    instance_list.apply(now, record, upstreams);
+}
+
+fn s1() -> ListedUpstream {
+    upstream("s1", DESK, PoolRole::Service)
+}
+
+fn is_usable(harness: &Harness, id: &str) -> bool {
+    harness.router.upstreams().get_by_id(id).is_some_and(|upstream| !upstream.is_leaving())
+}
+
+#[test]
+fn each_rise_of_the_era_starts_over_and_a_fall_is_ignored() {
+    let mut harness = harness();
+    for era in [2, 3, 4, 9] {
+        let before = harness.router.store_era().expect("an era is known").0;
+        assert_eq!(name_era(&mut harness, era), risen(before, era));
+        assert_eq!(name_era(&mut harness, era), StoreEraChange::None);
+    }
+    let fell = StoreEraChange::Fell { known: StoreEra(9), named: StoreEra(8) };
+    assert_eq!(name_era(&mut harness, 8), fell);
+    assert_eq!(harness.router.store_era(), Some(StoreEra(9)));
+}
+
+#[test]
+fn the_configuration_in_force_outlasts_a_rise_of_the_era() {
+    let mut harness = harness();
+    name_era(&mut harness, 2);
+    let version = |version| Configuration { version, ..default_configuration() };
+    assert!(!harness.router.configure(version(6)));
+    assert!(!harness.router.configure(version(7)));
+    assert!(harness.router.configure(version(8)));
+}
+
+#[test]
+fn records_at_offsets_that_are_given_out_again_are_applied() {
+    let mut harness = harness();
+    apply(&mut harness, 50, InstanceState::Present(s1()));
+    name_era(&mut harness, 2);
+    apply(&mut harness, 3, InstanceState::Present(ListedUpstream { leaving: true, ..s1() }));
+    assert!(!is_usable(&harness, "s1"));
+}
+
+#[test]
+fn an_upstream_that_the_copy_lacks_is_retained_for_the_grace_period() {
+    let mut harness = harness();
+    name_era(&mut harness, 2);
+    let now = harness.now;
+    let (list, upstreams) = harness.router.instance_list();
+    let present = ["p1", "p2", "d1", "d2", "s2"].map(Into::into);
+    assert_eq!(list.apply_full_read(now, &present, 2, upstreams), 0);
+    assert!(list.remove_retained(now + ms(1_900), upstreams).is_empty());
+    assert_eq!(list.remove_retained(now + ms(2_000), upstreams), ["s1"]);
+}
+
+#[test]
+fn an_upstream_that_writes_its_record_again_within_the_grace_period_stays() {
+    let mut harness = harness();
+    name_era(&mut harness, 2);
+    let now = harness.now;
+    let (list, upstreams) = harness.router.instance_list();
+    list.apply_full_read(now, &["p1", "p2", "d1", "d2", "s2"].map(Into::into), 2, upstreams);
+    harness.now += ms(1_500);
+    apply(&mut harness, 2, InstanceState::Present(s1()));
+    let (list, upstreams) = harness.router.instance_list();
+    assert!(list.remove_retained(now + ms(9_000), upstreams).is_empty());
+    assert!(is_usable(&harness, "s1"));
+}
+
+#[test]
+fn a_leaving_upstream_that_the_copy_lists_as_ready_stays_leaving() {
+    let mut harness = harness();
+    apply(&mut harness, 50, InstanceState::Present(ListedUpstream { leaving: true, ..s1() }));
+    name_era(&mut harness, 2);
+    apply(&mut harness, 3, InstanceState::Present(s1()));
+    assert!(!is_usable(&harness, "s1"));
+    // A restarted instance is another one.
+    apply(&mut harness, 4, InstanceState::Present(ListedUpstream { started_ms: 2, ..s1() }));
+    assert!(is_usable(&harness, "s1"));
+}
+
+#[test]
+fn a_leaving_upstream_whose_removal_the_copy_lacks_stays_leaving() {
+    let mut harness = harness();
+    apply(&mut harness, 50, InstanceState::Present(ListedUpstream { leaving: true, ..s1() }));
+    apply(&mut harness, 51, InstanceState::Removed);
+    name_era(&mut harness, 2);
+    apply(&mut harness, 3, InstanceState::Present(s1()));
+    assert!(!is_usable(&harness, "s1"));
+}
+
+#[test]
+fn a_feed_is_read_in_full_again_in_a_new_era() {
+    let mut cursor = Cursor::default();
+    assert!(!cursor.enter_era(Some(StoreEra(1))));
+    cursor.record_page(Vec::new(), false, 3);
+    assert!(!cursor.enter_era(Some(StoreEra(1))));
+    assert_eq!(*cursor.next(), Read::Changes { from: 3 });
+    assert!(cursor.enter_era(Some(StoreEra(2))));
+    assert_eq!(*cursor.next(), Read::Newest { after: None });
+    assert!(!cursor.enter_era(Some(StoreEra(2))));
+}
