Join the group anew in a new era of the store, with a higher fencing token

Engines saw one fencing token from two holders: after the store came back from an older copy it gave out generations again, and the token was the generation. The former holder went on with its lease, and shares of the retry budget and of rate limits rested on an assignment that was gone.

Now the token is era x 1,000,000 + generation, above all of earlier eras also for an entry that started since and has seen none. In a new era the lease and the membership are given up; an answer to a join of the earlier era is dropped, and the next join names generation 0. No order is given until all leases of the earlier era have ended and the takeover delay is over, so a former holder that is cut from the store does not take turns with the next one. Until the group has answered, the shares are the smallest of the retry allowance and half of the rate limits, never more than before.

--- a/src/edge/direct/lease_task.rs
+++ b/src/edge/direct/lease_task.rs
@@ -41,7 +41,7 @@
     while !stop.is_cancelled() && !task.dispatcher.router.borrow().is_leaving() {
         task.renew_lease().await;
         let until = task.dispatcher.now() + task.lease.settings().renewal_interval;
-        while task.dispatcher.now() < until && !stop.is_cancelled() {
+        while task.dispatcher.now() < until && !stop.is_cancelled() && !task.is_era_over() {
             task.send_due_order().await;
             tokio::time::sleep(ORDER_CHECK_INTERVAL).await;
         }
@@ -57,11 +57,33 @@
 }
 
 impl<S: Store, U: UpstreamClient> LeaseTask<S, U> {
+    /// Renews the lease. If the store is in a new era, joins the group anew.
     async fn renew_lease(&mut self) {
+        if !self.try_renewal().await {
+            self.try_renewal().await;
+        }
+        let now = self.dispatcher.now();
+        let budget_share = self.lease.share(now).unwrap_or(0.0);
+        // An entry to which the store assigns no share uses none: there may be more
+        // entries than shares.
+        let rate_limit_share = self.lease.rate_limit_share(now).unwrap_or(FALLBACK_SHARE);
+        let mut router = self.dispatcher.router.borrow_mut();
+        router.set_budget_share(budget_share.max(FALLBACK_SHARE));
+        router.set_rate_limit_share(now, rate_limit_share);
+    }
+
+    /// Sends a renewal and records the response. Returns false if the store is in a new era
+    /// since the renewal was sent.
+    async fn try_renewal(&mut self) -> bool {
+        self.enter_era();
         let requested_at = self.dispatcher.now();
         let ttl = self.lease.settings().ttl;
         let generation = self.lease.generation();
         let renewal = self.store.renew_lease(&self.name, generation, ttl, STORE_TIMEOUT).await;
+        self.dispatcher.record_store_eras(&*self.store);
+        if self.enter_era() {
+            return false;
+        }
         match renewal {
             Ok(response) => {
                 let now = self.dispatcher.now();
@@ -70,21 +92,31 @@
                         instance: = self.name,
                         holds = response.holds,
                         share = response.share,
-                        token = response.generation
+                        token = self.lease.token().unwrap_or(0)
                     });
                 }
             }
             // A lease that is not renewed expires by itself.
             Err(error) => spdlog::debug!("lease-not-renewed", kv: { detail: = error }),
         }
-        let now = self.dispatcher.now();
-        let budget_share = self.lease.share(now).unwrap_or(0.0);
-        // An entry to which the store assigns no share uses none: there may be more
-        // entries than shares.
-        let rate_limit_share = self.lease.rate_limit_share(now).unwrap_or(FALLBACK_SHARE);
-        let mut router = self.dispatcher.router.borrow_mut();
-        router.set_budget_share(budget_share.max(FALLBACK_SHARE));
-        router.set_rate_limit_share(now, rate_limit_share);
+        true
+    }
+
+    /// True if the store is in another era than the one that assigned the lease.
+    fn is_era_over(&self) -> bool {
+        self.dispatcher.router.borrow().store_era() != self.lease.era()
+    }
+
+    /// Gives up the lease if the store is in a new era. Returns true if so.
+    fn enter_era(&mut self) -> bool {
+        let era = self.dispatcher.router.borrow().store_era();
+        self.lease.enter_era(self.dispatcher.now(), era)
+    }
+
+    /// Fencing token for an order that is sent now; `None` if none may be sent.
+    fn fencing_token(&mut self) -> Option<u64> {
+        self.enter_era();
+        self.lease.fencing_token(self.dispatcher.now())
     }
 
     /// Sends the next role order if one is due and this entry holds the lease.
@@ -94,7 +126,7 @@
         // Called without the lease as well: the router records here when the number of
         // listed engines changes, and has no order due until that number is stable.
         let due = self.dispatcher.router.borrow_mut().next_role_change(now);
-        let Some(due) = due.filter(|_| self.lease.fencing_token(now).is_some()) else { return };
+        let Some(due) = due.filter(|_| self.fencing_token().is_some()) else { return };
         let Some(target) = self.dispatcher.router.borrow().target(due.key) else { return };
         self.dispatcher.router.borrow_mut().take_order_permits(now, &due);
         let response = self.send_order(&due, &target).await;
@@ -103,15 +135,16 @@
             instance: = self.name,
             upstream: = target.id,
             role: = due.role,
-            token = self.lease.generation(),
+            token = self.lease.token().unwrap_or(0),
             answer: = response
         });
     }
 
     /// Sends a role order, unless the engine is busy or already has the role, or the lease
     /// has expired. Returns the engine's response, or why there is none, as text for the log.
-    async fn send_order(&self, change: &RoleChange, target: &Target) -> String {
-        let upstream_client = &self.dispatcher.upstream_client;
+    async fn send_order(&mut self, change: &RoleChange, target: &Target) -> String {
+        let dispatcher = self.dispatcher.clone();
+        let upstream_client = &dispatcher.upstream_client;
         let state = timeout(ENGINE_TIMEOUT, upstream_client.engine_state(target)).await;
         let state = match state.unwrap_or(Err(Failure::Silent)) {
             Ok(state) => state,
@@ -121,7 +154,7 @@
             return "not needed: the engine is busy or has the role".to_string();
         }
         // The lease may have expired during the call above.
-        let Some(token) = self.lease.fencing_token(self.dispatcher.now()) else {
+        let Some(token) = self.fencing_token() else {
             return "the lease expired before the order was sent".to_string();
         };
         let holder = self.name.clone();
--- a/src/edge/direct/store_eras.rs
+++ b/src/edge/direct/store_eras.rs
@@ -31,7 +31,7 @@
                     instance: = self.name,
                     era_before = before.0,
                     era = after.0,
-                    started_over = "feeds"
+                    started_over = "feeds, membership, lease, shares"
                 });
                 self.era_risen.notify_waiters();
             }
--- a/src/router.rs
+++ b/src/router.rs
@@ -379,6 +379,16 @@
         self.upstreams.set_rate_limit_share(now, share);
     }
 
+    /// This entry's share of the allowance in the retry budget of every service.
+    pub fn budget_share(&self) -> f64 {
+        self.budget_share
+    }
+
+    /// This entry's share of the rate limits that upstreams name.
+    pub fn rate_limit_share(&self) -> f64 {
+        self.rate_limit_share
+    }
+
     fn budget(&mut self, service: &CompactString) -> &mut WindowedRetryBudget {
         let limits = self.settings.budget;
         let budget = self.budgets.entry(service.clone());
--- a/src/router/lease.rs
+++ b/src/router/lease.rs
@@ -4,13 +4,21 @@
 //! assigns the lease to one of them. The holder counts the time to live from
 //! before it sent its renewal, so that it stops before the store assigns the
 //! lease to another member. A new holder first waits until the previous one must
-//! have stopped giving orders. The fencing token is the store's generation of
-//! the group, which grows with each change of its members.
+//! have stopped giving orders.
+//!
+//! The fencing token is made of the store's era and its generation of the group, which
+//! grows with each change of the members: when the store comes back from an older copy,
+//! generations are given out again, but the era is higher.
 
 use std::time::Duration;
 
+use crate::router::store_era::StoreEra;
+use crate::router::store_era::is_other_era;
+
 /// Part of its last share of rate limits that a member uses while it cannot renew it.
 const LAPSED_SHARE_PART: f64 = 0.5;
+/// Difference of the fencing tokens of two eras, above all generations of one era.
+const GENERATIONS_PER_ERA: u64 = 1_000_000;
 
 /// Durations that govern the lease.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -54,26 +62,40 @@
 #[derive(Debug, Clone)]
 pub struct Lease {
     settings: LeaseSettings,
+    /// Era of the store that assigned the lease; `None` if not known.
+    era: Option<StoreEra>,
+    /// End of all leases that the store assigned in earlier eras.
+    earlier_leases_until: Duration,
     generation: u64,
     /// Since when the lease has been held without interruption; `None` if it is
     /// not held.
     held_since: Option<Duration>,
     /// End of the lease, if it is held.
     valid_until: Duration,
-    share: f64,
+    /// Last share that the store assigned; `None` before its first response.
+    share: Option<f64>,
     /// End of the validity of the share.
     share_until: Duration,
 }
 
+/// Share of rate limits that a member uses whose share was `share`, while it cannot renew
+/// it: the store may have assigned it to other members, but it assigns nothing while it is
+/// down.
+pub(super) fn lapsed_share(share: f64) -> f64 {
+    share * LAPSED_SHARE_PART
+}
+
 impl Lease {
     /// Creates a lease that is not held.
     pub fn new(settings: LeaseSettings) -> Self {
         Self {
             settings,
+            era: None,
+            earlier_leases_until: Duration::ZERO,
             generation: 0,
             held_since: None,
             valid_until: Duration::ZERO,
-            share: 0.0,
+            share: None,
             share_until: Duration::ZERO,
         }
     }
@@ -83,11 +105,31 @@
         &self.settings
     }
 
-    /// Newest generation that the store reported; 0 before the first response.
+    /// Newest generation that the store reported in its era; 0 before the first response.
     pub fn generation(&self) -> u64 {
         self.generation
     }
 
+    /// Era of the store that assigned the lease; `None` if not known.
+    pub fn era(&self) -> Option<StoreEra> {
+        self.era
+    }
+
+    /// Gives up the lease and the membership if the store is in another era than the one
+    /// that assigned them: it may have assigned the lease to another member. Returns true
+    /// if so: a response to the last renewal does not count. No order is given until all
+    /// leases of the earlier era have ended.
+    pub fn enter_era(&mut self, now: Duration, era: Option<StoreEra>) -> bool {
+        let changed = is_other_era(&mut self.era, era);
+        if changed {
+            self.generation = 0;
+            self.held_since = None;
+            self.share_until = self.share_until.min(now);
+            self.earlier_leases_until = now + self.settings.ttl;
+        }
+        changed
+    }
+
     /// Records the response to a renewal that was sent at `requested_at`.
     /// Returns true if this member thereby won or lost the lease.
     pub fn record_renewal(
@@ -99,14 +141,14 @@
         let held = self.held_since.is_some();
         let expired = requested_at >= self.valid_until;
         self.generation = self.generation.max(response.generation);
-        self.share = response.share;
+        self.share = Some(response.share);
         self.share_until = requested_at + self.settings.ttl;
         if !response.holds {
             self.held_since = None;
             return held;
         }
         if !held || expired {
-            self.held_since = Some(now);
+            self.held_since = Some(now.max(self.earlier_leases_until));
         }
         self.valid_until = requested_at + self.settings.ttl;
         !held
@@ -115,17 +157,22 @@
     /// This member's share of the retry budgets, from 0 to 1; `None` if it was
     /// not renewed in time.
     pub fn share(&self, now: Duration) -> Option<f64> {
-        (now < self.share_until).then_some(self.share)
+        self.share.filter(|_| now < self.share_until)
     }
 
     /// This member's share of the rate limits of upstreams, from 0 to 1; `None` before
     /// the store's first response. If it was not renewed in time, it is a part of the
-    /// last one: the store may have assigned it to other members, but it assigns nothing
-    /// while it is down.
+    /// last one.
     pub fn rate_limit_share(&self, now: Duration) -> Option<f64> {
-        let known = self.generation > 0;
-        let lapsed = self.share * LAPSED_SHARE_PART;
-        known.then(|| self.share(now).unwrap_or(lapsed))
+        self.share(now).or_else(|| self.share.map(lapsed_share))
+    }
+
+    /// Fencing token of the era and generation, whether or not an order may be given;
+    /// `None` if the generation is too high to have one.
+    pub fn token(&self) -> Option<u64> {
+        let era = self.era.map_or(0, |era| era.0);
+        let first_of_era = era.checked_mul(GENERATIONS_PER_ERA)?;
+        (self.generation < GENERATIONS_PER_ERA).then_some(first_of_era + self.generation)
     }
 
     /// Fencing token for orders; `None` if no order may be given now: the lease
@@ -133,6 +180,6 @@
     pub fn fencing_token(&self, now: Duration) -> Option<u64> {
         let takeover_done = self.held_since? + self.settings.takeover_delay <= now;
         let valid = now + self.settings.safety_margin < self.valid_until;
-        (takeover_done && valid).then_some(self.generation)
+        self.token().filter(|_| takeover_done && valid)
     }
 }
--- a/src/router/store_era.rs
+++ b/src/router/store_era.rs
@@ -3,11 +3,14 @@
 //! The store may come back from a copy of itself that is some seconds old. It then has
 //! lost what was written since, and gives out offsets and generations again. It says so
 //! with the number of its era, which rises by one each time. In a new era an entry reads
-//! the feeds in full.
+//! the feeds in full and joins its group anew; until the group has answered, it uses small
+//! shares.
 
 use std::time::Duration;
 
 use crate::router::Router;
+use crate::router::budget::FALLBACK_SHARE;
+use crate::router::lease::lapsed_share;
 
 /// Number of an era of the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -70,6 +73,13 @@
         }
         self.store_era = Some(named);
         self.instance_list.start_over(now, &mut self.upstreams);
+        self.reduce_shares(now);
         StoreEraChange::Risen { before: known, after: named }
     }
+
+    /// Uses shares that no assignment of the new era to other entries can exceed by much.
+    fn reduce_shares(&mut self, now: Duration) {
+        self.set_budget_share(self.budget_share.min(FALLBACK_SHARE));
+        self.set_rate_limit_share(now, lapsed_share(self.rate_limit_share));
+    }
 }
--- a/tests/router/store_era.rs
+++ b/tests/router/store_era.rs
@@ -1,10 +1,16 @@
 //! The store comes back from an older copy, in a new era: what starts over, and what stays.
 
+use std::time::Duration;
+
+use bamboodoor::router::budget::FALLBACK_SHARE;
 use bamboodoor::router::configuration::Configuration;
 use bamboodoor::router::follow::Cursor;
 use bamboodoor::router::follow::Read;
 use bamboodoor::router::instance_list::InstanceRecord;
 use bamboodoor::router::instance_list::InstanceState;
+use bamboodoor::router::lease::Lease;
+use bamboodoor::router::lease::LeaseSettings;
+use bamboodoor::router::lease::RenewalResponse;
 use bamboodoor::router::store_era::StoreEra;
 use bamboodoor::router::store_era::StoreEraChange;
 use bamboodoor::router::upstreams::ListedUpstream;
@@ -17,6 +23,9 @@
 use crate::harness::ms;
 use crate::harness::upstream;
 
+/// Time within which orders of two holders count as taking turns.
+const HOLDER_CHANGE: Duration = Duration::from_millis(3_000);
+
 fn risen(before: u64, after: u64) -> StoreEraChange {
     StoreEraChange::Risen { before: StoreEra(before), after: StoreEra(after) }
 }
@@ -72,6 +81,21 @@
     assert!(harness.router.configure(version(8)));
 }
 
+#[test]
+fn shares_are_small_until_the_group_has_answered_and_never_rise() {
+    let mut harness = harness();
+    harness.router.set_budget_share(0.25);
+    harness.router.set_rate_limit_share(harness.now, 0.25);
+    name_era(&mut harness, 2);
+    assert_eq!(harness.router.budget_share(), FALLBACK_SHARE);
+    assert_eq!(harness.router.rate_limit_share(), 0.125);
+    harness.router.set_budget_share(FALLBACK_SHARE / 2.0);
+    harness.router.set_rate_limit_share(harness.now, 0.0);
+    name_era(&mut harness, 3);
+    assert_eq!(harness.router.budget_share(), FALLBACK_SHARE / 2.0);
+    assert_eq!(harness.router.rate_limit_share(), 0.0);
+}
+
 #[test]
 fn records_at_offsets_that_are_given_out_again_are_applied() {
     let mut harness = harness();
@@ -140,3 +164,63 @@
     assert_eq!(*cursor.next(), Read::Newest { after: None });
     assert!(!cursor.enter_era(Some(StoreEra(2))));
 }
+
+/// Lease of one entry that knows era 1.
+fn lease() -> Lease {
+    let mut lease = Lease::new(LeaseSettings::default());
+    assert!(!lease.enter_era(ms(0), Some(StoreEra(1))));
+    lease
+}
+
+/// Renews the lease, which the store grants with this generation, each second.
+fn renew(lease: &mut Lease, from: u64, until: u64, generation: u64) {
+    for at in (from..=until).step_by(1_000) {
+        let response = RenewalResponse { generation, holds: true, share: 0.25 };
+        lease.record_renewal(ms(at), ms(at + 5), response);
+    }
+}
+
+#[test]
+fn the_fencing_token_rises_when_generations_are_given_out_again() {
+    let mut lease = lease();
+    renew(&mut lease, 0, 8_000, 40);
+    let before = lease.fencing_token(ms(8_100)).expect("orders may be given");
+    assert!(lease.enter_era(ms(8_500), Some(StoreEra(2))));
+    assert_eq!(lease.fencing_token(ms(8_600)), None);
+    assert_eq!(lease.generation(), 0);
+    renew(&mut lease, 9_000, 20_000, 3);
+    let after = lease.fencing_token(ms(20_100)).expect("orders may be given");
+    assert!(after > before, "{after} after {before}");
+}
+
+#[test]
+fn a_generation_above_those_of_an_era_has_no_fencing_token() {
+    let mut lease = lease();
+    renew(&mut lease, 0, 8_000, 1_000_000);
+    assert_eq!(lease.fencing_token(ms(8_100)), None);
+}
+
+#[test]
+fn shares_lapse_in_a_new_era_until_the_group_has_answered() {
+    let mut lease = lease();
+    renew(&mut lease, 0, 8_000, 40);
+    lease.enter_era(ms(8_500), Some(StoreEra(2)));
+    assert_eq!(lease.share(ms(8_500)), None);
+    assert_eq!(lease.rate_limit_share(ms(8_500)), Some(0.125));
+    renew(&mut lease, 9_000, 9_000, 3);
+    assert_eq!(lease.share(ms(9_100)), Some(0.25));
+}
+
+/// The former holder does not reach the store any more, so it does not know of the new era.
+#[test]
+fn holders_of_two_eras_do_not_give_orders_in_turn() {
+    let rewound_at = 10_000;
+    let (mut former, mut next) = (lease(), lease());
+    renew(&mut former, 0, rewound_at, 40);
+    next.enter_era(ms(rewound_at), Some(StoreEra(2)));
+    renew(&mut next, rewound_at, 30_000, 39);
+    let last = (0..30_000).rev().find(|&at| former.fencing_token(ms(at)).is_some());
+    let first = (rewound_at..30_000).find(|&at| next.fencing_token(ms(at)).is_some());
+    let (last, first) = (last.expect("it gave orders"), first.expect("it gives orders"));
+    assert!(ms(first - last) >= HOLDER_CHANGE, "{last} ms, then {first} ms");
+}
