Append the origins of own streams again in a new era of the store

Callers that took up a stream at another entry, after the store had come back from an older copy and their entry was killed, were refused with version-unavailable: the log of origins had lost what the first entry had appended, and a reader's position could be past what was appended since.

Now an entry marks the origins of its own streams and appends those of the last minute again in a new era, and the log is read from its beginning again.

--- a/src/edge/direct/origin_log.rs
+++ b/src/edge/direct/origin_log.rs
@@ -1,7 +1,6 @@
 //! Log of stream origins in the platform's store: appends those of this entry's streams,
 //! and reads it for requests whose callers take up a stream.
 
-use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,6 +16,7 @@
 use crate::edge::direct::store_follower::StoreError;
 use crate::edge::direct::upstream_client::UpstreamClient;
 use crate::router::Router;
+use crate::router::follow::LogPosition;
 use crate::router::stream_origins::StreamOrigin;
 use crate::schema::record;
 
@@ -65,16 +65,22 @@
         tokio::time::sleep(BATCH_DELAY).await;
         let origins = dispatcher.router.borrow_mut().take_unsent_origins();
         if !origins.is_empty() {
-            append_batch(&*store, &origins).await;
+            append_batch(&*store, &dispatcher, &origins).await;
         }
     }
 }
 
 /// Appends a batch. A lost response may mean that it was appended; twice does no harm.
-async fn append_batch<S: Store>(store: &S, origins: &[StreamOrigin]) {
+async fn append_batch<S: Store, U: UpstreamClient>(
+    store: &S,
+    dispatcher: &Dispatcher<U>,
+    origins: &[StreamOrigin],
+) {
     let record = encode(origins);
     for _ in 0..MAX_APPENDS {
-        match store.append_origins(record.clone(), STORE_TIMEOUT).await {
+        let appended = store.append_origins(record.clone(), STORE_TIMEOUT).await;
+        dispatcher.record_store_eras(store);
+        match appended {
             Ok(()) => {
                 spdlog::info!("origins-appended", kv: { streams = origins.len() });
                 return;
@@ -92,11 +98,11 @@
 
 /// Reads the log whenever requests ask for it, until the process ends.
 pub async fn read<S: Store, U: UpstreamClient>(store: Rc<S>, dispatcher: Rc<Dispatcher<U>>) {
-    let next_offset = Cell::new(0);
+    let mut position = LogPosition::default();
     loop {
         dispatcher.origin_log.requested.notified().await;
         let readers = std::mem::take(&mut *dispatcher.origin_log.readers.borrow_mut());
-        if let Err(error) = read_to_end(&*store, &dispatcher, &next_offset).await {
+        if let Err(error) = read_to_end(&*store, &dispatcher, &mut position).await {
             spdlog::warn!("origins-not-read", kv: { detail: = error });
         }
         for reader in readers {
@@ -109,13 +115,19 @@
 async fn read_to_end<S: Store, U: UpstreamClient>(
     store: &S,
     dispatcher: &Dispatcher<U>,
-    next_offset: &Cell<u64>,
+    position: &mut LogPosition,
 ) -> Result<(), StoreError> {
     let mut restarted = false;
     loop {
-        let page = match store.read_origins(next_offset.get(), STORE_TIMEOUT).await {
+        position.enter_era(dispatcher.router.borrow().store_era());
+        let page = store.read_origins(position.next_offset, STORE_TIMEOUT).await;
+        dispatcher.record_store_eras(store);
+        if position.enter_era(dispatcher.router.borrow().store_era()) {
+            continue;
+        }
+        let page = match page {
             Err(StoreError::HistoryLost { first_offset }) if !restarted => {
-                next_offset.set(first_offset);
+                position.next_offset = first_offset;
                 restarted = true;
                 continue;
             }
@@ -123,7 +135,7 @@
         };
         let origins = page.records.into_iter().flat_map(decode).collect();
         dispatcher.router.borrow_mut().record_origins(dispatcher.now(), origins);
-        next_offset.set(page.next_offset);
+        position.next_offset = page.next_offset;
         if page.next_offset >= page.end_offset {
             return Ok(());
         }
--- a/src/edge/direct/store_eras.rs
+++ b/src/edge/direct/store_eras.rs
@@ -25,14 +25,16 @@
         let change = self.router.borrow_mut().record_store_era(self.now(), era);
         match change {
             StoreEraChange::None => {}
-            StoreEraChange::Risen { before, after } => {
+            StoreEraChange::Risen { before, after, origins } => {
                 self.metrics.count_store_era(StoreEraResult::Risen);
                 spdlog::warn!("store-era-changed", kv: {
                     instance: = self.name,
                     era_before = before.0,
                     era = after.0,
-                    started_over = "feeds, membership, lease, shares"
+                    started_over = "feeds, membership, lease, shares, origins",
+                    origins = origins
                 });
+                self.origin_log.wake_appender(&self.router.borrow());
                 self.era_risen.notify_waiters();
             }
             StoreEraChange::Fell { known, named } => {
--- a/src/router/follow.rs
+++ b/src/router/follow.rs
@@ -172,3 +172,25 @@
         changed
     }
 }
+
+/// Position up to which a log without keys was read.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LogPosition {
+    /// Offset of the next record to read.
+    pub next_offset: u64,
+    /// Era of the store in which the position was read; `None` if not known.
+    era: Option<StoreEra>,
+}
+
+impl LogPosition {
+    /// Starts over at the beginning of the log if the store is in another era than the
+    /// position was read in. Returns true if so: a response to the last read does not
+    /// count.
+    pub fn enter_era(&mut self, era: Option<StoreEra>) -> bool {
+        let changed = is_other_era(&mut self.era, era);
+        if changed {
+            self.next_offset = 0;
+        }
+        changed
+    }
+}
--- a/src/router/store_era.rs
+++ b/src/router/store_era.rs
@@ -3,8 +3,8 @@
 //! The store may come back from a copy of itself that is some seconds old. It then has
 //! lost what was written since, and gives out offsets and generations again. It says so
 //! with the number of its era, which rises by one each time. In a new era an entry reads
-//! the feeds in full and joins its group anew; until the group has answered, it uses small
-//! shares.
+//! the feeds in full, joins its group anew and appends again the origins of its streams;
+//! until the group has answered, it uses small shares.
 
 use std::time::Duration;
 
@@ -36,6 +36,8 @@
         before: StoreEra,
         /// Era from now on.
         after: StoreEra,
+        /// Number of origins of streams to append again.
+        origins: usize,
     },
     /// The era is lower than the known one, which stays.
     Fell {
@@ -74,7 +76,8 @@
         self.store_era = Some(named);
         self.instance_list.start_over(now, &mut self.upstreams);
         self.reduce_shares(now);
-        StoreEraChange::Risen { before: known, after: named }
+        let origins = self.stream_origins.resend_own(now);
+        StoreEraChange::Risen { before: known, after: named, origins }
     }
 
     /// Uses shares that no assignment of the new era to other entries can exceed by much.
--- a/src/router/stream_origins.rs
+++ b/src/router/stream_origins.rs
@@ -34,11 +34,20 @@
     pub version: CompactString,
 }
 
+/// Origin of a stream that this entry knows.
+#[derive(Debug, Clone)]
+struct KnownOrigin {
+    version: CompactString,
+    recorded_at: Duration,
+    /// True if this entry served the stream and appends its origin.
+    own: bool,
+}
+
 /// Origins that this entry knows: of its own streams and from the store.
 #[derive(Debug, Default)]
 pub struct StreamOrigins {
-    /// Version and time of recording, by the id of the request.
-    versions: HashMap<CompactString, (CompactString, Duration)>,
+    /// Known origins by the id of the request.
+    known: HashMap<CompactString, KnownOrigin>,
     /// Origins of own streams that the store does not hold yet.
     unsent: Vec<StreamOrigin>,
 }
@@ -46,23 +55,47 @@
 impl StreamOrigins {
     /// Records origins from the store.
     pub fn record(&mut self, now: Duration, origins: Vec<StreamOrigin>) {
-        self.versions.retain(|_, (_, recorded_at)| now < *recorded_at + ORIGIN_RETENTION);
+        self.remove_expired(now);
         for origin in origins {
-            self.versions.insert(origin.request_id, (origin.version, now));
+            self.insert(now, origin, false);
         }
     }
 
+    fn insert(&mut self, now: Duration, origin: StreamOrigin, own: bool) {
+        let own = own || self.known.get(&origin.request_id).is_some_and(|known| known.own);
+        let known = KnownOrigin { version: origin.version, recorded_at: now, own };
+        self.known.insert(origin.request_id, known);
+    }
+
+    fn remove_expired(&mut self, now: Duration) {
+        self.known.retain(|_, known| now < known.recorded_at + ORIGIN_RETENTION);
+    }
+
+    /// Has the origins of own streams appended again, as the store may have lost them.
+    /// Returns their number.
+    pub(super) fn resend_own(&mut self, now: Duration) -> usize {
+        self.remove_expired(now);
+        let own = self.known.iter().filter(|(_, known)| known.own);
+        let own = own.map(|(request_id, known)| StreamOrigin {
+            request_id: request_id.clone(),
+            version: known.version.clone(),
+        });
+        self.unsent = own.collect();
+        self.unsent.len()
+    }
+
     /// Records the origin of an own stream, unless it is known already.
     fn record_own(&mut self, now: Duration, origin: StreamOrigin) {
-        if !self.versions.contains_key(&origin.request_id) {
+        if !self.known.contains_key(&origin.request_id) {
             self.unsent.push(origin.clone());
-            self.record(now, vec![origin]);
+            self.remove_expired(now);
+            self.insert(now, origin, true);
         }
     }
 
     /// Version at which the stream of a request began, if known.
     pub fn version(&self, request_id: &str) -> Option<&CompactString> {
-        self.versions.get(request_id).map(|(version, _)| version)
+        self.known.get(request_id).map(|known| &known.version)
     }
 }
 
--- a/tests/router/store_era.rs
+++ b/tests/router/store_era.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
+use bamboodoor::router::Event;
 use bamboodoor::router::budget::FALLBACK_SHARE;
 use bamboodoor::router::configuration::Configuration;
 use bamboodoor::router::follow::Cursor;
+use bamboodoor::router::follow::LogPosition;
 use bamboodoor::router::follow::Read;
 use bamboodoor::router::instance_list::InstanceRecord;
 use bamboodoor::router::instance_list::InstanceState;
@@ -17,6 +19,7 @@
 use bamboodoor::router::upstreams::PoolRole;
 
 use crate::harness::DESK;
+use crate::harness::ENGINES;
 use crate::harness::Harness;
 use crate::harness::default_configuration;
 use crate::harness::default_upstreams;
@@ -26,8 +29,8 @@
 /// Time within which orders of two holders count as taking turns.
 const HOLDER_CHANGE: Duration = Duration::from_millis(3_000);
 
-fn risen(before: u64, after: u64) -> StoreEraChange {
-    StoreEraChange::Risen { before: StoreEra(before), after: StoreEra(after) }
+fn risen(before: u64, after: u64, origins: usize) -> StoreEraChange {
+    StoreEraChange::Risen { before: StoreEra(before), after: StoreEra(after), origins }
 }
 
 /// Router that knows era 1.
@@ -63,7 +66,7 @@
     let mut harness = harness();
     for era in [2, 3, 4, 9] {
         let before = harness.router.store_era().expect("an era is known").0;
-        assert_eq!(name_era(&mut harness, era), risen(before, era));
+        assert_eq!(name_era(&mut harness, era), risen(before, era, 0));
         assert_eq!(name_era(&mut harness, era), StoreEraChange::None);
     }
     let fell = StoreEraChange::Fell { known: StoreEra(9), named: StoreEra(8) };
@@ -153,6 +156,26 @@
     assert!(!is_usable(&harness, "s1"));
 }
 
+#[test]
+fn origins_of_own_streams_are_appended_again_while_they_are_kept() {
+    let mut harness = harness();
+    let d2 = upstream("d2", ENGINES, PoolRole::Decode);
+    harness.list_upstream(ListedUpstream { version: "v2".into(), ..d2 });
+    let (key, _) = harness.start_decode("/resumable/1");
+    harness.report(key, Event::ResponseStarted { status: 200 });
+    harness.router.record_event(harness.now, key);
+    let sent = harness.router.take_unsent_origins();
+    assert_eq!(sent.len(), 1);
+    // This entry has read it from the log of the store since.
+    harness.router.record_origins(harness.now, sent.clone());
+    for era in [2, 3] {
+        assert_eq!(name_era(&mut harness, era), risen(era - 1, era, 1));
+        assert_eq!(harness.router.take_unsent_origins(), sent);
+    }
+    harness.now += ms(61_000);
+    assert_eq!(name_era(&mut harness, 4), risen(3, 4, 0));
+}
+
 #[test]
 fn a_feed_is_read_in_full_again_in_a_new_era() {
     let mut cursor = Cursor::default();
@@ -165,6 +188,15 @@
     assert!(!cursor.enter_era(Some(StoreEra(2))));
 }
 
+#[test]
+fn the_log_of_origins_is_read_from_its_beginning_again_in_a_new_era() {
+    let mut position = LogPosition::default();
+    assert!(!position.enter_era(Some(StoreEra(1))));
+    position.next_offset = 7;
+    assert!(position.enter_era(Some(StoreEra(2))));
+    assert_eq!(position.next_offset, 0);
+}
+
 /// Lease of one entry that knows era 1.
 fn lease() -> Lease {
     let mut lease = Lease::new(LeaseSettings::default());
