Hold back records of removed upstreams in a copy of the store

Callers' requests went to a replica that had been removed from the instance list, and was about to exit, because the store came back from a copy that was older than the removal and listed it as ready again.

Cause: an upstream that said that it was leaving stays so, but some leave without saying so, and a removed upstream was forgotten. Now the list remembers for a minute which incarnations were removed. In a new era the first record of one of them is held back for 6 s, in which the store lets it expire if the replica is gone. A second record in the new era was written by the replica and is applied.

--- a/src/edge/direct/store_follower.rs
+++ b/src/edge/direct/store_follower.rs
@@ -254,6 +254,10 @@
             for id in instance_list.remove_retained(now, upstreams) {
                 spdlog::info!("upstream-lapsed", kv: { upstream: = id });
             }
+            let (instance_list, upstreams) = router.instance_list();
+            for id in instance_list.apply_held_back(now, upstreams) {
+                spdlog::info!("upstream-listed-late", kv: { upstream: = id });
+            }
             router.record_versions(now);
             self.dispatcher.origin_log.wake_appender(&router);
         }
--- a/src/router/instance_list.rs
+++ b/src/router/instance_list.rs
@@ -7,6 +7,10 @@
 //! list is retained: it stays usable until the grace period ends or it fails to
 //! respond. The same holds in a new era of the store, whose copy may be older than
 //! the record.
+//!
+//! The copy may also list an upstream whose removal it lacks. Such a record is held back
+//! until the store has had the time to let it expire; a record that the instance writes
+//! in the new era is applied at once.
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -17,6 +21,12 @@
 use crate::router::upstreams::ListedUpstream;
 use crate::router::upstreams::Upstreams;
 
+/// Time for which a removal is remembered; copies of the store are not as old.
+const REMOVAL_RETENTION: Duration = Duration::from_secs(60);
+/// Time for which a record in a copy of the store is held back whose removal may be lost: a
+/// record expires after three heartbeats, of mostly a second.
+const HOLD_BACK_TIME: Duration = Duration::from_secs(6);
+
 /// Record of the instance list.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct InstanceRecord {
@@ -52,6 +62,20 @@
     /// the first outage.
     grace_until: Option<Duration>,
     unavailable: bool,
+    /// Upstreams that were removed, by id.
+    removals: HashMap<CompactString, Removal>,
+    /// End of the time in which records of removed upstreams are held back; `None` before
+    /// the first new era.
+    hold_back_until: Option<Duration>,
+    /// Records that are held back, by id.
+    held_back: HashMap<CompactString, InstanceRecord>,
+}
+
+/// Removal of one incarnation of an upstream.
+#[derive(Debug, Clone, Copy)]
+struct Removal {
+    started_ms: u64,
+    at: Duration,
 }
 
 impl InstanceList {
@@ -64,6 +88,9 @@
             retained_until: HashMap::new(),
             grace_until: None,
             unavailable: false,
+            removals: HashMap::new(),
+            hold_back_until: None,
+            held_back: HashMap::new(),
         }
     }
 
@@ -89,6 +116,9 @@
     pub fn start_over(&mut self, now: Duration, upstreams: &mut Upstreams) {
         self.offsets.clear();
         self.grace_until = Some(now + self.grace);
+        self.hold_back_until = Some(now + HOLD_BACK_TIME);
+        self.held_back.clear();
+        self.removals.retain(|_, removal| now < removal.at + REMOVAL_RETENTION);
         upstreams.keep_leaving();
     }
 
@@ -106,9 +136,15 @@
             return false;
         }
         self.offsets.insert(record.id.clone(), record.offset);
+        if self.holds_back(now, &record) {
+            self.held_back.insert(record.id.clone(), record);
+            return false;
+        }
+        self.held_back.remove(&record.id);
         match record.state {
             InstanceState::Present(listed) => {
                 self.retained_until.remove(&record.id);
+                self.removals.remove(&record.id);
                 let changed =
                     upstreams.get_by_id(&record.id).is_none_or(|current| current.listed != listed);
                 upstreams.upsert(listed);
@@ -134,6 +170,7 @@
         upstreams: &mut Upstreams,
     ) -> usize {
         let present: HashSet<&CompactString> = present.iter().collect();
+        self.held_back.retain(|id, _| present.contains(id));
         let is_older =
             |id: &CompactString| self.offsets.get(id).is_none_or(|offset| *offset < end_offset);
         let missing: Vec<CompactString> =
@@ -151,6 +188,35 @@
         was_retained
     }
 
+    /// Applies the records that were held back, once the store has had the time to let them
+    /// expire. Returns the ids of their upstreams.
+    pub fn apply_held_back(
+        &mut self,
+        now: Duration,
+        upstreams: &mut Upstreams,
+    ) -> Vec<CompactString> {
+        if self.unavailable || self.hold_back_until.is_none_or(|until| now < until) {
+            return Vec::new();
+        }
+        let held_back = std::mem::take(&mut self.held_back);
+        for record in held_back.values() {
+            if let InstanceState::Present(listed) = &record.state {
+                upstreams.upsert(listed.clone());
+            }
+        }
+        held_back.into_keys().collect()
+    }
+
+    /// True if a record is the first one in a new era of an incarnation that was removed
+    /// before: the copy of the store may lack the removal.
+    fn holds_back(&self, now: Duration, record: &InstanceRecord) -> bool {
+        let InstanceState::Present(listed) = &record.state else { return false };
+        let removal = self.removals.get(&record.id);
+        self.hold_back_until.is_some_and(|until| now < until)
+            && !self.held_back.contains_key(&record.id)
+            && removal.is_some_and(|removal| removal.started_ms == listed.started_ms)
+    }
+
     /// Removes the retained upstreams whose records were not written again by
     /// the end of the grace period. Removes none while the list is unavailable.
     /// Returns the ids of the removed upstreams.
@@ -166,7 +232,7 @@
         let due: Vec<CompactString> = due.map(|(id, _)| id.clone()).collect();
         for id in &due {
             self.retained_until.remove(id);
-            upstreams.remove(id);
+            self.remove(now, id, upstreams);
         }
         due
     }
@@ -186,7 +252,16 @@
             self.retained_until.insert(id.clone(), until);
             return false;
         }
-        upstreams.remove(id);
+        self.remove(now, id, upstreams);
         true
     }
+
+    /// Removes an upstream and remembers which incarnation it was.
+    fn remove(&mut self, now: Duration, id: &CompactString, upstreams: &mut Upstreams) {
+        if let Some(upstream) = upstreams.get_by_id(id) {
+            let removal = Removal { started_ms: upstream.listed.started_ms, at: now };
+            self.removals.insert(id.clone(), removal);
+        }
+        upstreams.remove(id);
+    }
 }
--- a/tests/router/store_era.rs
+++ b/tests/router/store_era.rs
@@ -53,6 +53,14 @@
     instance_list.apply(now, record, upstreams);
 }
 
+/// Has the list apply what it held back, after this time.
+fn apply_held_back(harness: &mut Harness, after: Duration) -> Vec<String> {
+    harness.now += after;
+    let now = harness.now;
+    let (list, upstreams) = harness.router.instance_list();
+    list.apply_held_back(now, upstreams).iter().map(ToString::to_string).collect()
+}
+
 fn s1() -> ListedUpstream {
     upstream("s1", DESK, PoolRole::Service)
 }
@@ -256,3 +264,47 @@
     let (last, first) = (last.expect("it gave orders"), first.expect("it gives orders"));
     assert!(ms(first - last) >= HOLDER_CHANGE, "{last} ms, then {first} ms");
 }
+
+/// The instance never said that it is leaving; its record was removed.
+#[test]
+fn an_upstream_whose_removal_the_copy_lacks_is_not_listed_at_once() {
+    let mut harness = harness();
+    apply(&mut harness, 51, InstanceState::Removed);
+    name_era(&mut harness, 2);
+    apply(&mut harness, 3, InstanceState::Present(s1()));
+    assert!(!is_usable(&harness, "s1"));
+    // Its record expires again.
+    harness.now += ms(4_000);
+    apply(&mut harness, 9, InstanceState::Removed);
+    assert!(apply_held_back(&mut harness, ms(20_000)).is_empty());
+    assert!(!is_usable(&harness, "s1"));
+}
+
+#[test]
+fn a_removed_upstream_that_is_listed_for_long_in_a_new_era_is_used() {
+    let mut harness = harness();
+    apply(&mut harness, 51, InstanceState::Removed);
+    name_era(&mut harness, 2);
+    apply(&mut harness, 3, InstanceState::Present(s1()));
+    assert!(apply_held_back(&mut harness, ms(5_900)).is_empty());
+    assert_eq!(apply_held_back(&mut harness, ms(200)), ["s1"]);
+    assert!(is_usable(&harness, "s1"));
+}
+
+#[test]
+fn a_removed_upstream_that_registers_in_the_new_era_is_used_at_once() {
+    let mut harness = harness();
+    apply(&mut harness, 51, InstanceState::Removed);
+    name_era(&mut harness, 2);
+    apply(&mut harness, 3, InstanceState::Present(s1()));
+    apply(&mut harness, 7, InstanceState::Present(s1()));
+    assert!(is_usable(&harness, "s1"));
+}
+
+#[test]
+fn a_removed_upstream_that_comes_back_in_the_same_era_is_used_at_once() {
+    let mut harness = harness();
+    apply(&mut harness, 51, InstanceState::Removed);
+    apply(&mut harness, 52, InstanceState::Present(s1()));
+    assert!(is_usable(&harness, "s1"));
+}
