--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -18,5 +18,6 @@
 mod response_memory;
 pub mod server;
 pub mod sse;
+mod store_eras;
 pub mod store_follower;
 pub mod upstream_client;
--- a/src/edge/direct/dispatch.rs
+++ b/src/edge/direct/dispatch.rs
@@ -48,6 +48,8 @@
     pub(super) origin_log: OriginLog,
     /// Memory of the responses that are buffered.
     pub(super) response_memory: ResponseMemory,
+    /// Signal that the store came back from an older copy.
+    pub(super) era_risen: Notify,
     /// Wake-up signals of the requests that execute `Step::Wait`.
     pub(super) waiting: RefCell<HashMap<RequestKey, Rc<Notify>>>,
 }
@@ -70,6 +72,7 @@
             metrics: Metrics::default(),
             origin_log: OriginLog::default(),
             response_memory: ResponseMemory::default(),
+            era_risen: Notify::new(),
             waiting: RefCell::default(),
         }
     }
--- a/src/router.rs
+++ b/src/router.rs
@@ -23,6 +23,7 @@
 mod reserving;
 pub mod roles;
 mod selection;
+pub mod store_era;
 pub mod stream_origins;
 pub mod upstream_notice;
 pub mod upstreams;
@@ -62,6 +63,7 @@
 use crate::router::roles::RoleBalancer;
 use crate::router::roles::RoleChange;
 use crate::router::roles::RoleSettings;
+use crate::router::store_era::StoreEra;
 use crate::router::stream_origins::StreamOrigins;
 use crate::router::stream_origins::VersionHistory;
 use crate::router::upstreams::Upstreams;
@@ -102,6 +104,8 @@
     settings: RouterSettings,
     /// Configuration in force; `None` before the first one was applied.
     configuration: Option<Arc<Configuration>>,
+    /// Highest era that the store has named; `None` before the first one.
+    store_era: Option<StoreEra>,
     upstreams: Upstreams,
     instance_list: InstanceList,
     requests: SlotMap<RequestKey, Request>,
@@ -152,6 +156,7 @@
     pub fn new(settings: RouterSettings) -> Self {
         Self {
             configuration: None,
+            store_era: None,
             upstreams: Upstreams::default(),
             instance_list: InstanceList::new(settings.outage_grace),
             requests: SlotMap::with_key(),
@@ -376,6 +381,16 @@
         self.upstreams.set_rate_limit_share(now, share);
     }
 
+    /// This entry's share of the allowance in the retry budget of every service.
+    pub fn budget_share(&self) -> f64 {
+        self.budget_share
+    }
+
+    /// This entry's share of the rate limits that upstreams name.
+    pub fn rate_limit_share(&self) -> f64 {
+        self.rate_limit_share
+    }
+
     fn budget(&mut self, service: &CompactString) -> &mut WindowedRetryBudget {
         let limits = self.settings.budget;
         let budget = self.budgets.entry(service.clone());
