A replacement is certain only when it responds; the search is outside the queue

Now the paused run is kept until its replacement responds, for 200 ms at most (an engine may work on for 400 ms); the search is one round of reservation requests outside the queue, repeated every 200 ms; its sends are taken out of the budget before it and given back if they are not made; a stream that goes on clears the failure of its engine.

--- a/src/edge/direct/request_task.rs
+++ b/src/edge/direct/request_task.rs
@@ -12,6 +12,7 @@
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::edge::direct::bounded_read::read_body;
@@ -35,6 +36,7 @@
 use crate::router::Step;
 use crate::router::Target;
 use crate::router::flow::Failure;
+use crate::router::pauses::MAX_RUN_OVERLAP;
 use crate::router::request::RequestKey;
 
 /// Responses with a `Content-Length` up to this are read completely before they are passed
@@ -133,10 +135,6 @@
         if let Step::Decode { target, after_event: Some(_), .. } = &step {
             self.record_continuation(target);
         }
-        if matches!(step, Step::Decode { .. }) {
-            // Closes the connection, so that the engine of the paused run stops.
-            self.paused = None;
-        }
         match step {
             Step::Refuse(refusal) => {
                 self.send_refusal(refusal);
@@ -186,10 +184,12 @@
         let remaining_time = self.remaining_time();
         let mut caller = std::mem::replace(&mut self.caller, CallerChannel::AwaitingHead(None));
         let mut paused = self.paused.take();
+        let replaces = matches!(step, Step::Decode { .. });
         let event = {
             let (dispatcher, key) = (self.dispatcher.clone(), self.key);
             let execution = timeout(remaining_time, self.execute_on_upstream(step));
             let mut execution = std::pin::pin!(execution);
+            let mut overlap = std::pin::pin!(sleep(MAX_RUN_OVERLAP));
             loop {
                 tokio::select! {
                     biased;
@@ -197,17 +197,19 @@
                     event = execution.as_mut() => {
                         break Some(event.unwrap_or(Event::DeadlinePassed));
                     }
-                    resumed = OpenStream::resumed(&mut paused) => {
+                    // Closes the connection, so that the engine of the paused run stops.
+                    () = overlap.as_mut(), if replaces && paused.is_some() => paused = None,
+                    resumed = OpenStream::resumed(&mut paused), if !replaces => {
                         if resumed {
                             break Some(Event::ResponseResumed);
                         }
-                        dispatcher.router.borrow_mut().record_lost_paused_run(key);
                     }
                 }
+                dispatcher.router.borrow_mut().end_paused_run(dispatcher.now(), key);
             }
         };
         self.caller = caller;
-        self.paused = paused;
+        self.paused = paused.filter(|_| !matches!(event, Some(Event::ResponseStarted { .. })));
         if event.is_none() {
             self.log_request_ending(RequestEnding::CallerGone, 0);
         }
--- a/src/router.rs
+++ b/src/router.rs
@@ -15,7 +15,7 @@
 pub mod instance_list;
 pub mod lease;
 pub mod output_margin;
-mod pauses;
+pub mod pauses;
 mod plain;
 pub mod rate_limit;
 pub mod request;
--- a/src/router/budget.rs
+++ b/src/router/budget.rs
@@ -82,6 +82,12 @@
         allowed
     }
 
+    /// Returns extra sends that were taken but not made.
+    pub fn refund(&mut self, sends: usize) {
+        let kept = self.extra_sends.len().saturating_sub(sends);
+        self.extra_sends.truncate(kept);
+    }
+
     /// Records a send that only turned out to be an extra one after it was
     /// made. The budget may be exceeded by it.
     pub fn charge(&mut self, now: Duration) {
--- a/src/router/flow.rs
+++ b/src/router/flow.rs
@@ -177,8 +177,8 @@
         last_event: Option<u64>,
     },
     /// No part of the response was received for the idle timeout of
-    /// [`Step::Relay`], while its connection stayed open. It stays open until
-    /// [`Step::Decode`].
+    /// [`Step::Relay`], while its connection stayed open. It stays open until another
+    /// engine responds to [`Step::Decode`].
     ResponsePaused {
         /// Id of the last event that was relayed to the caller, if any.
         last_event: Option<u64>,
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -32,7 +32,7 @@
 const PREFILL_TIMEOUT_MARGIN: Duration = Duration::from_millis(400);
 /// Largest number of prefills of one request; after a failure of the last one
 /// the decode engine prefills the prompt itself.
-const MAX_PREFILLS: u32 = 3;
+pub(super) const MAX_PREFILLS: u32 = 3;
 /// Sends that another run takes out of the retry budget: a prefill and a
 /// decode.
 pub(super) const SENDS_PER_RUN: usize = 2;
@@ -63,7 +63,7 @@
                 self.stream_interrupted(now, key, last_event)
             }
             Event::ResponsePaused { last_event } => self.stream_paused(now, key, last_event),
-            Event::ResponseResumed => self.return_to_paused_run(key),
+            Event::ResponseResumed => self.stream_resumed(key),
             Event::DeadlinePassed => self.generate_deadline_passed(now, key),
             Event::ResponseRelayed => Step::Abort,
         }
@@ -92,9 +92,6 @@
         let request = &mut self.requests[key];
         request.reservation = Some(HeldResource { target, id: reservation });
         request.excluded.clear();
-        if !self.pay_for_replacement(now, key) {
-            return self.return_to_paused_run(key);
-        }
         if self.requests[key].prefill_result.is_some() {
             return self.decode(now, key);
         }
@@ -111,6 +108,7 @@
         let timeout = self.prefill_timeout(key);
         let request = &mut self.requests[key];
         request.phase = Phase::Prefilling;
+        request.unsent_replacement = request.unsent_replacement.saturating_sub(1);
         request.prefills += 1;
         request.step_started_at = now;
         request.current = Some(target.clone());
@@ -171,7 +169,7 @@
             return self.queue_for_reservation(now, key);
         }
         let request = &mut self.requests[key];
-        request.may_have_run |= request.paused_run.take().is_some();
+        request.unsent_replacement = 0;
         request.phase = Phase::Decoding;
         request.attempts += 1;
         request.runs += 1;
@@ -194,6 +192,11 @@
     fn generate_response_started(&mut self, key: RequestKey, status: u16) -> Step {
         let request = &mut self.requests[key];
         let source = request.prefill_result.take();
+        if request.paused_run.take().is_some() {
+            request.may_have_run = true;
+            request.last_event_at = None;
+        }
+        request.search_failed = false;
         request.phase = Phase::Relaying;
         request.response_started = true;
         let target = request.current.clone();
@@ -211,6 +214,9 @@
             // one is asked even after the deadline for the reservation.
             Phase::Reserving => {
                 self.give_back_decode_permit(key);
+                if self.requests[key].paused_run.is_some() {
+                    return self.seek_replacement(now, key);
+                }
                 self.reserve_at_next_engine(now, key)
             }
             Phase::Prefilling => self.prefill_failed(now, key, failure),
@@ -265,6 +271,9 @@
         } else {
             request.may_have_run = true;
         }
+        if request.paused_run.is_some() {
+            return self.return_to_paused_run(key);
+        }
         let repeatable = failure.proves_not_run() || request.route().allows_rerun();
         let reason = match failure {
             Failure::Silent => RefusalReason::DeadlineExceeded,
@@ -293,6 +302,7 @@
             self.record_origin(now, key);
         }
         let request = self.requests.get_mut(key)?;
+        request.search_failed = false;
         let previous = request.last_event_at.replace(now)?;
         let interval = now.saturating_sub(previous);
         let service = request.service.clone();
--- a/src/router/pauses.rs
+++ b/src/router/pauses.rs
@@ -1,41 +1,47 @@
 //! Streams whose engine is silent while its connection stays open.
 //!
 //! A sound engine may pause and go on, and so may many streams at once. The paused run is
-//! therefore kept while another engine is sought, until that engine is ready to decode. The
-//! stream goes on with whichever is ready first; without a replacement it waits for the
-//! paused run, until its deadline.
+//! therefore kept while another engine is sought, until that engine responds. The stream
+//! goes on with whichever is ready first; without a replacement it waits for the paused run,
+//! until its deadline.
+//!
+//! The search is one round of reservation requests outside the queue, so that streams that
+//! wait for silent engines do not keep new requests waiting.
 
 use std::time::Duration;
 
 use crate::router::Router;
 use crate::router::flow::Step;
+use crate::router::generate::MAX_PREFILLS;
 use crate::router::generate::SENDS_PER_RUN;
 use crate::router::request::Phase;
 use crate::router::request::Request;
 use crate::router::request::RequestKey;
+use crate::router::reserving::STARTED_REQUEST_MAX_WAIT;
 
 /// Idle timeout of a stream that another engine may resume, as a multiple of
 /// the route's longest interval between two events.
 const RESUME_IDLE_INTERVALS: u32 = 2;
-/// How long a request that engines have already worked on may wait for a new
-/// reservation. Callers abort an idle stream after a little more than
-/// this.
-const STARTED_REQUEST_MAX_WAIT: Duration = Duration::from_millis(3_000);
+/// Pause between two searches for a replacement of the same paused run.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(200);
+/// Longest time for which a paused run is kept after its replacement was sent, in case
+/// that the replacement is rejected.
+pub const MAX_RUN_OVERLAP: Duration = Duration::from_millis(200);
 
 impl Request {
     /// Pause after which a replacement of the run is sought; `None` if the stream may
     /// not have another run.
     fn idle_timeout(&self) -> Option<Duration> {
-        let replaceable = self.route().resumable && self.allows_another_run();
-        replaceable.then(|| RESUME_IDLE_INTERVALS * self.max_event_interval())
+        let replaceable =
+            self.route().resumable && self.allows_another_run() && self.prefills < MAX_PREFILLS;
+        let idle_timeout = self.longest_pause();
+        let idle_timeout = if self.search_failed { SEARCH_INTERVAL } else { idle_timeout };
+        replaceable.then_some(idle_timeout)
     }
 
-    /// How long a request that engines have already worked on waits for a
-    /// reservation. Beside a paused run the wait is short, as it keeps others
-    /// waiting and can be repeated.
-    pub(super) fn max_replacement_wait(&self) -> Duration {
-        let idle_timeout = self.idle_timeout().filter(|_| self.paused_run.is_some());
-        idle_timeout.unwrap_or(STARTED_REQUEST_MAX_WAIT)
+    /// Pause that does not count as silence of the engine yet.
+    fn longest_pause(&self) -> Duration {
+        RESUME_IDLE_INTERVALS * self.max_event_interval()
     }
 }
 
@@ -56,17 +62,40 @@
         let request = &mut self.requests[key];
         request.last_event = last_event.or(request.last_event);
         let Some(engine) = request.current.clone() else { return Step::Abort };
-        request.excluded.push(engine.key);
+        let first_search = !std::mem::replace(&mut request.search_failed, true);
         let replaceable = request.idle_timeout().is_some();
         let service = request.service.clone();
-        self.upstreams.record_failure(now, engine.key);
-        if !replaceable || !self.budget(&service).allows(now, SENDS_PER_RUN) {
+        if first_search {
+            self.upstreams.record_failure(now, engine.key);
+        }
+        if !replaceable || !self.budget(&service).try_spend(now, SENDS_PER_RUN) {
             return self.relay_stream(key);
         }
         let request = &mut self.requests[key];
+        request.excluded.push(engine.key);
         request.paused_run = Some(engine);
-        request.replacement_unpaid = true;
-        self.queue_for_reservation(now, key)
+        request.unsent_replacement = SENDS_PER_RUN;
+        request.phase = Phase::Reserving;
+        request.reservation_deadline = now + request.longest_pause();
+        self.seek_replacement(now, key)
+    }
+
+    /// Asks the next engine to replace the paused run, or returns to that run once the
+    /// time for the search is over.
+    pub(super) fn seek_replacement(&mut self, now: Duration, key: RequestKey) -> Step {
+        if now >= self.reservation_deadline(key) {
+            return self.return_to_paused_run(key);
+        }
+        self.reserve_at_next_engine(now, key)
+    }
+
+    /// The paused run goes on: its engine is sound.
+    pub(super) fn stream_resumed(&mut self, key: RequestKey) -> Step {
+        if let Some(engine) = self.requests[key].paused_run.clone() {
+            self.upstreams.record_success(engine.key);
+        }
+        self.requests[key].search_failed = false;
+        self.return_to_paused_run(key)
     }
 
     /// Ends the search for a replacement and returns to the paused run. Aborts the
@@ -75,39 +104,36 @@
         self.leave_reservation_queue(key);
         self.uncount_prefill(key);
         let request = &mut self.requests[key];
-        let Some(engine) = request.paused_run.take() else { return Step::Abort };
-        if let Some(reservation) = &request.reservation {
-            self.upstreams.give_back_permit(reservation.target.key);
-        }
-        request.replacement_unpaid = false;
+        let unsent = std::mem::take(&mut request.unsent_replacement);
+        let service = request.service.clone();
+        let reserved_at = request.reservation.as_ref().map(|held| held.target.key);
         request.excluded.clear();
-        request.phase = Phase::Relaying;
-        request.current = Some(engine.clone());
         let held = request.take_cleanups();
+        let paused_run = request.paused_run.take();
+        self.budget(&service).refund(unsent);
+        if let Some(engine) = reserved_at {
+            self.upstreams.give_back_permit(engine);
+        }
         self.cleanups.extend(held);
+        let Some(engine) = paused_run else { return Step::Abort };
+        let request = &mut self.requests[key];
+        request.phase = Phase::Relaying;
+        request.current = Some(engine.clone());
         self.count_open(key, &engine);
         self.relay_stream(key)
     }
 
-    /// Takes the sends of a run that replaces a paused one out of the retry budget.
-    /// Returns false, and takes none, if the budget forbids it.
-    pub(super) fn pay_for_replacement(&mut self, now: Duration, key: RequestKey) -> bool {
-        let request = &mut self.requests[key];
-        if !std::mem::take(&mut request.replacement_unpaid) {
-            return true;
-        }
-        let service = request.service.clone();
-        self.budget(&service).try_spend(now, SENDS_PER_RUN)
-    }
-
-    /// Records that the connection of a paused run was lost while a replacement is
-    /// sought. The search goes on.
+    /// Records that a paused run has ended, because its connection was lost or because
+    /// its replacement was sent [`MAX_RUN_OVERLAP`] ago. A search goes on, as for a stream
+    /// that was interrupted.
     ///
     /// # Panics
     /// If no request with this key is in flight.
-    pub fn record_lost_paused_run(&mut self, key: RequestKey) {
+    pub fn end_paused_run(&mut self, now: Duration, key: RequestKey) {
         let request = &mut self.requests[key];
         request.may_have_run = true;
+        request.last_event_at = None;
         request.paused_run = None;
+        request.reservation_deadline = now + STARTED_REQUEST_MAX_WAIT;
     }
 }
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -172,9 +172,10 @@
     pub(super) paused_run: Option<Target>,
     /// True if the retry of an abandoned call has been taken out of the retry budget.
     pub(super) retry_paid: bool,
-    /// True if the run that replaces the paused one has not been taken out of the
-    /// retry budget yet.
-    pub(super) replacement_unpaid: bool,
+    /// Sends of a replacement that were taken out of the retry budget and not made yet.
+    pub(super) unsent_replacement: usize,
+    /// True from the end of a search for a replacement until the stream goes on.
+    pub(super) search_failed: bool,
 }
 
 impl Request {
@@ -222,7 +223,8 @@
             stalled: false,
             paused_run: None,
             retry_paid: false,
-            replacement_unpaid: false,
+            unsent_replacement: 0,
+            search_failed: false,
         }
     }
 
--- a/src/router/reserving.rs
+++ b/src/router/reserving.rs
@@ -24,6 +24,10 @@
 const RESERVATION_WAIT_SHARE: f64 = 0.5;
 /// Share of the latency target that a late request may wait for a reservation.
 const LATE_RESERVATION_WAIT_SHARE: f64 = 0.4;
+/// How long a request that engines have already worked on may wait for a new
+/// reservation. Callers abort an idle stream after a little more than
+/// this.
+pub(super) const STARTED_REQUEST_MAX_WAIT: Duration = Duration::from_millis(3_000);
 /// Pause between two rounds of reservation requests to the engines.
 const RESERVATION_POLL_INTERVAL: Duration = Duration::from_millis(30);
 /// How long an engine that rejected a reservation gets no request for one of as
@@ -50,7 +54,7 @@
         let request = &mut self.requests[key];
         if is_started {
             request.is_late = false;
-            request.reservation_deadline = now + request.max_replacement_wait();
+            request.reservation_deadline = now + STARTED_REQUEST_MAX_WAIT;
             queue.push_front(key);
             return self.try_reserve(now, key);
         }
@@ -77,6 +81,9 @@
 
     pub(super) fn try_reserve(&mut self, now: Duration, key: RequestKey) -> Step {
         let service = self.requests[key].service.clone();
+        if self.requests[key].paused_run.is_some() {
+            return self.seek_replacement(now, key);
+        }
         let until = self.reservation_deadline(key);
         if now >= until {
             return self.refuse_without_reservation(now, key);
@@ -106,6 +113,9 @@
         let Some(target) =
             next.filter(|_| engines_asked < max_engines).and_then(|next| self.target(next))
         else {
+            if self.requests[key].paused_run.is_some() {
+                return self.return_to_paused_run(key);
+            }
             self.requests[key].excluded.clear();
             let until = self.reservation_deadline(key).min(now + RESERVATION_POLL_INTERVAL);
             return Step::Wait { until };
@@ -121,7 +131,7 @@
     }
 
     /// When the wait for a reservation ends.
-    fn reservation_deadline(&self, key: RequestKey) -> Duration {
+    pub(super) fn reservation_deadline(&self, key: RequestKey) -> Duration {
         let request = &self.requests[key];
         request.reservation_deadline.min(request.deadline)
     }
