Stand-in replica: a pause during which it is silent and stays connected

A sound upstream may be silent for a second or so and go on. The stand-in could only be slow or break off; it can now send nothing on any connection for a given time, and continue afterwards where it was.

--- a/standins/src/faults.rs
+++ b/standins/src/faults.rs
@@ -1,9 +1,11 @@
-//! Switches and delays by which a test injects faults into a stand-in while it runs.
+//! Switches, delays and pauses by which a test injects faults into a stand-in while it runs.
 
+use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 /// Switch of a fault, initially off.
 #[derive(Debug, Default)]
@@ -44,3 +46,24 @@
         }
     }
 }
+
+/// Pause of a stand-in, initially none. It may be started again while it lasts.
+#[derive(Debug, Default)]
+pub struct Pause(Mutex<Option<Instant>>);
+
+impl Pause {
+    /// Pauses from `now` on for `duration`, but never shortens a pause.
+    pub fn start(&self, now: Instant, duration: Duration) {
+        let mut until = self.0.lock().expect("the mutex is not poisoned");
+        *until = (*until).max(Some(now + duration));
+    }
+
+    /// Waits until no pause is left, also not one that starts during the wait.
+    pub async fn wait(&self) {
+        loop {
+            let until = *self.0.lock().expect("the mutex is not poisoned");
+            let Some(until) = until.filter(|until| Instant::now() < *until) else { return };
+            tokio::time::sleep_until(until.into()).await;
+        }
+    }
+}
--- a/standins/src/platform/replica.rs
+++ b/standins/src/platform/replica.rs
@@ -23,6 +23,7 @@
 use serde_json::json;
 
 use crate::faults::Delay;
+use crate::faults::Pause;
 use crate::faults::Switch;
 use crate::platform::orders::Orders;
 use crate::server;
@@ -96,6 +97,9 @@
     pub break_next_stream: Switch,
     /// Delay before each request is executed or prefilled, and before each event of a stream.
     pub response_delay: Delay,
+    /// Sends nothing on any connection during a pause, but keeps all open. It serves the requests
+    /// that arrive meanwhile, and continues its responses, afterwards.
+    pub pause: Pause,
     /// Rejects requests, prefills and reservations with status 503 and this `Retry-After`, in
     /// seconds; `None` rejects none.
     pub retry_after: Mutex<Option<String>>,
@@ -129,6 +133,7 @@
             mismatch_next_id: Switch::default(),
             break_next_stream: Switch::default(),
             response_delay: Delay::default(),
+            pause: Pause::default(),
             retry_after: Mutex::default(),
             leaving: Switch::default(),
             rate_limit: Mutex::default(),
@@ -201,7 +206,12 @@
         request: Request<Incoming>,
     ) -> Result<Response<Body>, std::io::Error> {
         self.arrivals.lock().expect("the mutex is not poisoned").push(Instant::now());
-        let mut response = self.clone().respond(request).await?;
+        let (method, path) = (request.method().clone(), request.uri().path().to_string());
+        let received = receive(request).await;
+        self.pause.wait().await;
+        let response = self.clone().respond(&method, path, received).await;
+        self.pause.wait().await;
+        let mut response = response?;
         if self.leaving.is_on() {
             let leaving = "1".parse().expect("the header is valid");
             response.headers_mut().insert("server-leaving", leaving);
@@ -216,16 +226,16 @@
 
     async fn respond(
         self: Arc<Self>,
-        request: Request<Incoming>,
+        method: &Method,
+        path: String,
+        received: ReceivedRequest,
     ) -> Result<Response<Body>, std::io::Error> {
-        let path = request.uri().path().to_string();
-        if request.method() == Method::DELETE {
+        if method == Method::DELETE {
             self.released_paths.lock().expect("the mutex is not poisoned").push(path);
             return Ok(server::json(StatusCode::OK, &json!({})));
         }
         let retry_after = self.retry_after.lock().expect("the mutex is not poisoned").clone();
         if let Some(retry_after) = retry_after {
-            let received = receive(request).await;
             let mut response = self.reject(&received, StatusCode::SERVICE_UNAVAILABLE);
             let retry_after = retry_after.parse().expect("the header is valid");
             response.headers_mut().insert("retry-after", retry_after);
@@ -234,10 +244,9 @@
         match path.as_str() {
             "/api/hold-take" => return Ok(self.reserve()),
             "/api/report" => return Ok(self.report_stage()),
-            "/api/order" => return Ok(self.receive_order(request).await),
+            "/api/order" => return Ok(self.receive_order(&received)),
             _ => {}
         }
-        let received = receive(request).await;
         let expected = received.headers.get("bamboodoor-expect-instance");
         if expected.is_some_and(|expected| *expected != self.id) {
             return Ok(self.reject(&received, StatusCode::MISDIRECTED_REQUEST));
@@ -258,10 +267,10 @@
         server::json(StatusCode::OK, &report)
     }
 
-    async fn receive_order(&self, request: Request<Incoming>) -> Response<Body> {
-        let status = match server::read_json(request).await {
-            Some(order) => self.orders.receive(order),
-            None => StatusCode::BAD_REQUEST,
+    fn receive_order(&self, received: &ReceivedRequest) -> Response<Body> {
+        let status = match serde_json::from_slice(&received.body) {
+            Ok(order) => self.orders.receive(order),
+            Err(_) => StatusCode::BAD_REQUEST,
         };
         server::json(status, &json!({}))
     }
@@ -319,6 +328,7 @@
         let open = OpenStream { replica: self.clone(), next_event: last_seen + 1, finished: false };
         let events = stream::unfold(open, move |mut open| async move {
             if open.next_event > EVENTS_PER_STREAM {
+                open.replica.pause.wait().await;
                 return None;
             }
             open.replica.response_delay.wait().await;
@@ -332,6 +342,7 @@
                 // Lets the bytes sent so far reach the reader before the connection breaks.
                 tokio::time::sleep(BREAK_DELAY).await;
             }
+            open.replica.pause.wait().await;
             open.next_event += 1;
             open.finished = part.is_err() || open.next_event > EVENTS_PER_STREAM;
             Some((part, open))
