Soak: replicas that pause, say that they leave, or turn requests away

Three checks: no entry ends a response while its upstream is sound; no request for a replica that said to its entry that it leaves, later than the drain bound; at most two requests while Retry-After of a 503 lasts.

--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -21,12 +21,14 @@
 use crate::fleet::Fleet;
 use crate::fleet::MAX_RUNS;
 use crate::fleet::OTHER_DESK_SERVICE;
-use crate::fleet::RETRY_RATIO;
-use crate::fleet::RETRY_SLACK;
-use crate::fleet::ReplicaNode;
 use crate::inject::AppliedAction;
+use crate::lost::check_lost;
+use crate::notices::check_leaving;
+use crate::notices::check_turn_aways;
 use crate::plan::Action;
 use crate::rate_limits::check_rate_limits;
+use crate::replica_node::ReplicaNode;
+use crate::retry_budget::check_retry_budget;
 use crate::versions::check_versions;
 
 /// Time after the last action within which every entry must serve every route again.
@@ -38,8 +40,8 @@
 /// Time within which an entry closes a connection whose request it refuses without reading it. The
 /// users of the entry set this bound.
 const UNREAD_REFUSAL_BOUND: Duration = Duration::from_millis(200);
-/// Window in which the retry budget is counted.
-const RETRY_BUDGET_WINDOW: Duration = Duration::from_secs(10);
+/// Calls of an entry to an engine that belong to no request.
+const CALL_LINES: [&str; 3] = ["POST /api/hold-take", "GET /api/report", "POST /api/order"];
 
 /// Guarantee that a run broke.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -119,6 +121,9 @@
     }
     violations.extend(check_retry_budget(&arrivals, &nodes, record.requests));
     violations.extend(check_rate_limits(record, &arrivals, &nodes, &by_id));
+    violations.extend(check_lost(record, &arrivals, &nodes));
+    violations.extend(check_leaving(record, &arrivals, &nodes, &by_id));
+    violations.extend(check_turn_aways(record, &arrivals, &nodes, &by_id));
     violations.extend(check_versions(record, &arrivals, &nodes));
     violations.extend(check_order_fencing(&record.orders()));
     violations.extend(record.check_stops());
@@ -136,13 +141,18 @@
         ];
         for (list, kind) in kinds {
             let list = list.lock().expect("the mutex is not poisoned");
-            let requests = list.iter().cloned();
+            let requests = list.iter().filter(|request| !is_call(request)).cloned();
             arrivals.extend(requests.map(|request| Arrival { node: number, request, kind }));
         }
     }
     arrivals
 }
 
+/// True for a call of an entry that belongs to no request, such as a rejected reservation.
+fn is_call(received: &ReceivedRequest) -> bool {
+    received.id.is_empty() && CALL_LINES.contains(&received.line.as_str())
+}
+
 fn expected_body(request: &CallerRequest) -> Bytes {
     if request.route == "stream" || request.route == "resumable" {
         let first_event = request.resumed.as_ref().map_or(0, |resumed| resumed.after_event) + 1;
@@ -185,55 +195,7 @@
     (refused && executions > 0).then(|| Violation::new("refusals are true", format!("{request:?}")))
 }
 
-/// The extra arrivals at each service keep to the retry budget in every window. Extra are all
-/// arrivals of a request but the first, all of its prefill but the first, and rejected prefills.
-fn check_retry_budget(
-    arrivals: &[Arrival],
-    nodes: &[std::sync::Arc<ReplicaNode>],
-    all_requests: &[CallerRequest],
-) -> Option<Violation> {
-    for service in [ENGINE_SERVICE, DESK_SERVICE, OTHER_DESK_SERVICE] {
-        let at_service = |arrival: &&Arrival| nodes[arrival.node].service == service;
-        let mut arrival_counts: HashMap<(&str, bool), usize> = HashMap::new();
-        let mut extras = Vec::new();
-        let mut ordered: Vec<&Arrival> = arrivals.iter().filter(at_service).collect();
-        ordered.sort_by_key(|arrival| arrival.request.received_at);
-        for arrival in ordered {
-            let is_prefill = arrival.request.headers.contains_key("bamboodoor-stage");
-            let rejected_prefill = is_prefill && arrival.kind == ArrivalKind::Rejected;
-            let count = arrival_counts.entry((&arrival.request.id, is_prefill)).or_default();
-            if !rejected_prefill {
-                *count += 1;
-            }
-            if rejected_prefill || *count > 1 {
-                extras.push(arrival.request.received_at);
-            }
-        }
-        let requests =
-            all_requests.iter().filter(|request| may_use_service(request.route, service));
-        let sent_times: Vec<Instant> = requests.map(|request| request.sent_at).collect();
-        for end in &extras {
-            let within = |at: &&Instant, shift: Duration| {
-                **at + shift <= *end && *end < **at + shift + RETRY_BUDGET_WINDOW
-            };
-            let spent = extras.iter().filter(|at| within(at, Duration::ZERO)).count();
-            // The budget is that of the window with the most requests: this one, or one that
-            // starts half a window or a whole window earlier.
-            let shifts = [Duration::ZERO, RETRY_BUDGET_WINDOW / 2, RETRY_BUDGET_WINDOW];
-            let request_count =
-                shifts.map(|shift| sent_times.iter().filter(|at| within(at, shift)).count());
-            let request_count = request_count.into_iter().max().unwrap_or(0);
-            let allowed = RETRY_RATIO * request_count as f64 + RETRY_SLACK as f64;
-            if spent as f64 > allowed {
-                let detail = format!("{service}: {spent} extra of {allowed}");
-                return Some(Violation::new("retry budget", detail));
-            }
-        }
-    }
-    None
-}
-
-fn may_use_service(route: &str, service: &str) -> bool {
+pub(crate) fn may_use_service(route: &str, service: &str) -> bool {
     match route {
         "stream" | "resumable" => service == ENGINE_SERVICE,
         "moved" => service != ENGINE_SERVICE,
@@ -284,7 +246,7 @@
 
     /// True if no action that `matters` affected the entry of a request, from shortly before the
     /// request was sent until it ended.
-    fn is_unaffected(
+    pub(crate) fn is_unaffected(
         &self,
         request: &CallerRequest,
         matters: impl Fn(&AppliedAction) -> bool,
@@ -296,6 +258,32 @@
         })
     }
 
+    /// Time since `from` from which an entry neither restarted nor paused, up to `at`; `None` if it
+    /// does at `at`.
+    pub(crate) fn undisturbed_since(
+        &self,
+        entry: usize,
+        from: Instant,
+        at: Instant,
+    ) -> Option<Instant> {
+        let mut since = from;
+        for applied in self.applied_actions {
+            let affects_entry = applied.entry().is_none_or(|affected| affected == entry);
+            let excuses = matches!(
+                applied.action,
+                Action::Stop(_) | Action::Kill(_) | Action::KillAll | Action::Pause(..)
+            );
+            if !excuses || !affects_entry || applied.started_at > at {
+                continue;
+            }
+            if applied.ended_at >= at {
+                return None;
+            }
+            since = since.max(applied.ended_at);
+        }
+        Some(since)
+    }
+
     /// Planned changes and faults of the store break no response off. The exception is a connection
     /// that the entry closes at once, before a replica got the request.
     fn check_completeness(
@@ -303,8 +291,9 @@
         request: &CallerRequest,
         reached_replica: bool,
     ) -> Option<Violation> {
-        let may_break_off =
-            |applied: &AppliedAction| !applied.is_planned() && !applied.affects_store();
+        let may_break_off = |applied: &AppliedAction| {
+            !applied.is_planned() && !applied.affects_store() && !applied.leaves_all_sound()
+        };
         let refused_at_once = request.ended_at < request.sent_at + UNREAD_REFUSAL_BOUND;
         let incomplete = matches!(request.outcome, RequestOutcome::Incomplete { .. })
             && (reached_replica || !refused_at_once);
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -17,13 +17,13 @@
 use serde_json::json;
 use standins::address::unused_address;
 use standins::platform::replica::Kind;
-use standins::platform::replica::Replica;
 use standins::platform::store::OPERATOR_TOPIC;
 use standins::platform::store::REPLICAS_TOPIC;
 use standins::platform::store::Store;
 
 use crate::proxy::LinkFault;
 use crate::proxy::Proxy;
+use crate::replica_node::ReplicaNode;
 
 /// Name of the service of the model engines.
 pub const ENGINE_SERVICE: &str = "engines";
@@ -45,10 +45,6 @@
 /// Largest number of runs of a request, on every route (`attempts` in the configuration). It is
 /// the same for unsafe routes, so that only their kind keeps a request from being executed twice.
 pub const MAX_RUNS: usize = 2;
-/// Delay of an engine before each response and each event.
-const ENGINE_DELAY: Duration = Duration::from_millis(40);
-/// Delay of a plain service before each response.
-const DESK_DELAY: Duration = Duration::from_millis(10);
 /// Time for which a leaving replica goes on serving.
 const LEAVING_DURATION: Duration = Duration::from_secs(6);
 
@@ -71,62 +67,6 @@
 /// Number of replicas in a fleet at any time, without those that leave.
 pub const REPLICA_COUNT: usize = INITIAL_REPLICAS.len();
 
-/// Stand-in replica and the proxy through which entries reach it.
-#[derive(Debug)]
-pub struct ReplicaNode {
-    /// Stand-in replica behind the proxy.
-    pub replica: Arc<Replica>,
-    /// Proxy whose address the instance list names.
-    pub proxy: Arc<Proxy>,
-    /// Name of its service.
-    pub service: &'static str,
-    /// Time at which the store listed it as leaving; `None` until then.
-    pub leaving_since: Mutex<Option<Instant>>,
-    /// Rate limits that it has named, in the order of time.
-    pub rate_limits: Mutex<Vec<NamedRateLimit>>,
-}
-
-/// Rate limit that a replica named for a time.
-#[derive(Debug, Clone, Copy)]
-pub struct NamedRateLimit {
-    /// Requests a second that it takes from all entries together.
-    pub requests_per_s: f64,
-    /// Time from which it named the limit.
-    pub from: Instant,
-    /// Time until which it names the limit.
-    pub until: Instant,
-}
-
-impl ReplicaNode {
-    async fn start(id: &str, service: &'static str, kind: Kind) -> Arc<Self> {
-        let (replica, address) = Replica::start(id, kind).await;
-        replica.response_delay.set(if kind == Kind::Plain { DESK_DELAY } else { ENGINE_DELAY });
-        let proxy = Proxy::start(address).await;
-        let (leaving_since, rate_limits) = (Mutex::default(), Mutex::default());
-        Arc::new(Self { replica, proxy, service, leaving_since, rate_limits })
-    }
-
-    /// Names a rate limit for this long, unless it names one already.
-    pub async fn name_rate_limit(&self, requests_per_s: f64, duration: Duration) {
-        let from = Instant::now();
-        {
-            let mut limits = self.rate_limits.lock().expect("the mutex is not poisoned");
-            if limits.last().is_some_and(|limit| from < limit.until) {
-                return;
-            }
-            limits.push(NamedRateLimit { requests_per_s, from, until: from + duration });
-        }
-        self.replica.set_rate_limit(Some(&requests_per_s.to_string()));
-        tokio::time::sleep(duration).await;
-        self.replica.set_rate_limit(None);
-    }
-
-    /// Time at which the store listed it as leaving; `None` until then.
-    pub fn leaving_since(&self) -> Option<Instant> {
-        *self.leaving_since.lock().expect("the mutex is not poisoned")
-    }
-}
-
 /// Entry under test: its proxies, files and current process.
 #[derive(Debug)]
 pub struct Entry {
@@ -283,6 +223,27 @@
         self.current.lock().expect("the mutex is not poisoned")[position].clone()
     }
 
+    /// Replicas of the service to which the replica at a position belongs, without those that
+    /// leave.
+    pub fn nodes_beside(&self, position: usize) -> Vec<Arc<ReplicaNode>> {
+        let current = self.current.lock().expect("the mutex is not poisoned");
+        let service = current[position].service;
+        current.iter().filter(|node| node.service == service).cloned().collect()
+    }
+
+    /// The replica at a position says that it leaves, and drains as planned after `list_delay`,
+    /// unless it does already.
+    pub async fn leave_with_notice(self: Arc<Self>, position: usize, list_delay: Duration) {
+        let node = self.node(position);
+        if !node.announce_leaving() {
+            return;
+        }
+        tokio::time::sleep(list_delay).await;
+        if Arc::ptr_eq(&node, &self.node(position)) {
+            self.replace_replica(position).await;
+        }
+    }
+
     /// Drains the replica at a position as planned, and starts a new one in its place.
     pub async fn replace_replica(self: Arc<Self>, position: usize) {
         let old = self.node(position);
--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -16,6 +16,7 @@
 use crate::plan::Action;
 use crate::plan::OneTimeFault;
 use crate::plan::ScheduledAction;
+use crate::plan::Scope;
 use crate::proxy::LinkFault;
 use crate::proxy::Proxy;
 
@@ -24,6 +25,8 @@
 pub struct AppliedAction {
     /// Fault or planned change that was applied.
     pub action: Action,
+    /// Id of the replica whose position it names; `None` for other actions.
+    pub replica_id: Option<String>,
     /// Time at which it started.
     pub started_at: Instant,
     /// Time at which it ended and its target was restored.
@@ -48,6 +51,11 @@
         }
     }
 
+    /// True for an action that leaves everything sound, though requests may wait or be turned away.
+    pub fn leaves_all_sound(&self) -> bool {
+        matches!(self.action, Action::PauseReplicas(..) | Action::TurnAway(..))
+    }
+
     /// True for planned changes, as operators make them in normal operation.
     pub fn is_planned(&self) -> bool {
         matches!(
@@ -56,6 +64,7 @@
                 | Action::ReloadSettings(_)
                 | Action::PublishConfiguration
                 | Action::ReplaceReplica(_)
+                | Action::LeaveWithNotice(..)
         )
     }
 
@@ -67,7 +76,7 @@
                 | Action::ReplicaFault(..)
                 | Action::ReplicaFull(..)
                 | Action::RateLimit(..)
-        )
+        ) || self.leaves_all_sound()
     }
 
     /// True for faults of the store, including those of the connections to it.
@@ -125,9 +134,12 @@
     }
 
     async fn apply_and_record(self: Arc<Self>, action: Action) {
+        let replica = action.position().map(|position| self.fleet.node(position));
+        let replica_id = replica.map(|node| node.replica.id.clone());
         let started_at = Instant::now();
         let exit_code = self.apply(action).await;
-        let applied = AppliedAction { action, started_at, ended_at: Instant::now(), exit_code };
+        let ended_at = Instant::now();
+        let applied = AppliedAction { action, replica_id, started_at, ended_at, exit_code };
         self.applied_actions.lock().expect("the mutex is not poisoned").push(applied);
     }
 
@@ -169,6 +181,15 @@
                     .name_rate_limit(f64::from(tenths_per_s) / 10.0, duration)
                     .await;
             }
+            Action::PauseReplicas(position, scope, duration) => {
+                self.pause_replicas(position, scope, duration).await;
+            }
+            Action::TurnAway(position, retry_after, duration) => {
+                fleet.node(position).turn_away(retry_after, duration).await;
+            }
+            Action::LeaveWithNotice(position, list_delay) => {
+                fleet.clone().leave_with_notice(position, list_delay).await;
+            }
             Action::ReplaceReplica(position) => fleet.clone().replace_replica(position).await,
             Action::Stop(entry) => return self.stop_entry(entry).await,
             Action::Kill(entry) => {
@@ -195,6 +216,21 @@
         None
     }
 
+    async fn pause_replicas(&self, position: usize, scope: Scope, duration: Duration) {
+        let target = self.fleet.node(position);
+        let beside = self.fleet.nodes_beside(position).into_iter();
+        let others: Vec<_> = match scope {
+            Scope::One => Vec::new(),
+            Scope::Half => beside.step_by(2).collect(),
+            Scope::Service => beside.collect(),
+        };
+        let now = Instant::now();
+        for node in others.iter().chain([&target]) {
+            node.replica.pause.start(now, duration);
+        }
+        tokio::time::sleep(duration).await;
+    }
+
     async fn apply_link_fault(&self, proxy: &Proxy, fault: LinkFault, duration: Duration) {
         proxy.set_fault(fault);
         tokio::time::sleep(duration).await;
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -8,9 +8,13 @@
 pub mod checks;
 pub mod fleet;
 mod inject;
+mod lost;
+mod notices;
 pub mod plan;
 pub mod proxy;
 mod rate_limits;
+pub mod replica_node;
+mod retry_budget;
 mod versions;
 
 use std::path::Path;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -34,7 +34,7 @@
 }
 
 /// Most violations that are printed for one seed.
-const MAX_PRINTED_VIOLATIONS: usize = 5;
+const MAX_PRINTED_VIOLATIONS: usize = 10;
 
 #[tokio::main]
 async fn main() -> ExitCode {
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -27,6 +27,17 @@
     ServerError,
 }
 
+/// Which replicas of a service an action affects, beside the one at its position.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Scope {
+    /// No others.
+    One,
+    /// Every second replica of its service.
+    Half,
+    /// All replicas of its service.
+    Service,
+}
+
 /// Fault or planned change. A number is the index of the entry or the position of the replica; a
 /// `Duration` at the end says how long the action lasts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -49,6 +60,13 @@
     ReplicaFull(usize, Duration),
     /// A replica names a rate limit, in tenths of a request a second.
     RateLimit(usize, u32, Duration),
+    /// Replicas send nothing for this long, keep their connections open, and continue afterwards.
+    PauseReplicas(usize, Scope, Duration),
+    /// A replica turns requests away with 503 and the first duration as `Retry-After`.
+    TurnAway(usize, Duration, Duration),
+    /// A replica says in its responses that it leaves; the store lists it as leaving only later, by
+    /// the duration. A new one then takes its position.
+    LeaveWithNotice(usize, Duration),
     /// A replica leaves as planned, and a new one takes its position.
     ReplaceReplica(usize),
     /// An entry is stopped with SIGTERM as planned, and started again.
@@ -65,6 +83,23 @@
     PublishConfiguration,
 }
 
+impl Action {
+    /// Position of the replica that it affects or starts from; `None` if it affects none.
+    pub fn position(&self) -> Option<usize> {
+        match self {
+            Self::ReplicaLink(position, ..)
+            | Self::ReplicaFault(position, _)
+            | Self::ReplicaFull(position, _)
+            | Self::RateLimit(position, ..)
+            | Self::PauseReplicas(position, ..)
+            | Self::TurnAway(position, ..)
+            | Self::LeaveWithNotice(position, _)
+            | Self::ReplaceReplica(position) => Some(*position),
+            _ => None,
+        }
+    }
+}
+
 /// Action and the time at which it starts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ScheduledAction {
@@ -92,6 +127,13 @@
 /// First seed whose replicas have two software versions and name rate limits beside the other
 /// actions. Lower seeds are known by their plans.
 pub const FIRST_EXTENDED_SEED: u64 = 1_000;
+/// First seed whose replicas also pause, turn requests away, and say that they leave.
+pub const FIRST_NOTICE_SEED: u64 = 2_000;
+/// Longest time between the starts of two series of pauses, of two times of turning away, and of
+/// two leaving replicas.
+const MAX_PAUSE_SERIES_INTERVAL_MS: u64 = 3_000;
+const MAX_TURN_AWAY_INTERVAL_MS: u64 = 3_000;
+const MAX_LEAVE_INTERVAL_MS: u64 = 4_000;
 /// Longest pause between two rate limits.
 const MAX_RATE_LIMIT_PAUSE_MS: u64 = 4_000;
 
@@ -119,6 +161,11 @@
     if seed >= FIRST_EXTENDED_SEED {
         actions.extend(draw_rate_limits(&mut rng, size));
     }
+    if seed >= FIRST_NOTICE_SEED {
+        actions.extend(draw_pauses(&mut rng, size));
+        actions.extend(draw_turn_aways(&mut rng, size));
+        actions.extend(draw_leaves(&mut rng, size));
+    }
     actions.sort_by_key(|action| action.at);
     actions
 }
@@ -137,6 +184,69 @@
     actions
 }
 
+/// Series of one to three pauses of the same replicas, half of them beside a new configuration.
+fn draw_pauses(rng: &mut ChaCha8Rng, size: RunSize) -> Vec<ScheduledAction> {
+    let mut actions = Vec::new();
+    let mut at = Duration::from_millis(500);
+    while at < size.fault_duration {
+        let replica = rng.random_range(0..size.replicas);
+        let scopes = [Scope::One, Scope::Half, Scope::Service];
+        let scope = *scopes.choose(rng).expect("the list is not empty");
+        let mut pause_at = at;
+        for _ in 0..rng.random_range(1..=3) {
+            let duration = draw_pause_duration(rng);
+            let action = Action::PauseReplicas(replica, scope, duration);
+            actions.push(ScheduledAction { at: pause_at, action });
+            pause_at += duration + Duration::from_millis(rng.random_range(50..600));
+        }
+        if rng.random_bool(0.5) {
+            let at = at + Duration::from_millis(rng.random_range(0..600));
+            actions.push(ScheduledAction { at, action: Action::PublishConfiguration });
+        }
+        at += Duration::from_millis(rng.random_range(300..MAX_PAUSE_SERIES_INTERVAL_MS));
+    }
+    actions
+}
+
+/// Duration of a pause, often about a second.
+fn draw_pause_duration(rng: &mut ChaCha8Rng) -> Duration {
+    let short = rng.random_range(300..900);
+    let long = rng.random_range(1_100..=2_000);
+    let durations_ms = [short, 950, 1_000, 1_050, long];
+    Duration::from_millis(*durations_ms.choose(rng).expect("the list is not empty"))
+}
+
+fn draw_turn_aways(rng: &mut ChaCha8Rng, size: RunSize) -> Vec<ScheduledAction> {
+    let mut actions = Vec::new();
+    let mut at = Duration::ZERO;
+    while at < size.fault_duration {
+        let retry_after = Duration::from_millis(rng.random_range(1_000..4_000));
+        let duration = Duration::from_millis(rng.random_range(500..4_000));
+        for _ in 0..rng.random_range(1..=2) {
+            let replica = rng.random_range(0..size.replicas);
+            let action = Action::TurnAway(replica, retry_after, duration);
+            actions.push(ScheduledAction { at, action });
+        }
+        at += Duration::from_millis(rng.random_range(0..MAX_TURN_AWAY_INTERVAL_MS));
+    }
+    actions
+}
+
+fn draw_leaves(rng: &mut ChaCha8Rng, size: RunSize) -> Vec<ScheduledAction> {
+    let mut actions = Vec::new();
+    let mut at = Duration::ZERO;
+    while at < size.fault_duration {
+        for _ in 0..rng.random_range(1..=2) {
+            let replica = rng.random_range(0..size.replicas);
+            let list_delay = Duration::from_millis(rng.random_range(0..5_000));
+            let action = Action::LeaveWithNotice(replica, list_delay);
+            actions.push(ScheduledAction { at, action });
+        }
+        at += Duration::from_millis(rng.random_range(0..MAX_LEAVE_INTERVAL_MS));
+    }
+    actions
+}
+
 fn draw_action(rng: &mut ChaCha8Rng, size: RunSize) -> Action {
     let entry = rng.random_range(0..size.entries);
     let replica = rng.random_range(0..size.replicas);
--- a/soak/src/rate_limits.rs
+++ b/soak/src/rate_limits.rs
@@ -10,9 +10,8 @@
 use crate::checks::RunRecord;
 use crate::checks::Violation;
 use crate::checks::is_served;
-use crate::fleet::NamedRateLimit;
-use crate::fleet::ReplicaNode;
-use crate::plan::Action;
+use crate::replica_node::NamedRateLimit;
+use crate::replica_node::ReplicaNode;
 
 /// Time after the first naming of a limit from which it is checked.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
@@ -75,7 +74,8 @@
     let settled = sent.iter().filter(|sent| sent.at >= settled_at && sent.at <= limit.until);
     let mut counted: Vec<Instant> = settled
         .filter(|counted| {
-            let Some(since) = undisturbed_since(record, counted, limit) else { return false };
+            let since = record.undisturbed_since(counted.entry, limit.from, counted.at);
+            let Some(since) = since else { return false };
             let told = |other: &Sent| {
                 other.entry == counted.entry
                     && other.at >= since
@@ -89,27 +89,6 @@
     counted
 }
 
-/// Time since which the limit was named and the entry neither restarted nor paused; `None` if it
-/// is restarted or paused when it sends the request.
-fn undisturbed_since(record: &RunRecord, sent: &Sent, limit: &NamedRateLimit) -> Option<Instant> {
-    let mut since = limit.from;
-    for applied in record.applied_actions {
-        let affects_entry = applied.entry().is_none_or(|affected| affected == sent.entry);
-        let excuses = matches!(
-            applied.action,
-            Action::Stop(_) | Action::Kill(_) | Action::KillAll | Action::Pause(..)
-        );
-        if !excuses || !affects_entry || applied.started_at > sent.at {
-            continue;
-        }
-        if applied.ended_at >= sent.at {
-            return None;
-        }
-        since = since.max(applied.ended_at);
-    }
-    Some(since)
-}
-
 fn check_windows(limit: &NamedRateLimit, counted: &[Instant], replica: &str) -> Option<Violation> {
     let allowed = ALLOWED_PART * limit.requests_per_s * WINDOW.as_secs_f64() + ALLOWED_EXTRA;
     let largest = counted.iter().enumerate().map(|(index, start)| {
--- a/soak/src/versions.rs
+++ b/soak/src/versions.rs
@@ -9,7 +9,7 @@
 use crate::checks::ArrivalKind;
 use crate::checks::RunRecord;
 use crate::checks::Violation;
-use crate::fleet::ReplicaNode;
+use crate::replica_node::ReplicaNode;
 
 /// Number of streams with several versions that a run may have.
 const ALLOWED_STREAMS: usize = 2;
--- a/standins/src/platform/replica.rs
+++ b/standins/src/platform/replica.rs
@@ -196,6 +196,12 @@
         *named = limit.map(str::to_string);
     }
 
+    /// Turns requests away with this `Retry-After` from now on, or none.
+    pub fn set_retry_after(&self, seconds: Option<&str>) {
+        let mut retry_after = self.retry_after.lock().expect("the mutex is not poisoned");
+        *retry_after = seconds.map(str::to_string);
+    }
+
     /// Number of requests and calls of any kind that arrived.
     pub fn arrival_count(&self) -> usize {
         self.arrivals.lock().expect("the mutex is not poisoned").len()
