Soak: what counts for a replica that pauses, turns away or is gone is its own record

A pause of any replica excused an entry from the check of Retry-After, and pauses are frequent; the time at which the paused replica sent the 503 now counts instead. A replica excuses a lost request from the time at which it is gone, not from the end of an action that may have changed nothing.

--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -259,6 +259,7 @@
         self.publish_replica(&old, "draining");
         old.leaving_since.lock().expect("the mutex is not poisoned").get_or_insert(Instant::now());
         tokio::time::sleep(LEAVING_DURATION).await;
+        old.gone_since.lock().expect("the mutex is not poisoned").get_or_insert(Instant::now());
         self.store.put(REPLICAS_TOPIC, &old.replica.id, None);
         old.proxy.set_fault(LinkFault::Reset);
     }
--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -226,7 +226,7 @@
         };
         let now = Instant::now();
         for node in others.iter().chain([&target]) {
-            node.replica.pause.start(now, duration);
+            node.pause(now, duration);
         }
         tokio::time::sleep(duration).await;
     }
--- a/soak/src/lost.rs
+++ b/soak/src/lost.rs
@@ -15,7 +15,8 @@
 use crate::plan::Action;
 use crate::replica_node::ReplicaNode;
 
-/// Time after a fault of a replica or its connections during which requests may still break off.
+/// Time after a fault of a replica or its connections, or after its end, during which requests may
+/// still break off.
 const FAULT_AFTEREFFECT_TIME: Duration = Duration::from_millis(500);
 /// Time before the deadline of a request from which it may break off.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(200);
@@ -75,24 +76,25 @@
     nodes: &[Arc<ReplicaNode>],
 ) -> bool {
     let reached = &nodes[arrival.node];
-    let mut faulty = record.applied_actions.iter().filter(|applied| {
-        let has_fault = match applied.action {
-            Action::ReplicaLink(..) | Action::ReplicaFault(..) => {
-                applied.started_at <= request.ended_at
-            }
-            Action::ReplaceReplica(_) | Action::LeaveWithNotice(..) => {
-                applied.ended_at <= request.ended_at + FAULT_AFTEREFFECT_TIME
-            }
-            _ => false,
-        };
-        has_fault && applied.ended_at + FAULT_AFTEREFFECT_TIME >= request.sent_at
+    let mut relevant = nodes.iter().filter(|node| match arrival.kind {
+        ArrivalKind::Executed => Arc::ptr_eq(node, reached),
+        ArrivalKind::Prefilled | ArrivalKind::Rejected => node.service == reached.service,
     });
-    !faulty.any(|applied| match arrival.kind {
-        ArrivalKind::Executed => applied.replica_id.as_ref() == Some(&reached.replica.id),
-        ArrivalKind::Prefilled | ArrivalKind::Rejected => {
-            let affected =
-                nodes.iter().find(|node| applied.replica_id.as_ref() == Some(&node.replica.id));
-            affected.is_some_and(|node| node.service == reached.service)
-        }
+    relevant.all(|node| !has_fault(record, request, node) && !is_gone(request, node))
+}
+
+fn has_fault(record: &RunRecord, request: &CallerRequest, node: &ReplicaNode) -> bool {
+    record.applied_actions.iter().any(|applied| {
+        matches!(applied.action, Action::ReplicaLink(..) | Action::ReplicaFault(..))
+            && applied.replica_id.as_ref() == Some(&node.replica.id)
+            && applied.started_at <= request.ended_at
+            && applied.ended_at + FAULT_AFTEREFFECT_TIME >= request.sent_at
     })
 }
+
+/// True if a replica was gone before the request ended, and not long before it was sent.
+fn is_gone(request: &CallerRequest, node: &ReplicaNode) -> bool {
+    let gone_since = *node.gone_since.lock().expect("the mutex is not poisoned");
+    gone_since
+        .is_some_and(|at| at <= request.ended_at && at + FAULT_AFTEREFFECT_TIME >= request.sent_at)
+}
--- a/soak/src/notices.rs
+++ b/soak/src/notices.rs
@@ -4,7 +4,6 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use crate::callers::CallerRequest;
 use crate::callers::RequestOutcome;
@@ -101,9 +100,8 @@
 /// [`TOLD_AFTER`] on until the end of `Retry-After`.
 ///
 /// Runs, prefills and what the replica rejects count; reservations do not, as they do not name
-/// their request, so that their entry is unknown. A restart or pause of the entry excuses it, as do
-/// a pause of any replica and a fault of the connections to this one, which may delay the response
-/// or a request. Faults of the store, or of the connection to it, excuse nothing.
+/// their request, so that their entry is unknown. A restart or pause of the entry excuses it, as does
+/// a fault of the connections to the replica, which may delay the response or a request. Faults of the store, or of the connection to it, excuse nothing.
 pub(crate) fn check_turn_aways(
     record: &RunRecord,
     arrivals: &[Arrival],
@@ -114,10 +112,10 @@
     for (number, node) in nodes.iter().enumerate() {
         let reached = reached_at(number, arrivals, by_id);
         for turn_away in node.turn_aways.lock().expect("the mutex is not poisoned").iter() {
-            let told = reached.iter().filter(|told| is_turned_away(told, turn_away));
-            let largest = told
-                .filter(|told| is_undisturbed(record, node, told, turn_away))
-                .map(|told| count_after(told, turn_away, &reached))
+            let largest = reached
+                .iter()
+                .filter(|told| is_turned_away(told, turn_away))
+                .filter_map(|told| count_after(record, node, told, turn_away, &reached))
                 .max();
             let largest = largest.unwrap_or(0);
             if largest > ALLOWED_REQUESTS {
@@ -140,27 +138,28 @@
         && at + SWITCH_TIME < turn_away.until
 }
 
-fn is_undisturbed(
+/// Number of requests of the same entry from [`TOLD_AFTER`] on until the end of `Retry-After`;
+/// `None` if the entry or the connections to the replica were disturbed meanwhile.
+fn count_after(
     record: &RunRecord,
     node: &ReplicaNode,
     told: &Reached,
     turn_away: &TurnAway,
-) -> bool {
-    let from = told.arrival.request.received_at;
-    let until = from + turn_away.retry_after;
-    let mut disturbing = record.applied_actions.iter().filter(|applied| match applied.action {
-        Action::PauseReplicas(..) => true,
-        Action::ReplicaLink(..) => applied.replica_id.as_ref() == Some(&node.replica.id),
-        _ => false,
+    reached: &[Reached],
+) -> Option<usize> {
+    let entry = told.request.entry;
+    let told_at = node.sent_at(told.arrival.request.received_at);
+    let until = told_at + turn_away.retry_after;
+    let link_was_faulty = record.applied_actions.iter().any(|applied| {
+        matches!(applied.action, Action::ReplicaLink(..))
+            && applied.replica_id.as_ref() == Some(&node.replica.id)
+            && applied.started_at <= until
+            && applied.ended_at >= told_at
     });
-    record.undisturbed_since(told.request.entry, from, until) == Some(from)
-        && !disturbing.any(|applied| applied.started_at <= until && applied.ended_at >= from)
-}
-
-/// Number of requests of the same entry from [`TOLD_AFTER`] on until the end of `Retry-After`.
-fn count_after(told: &Reached, turn_away: &TurnAway, reached: &[Reached]) -> usize {
-    let told_at: Instant = told.arrival.request.received_at;
-    let counted = (told_at + TOLD_AFTER)..(told_at + turn_away.retry_after);
-    let of_entry = reached.iter().filter(|other| other.request.entry == told.request.entry);
-    of_entry.filter(|other| counted.contains(&other.arrival.request.received_at)).count()
+    if link_was_faulty || record.undisturbed_since(entry, told_at, until) != Some(told_at) {
+        return None;
+    }
+    let counted = (told_at + TOLD_AFTER)..until;
+    let of_entry = reached.iter().filter(|other| other.request.entry == entry);
+    Some(of_entry.filter(|other| counted.contains(&other.arrival.request.received_at)).count())
 }
--- a/soak/src/replica_node.rs
+++ b/soak/src/replica_node.rs
@@ -15,6 +15,9 @@
 /// Delay of a plain service before each response.
 const DESK_DELAY: Duration = Duration::from_millis(10);
 
+/// Most time between the arrival of a request that is rejected and the response.
+const RESPONSE_TIME: Duration = Duration::from_millis(50);
+
 /// Stand-in replica and the proxy through which entries reach it.
 #[derive(Debug)]
 pub struct ReplicaNode {
@@ -26,10 +29,14 @@
     pub service: &'static str,
     /// Time at which the store listed it as leaving; `None` until then.
     pub leaving_since: Mutex<Option<Instant>>,
+    /// Time at which it left the store and its connections were reset; `None` until then.
+    pub gone_since: Mutex<Option<Instant>>,
     /// Time from which it said in its responses that it leaves; `None` until then.
     pub announced_leaving_at: Mutex<Option<Instant>>,
     /// Rate limits that it has named, in the order of time.
     pub rate_limits: Mutex<Vec<NamedRateLimit>>,
+    /// Times at which pauses of it started and ended, in the order of the starts.
+    pub pauses: Mutex<Vec<(Instant, Instant)>>,
     /// Times during which it turned all requests away, in their order.
     pub turn_aways: Mutex<Vec<TurnAway>>,
 }
@@ -67,8 +74,10 @@
             proxy,
             service,
             leaving_since: Mutex::default(),
+            gone_since: Mutex::default(),
             announced_leaving_at: Mutex::default(),
             rate_limits: Mutex::default(),
+            pauses: Mutex::default(),
             turn_aways: Mutex::default(),
         })
     }
@@ -93,6 +102,24 @@
         *self.leaving_since.lock().expect("the mutex is not poisoned")
     }
 
+    /// Pauses the replica from `now` on.
+    pub fn pause(&self, now: Instant, duration: Duration) {
+        self.pauses.lock().expect("the mutex is not poisoned").push((now, now + duration));
+        self.replica.pause.start(now, duration);
+    }
+
+    /// Time at which the rejection of a request that arrived at `at` is sent, after the pauses that hold
+    /// it back.
+    pub fn sent_at(&self, at: Instant) -> Instant {
+        let pauses = self.pauses.lock().expect("the mutex is not poisoned");
+        pauses.iter().fold(
+            at,
+            |at, (from, until)| {
+                if *from <= at + RESPONSE_TIME { at.max(*until) } else { at }
+            },
+        )
+    }
+
     /// Says in all responses from now on that it leaves. False if it does already.
     pub fn announce_leaving(&self) -> bool {
         let mut announced_at = self.announced_leaving_at.lock().expect("the mutex is not poisoned");
