Soak: a 503 held back by a pause tells its entry between two moments, not at one

A pause that started just after the rejection was taken for one that held it back, so the check began and ended a second too late, once even after the entry had been killed. Now the disturbances and the end of Retry-After count from the request, and the start from the last possible response.

--- a/soak/src/notices.rs
+++ b/soak/src/notices.rs
@@ -99,9 +99,14 @@
 /// A replica that has turned a request away gets at most [`ALLOWED_REQUESTS`] of its entry from
 /// [`TOLD_AFTER`] on until the end of `Retry-After`.
 ///
-/// Runs, prefills and what the replica rejects count; reservations do not, as they do not name
-/// their request, so that their entry is unknown. A restart or pause of the entry excuses it, as does
-/// a fault of the connections to the replica, which may delay the response or a request. Faults of the store, or of the connection to it, excuse nothing.
+/// The replica may pause between the request and its response: the end of `Retry-After` counts from
+/// the request, the start from the last moment at which the response may have been sent. Runs,
+/// prefills and what the replica rejects count; reservations do not, as they do not name their
+/// request, so that their entry is unknown.
+///
+/// A restart or pause of the entry excuses it, as does a fault of the connections to the replica,
+/// which may delay the response or a request. Faults of the store, or of the connection to it,
+/// excuse nothing.
 pub(crate) fn check_turn_aways(
     record: &RunRecord,
     arrivals: &[Arrival],
@@ -148,18 +153,18 @@
     reached: &[Reached],
 ) -> Option<usize> {
     let entry = told.request.entry;
-    let told_at = node.sent_at(told.arrival.request.received_at);
-    let until = told_at + turn_away.retry_after;
+    let received_at = told.arrival.request.received_at;
+    let until = received_at + turn_away.retry_after;
     let link_was_faulty = record.applied_actions.iter().any(|applied| {
         matches!(applied.action, Action::ReplicaLink(..))
             && applied.replica_id.as_ref() == Some(&node.replica.id)
             && applied.started_at <= until
-            && applied.ended_at >= told_at
+            && applied.ended_at >= received_at
     });
-    if link_was_faulty || record.undisturbed_since(entry, told_at, until) != Some(told_at) {
+    if link_was_faulty || record.undisturbed_since(entry, received_at, until) != Some(received_at) {
         return None;
     }
-    let counted = (told_at + TOLD_AFTER)..until;
+    let counted = (node.latest_rejection_at(received_at) + TOLD_AFTER)..until;
     let of_entry = reached.iter().filter(|other| other.request.entry == entry);
     Some(of_entry.filter(|other| counted.contains(&other.arrival.request.received_at)).count())
 }
