A stream that stays silent is logged once; a cut for want of a stream is logged

The search for a replacement repeats every 200 ms, so that paused and run-kept were logged as often for each silent stream. Only the first pause and the first return are logged until the stream goes on. A stream whose replacement responded with a buffered response (an error of its own) ended without a line; it now logs and counts aborted with no-stream.

--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -45,11 +45,19 @@
     last_event: Option<u64>,
     /// Frame that was received while the stream was not relayed.
     unread: Option<BodyFrame>,
+    /// True once it was logged that the entry waits for the paused stream, until it goes on.
+    kept_logged: bool,
 }
 
 impl OpenStream {
     fn new(response: UpstreamResponse) -> Self {
-        Self { response, splitter: EventSplitter::default(), last_event: None, unread: None }
+        Self {
+            response,
+            splitter: EventSplitter::default(),
+            last_event: None,
+            unread: None,
+            kept_logged: false,
+        }
     }
 
     async fn next_frame(&mut self) -> BodyFrame {
@@ -133,6 +141,9 @@
                     let sent =
                         head.take()?.send(CallerResponse::Upstream { status, headers, body });
                     self.log_request_ending(ending_for(sent.is_ok()), status);
+                } else {
+                    // A stream that has begun cannot continue with a complete response.
+                    self.record_abort("no-stream");
                 }
                 None
             }
@@ -173,12 +184,14 @@
     /// Goes on with a stream that paused.
     async fn relay_kept_run(
         &mut self,
-        stream: OpenStream,
+        mut stream: OpenStream,
         idle_timeout: Option<Duration>,
     ) -> Option<Event> {
         let CallerChannel::ReadingBody(parts) = &self.caller else { return None };
         let parts = parts.clone();
-        if let Some(request) = self.dispatcher.router.borrow().request(self.key) {
+        if let Some(request) = self.dispatcher.router.borrow().request(self.key)
+            && !std::mem::replace(&mut stream.kept_logged, true)
+        {
             log_kept_run(&self.dispatcher.name, self.dispatcher.now(), request);
         }
         self.relay_stream(stream, &parts, idle_timeout).await
@@ -239,6 +252,7 @@
                 Ok(None) => return RelayResult::Complete,
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             };
+            stream.kept_logged = false;
             if !stream.response.is_event_stream {
                 if parts.send(ResponsePart::Data(data)).await.is_err() {
                     return RelayResult::Ended(RequestEnding::CallerGone);
--- a/src/edge/direct/request_log.rs
+++ b/src/edge/direct/request_log.rs
@@ -87,11 +87,13 @@
     });
 }
 
-/// Logs an event that is a failure.
+/// Logs an event that is a failure. Of a stream that stays silent only the first pause is
+/// logged, as the search for a replacement repeats.
 pub(super) fn log_failure_event(instance: &str, now: Duration, request: &Request, event: &Event) {
     let (what, detail) = match event {
         Event::Failed(failure) => ("failed", failure.to_string()),
         Event::ResponseInterrupted { last_event } => ("broke-off", format!("after {last_event:?}")),
+        Event::ResponsePaused { .. } if request.is_silent() => return,
         Event::ResponsePaused { last_event } => ("paused", format!("after {last_event:?}")),
         Event::DeadlinePassed => ("deadline-passed", String::new()),
         _ => return,
--- a/src/edge/direct/request_task.rs
+++ b/src/edge/direct/request_task.rs
@@ -149,7 +149,7 @@
     }
 
     /// Counts and logs that the response is aborted after its head was sent.
-    fn record_abort(&self, cause: &str) {
+    pub(super) fn record_abort(&self, cause: &str) {
         self.dispatcher.metrics.count_aborted(cause);
         let now = self.dispatcher.now();
         let router = self.dispatcher.router.borrow();
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -196,7 +196,7 @@
             request.may_have_run = true;
             request.last_event_at = None;
         }
-        request.search_failed = false;
+        request.replacement_sought = false;
         request.phase = Phase::Relaying;
         request.response_started = true;
         let target = request.current.clone();
@@ -302,7 +302,7 @@
             self.record_origin(now, key);
         }
         let request = self.requests.get_mut(key)?;
-        request.search_failed = false;
+        request.replacement_sought = false;
         let previous = request.last_event_at.replace(now)?;
         let interval = now.saturating_sub(previous);
         let service = request.service.clone();
--- a/src/router/pauses.rs
+++ b/src/router/pauses.rs
@@ -35,7 +35,7 @@
         let replaceable =
             self.route().resumable && self.allows_another_run() && self.prefills < MAX_PREFILLS;
         let idle_timeout = self.longest_pause();
-        let idle_timeout = if self.search_failed { SEARCH_INTERVAL } else { idle_timeout };
+        let idle_timeout = if self.replacement_sought { SEARCH_INTERVAL } else { idle_timeout };
         replaceable.then_some(idle_timeout)
     }
 
@@ -62,7 +62,7 @@
         let request = &mut self.requests[key];
         request.last_event = last_event.or(request.last_event);
         let Some(engine) = request.current.clone() else { return Step::Abort };
-        let first_search = !std::mem::replace(&mut request.search_failed, true);
+        let first_search = !std::mem::replace(&mut request.replacement_sought, true);
         let replaceable = request.idle_timeout().is_some();
         let service = request.service.clone();
         if first_search {
@@ -94,7 +94,7 @@
         if let Some(engine) = self.requests[key].paused_run.clone() {
             self.upstreams.record_success(engine.key);
         }
-        self.requests[key].search_failed = false;
+        self.requests[key].replacement_sought = false;
         self.return_to_paused_run(key)
     }
 
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -174,8 +174,8 @@
     pub(super) retry_paid: bool,
     /// Sends of a replacement that were taken out of the retry budget and not made yet.
     pub(super) unsent_replacement: usize,
-    /// True from the end of a search for a replacement until the stream goes on.
-    pub(super) search_failed: bool,
+    /// True once a replacement of a paused run has been sought, until the stream goes on.
+    pub(super) replacement_sought: bool,
 }
 
 impl Request {
@@ -224,7 +224,7 @@
             paused_run: None,
             retry_paid: false,
             unsent_replacement: 0,
-            search_failed: false,
+            replacement_sought: false,
         }
     }
 
@@ -257,6 +257,11 @@
         }
     }
 
+    /// True once a replacement of a paused run has been sought, until the stream goes on.
+    pub fn is_silent(&self) -> bool {
+        self.replacement_sought
+    }
+
     /// True if an engine has already done work for the request.
     pub(super) fn has_engine_work(&self) -> bool {
         self.response_started || self.prefills > 0
