A stream whose paused run is lost during the search asks for capacity again

The search runs outside the reservation queue. When the paused run's connection was lost meanwhile, the request waited its 3 s without ever being in the queue, so it asked no engine again and was aborted. It now joins the queue, as an interrupted stream does. Found by reading the change again; the test failed before (Wait until 3 s later).

--- a/soak/src/lost.rs
+++ b/soak/src/lost.rs
@@ -26,10 +26,9 @@
 /// their own; one that pauses, names a limit or turns requests away is sound, and so is one that
 /// leaves, until it is gone.
 ///
-/// Excused are requests at their deadline, and those of an entry that was, since 4 s before, killed,
-/// paused, cut off
-/// from callers, or still busy with its shutdown in the last sixth of the grace time. Faults of the
-/// store excuse nothing. A prefill or rejection shows that a replica was reached, but not which one
+/// Excused are requests at their deadline, and those of an entry that was, since 4 s before,
+/// killed, paused, cut off from callers, or still busy with its shutdown in the last sixth of the
+/// grace time. Faults of the store excuse nothing. A prefill or rejection shows that a replica was reached, but not which one
 /// was next: it counts if the whole service was sound.
 ///
 /// The users allow three such requests for each entry, and beside a new configuration three times
--- a/src/edge/direct/caller_stream.rs
+++ b/src/edge/direct/caller_stream.rs
@@ -165,7 +165,8 @@
 }
 
 /// Socket of a caller's connection. Once the connection has waited for too long, or waits
-/// and is to be closed, a read returns the end of the input, at which the HTTP library closes the connection.
+/// and is to be closed, a read returns the end of the input, at which the HTTP library
+/// closes the connection.
 pub(super) struct CallerStream {
     stream: TcpStream,
     activity: Rc<Activity>,
@@ -181,7 +182,8 @@
         Self { stream, activity, timer, timed_wait: None }
     }
 
-    /// True if the connection has waited for too long or is to be closed; else wakes the task when it may have.
+    /// True if the connection has waited for too long or is to be closed; else wakes the task
+    /// when it may have.
     fn poll_ended(&mut self, context: &mut Context<'_>) -> bool {
         self.activity.waker.replace(Some(context.waker().clone()));
         let Some(wait) = self.activity.wait() else { return false };
--- a/src/router/pauses.rs
+++ b/src/router/pauses.rs
@@ -135,5 +135,9 @@
         request.last_event_at = None;
         request.paused_run = None;
         request.reservation_deadline = now + STARTED_REQUEST_MAX_WAIT;
+        if request.phase == Phase::Reserving {
+            let service = request.service.clone();
+            self.reservation_queues.entry(service).or_default().push_front(key);
+        }
     }
 }
--- a/tests/router/pauses.rs
+++ b/tests/router/pauses.rs
@@ -254,6 +254,20 @@
     assert!(paused + ms(100) >= interrupted, "{paused:?} {interrupted:?}");
 }
 
+#[test]
+fn a_stream_whose_paused_run_is_lost_asks_for_capacity_again() {
+    let mut harness = Harness::new(default_upstreams());
+    let key = start_stream(&mut harness);
+    let mut step = harness.report(key, Event::ResponsePaused { last_event: Some(5) });
+    harness.router.end_paused_run(harness.now, key);
+    while matches!(step, Step::Reserve { .. }) {
+        step = harness.report(key, Event::ReservationRejected);
+    }
+    assert!(matches!(step, Step::Wait { until } if until <= harness.now + ms(100)), "{step:?}");
+    let step = harness.report_after(ms(110), key, Event::WaitEnded);
+    assert!(matches!(step, Step::Reserve { .. }), "{step:?}");
+}
+
 #[test]
 fn a_slow_stream_does_not_use_up_the_retry_budget_of_the_others() {
     let mut harness = Harness::new(default_upstreams());
