--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -4,6 +4,7 @@
 //! All of it runs on one thread: an entry has only a fraction of a core, and each message
 //! between threads or actors would cost a wake-up.
 
+pub mod body_framing;
 pub mod bounded_read;
 pub mod caller_stream;
 pub mod connections;
--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -16,6 +16,7 @@
 use crate::edge::direct::request_log::log_kept_run;
 use crate::edge::direct::request_log::log_refusal;
 use crate::edge::direct::request_log::log_request_ending;
+use crate::edge::direct::request_log::log_stream_end;
 use crate::edge::direct::request_task::CallerChannel;
 use crate::edge::direct::request_task::ReadyResponse;
 use crate::edge::direct::request_task::RequestTask;
@@ -283,6 +284,7 @@
         parts: &mpsc::Sender<ResponsePart>,
     ) -> bool {
         let incomplete = stream.splitter.take_incomplete();
+        self.log_stream_end(&stream, incomplete.len());
         let UpstreamResponse { connection, keep_alive, .. } = stream.response;
         self.dispatcher.upstream_client.release_connection(connection, keep_alive);
         let incomplete_sent =
@@ -290,6 +292,19 @@
         incomplete_sent && parts.send(ResponsePart::End).await.is_ok()
     }
 
+    fn log_stream_end(&self, stream: &OpenStream, incomplete_bytes: usize) {
+        let router = self.dispatcher.router.borrow();
+        let Some(request) = router.request(self.key) else { return };
+        let framing = stream.response.framing;
+        log_stream_end(
+            &self.dispatcher.name,
+            request,
+            framing,
+            stream.last_event,
+            incomplete_bytes,
+        );
+    }
+
     fn record_event(&self) {
         let now = self.dispatcher.now();
         let stall = self.dispatcher.router.borrow_mut().record_event(now, self.key);
--- a/src/edge/direct/request_log.rs
+++ b/src/edge/direct/request_log.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::clock::as_ms;
+use crate::edge::direct::body_framing::BodyFraming;
 use crate::outcome::Refusal;
 use crate::router::Event;
 use crate::router::Step;
@@ -121,6 +122,25 @@
     });
 }
 
+/// Logs how the upstream ended a response that was relayed part by part. `last_event` is the id
+/// of the last event that was relayed, `incomplete_bytes` the size of the event that has no end.
+pub(super) fn log_stream_end(
+    instance: &str,
+    request: &Request,
+    framing: BodyFraming,
+    last_event: Option<u64>,
+    incomplete_bytes: usize,
+) {
+    spdlog::info!("stream-ended", kv: {
+        instance: = instance,
+        request_id: = request.id,
+        upstream: = request.upstream_id(),
+        framing: = framing,
+        last_event = last_event.unwrap_or(0),
+        incomplete_bytes = incomplete_bytes
+    });
+}
+
 /// Logs that a response is aborted after its head was sent. `cause` is the event that led to
 /// it, as in the metrics of failures.
 pub(super) fn log_aborted(instance: &str, now: Duration, request: &Request, cause: &str) {
--- a/src/edge/direct/upstream_client.rs
+++ b/src/edge/direct/upstream_client.rs
@@ -11,6 +11,7 @@
 use hyper::Uri;
 use hyper::body::Incoming;
 
+use crate::edge::direct::body_framing::BodyFraming;
 use crate::edge::direct::connections::Connection;
 use crate::router::Cleanup;
 use crate::router::Target;
@@ -61,6 +62,8 @@
     pub headers: HeaderMap,
     /// Body that has not been read yet.
     pub body: Incoming,
+    /// What ends the body.
+    pub framing: BodyFraming,
     /// True if the body is a stream of server-sent events.
     pub is_event_stream: bool,
     /// Connection to release once the complete body has been read.
