A stream that ends inside an event, or by its connection before the first one, was broken off

Callers saw a stream end as complete whose engine had crashed in the middle of it. Cause: relay_body took the end of a body for the end of the response, and end_response passed on the incomplete event and the last chunk. With a length or chunks hyper reports an early end as an error; without either, the end of the connection is the end of the body, also when the engine's process ends. That a stream has whole events only was never checked. Now the end counts as complete only outside an event, and, if only the connection tells the end, only after an event or where the stream continues after one; else the stream was interrupted: it continues elsewhere if its route allows it, or the caller's response is cut. A comment or a blank line after the last event is no beginning of an event.

--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -10,6 +10,7 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
+use crate::edge::direct::body_framing::BodyFraming;
 use crate::edge::direct::bounded_read::MAX_PART_READ_BYTES;
 use crate::edge::direct::bounded_read::ResponsePlace;
 use crate::edge::direct::request_log::RequestEnding;
@@ -44,6 +45,8 @@
     splitter: EventSplitter,
     /// Id of the last event that was relayed, if any.
     last_event: Option<u64>,
+    /// True once an event was relayed.
+    has_events: bool,
     /// Frame that was received while the stream was not relayed.
     unread: Option<BodyFrame>,
     /// True once it was logged that the entry waits for the paused stream, until it goes on.
@@ -56,11 +59,23 @@
             response,
             splitter: EventSplitter::default(),
             last_event: None,
+            has_events: false,
             unread: None,
             kept_logged: false,
         }
     }
 
+    /// True if the response is complete now that its body has ended. `continues` says that
+    /// the stream continues after an event, so that no further one may be due.
+    fn is_complete(&self, continues: bool) -> bool {
+        if !self.response.is_event_stream {
+            return true;
+        }
+        let end_is_explicit = self.response.framing != BodyFraming::Connection;
+        let may_be_at_end = end_is_explicit || self.has_events || continues;
+        may_be_at_end && !self.splitter.is_inside_event()
+    }
+
     async fn next_frame(&mut self) -> BodyFrame {
         match self.unread.take() {
             Some(frame) => frame,
@@ -220,8 +235,8 @@
     }
 
     /// Relays the body. An event stream is relayed event by event, so that it can be
-    /// resumed after the last complete one; an incomplete event follows only if the stream
-    /// ends with it.
+    /// resumed after the last complete one; a stream that ends inside an event was broken
+    /// off, whatever its framing says.
     async fn relay_body(
         &mut self,
         stream: &mut OpenStream,
@@ -250,7 +265,10 @@
                     stream.response.connection.log_if_exceeded(ResponsePlace::Body);
                     return RelayResult::Failed(Event::ResponseInterrupted { last_event });
                 }
-                Ok(None) => return RelayResult::Complete,
+                Ok(None) if stream.is_complete(self.continues_stream()) => {
+                    return RelayResult::Complete;
+                }
+                Ok(None) => return RelayResult::Failed(self.broken_off(stream)),
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             };
             stream.kept_logged = false;
@@ -266,6 +284,7 @@
                     return RelayResult::Ended(RequestEnding::CallerGone);
                 }
                 stream.last_event = event.id.or(stream.last_event);
+                stream.has_events = true;
                 self.record_event();
             }
             if stream.splitter.pending_bytes() > MAX_EVENT_BYTES {
@@ -276,6 +295,18 @@
         }
     }
 
+    /// True if the stream continues after an event that the caller has received.
+    fn continues_stream(&self) -> bool {
+        let router = self.dispatcher.router.borrow();
+        router.request(self.key).is_some_and(|request| request.last_event().is_some())
+    }
+
+    /// Logs that a stream ended before it was complete, and returns the event for the router.
+    fn broken_off(&self, stream: &OpenStream) -> Event {
+        self.log_stream_end(stream);
+        Event::ResponseInterrupted { last_event: stream.last_event }
+    }
+
     /// Releases the connection of a stream that is complete and ends the response. Returns
     /// false if the caller has disconnected.
     async fn end_response(
@@ -283,26 +314,22 @@
         mut stream: OpenStream,
         parts: &mpsc::Sender<ResponsePart>,
     ) -> bool {
-        let incomplete = stream.splitter.take_incomplete();
-        self.log_stream_end(&stream, incomplete.len());
+        self.log_stream_end(&stream);
+        // Comments or blank lines after the last event.
+        let remainder = stream.splitter.take_incomplete();
         let UpstreamResponse { connection, keep_alive, .. } = stream.response;
         self.dispatcher.upstream_client.release_connection(connection, keep_alive);
-        let incomplete_sent =
-            incomplete.is_empty() || parts.send(ResponsePart::Data(incomplete)).await.is_ok();
-        incomplete_sent && parts.send(ResponsePart::End).await.is_ok()
+        let remainder_sent =
+            remainder.is_empty() || parts.send(ResponsePart::Data(remainder)).await.is_ok();
+        remainder_sent && parts.send(ResponsePart::End).await.is_ok()
     }
 
-    fn log_stream_end(&self, stream: &OpenStream, incomplete_bytes: usize) {
+    fn log_stream_end(&self, stream: &OpenStream) {
         let router = self.dispatcher.router.borrow();
         let Some(request) = router.request(self.key) else { return };
-        let framing = stream.response.framing;
-        log_stream_end(
-            &self.dispatcher.name,
-            request,
-            framing,
-            stream.last_event,
-            incomplete_bytes,
-        );
+        let (framing, remainder_bytes) = (stream.response.framing, stream.splitter.pending_bytes());
+        let name = &self.dispatcher.name;
+        log_stream_end(name, request, framing, stream.last_event, remainder_bytes);
     }
 
     fn record_event(&self) {
--- a/src/edge/direct/request_log.rs
+++ b/src/edge/direct/request_log.rs
@@ -123,13 +123,13 @@
 }
 
 /// Logs how the upstream ended a response that was relayed part by part. `last_event` is the id
-/// of the last event that was relayed, `incomplete_bytes` the size of the event that has no end.
+/// of the last event that was relayed, `remainder_bytes` the size of what follows its end.
 pub(super) fn log_stream_end(
     instance: &str,
     request: &Request,
     framing: BodyFraming,
     last_event: Option<u64>,
-    incomplete_bytes: usize,
+    remainder_bytes: usize,
 ) {
     spdlog::info!("stream-ended", kv: {
         instance: = instance,
@@ -137,7 +137,7 @@
         upstream: = request.upstream_id(),
         framing: = framing,
         last_event = last_event.unwrap_or(0),
-        incomplete_bytes = incomplete_bytes
+        remainder_bytes = remainder_bytes
     });
 }
 
--- a/src/edge/direct/sse.rs
+++ b/src/edge/direct/sse.rs
@@ -3,8 +3,11 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 
-const EVENT_END: &[u8] = b"\n\n";
+/// Blank lines that end an event, by the kind of line end before them.
+const EVENT_ENDS: [&[u8]; 3] = [b"\n\n", b"\n\r\n", b"\r\r"];
+const MAX_EVENT_END_BYTES: usize = 3;
 const ID_FIELD: &[u8] = b"id:";
+const COMMENT_START: u8 = b':';
 
 /// One complete server-sent event.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -32,13 +35,12 @@
     /// Removes and returns the next complete event, if there is one.
     pub fn next_event(&mut self) -> Option<SseEvent> {
         let from = std::mem::take(&mut self.searched_bytes);
-        let Some(found) = find(&self.pending[from..], EVENT_END) else {
-            // The last byte may be the first one of the event's end.
-            self.searched_bytes = self.pending.len().saturating_sub(EVENT_END.len() - 1);
+        let Some(event_bytes) = find_event_end(&self.pending[from..]) else {
+            // The last bytes may be the first ones of the event's end.
+            self.searched_bytes = self.pending.len().saturating_sub(MAX_EVENT_END_BYTES - 1);
             return None;
         };
-        let end = from + found + EVENT_END.len();
-        let bytes = self.pending.split_to(end).freeze();
+        let bytes = self.pending.split_to(from + event_bytes).freeze();
         let id = event_id(&bytes);
         Some(SseEvent { bytes, id })
     }
@@ -54,17 +56,32 @@
         self.pending.len()
     }
 
+    /// True if the buffered bytes are the beginning of an event, as opposed to comments and
+    /// blank lines only.
+    pub fn is_inside_event(&self) -> bool {
+        lines(&self.pending).any(|line| line.first().is_some_and(|&byte| byte != COMMENT_START))
+    }
+
     /// Returns true if no bytes are buffered.
     pub fn is_empty(&self) -> bool {
         self.pending.is_empty()
     }
 }
 
-fn find(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
-    bytes.windows(pattern.len()).position(|window| window == pattern)
+/// Returns the number of bytes up to the end of the first event.
+fn find_event_end(bytes: &[u8]) -> Option<usize> {
+    (0..bytes.len()).find_map(|start| {
+        let end = EVENT_ENDS.iter().find(|end| bytes[start..].starts_with(end))?;
+        Some(start + end.len())
+    })
+}
+
+/// Returns the lines, whatever their line ends; between a CR and an LF is an empty one.
+fn lines(bytes: &[u8]) -> impl Iterator<Item = &[u8]> {
+    bytes.split(|byte| matches!(byte, b'\n' | b'\r'))
 }
 
 fn event_id(event: &[u8]) -> Option<u64> {
-    let line = event.split(|&byte| byte == b'\n').find(|line| line.starts_with(ID_FIELD))?;
+    let line = lines(event).find(|line| line.starts_with(ID_FIELD))?;
     std::str::from_utf8(&line[ID_FIELD.len()..]).ok()?.trim().parse().ok()
 }
--- a/tests/core/event_splitter.rs
+++ b/tests/core/event_splitter.rs
@@ -28,3 +28,38 @@
         assert_eq!(splitter.next_event().map(|event| event.bytes.len()), Some(2));
     }
 }
+
+/// Cases: received bytes, and the sizes and ids of the events that end in them.
+macro_rules! line_ends {
+    ($($name:ident: $stream:literal => $events:expr, $inside:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            let expected: &[(usize, Option<u64>)] = &$events;
+            for part_bytes in 1..=$stream.len() {
+                let mut splitter = EventSplitter::default();
+                let mut events = Vec::new();
+                for part in $stream.chunks(part_bytes) {
+                    splitter.push(part);
+                    while let Some(event) = splitter.next_event() {
+                        events.push((event.bytes.len(), event.id));
+                    }
+                }
+                assert_eq!(events, expected, "parts of {part_bytes} bytes");
+                assert_eq!(splitter.is_inside_event(), $inside, "parts of {part_bytes} bytes");
+            }
+        }
+    )*};
+}
+
+line_ends! {
+    events_may_end_with_crlf: b"id: 1\r\ndata: x\r\n\r\nid: 2\r\n\r\n"
+        => [(18, Some(1)), (9, Some(2))], false;
+    events_may_end_with_cr: b"id: 1\rdata: x\r\rid: 2\r\r" => [(15, Some(1)), (7, Some(2))], false;
+    an_event_without_its_blank_line_is_not_complete: b"id: 1\n\nid: 2\ndata: x\n"
+        => [(7, Some(1))], true;
+    an_event_with_crlf_without_its_blank_line_is_not_complete: b"id: 1\r\n\r\nid: 2\r\n"
+        => [(9, Some(1))], true;
+    a_comment_is_no_event: b"id: 1\n\n: end\n" => [(7, Some(1))], false;
+    a_blank_line_is_no_event: b"id: 1\n\n\n" => [(7, Some(1))], false;
+    a_field_after_a_comment_begins_an_event: b": end\ni" => [], true;
+}
