What was relayed before a cut reaches the caller

A caller whose stream was cut shortly after events had been relayed did not get these events, and no head if it was not sent yet: the error of the body ends hyper's connection at once, with what it has buffered.

--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -24,6 +24,7 @@
 use crate::edge::direct::response::CallerResponse;
 use crate::edge::direct::response::ResponseBody;
 use crate::edge::direct::response::ResponsePart;
+use crate::edge::direct::response::StreamedParts;
 use crate::edge::direct::sse::EventSplitter;
 use crate::edge::direct::upstream_client::UpstreamClient;
 use crate::edge::direct::upstream_client::UpstreamResponse;
@@ -186,7 +187,7 @@
         }
         if let CallerChannel::AwaitingHead(head) = &mut self.caller {
             let (parts, receiver) = mpsc::channel(PART_CHANNEL_CAPACITY);
-            let body = ResponseBody::Streamed(receiver);
+            let body = ResponseBody::Streamed(StreamedParts::new(receiver));
             let response = CallerResponse::Upstream { status, headers: headers.clone(), body };
             head.take()?.send(response).ok()?;
             self.caller = CallerChannel::ReadingBody(parts);
--- a/src/edge/direct/response.rs
+++ b/src/edge/direct/response.rs
@@ -3,6 +3,7 @@
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 
 use bytes::Bytes;
 use hyper::HeaderMap;
@@ -41,7 +42,40 @@
     /// The complete body, already in memory.
     Complete(Bytes),
     /// Parts of the body, sent on as the upstream delivers them.
-    Streamed(mpsc::Receiver<ResponsePart>),
+    Streamed(StreamedParts),
+}
+
+/// Parts of a body, in the order in which they are sent.
+#[derive(Debug)]
+pub struct StreamedParts {
+    parts: mpsc::Receiver<ResponsePart>,
+    /// True once the channel was found closed without [`ResponsePart::End`].
+    cut: bool,
+}
+
+impl StreamedParts {
+    /// Returns the parts that the channel delivers.
+    pub fn new(parts: mpsc::Receiver<ResponsePart>) -> Self {
+        Self { parts, cut: false }
+    }
+
+    fn poll_frame(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, IncompleteResponse>>> {
+        match ready!(self.parts.poll_recv(context)) {
+            Some(ResponsePart::Data(bytes)) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
+            Some(ResponsePart::End) => Poll::Ready(None),
+            None if std::mem::replace(&mut self.cut, true) => {
+                Poll::Ready(Some(Err(IncompleteResponse)))
+            }
+            None => {
+                // hyper sends what it has buffered before it polls again; the error drops it.
+                context.waker().wake_by_ref();
+                Poll::Pending
+            }
+        }
+    }
 }
 
 /// One item of a streamed response body.
@@ -65,11 +99,7 @@
         match self.get_mut() {
             Self::Complete(bytes) if bytes.is_empty() => Poll::Ready(None),
             Self::Complete(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
-            Self::Streamed(parts) => parts.poll_recv(context).map(|part| match part {
-                Some(ResponsePart::Data(bytes)) => Some(Ok(Frame::data(bytes))),
-                Some(ResponsePart::End) => None,
-                None => Some(Err(IncompleteResponse)),
-            }),
+            Self::Streamed(parts) => parts.poll_frame(context),
         }
     }
 
