A cut response to a caller without chunks resets its connection

Such a connection is reset now; one of HTTP/1.1 lacks the last chunk and is closed, so that nothing that was sent is lost.

--- a/src/edge/direct/caller_stream.rs
+++ b/src/edge/direct/caller_stream.rs
@@ -17,6 +17,7 @@
 use std::task::Waker;
 use std::time::Duration;
 
+use hyper::Version;
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::SizeHint;
@@ -65,6 +66,8 @@
     since: Cell<Duration>,
     /// True once the connection is to be closed at its next wait for a request.
     closing: Cell<bool>,
+    /// True once the connection is to be reset instead of closed.
+    reset: Cell<bool>,
     /// Wakes the task of the connection.
     waker: RefCell<Option<Waker>>,
 }
@@ -79,6 +82,7 @@
             head_begun: Cell::default(),
             since,
             closing: Cell::default(),
+            reset: Cell::default(),
             waker: RefCell::default(),
         })
     }
@@ -140,8 +144,18 @@
 
 /// Body of a response; its request is in flight until the body has been sent.
 pub(super) struct TrackedBody<B> {
-    pub(super) body: B,
-    pub(super) _in_flight: RequestInFlight,
+    body: B,
+    in_flight: RequestInFlight,
+    /// True if only the end of the connection tells the caller that the body is complete.
+    ends_with_connection: bool,
+}
+
+impl<B> TrackedBody<B> {
+    /// Creates the body of the response to a request of this version of HTTP. Versions before
+    /// 1.1 know no chunks.
+    pub(super) fn new(body: B, in_flight: RequestInFlight, version: Version) -> Self {
+        Self { body, in_flight, ends_with_connection: version < Version::HTTP_11 }
+    }
 }
 
 impl<B: Body + Unpin> Body for TrackedBody<B> {
@@ -152,7 +166,12 @@
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
-        Pin::new(&mut self.get_mut().body).poll_frame(context)
+        let this = self.get_mut();
+        let frame = Pin::new(&mut this.body).poll_frame(context);
+        if this.ends_with_connection && matches!(frame, Poll::Ready(Some(Err(_)))) {
+            this.in_flight.0.reset.set(true);
+        }
+        frame
     }
 
     fn is_end_stream(&self) -> bool {
@@ -220,6 +239,16 @@
     }
 }
 
+impl Drop for CallerStream {
+    fn drop(&mut self) {
+        if self.activity.reset.get() {
+            // Closing a socket that does not linger resets its connection. Setting the option
+            // fails only on a socket that is already closed.
+            let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+        }
+    }
+}
+
 impl AsyncRead for CallerStream {
     fn poll_read(
         self: Pin<&mut Self>,
--- a/src/edge/direct/server.rs
+++ b/src/edge/direct/server.rs
@@ -129,11 +129,11 @@
     let activity = Activity::new(settings.timeouts);
     let (requests, stopped) = (activity.clone(), activity.clone());
     let service = service_fn(move |request| {
-        let in_flight = requests.start_request();
+        let (in_flight, version) = (requests.start_request(), request.version());
         let response = service(request);
         async move {
             let response = response.await;
-            let tracked = response.map(|body| TrackedBody { body, _in_flight: in_flight });
+            let tracked = response.map(|body| TrackedBody::new(body, in_flight, version));
             Ok::<_, Infallible>(tracked)
         }
     });
