Interrupted runs log the shared parts of their prompt and how many events they had sent

The log could not show whether crashed runs have a part of their prompt in common. No decision changes.

--- a/src/edge/direct/request_log.rs
+++ b/src/edge/direct/request_log.rs
@@ -8,6 +8,7 @@
 use crate::router::Event;
 use crate::router::Step;
 use crate::router::Target;
+use crate::router::request::PromptPartId;
 use crate::router::request::Request;
 
 /// Returns the name of a step in logs and metrics.
@@ -107,10 +108,18 @@
         upstream: = request.upstream_id(),
         generation = request.version(),
         age_ms = age_ms,
+        run_events = request.run_events,
+        shared_parts: = format_parts(&request.shared_parts),
         detail: = detail
     });
 }
 
+/// Returns the ids of parts, separated by commas.
+pub(super) fn format_parts(parts: &[PromptPartId]) -> String {
+    let ids: Vec<&str> = parts.iter().map(|part| part.0.as_str()).collect();
+    ids.join(",")
+}
+
 /// Logs that the entry goes on waiting for the upstream of a response that paused.
 pub(super) fn log_kept_run(instance: &str, now: Duration, request: &Request) {
     spdlog::info!("run-kept", kv: {
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -173,6 +173,7 @@
         request.phase = Phase::Decoding;
         request.attempts += 1;
         request.runs += 1;
+        request.run_events = 0;
         request.step_started_at = now;
         request.current = Some(reservation.target.clone());
         let source = request
@@ -297,6 +298,7 @@
     /// pause then.
     pub fn record_event(&mut self, now: Duration, key: RequestKey) -> Option<StreamStall> {
         let request = self.requests.get_mut(key)?;
+        request.run_events += 1;
         if request.begun_version.is_none() {
             request.begun_version = request.current.as_ref().map(|engine| engine.version.clone());
             self.record_origin(now, key);
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -33,6 +33,8 @@
     pub caller_timeout: Option<Duration>,
     /// Size of the prompt; set for a model request.
     pub prompt: Option<Prompt>,
+    /// Parts of the prompt that other prompts may share, in their order.
+    pub shared_parts: Vec<PromptPartId>,
     /// Id of the last event that the caller has received, if it continues a
     /// stream.
     pub resume_after: Option<u64>,
@@ -41,6 +43,10 @@
     pub resumes: Option<CompactString>,
 }
 
+/// Id of a part of a prompt. Prompts that share a part name it by the same id.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct PromptPartId(pub CompactString);
+
 /// Size of a model request, in tokens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Prompt {
@@ -119,6 +125,8 @@
     pub service: CompactString,
     /// Size of the prompt; set for a model request that goes to engines.
     pub prompt: Option<Prompt>,
+    /// Parts of the prompt that other prompts may share, in their order.
+    pub shared_parts: Vec<PromptPartId>,
     /// Prompt and output tokens to reserve engine memory for; 0 without a prompt.
     pub(super) reserved_tokens: u32,
     /// Configuration in force when the request arrived.
@@ -166,6 +174,8 @@
     pub begun_version: Option<CompactString>,
     /// When the last event of the stream was received from its engine.
     pub(super) last_event_at: Option<Duration>,
+    /// Number of events that the present run has sent.
+    pub run_events: u32,
     /// True once the stream has paused for longer than its route allows.
     pub(super) stalled: bool,
     /// Engine of a run that is silent but still open, while another engine is sought.
@@ -199,6 +209,7 @@
             is_late: false,
             service,
             prompt,
+            shared_parts: incoming.shared_parts,
             reserved_tokens: 0,
             configuration,
             route,
@@ -220,6 +231,7 @@
             resumes: incoming.resumes,
             begun_version: None,
             last_event_at: None,
+            run_events: 0,
             stalled: false,
             paused_run: None,
             retry_paid: false,
--- a/tests/router/harness.rs
+++ b/tests/router/harness.rs
@@ -210,6 +210,7 @@
         path: path.into(),
         caller_timeout: Some(CALLER_TIMEOUT),
         prompt: goes_to_engines(path).then_some(prompt),
+        shared_parts: Vec::new(),
         resume_after: None,
         resumes: None,
     }
