--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -15,6 +15,7 @@
 mod output_margin;
 mod pauses;
 mod plain;
+mod poison;
 mod rate_limit;
 mod rate_limited_engines;
 mod roles;
