--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -12,6 +12,7 @@
 pub mod lease_task;
 pub mod metrics;
 pub mod origin_log;
+pub mod part_log;
 mod relay;
 mod request_log;
 mod request_task;
--- a/src/edge/direct/dispatch.rs
+++ b/src/edge/direct/dispatch.rs
@@ -14,6 +14,7 @@
 use crate::clock::Clock;
 use crate::edge::direct::metrics::Metrics;
 use crate::edge::direct::origin_log::OriginLog;
+use crate::edge::direct::part_log::PartLog;
 use crate::edge::direct::request_log::log_refusal;
 use crate::edge::direct::request_task::CallerChannel;
 use crate::edge::direct::request_task::RequestTask;
@@ -46,6 +47,8 @@
     pub metrics: Metrics,
     /// Access of requests to the origins of streams in the store.
     pub(super) origin_log: OriginLog,
+    /// Reports about parts of prompts in the store.
+    pub(super) part_log: PartLog,
     /// Memory of the responses that are buffered.
     pub(super) response_memory: ResponseMemory,
     /// Signal that the store came back from an older copy.
@@ -71,6 +74,7 @@
             connection_limits: Rc::default(),
             metrics: Metrics::default(),
             origin_log: OriginLog::default(),
+            part_log: PartLog::default(),
             response_memory: ResponseMemory::default(),
             era_risen: Notify::new(),
             waiting: RefCell::default(),
@@ -200,6 +204,8 @@
                 async move { dispatcher.upstream_client.clean_up(cleanup).await },
             );
         }
+        self.part_log.wake_appender(&self.router.borrow());
+        self.log_part_changes();
         let runnable = self.router.borrow_mut().take_runnable();
         let waiting = self.waiting.borrow();
         for key in runnable {
--- a/src/edge/direct/origin_log.rs
+++ b/src/edge/direct/origin_log.rs
@@ -12,6 +12,7 @@
 use tokio::time::timeout;
 
 use crate::edge::direct::dispatch::Dispatcher;
+use crate::edge::direct::store_follower::EntryLog;
 use crate::edge::direct::store_follower::Store;
 use crate::edge::direct::store_follower::StoreError;
 use crate::edge::direct::upstream_client::UpstreamClient;
@@ -78,7 +79,8 @@
 ) {
     let record = encode(origins);
     for _ in 0..MAX_APPENDS {
-        let appended = store.append_origins(record.clone(), STORE_TIMEOUT).await;
+        let appended =
+            store.append_record(EntryLog::StreamOrigins, record.clone(), STORE_TIMEOUT).await;
         dispatcher.record_store_eras(store);
         match appended {
             Ok(()) => {
@@ -120,7 +122,8 @@
     let mut restarted = false;
     loop {
         position.enter_era(dispatcher.router.borrow().store_era());
-        let page = store.read_origins(position.next_offset, STORE_TIMEOUT).await;
+        let (log, from) = (EntryLog::StreamOrigins, position.next_offset);
+        let page = store.read_log(log, from, Duration::ZERO, STORE_TIMEOUT).await;
         dispatcher.record_store_eras(store);
         if position.enter_era(dispatcher.router.borrow().store_era()) {
             continue;
--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -226,6 +226,8 @@
         match &result {
             RelayResult::Ended(ending) => self.log_request_ending(*ending, status),
             RelayResult::Complete => {
+                let now = self.dispatcher.now();
+                self.dispatcher.router.borrow_mut().record_complete_stream(now, self.key);
                 let fully_sent = self.end_response(stream, parts).await;
                 self.log_request_ending(ending_for(fully_sent), status);
             }
@@ -337,6 +339,7 @@
         let now = self.dispatcher.now();
         let stall = self.dispatcher.router.borrow_mut().record_event(now, self.key);
         self.dispatcher.origin_log.wake_appender(&self.dispatcher.router.borrow());
+        self.dispatcher.part_log.wake_appender(&self.dispatcher.router.borrow());
         let Some(stall) = stall else { return };
         spdlog::info!("stream-stalled", kv: {
             instance: = self.dispatcher.name,
--- a/src/edge/direct/store_follower.rs
+++ b/src/edge/direct/store_follower.rs
@@ -65,6 +65,15 @@
     pub end_offset: u64,
 }
 
+/// Log of the store that the entries themselves write, for each other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EntryLog {
+    /// Software versions at which streams began.
+    StreamOrigins,
+    /// Reports about parts of prompts that crash engines.
+    PartReports,
+}
+
 /// Why a call to the store failed.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum StoreError {
@@ -118,12 +127,24 @@
         timeout: Duration,
     ) -> Result<RenewalResponse, StoreError>;
 
-    /// Appends a record to the log of stream origins, which all entries share. The store
-    /// retains it for at least as long as a stream lasts.
-    async fn append_origins(&self, record: Bytes, timeout: Duration) -> Result<(), StoreError>;
+    /// Appends a record to a log that all entries share. The store retains it for some
+    /// minutes.
+    async fn append_record(
+        &self,
+        log: EntryLog,
+        record: Bytes,
+        timeout: Duration,
+    ) -> Result<(), StoreError>;
 
-    /// Reads the log of stream origins from the offset `from` on.
-    async fn read_origins(&self, from: u64, timeout: Duration) -> Result<LogPage, StoreError>;
+    /// Reads a log that all entries share from the offset `from` on. If there are no records,
+    /// the store may delay its response by up to `wait` until one is written.
+    async fn read_log(
+        &self,
+        log: EntryLog,
+        from: u64,
+        wait: Duration,
+        timeout: Duration,
+    ) -> Result<LogPage, StoreError>;
 
     /// Returns what responses, also those of failed calls, have said about the era of the
     /// store since the last call of this function, in the order of arrival. A response that
--- a/src/edge/problem.rs
+++ b/src/edge/problem.rs
@@ -49,6 +49,7 @@
         | RefusalReason::RateLimited
         | RefusalReason::NoUpstream
         | RefusalReason::VersionUnavailable
+        | RefusalReason::PoisonousPrompt
         | RefusalReason::RetryBudget
         | RefusalReason::ShuttingDown
         | RefusalReason::NotReady => StatusCode::SERVICE_UNAVAILABLE,
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -36,6 +36,8 @@
     /// The prompt is longer than the model's `max_prompt_tokens`, or does not fit
     /// into the memory of an engine.
     PromptTooLong,
+    /// A part of the prompt has crashed engines.
+    PoisonousPrompt,
     /// The request body is larger than the settings allow.
     BodyTooLarge,
     /// The request header is larger than the configuration allows.
--- a/src/router.rs
+++ b/src/router.rs
@@ -17,6 +17,7 @@
 pub mod output_margin;
 pub mod pauses;
 mod plain;
+pub mod poison;
 pub mod rate_limit;
 pub mod request;
 pub mod reservation_queue;
@@ -54,6 +55,7 @@
 use crate::router::engine_time::PrefillTimeEstimate;
 use crate::router::instance_list::InstanceList;
 use crate::router::output_margin::OutputMargin;
+use crate::router::poison::PartHealth;
 use crate::router::request::IncomingRequest;
 use crate::router::request::Request;
 use crate::router::request::RequestKey;
@@ -129,6 +131,8 @@
     output_margins: HashMap<CompactString, OutputMargin>,
     /// Software versions of the engines of each service.
     version_histories: HashMap<CompactString, VersionHistory>,
+    /// Parts of prompts that crash engines.
+    part_health: PartHealth,
     /// Where streams began that their callers may take up.
     stream_origins: StreamOrigins,
     /// When the last model request arrived.
@@ -170,6 +174,7 @@
             caller_timeouts: HashMap::new(),
             output_margins: HashMap::new(),
             version_histories: HashMap::new(),
+            part_health: PartHealth::default(),
             stream_origins: StreamOrigins::default(),
             last_prompt_at: None,
             runnable: Vec::new(),
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -99,6 +99,9 @@
     }
 
     fn prefill(&mut self, now: Duration, key: RequestKey) -> Step {
+        if let Some(end) = self.end_if_poisonous(now, key) {
+            return end;
+        }
         let next = self.select_prefill_engine(now, key);
         let Some(target) = next.and_then(|next| self.target(next)) else {
             // The decode engine prefills the prompt itself, more slowly.
@@ -158,6 +161,9 @@
     }
 
     fn decode(&mut self, now: Duration, key: RequestKey) -> Step {
+        if let Some(end) = self.end_if_poisonous(now, key) {
+            return end;
+        }
         let Some(reservation) = self.requests[key].reservation.take() else {
             return self.return_to_paused_run(key);
         };
@@ -266,6 +272,11 @@
             // but runs nothing. Failures eject it.
             self.upstreams.record_failure(now, engine.key);
         }
+        if let Some(engine) =
+            self.requests[key].current.clone().filter(|_| failure == Failure::Broken)
+        {
+            self.record_crashed_run(now, key, &engine);
+        }
         let request = &mut self.requests[key];
         if failure.proves_not_run() {
             request.runs -= 1;
@@ -297,8 +308,11 @@
     /// changes the margin of the memory that is reserved for output. Returns the
     /// pause then.
     pub fn record_event(&mut self, now: Duration, key: RequestKey) -> Option<StreamStall> {
-        let request = self.requests.get_mut(key)?;
-        request.run_events += 1;
+        if !self.requests.contains_key(key) {
+            return None;
+        }
+        self.record_run_event(now, key);
+        let request = &mut self.requests[key];
         if request.begun_version.is_none() {
             request.begun_version = request.current.as_ref().map(|engine| engine.version.clone());
             self.record_origin(now, key);
@@ -357,6 +371,7 @@
         if let Some(target) = request.current.clone() {
             self.requests[key].excluded.push(target.key);
             self.upstreams.record_failure(now, target.key);
+            self.record_crashed_run(now, key, &target);
         }
         if resumable && self.try_spend_rerun(now, key) {
             return self.queue_for_reservation(now, key);
--- /dev/null
+++ b/src/router/poison.rs
@@ -0,0 +1,382 @@
+//! Parts of prompts that crash engines, whatever else the prompt holds.
+//!
+//! A run that ends with the connection of its engine, before it has sent more than a few
+//! events, makes the shared parts of its prompt suspects. Entries tell each other of such runs
+//! through a log of the store, as each sees only some of the crashes. A part is poisonous once
+//! engines have crashed under enough runs with it while none went well. A part that was always
+//! accompanied by another suspect is not to blame without that one, so that prompts that share
+//! only harmless parts with the crashed ones are served.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::time::Duration;
+
+use compact_str::CompactString;
+
+use crate::outcome::RefusalReason;
+use crate::router::Router;
+use crate::router::flow::Step;
+use crate::router::flow::Target;
+use crate::router::request::PromptPartId;
+use crate::router::request::RequestKey;
+
+/// Events after which a run shows that the parts of its prompt are harmless.
+pub const MIN_SOUND_EVENTS: u32 = 4;
+/// Crashed engines from which on a part is poisonous.
+const MIN_CRASHED_ENGINES: usize = 3;
+/// Requests that must have been among the crashed runs, so that the retries of one request
+/// do not suffice.
+const MIN_CRASHED_REQUESTS: usize = 2;
+/// Time for which a part is harmless after a run with it went well, whatever crashes.
+const SOUND_HOLD: Duration = Duration::from_secs(3);
+/// Time for which crashed runs are remembered.
+const RETENTION: Duration = Duration::from_secs(600);
+/// Largest number of crashed runs that are remembered.
+const MAX_CRASHED_RUNS: usize = 256;
+/// Time after which a poisonous part is tried again for the first time. It doubles with each
+/// trial.
+const FIRST_TRIAL_AFTER: Duration = Duration::from_secs(15);
+/// Largest time between two trials of a part.
+const MAX_TRIAL_INTERVAL: Duration = Duration::from_secs(600);
+
+/// Run that ended with the connection of its engine, before it had sent
+/// [`MIN_SOUND_EVENTS`] events.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CrashedRun {
+    /// Id of the request.
+    pub request_id: CompactString,
+    /// Id of the instance of the engine.
+    pub engine_id: CompactString,
+    /// Start time of the engine in milliseconds since the Unix epoch; 0 if not known.
+    pub engine_started_ms: u64,
+    /// Shared parts of the prompt that are suspects: those that have not gone well since.
+    pub parts: Vec<PromptPartId>,
+}
+
+impl CrashedRun {
+    fn is_same_run(&self, other: &Self) -> bool {
+        self.request_id == other.request_id
+            && self.engine_id == other.engine_id
+            && self.engine_started_ms == other.engine_started_ms
+    }
+}
+
+/// What entries tell each other about parts of prompts.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PartReport {
+    /// A run crashed.
+    Crashed(CrashedRun),
+    /// A run with a part that was a suspect went well.
+    Sound(PromptPartId),
+}
+
+/// Change of what is believed about a part.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PartChange {
+    /// Requests with the part are refused from now on.
+    Poisonous {
+        /// The part.
+        part: PromptPartId,
+        /// Engines that crashed under runs with it.
+        crashed_engines: usize,
+    },
+    /// A request with the part is let through, to find out whether it still crashes engines.
+    Tried {
+        /// The part.
+        part: PromptPartId,
+    },
+    /// A poisonous part is harmless.
+    Sound {
+        /// The part.
+        part: PromptPartId,
+    },
+}
+
+/// Whether a request may go to engines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// No part of its prompt is poisonous.
+    Harmless,
+    /// It may, to find out whether a poisonous part still crashes engines.
+    Trial,
+    /// A part is poisonous; it is tried again after this time at the earliest.
+    Poisonous {
+        /// Time until the next trial.
+        retry_after: Duration,
+    },
+}
+
+#[derive(Debug)]
+struct RememberedRun {
+    run: CrashedRun,
+    recorded_at: Duration,
+}
+
+/// When a poisonous part is tried again.
+#[derive(Debug)]
+struct TrialSchedule {
+    next_at: Duration,
+    interval: Duration,
+}
+
+impl TrialSchedule {
+    fn postpone(&mut self, now: Duration) {
+        self.interval = (self.interval * 2).min(MAX_TRIAL_INTERVAL);
+        self.next_at = now + self.interval;
+    }
+}
+
+/// What one entry knows about parts of prompts.
+#[derive(Debug, Default)]
+pub struct PartHealth {
+    /// Crashed runs, the oldest one first.
+    crashed: Vec<RememberedRun>,
+    /// When a run with a part last went well, for [`SOUND_HOLD`].
+    sound_at: HashMap<PromptPartId, Duration>,
+    /// When poisonous parts are tried again.
+    trials: HashMap<PromptPartId, TrialSchedule>,
+    /// True if this entry is the one that tries poisonous parts.
+    tries: bool,
+    unsent: Vec<PartReport>,
+    changes: Vec<PartChange>,
+}
+
+impl PartHealth {
+    /// Sets whether this entry is the one of all entries that tries poisonous parts.
+    pub fn set_tries(&mut self, tries: bool) {
+        self.tries = tries;
+    }
+
+    /// Records a crashed run of this entry and has it reported.
+    pub fn record_crash(&mut self, now: Duration, run: CrashedRun) {
+        if let Some(run) = self.remember(now, run) {
+            self.unsent.push(PartReport::Crashed(run));
+        }
+    }
+
+    /// Records that a run of this entry went well, and has it reported if a part was a suspect.
+    pub fn record_sound_run(&mut self, now: Duration, parts: &[PromptPartId]) {
+        for part in parts {
+            if self.record_sound(now, part) {
+                self.unsent.push(PartReport::Sound(part.clone()));
+            }
+        }
+    }
+
+    /// Records reports of all entries, this one included.
+    pub fn record_reports(&mut self, now: Duration, reports: Vec<PartReport>) {
+        for report in reports {
+            match report {
+                PartReport::Crashed(run) => {
+                    self.remember(now, run);
+                }
+                PartReport::Sound(part) => {
+                    self.record_sound(now, &part);
+                }
+            }
+        }
+    }
+
+    /// Decides whether a request with these shared parts may go to engines.
+    pub fn judge(&mut self, now: Duration, parts: &[PromptPartId]) -> Verdict {
+        let poisonous = parts.iter().filter(|part| self.is_poisonous(now, part, parts));
+        let poisonous: Vec<&PromptPartId> = poisonous.collect();
+        let next_trials = poisonous.iter().map(|part| self.trial_schedule(now, part).next_at);
+        let Some(next_trial_at) = next_trials.max() else { return Verdict::Harmless };
+        if !self.tries || now < next_trial_at {
+            return Verdict::Poisonous { retry_after: next_trial_at.saturating_sub(now) };
+        }
+        for part in poisonous {
+            self.trial_schedule(now, part).postpone(now);
+            self.changes.push(PartChange::Tried { part: part.clone() });
+        }
+        Verdict::Trial
+    }
+
+    /// Returns the reports for the other entries, and clears the list of them.
+    pub fn take_unsent(&mut self) -> Vec<PartReport> {
+        std::mem::take(&mut self.unsent)
+    }
+
+    /// True if there are reports for the other entries.
+    pub fn has_unsent(&self) -> bool {
+        !self.unsent.is_empty()
+    }
+
+    /// Returns what has changed since the last call.
+    pub fn take_changes(&mut self) -> Vec<PartChange> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Returns when a poisonous part is tried again. The first time is set once it is found to
+    /// be poisonous.
+    fn trial_schedule(&mut self, now: Duration, part: &PromptPartId) -> &mut TrialSchedule {
+        if !self.trials.contains_key(part) {
+            let crashed_engines = self.crashed_engines(part);
+            self.changes.push(PartChange::Poisonous { part: part.clone(), crashed_engines });
+        }
+        let first = TrialSchedule { next_at: now + FIRST_TRIAL_AFTER, interval: FIRST_TRIAL_AFTER };
+        self.trials.entry(part.clone()).or_insert(first)
+    }
+
+    /// True if a part is poisonous for a request with these parts.
+    fn is_poisonous(&self, now: Duration, part: &PromptPartId, parts: &[PromptPartId]) -> bool {
+        let requests: HashSet<_> = self.suspects(part).map(|run| &run.request_id).collect();
+        requests.len() >= MIN_CRASHED_REQUESTS
+            && self.crashed_engines(part) >= MIN_CRASHED_ENGINES
+            && !self.is_held_sound(now, part)
+            && !self.has_accomplice(part, parts)
+    }
+
+    /// True if another suspect that is not among `parts` was in all crashed runs with the part.
+    fn has_accomplice(&self, part: &PromptPartId, parts: &[PromptPartId]) -> bool {
+        let Some(first) = self.suspects(part).next() else { return false };
+        let mut others = first.parts.iter().filter(|other| !parts.contains(other));
+        others.any(|other| self.suspects(part).all(|run| run.parts.contains(other)))
+    }
+
+    /// Crashed runs with a part, since a run with it last went well.
+    fn suspects(&self, part: &PromptPartId) -> impl Iterator<Item = &CrashedRun> {
+        let runs = self.crashed.iter().map(|crashed| &crashed.run);
+        runs.filter(move |run| run.parts.contains(part))
+    }
+
+    fn crashed_engines(&self, part: &PromptPartId) -> usize {
+        let engines = self.suspects(part).map(|run| (&run.engine_id, run.engine_started_ms));
+        engines.collect::<HashSet<_>>().len()
+    }
+
+    fn is_held_sound(&self, now: Duration, part: &PromptPartId) -> bool {
+        self.sound_at.get(part).is_some_and(|sound_at| now < *sound_at + SOUND_HOLD)
+    }
+
+    /// Remembers a crashed run and returns it with the parts that are suspects; `None` if there
+    /// are none or it is known.
+    fn remember(&mut self, now: Duration, run: CrashedRun) -> Option<CrashedRun> {
+        self.forget_old_runs(now);
+        let mut run = run;
+        run.parts.retain(|part| !self.is_held_sound(now, part));
+        let is_known = self.crashed.iter().any(|crashed| crashed.run.is_same_run(&run));
+        if is_known || run.parts.is_empty() {
+            return None;
+        }
+        if self.crashed.len() == MAX_CRASHED_RUNS {
+            self.crashed.remove(0);
+        }
+        self.crashed.push(RememberedRun { run: run.clone(), recorded_at: now });
+        for part in &run.parts {
+            if self.is_poisonous(now, part, &run.parts) {
+                self.trial_schedule(now, part);
+            }
+        }
+        Some(run)
+    }
+
+    fn forget_old_runs(&mut self, now: Duration) {
+        self.crashed.retain(|crashed| now < crashed.recorded_at + RETENTION);
+        let crashed = &self.crashed;
+        self.trials.retain(|part, _| crashed.iter().any(|it| it.run.parts.contains(part)));
+    }
+
+    /// Records that a part is harmless. Returns true if it was a suspect.
+    fn record_sound(&mut self, now: Duration, part: &PromptPartId) -> bool {
+        self.sound_at.retain(|_, sound_at| now < *sound_at + SOUND_HOLD);
+        self.sound_at.insert(part.clone(), now);
+        if self.trials.remove(part).is_some() {
+            self.changes.push(PartChange::Sound { part: part.clone() });
+        }
+        let was_suspect = self.suspects(part).next().is_some();
+        for crashed in &mut self.crashed {
+            crashed.run.parts.retain(|suspect| suspect != part);
+        }
+        self.crashed.retain(|crashed| !crashed.run.parts.is_empty());
+        was_suspect
+    }
+}
+
+impl Router {
+    /// Sets whether this entry is the one of all entries that tries poisonous parts of prompts
+    /// again. One entry at a time should be, such as the holder of the lease.
+    pub fn set_tries_poisonous_parts(&mut self, tries: bool) {
+        self.part_health.set_tries(tries);
+    }
+
+    /// Returns what this entry has found out about parts of prompts and the others have not been
+    /// told yet, and clears the list of it.
+    pub fn take_unsent_part_reports(&mut self) -> Vec<PartReport> {
+        self.part_health.take_unsent()
+    }
+
+    /// True if there are reports about parts of prompts to append to the log of the store.
+    pub fn has_unsent_part_reports(&self) -> bool {
+        self.part_health.has_unsent()
+    }
+
+    /// Records reports of all entries that were read from the log of the store.
+    pub fn record_part_reports(&mut self, now: Duration, reports: Vec<PartReport>) {
+        self.part_health.record_reports(now, reports);
+    }
+
+    /// Returns what has changed about parts of prompts since the last call.
+    pub fn take_part_changes(&mut self) -> Vec<PartChange> {
+        self.part_health.take_changes()
+    }
+
+    /// Records that a run ended with the connection of its engine. Its parts become suspects if
+    /// it had hardly begun to generate.
+    pub(super) fn record_crashed_run(&mut self, now: Duration, key: RequestKey, engine: &Target) {
+        let request = &self.requests[key];
+        if request.run_events >= MIN_SOUND_EVENTS || request.shared_parts.is_empty() {
+            return;
+        }
+        let started_ms = self.upstreams.get(engine.key).map(|engine| engine.listed.started_ms);
+        let run = CrashedRun {
+            request_id: request.id.clone(),
+            engine_id: engine.id.clone(),
+            engine_started_ms: started_ms.unwrap_or(0),
+            parts: request.shared_parts.clone(),
+        };
+        self.part_health.record_crash(now, run);
+    }
+
+    /// Records that a stream is complete, so that the parts of its prompt are harmless.
+    pub fn record_complete_stream(&mut self, now: Duration, key: RequestKey) {
+        let Some(request) = self.requests.get(key) else { return };
+        if request.run_events < MIN_SOUND_EVENTS {
+            self.part_health.record_sound_run(now, &request.shared_parts);
+        }
+    }
+
+    /// Records an event of a run, the last one that is needed to show that the parts of its
+    /// prompt are harmless.
+    pub(super) fn record_run_event(&mut self, now: Duration, key: RequestKey) {
+        let request = &mut self.requests[key];
+        request.run_events += 1;
+        if request.run_events == MIN_SOUND_EVENTS {
+            self.part_health.record_sound_run(now, &request.shared_parts);
+        }
+    }
+
+    /// Returns the step that ends a request whose prompt has a poisonous part: a refusal, or if
+    /// its response has started, what remains without another run. `None` if it may go on.
+    pub(super) fn end_if_poisonous(&mut self, now: Duration, key: RequestKey) -> Option<Step> {
+        let request = &self.requests[key];
+        if request.is_trial || request.shared_parts.is_empty() {
+            return None;
+        }
+        match self.part_health.judge(now, &request.shared_parts) {
+            Verdict::Harmless => None,
+            Verdict::Trial => {
+                self.requests[key].is_trial = true;
+                None
+            }
+            Verdict::Poisonous { .. } if self.requests[key].response_started => {
+                Some(self.return_to_paused_run(key))
+            }
+            Verdict::Poisonous { retry_after } => {
+                let reason = RefusalReason::PoisonousPrompt;
+                Some(Step::Refuse(self.refusal(now, key, reason, retry_after)))
+            }
+        }
+    }
+}
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -180,6 +180,8 @@
     pub(super) stalled: bool,
     /// Engine of a run that is silent but still open, while another engine is sought.
     pub(super) paused_run: Option<Target>,
+    /// True if the request finds out whether a part of its prompt still crashes engines.
+    pub(super) is_trial: bool,
     /// True if the retry of an abandoned call has been taken out of the retry budget.
     pub(super) retry_paid: bool,
     /// Sends of a replacement that were taken out of the retry budget and not made yet.
@@ -234,6 +236,7 @@
             run_events: 0,
             stalled: false,
             paused_run: None,
+            is_trial: false,
             retry_paid: false,
             unsent_replacement: 0,
             replacement_sought: false,
--- a/src/router/reserving.rs
+++ b/src/router/reserving.rs
@@ -47,6 +47,9 @@
 
 impl Router {
     pub(super) fn queue_for_reservation(&mut self, now: Duration, key: RequestKey) -> Step {
+        if let Some(end) = self.end_if_poisonous(now, key) {
+            return end;
+        }
         let service = self.requests[key].service.clone();
         self.requests[key].phase = Phase::Reserving;
         let is_started = self.requests[key].has_engine_work();
@@ -81,6 +84,10 @@
 
     pub(super) fn try_reserve(&mut self, now: Duration, key: RequestKey) -> Step {
         let service = self.requests[key].service.clone();
+        if let Some(end) = self.end_if_poisonous(now, key) {
+            self.leave_reservation_queue(key);
+            return end;
+        }
         if self.requests[key].paused_run.is_some() {
             return self.seek_replacement(now, key);
         }
--- a/src/schema/bamboodoor.record.rs
+++ b/src/schema/bamboodoor.record.rs
@@ -136,3 +136,44 @@
     #[prost(string, tag = "2")]
     pub version: ::prost::alloc::string::String,
 }
+/// A record of the log of reports about parts of prompts: one append carries a batch.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct PartReportBatch {
+    /// Reports in the order in which the entry made them.
+    #[prost(message, repeated, tag = "1")]
+    pub reports: ::prost::alloc::vec::Vec<PartReport>,
+}
+/// What an entry has found out about parts of prompts.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PartReport {
+    #[prost(oneof = "part_report::Kind", tags = "1, 2")]
+    pub kind: ::core::option::Option<part_report::Kind>,
+}
+/// Nested message and enum types in `PartReport`.
+pub mod part_report {
+    #[derive(Clone, PartialEq, Eq, Hash, ::prost::Oneof)]
+    pub enum Kind {
+        /// A run ended with the connection of its engine when it had hardly begun.
+        #[prost(message, tag = "1")]
+        Crashed(super::CrashedRun),
+        /// Id of a part that was a suspect; a run with it went well.
+        #[prost(string, tag = "2")]
+        SoundPart(::prost::alloc::string::String),
+    }
+}
+/// Run that ended with the connection of its engine when it had hardly begun.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct CrashedRun {
+    /// Id of the request.
+    #[prost(string, tag = "1")]
+    pub request_id: ::prost::alloc::string::String,
+    /// Id of the instance of the engine.
+    #[prost(string, tag = "2")]
+    pub engine_id: ::prost::alloc::string::String,
+    /// Start time of the engine in milliseconds since the Unix epoch; 0 if not known.
+    #[prost(uint64, tag = "3")]
+    pub engine_started_ms: u64,
+    /// Ids of the shared parts of the prompt that are suspects.
+    #[prost(string, repeated, tag = "4")]
+    pub parts: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+}
--- a/src/schema/bamboodoor.record.serde.rs
+++ b/src/schema/bamboodoor.record.serde.rs
@@ -715,6 +715,155 @@
         deserializer.deserialize_struct("bamboodoor.record.Completion", FIELDS, GeneratedVisitor)
     }
 }
+impl serde::Serialize for CrashedRun {
+    #[allow(deprecated)]
+    fn serialize<S>(&self, serializer: S) -> std::result::Result<S::Ok, S::Error>
+    where
+        S: serde::Serializer,
+    {
+        use serde::ser::SerializeStruct;
+        let mut len = 0;
+        if !self.request_id.is_empty() {
+            len += 1;
+        }
+        if !self.engine_id.is_empty() {
+            len += 1;
+        }
+        if self.engine_started_ms != 0 {
+            len += 1;
+        }
+        if !self.parts.is_empty() {
+            len += 1;
+        }
+        let mut struct_ser = serializer.serialize_struct("bamboodoor.record.CrashedRun", len)?;
+        if !self.request_id.is_empty() {
+            struct_ser.serialize_field("request_id", &self.request_id)?;
+        }
+        if !self.engine_id.is_empty() {
+            struct_ser.serialize_field("engine_id", &self.engine_id)?;
+        }
+        if self.engine_started_ms != 0 {
+            #[allow(clippy::needless_borrow)]
+            #[allow(clippy::needless_borrows_for_generic_args)]
+            struct_ser.serialize_field("engine_started_ms", ToString::to_string(&self.engine_started_ms).as_str())?;
+        }
+        if !self.parts.is_empty() {
+            struct_ser.serialize_field("parts", &self.parts)?;
+        }
+        struct_ser.end()
+    }
+}
+impl<'de> serde::Deserialize<'de> for CrashedRun {
+    #[allow(deprecated)]
+    fn deserialize<D>(deserializer: D) -> std::result::Result<Self, D::Error>
+    where
+        D: serde::Deserializer<'de>,
+    {
+        const FIELDS: &[&str] = &[
+            "request_id",
+            "requestId",
+            "engine_id",
+            "engineId",
+            "engine_started_ms",
+            "engineStartedMs",
+            "parts",
+        ];
+
+        #[allow(clippy::enum_variant_names)]
+        enum GeneratedField {
+            RequestId,
+            EngineId,
+            EngineStartedMs,
+            Parts,
+        }
+        impl<'de> serde::Deserialize<'de> for GeneratedField {
+            fn deserialize<D>(deserializer: D) -> std::result::Result<GeneratedField, D::Error>
+            where
+                D: serde::Deserializer<'de>,
+            {
+                struct GeneratedVisitor;
+
+                impl serde::de::Visitor<'_> for GeneratedVisitor {
+                    type Value = GeneratedField;
+
+                    fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                        write!(formatter, "expected one of: {:?}", &FIELDS)
+                    }
+
+                    #[allow(unused_variables)]
+                    fn visit_str<E>(self, value: &str) -> std::result::Result<GeneratedField, E>
+                    where
+                        E: serde::de::Error,
+                    {
+                        match value {
+                            "requestId" | "request_id" => Ok(GeneratedField::RequestId),
+                            "engineId" | "engine_id" => Ok(GeneratedField::EngineId),
+                            "engineStartedMs" | "engine_started_ms" => Ok(GeneratedField::EngineStartedMs),
+                            "parts" => Ok(GeneratedField::Parts),
+                            _ => Err(serde::de::Error::unknown_field(value, FIELDS)),
+                        }
+                    }
+                }
+                deserializer.deserialize_identifier(GeneratedVisitor)
+            }
+        }
+        struct GeneratedVisitor;
+        impl<'de> serde::de::Visitor<'de> for GeneratedVisitor {
+            type Value = CrashedRun;
+
+            fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                formatter.write_str("struct bamboodoor.record.CrashedRun")
+            }
+
+            fn visit_map<V>(self, mut map_: V) -> std::result::Result<CrashedRun, V::Error>
+                where
+                    V: serde::de::MapAccess<'de>,
+            {
+                let mut request_id__ = None;
+                let mut engine_id__ = None;
+                let mut engine_started_ms__ = None;
+                let mut parts__ = None;
+                while let Some(k) = map_.next_key()? {
+                    match k {
+                        GeneratedField::RequestId => {
+                            if request_id__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("requestId"));
+                            }
+                            request_id__ = Some(map_.next_value()?);
+                        }
+                        GeneratedField::EngineId => {
+                            if engine_id__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("engineId"));
+                            }
+                            engine_id__ = Some(map_.next_value()?);
+                        }
+                        GeneratedField::EngineStartedMs => {
+                            if engine_started_ms__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("engineStartedMs"));
+                            }
+                            engine_started_ms__ = 
+                                Some(map_.next_value::<::pbjson::private::NumberDeserialize<_>>()?.0)
+                            ;
+                        }
+                        GeneratedField::Parts => {
+                            if parts__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("parts"));
+                            }
+                            parts__ = Some(map_.next_value()?);
+                        }
+                    }
+                }
+                Ok(CrashedRun {
+                    request_id: request_id__.unwrap_or_default(),
+                    engine_id: engine_id__.unwrap_or_default(),
+                    engine_started_ms: engine_started_ms__.unwrap_or_default(),
+                    parts: parts__.unwrap_or_default(),
+                })
+            }
+        }
+        deserializer.deserialize_struct("bamboodoor.record.CrashedRun", FIELDS, GeneratedVisitor)
+    }
+}
 impl serde::Serialize for ManifestRecord {
     #[allow(deprecated)]
     fn serialize<S>(&self, serializer: S) -> std::result::Result<S::Ok, S::Error>
@@ -824,6 +973,206 @@
         deserializer.deserialize_struct("bamboodoor.record.ManifestRecord", FIELDS, GeneratedVisitor)
     }
 }
+impl serde::Serialize for PartReport {
+    #[allow(deprecated)]
+    fn serialize<S>(&self, serializer: S) -> std::result::Result<S::Ok, S::Error>
+    where
+        S: serde::Serializer,
+    {
+        use serde::ser::SerializeStruct;
+        let mut len = 0;
+        if self.kind.is_some() {
+            len += 1;
+        }
+        let mut struct_ser = serializer.serialize_struct("bamboodoor.record.PartReport", len)?;
+        if let Some(v) = self.kind.as_ref() {
+            match v {
+                part_report::Kind::Crashed(v) => {
+                    struct_ser.serialize_field("crashed", v)?;
+                }
+                part_report::Kind::SoundPart(v) => {
+                    struct_ser.serialize_field("sound_part", v)?;
+                }
+            }
+        }
+        struct_ser.end()
+    }
+}
+impl<'de> serde::Deserialize<'de> for PartReport {
+    #[allow(deprecated)]
+    fn deserialize<D>(deserializer: D) -> std::result::Result<Self, D::Error>
+    where
+        D: serde::Deserializer<'de>,
+    {
+        const FIELDS: &[&str] = &[
+            "crashed",
+            "sound_part",
+            "soundPart",
+        ];
+
+        #[allow(clippy::enum_variant_names)]
+        enum GeneratedField {
+            Crashed,
+            SoundPart,
+        }
+        impl<'de> serde::Deserialize<'de> for GeneratedField {
+            fn deserialize<D>(deserializer: D) -> std::result::Result<GeneratedField, D::Error>
+            where
+                D: serde::Deserializer<'de>,
+            {
+                struct GeneratedVisitor;
+
+                impl serde::de::Visitor<'_> for GeneratedVisitor {
+                    type Value = GeneratedField;
+
+                    fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                        write!(formatter, "expected one of: {:?}", &FIELDS)
+                    }
+
+                    #[allow(unused_variables)]
+                    fn visit_str<E>(self, value: &str) -> std::result::Result<GeneratedField, E>
+                    where
+                        E: serde::de::Error,
+                    {
+                        match value {
+                            "crashed" => Ok(GeneratedField::Crashed),
+                            "soundPart" | "sound_part" => Ok(GeneratedField::SoundPart),
+                            _ => Err(serde::de::Error::unknown_field(value, FIELDS)),
+                        }
+                    }
+                }
+                deserializer.deserialize_identifier(GeneratedVisitor)
+            }
+        }
+        struct GeneratedVisitor;
+        impl<'de> serde::de::Visitor<'de> for GeneratedVisitor {
+            type Value = PartReport;
+
+            fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                formatter.write_str("struct bamboodoor.record.PartReport")
+            }
+
+            fn visit_map<V>(self, mut map_: V) -> std::result::Result<PartReport, V::Error>
+                where
+                    V: serde::de::MapAccess<'de>,
+            {
+                let mut kind__ = None;
+                while let Some(k) = map_.next_key()? {
+                    match k {
+                        GeneratedField::Crashed => {
+                            if kind__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("crashed"));
+                            }
+                            kind__ = map_.next_value::<::std::option::Option<_>>()?.map(part_report::Kind::Crashed)
+;
+                        }
+                        GeneratedField::SoundPart => {
+                            if kind__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("soundPart"));
+                            }
+                            kind__ = map_.next_value::<::std::option::Option<_>>()?.map(part_report::Kind::SoundPart);
+                        }
+                    }
+                }
+                Ok(PartReport {
+                    kind: kind__,
+                })
+            }
+        }
+        deserializer.deserialize_struct("bamboodoor.record.PartReport", FIELDS, GeneratedVisitor)
+    }
+}
+impl serde::Serialize for PartReportBatch {
+    #[allow(deprecated)]
+    fn serialize<S>(&self, serializer: S) -> std::result::Result<S::Ok, S::Error>
+    where
+        S: serde::Serializer,
+    {
+        use serde::ser::SerializeStruct;
+        let mut len = 0;
+        if !self.reports.is_empty() {
+            len += 1;
+        }
+        let mut struct_ser = serializer.serialize_struct("bamboodoor.record.PartReportBatch", len)?;
+        if !self.reports.is_empty() {
+            struct_ser.serialize_field("reports", &self.reports)?;
+        }
+        struct_ser.end()
+    }
+}
+impl<'de> serde::Deserialize<'de> for PartReportBatch {
+    #[allow(deprecated)]
+    fn deserialize<D>(deserializer: D) -> std::result::Result<Self, D::Error>
+    where
+        D: serde::Deserializer<'de>,
+    {
+        const FIELDS: &[&str] = &[
+            "reports",
+        ];
+
+        #[allow(clippy::enum_variant_names)]
+        enum GeneratedField {
+            Reports,
+        }
+        impl<'de> serde::Deserialize<'de> for GeneratedField {
+            fn deserialize<D>(deserializer: D) -> std::result::Result<GeneratedField, D::Error>
+            where
+                D: serde::Deserializer<'de>,
+            {
+                struct GeneratedVisitor;
+
+                impl serde::de::Visitor<'_> for GeneratedVisitor {
+                    type Value = GeneratedField;
+
+                    fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                        write!(formatter, "expected one of: {:?}", &FIELDS)
+                    }
+
+                    #[allow(unused_variables)]
+                    fn visit_str<E>(self, value: &str) -> std::result::Result<GeneratedField, E>
+                    where
+                        E: serde::de::Error,
+                    {
+                        match value {
+                            "reports" => Ok(GeneratedField::Reports),
+                            _ => Err(serde::de::Error::unknown_field(value, FIELDS)),
+                        }
+                    }
+                }
+                deserializer.deserialize_identifier(GeneratedVisitor)
+            }
+        }
+        struct GeneratedVisitor;
+        impl<'de> serde::de::Visitor<'de> for GeneratedVisitor {
+            type Value = PartReportBatch;
+
+            fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                formatter.write_str("struct bamboodoor.record.PartReportBatch")
+            }
+
+            fn visit_map<V>(self, mut map_: V) -> std::result::Result<PartReportBatch, V::Error>
+                where
+                    V: serde::de::MapAccess<'de>,
+            {
+                let mut reports__ = None;
+                while let Some(k) = map_.next_key()? {
+                    match k {
+                        GeneratedField::Reports => {
+                            if reports__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("reports"));
+                            }
+                            reports__ = Some(map_.next_value()?);
+                        }
+                    }
+                }
+                Ok(PartReportBatch {
+                    reports: reports__.unwrap_or_default(),
+                })
+            }
+        }
+        deserializer.deserialize_struct("bamboodoor.record.PartReportBatch", FIELDS, GeneratedVisitor)
+    }
+}
 impl serde::Serialize for Publish {
     #[allow(deprecated)]
     fn serialize<S>(&self, serializer: S) -> std::result::Result<S::Ok, S::Error>
--- a/tests/core/simulation.rs
+++ b/tests/core/simulation.rs
@@ -136,8 +136,8 @@
 
 /// Reasons of an entry that connects to upstreams directly; `tests/router` reaches them
 /// (`rate_limited_engines`, `upstream_notice`, `software_versions`).
-const ROUTER_REASONS: [RefusalReason; 2] =
-    [RefusalReason::RateLimited, RefusalReason::VersionUnavailable];
+const ROUTER_REASONS: [RefusalReason; 3] =
+    [RefusalReason::RateLimited, RefusalReason::VersionUnavailable, RefusalReason::PoisonousPrompt];
 
 #[test]
 fn every_reason_for_refusal_or_retry_is_reached() {
--- a/tests/router/poison.rs
+++ b/tests/router/poison.rs
@@ -1,7 +1,13 @@
 //! Parts of prompts that crash engines.
 
+use std::time::Duration;
+
+use bamboodoor::outcome::Outcome;
+use bamboodoor::outcome::RefusalReason;
 use bamboodoor::router::Event;
 use bamboodoor::router::Step;
+use bamboodoor::router::poison::CrashedRun;
+use bamboodoor::router::poison::PartReport;
 use bamboodoor::router::request::IncomingRequest;
 use bamboodoor::router::request::PromptPartId;
 use bamboodoor::router::request::RequestKey;
@@ -28,54 +34,327 @@
     prefill.into_iter().chain(decode).collect()
 }
 
-/// Entries with virtual time, and a number for the next request.
+/// Entries in virtual time that share the log of the store.
 struct Fleet {
-    entry: Harness,
-    next_request: u32,
+    entries: Vec<Harness>,
+    /// Number of the last request that was started.
+    last_request: u32,
+}
+
+/// A request in flight at an entry.
+#[derive(Clone, Copy)]
+struct InFlight {
+    entry: usize,
+    key: RequestKey,
 }
 
 impl Fleet {
-    fn new() -> Self {
-        Self { entry: Harness::new(engines()), next_request: 0 }
+    /// Creates entries, of which the first is the one that tries poisonous parts.
+    fn new(entries: usize) -> Self {
+        let mut entries: Vec<Harness> = (0..entries).map(|_| Harness::new(engines())).collect();
+        entries[0].router.set_tries_poisonous_parts(true);
+        Self { entries, last_request: 0 }
+    }
+
+    fn wait(&mut self, pause: Duration) {
+        for entry in &mut self.entries {
+            entry.now += pause;
+        }
     }
 
-    /// Starts a request on `/stream/1` whose prompt has these shared parts.
-    fn start(&mut self, parts: &[&str]) -> (RequestKey, Step) {
-        self.next_request += 1;
-        let id = format!("r{}", self.next_request).into();
+    /// Appends the reports of all entries to the log, which all entries read.
+    fn share_reports(&mut self) {
+        let reports: Vec<PartReport> = self
+            .entries
+            .iter_mut()
+            .flat_map(|entry| entry.router.take_unsent_part_reports())
+            .collect();
+        for entry in &mut self.entries {
+            entry.router.record_part_reports(entry.now, reports.clone());
+        }
+    }
+
+    /// Starts a request at an entry, on `/resumable/1`, whose prompt has these shared parts.
+    fn start(&mut self, entry: usize, parts: &[&str]) -> (InFlight, Step) {
+        self.last_request += 1;
+        let id = format!("r{}", self.last_request).into();
         let shared_parts = parts.iter().map(|&part| PromptPartId(part.into())).collect();
-        self.entry.now += ms(100);
-        self.entry.start(IncomingRequest { id, shared_parts, ..incoming("/stream/1") })
+        let request = IncomingRequest { id, shared_parts, ..incoming("/resumable/1") };
+        let (key, step) = self.entries[entry].start(request);
+        (InFlight { entry, key }, step)
     }
 
-    /// Starts a request and reports its steps until the response starts. Returns its key, or
-    /// `None` if it was refused.
-    fn run(&mut self, parts: &[&str]) -> Option<RequestKey> {
-        let (key, step) = self.start(parts);
-        if matches!(step, Step::Refuse(_)) {
-            self.entry.router.finish(key);
+    /// Starts a request and reports its steps until the response starts; `None` if it was refused.
+    fn run(&mut self, entry: usize, parts: &[&str]) -> Option<InFlight> {
+        self.wait(ms(100));
+        let (request, step) = self.start(entry, parts);
+        if let Step::Refuse(refusal) = step {
+            assert_eq!(refusal.reason, RefusalReason::PoisonousPrompt);
+            assert_eq!(refusal.outcome, Outcome::NotRun);
+            self.finish(request);
             return None;
         }
-        self.entry.report(key, reserved());
-        let step = self.entry.report(key, Event::Prefilled { handle: "handle".into() });
+        self.respond(request);
+        Some(request)
+    }
+
+    /// Reports the steps of a request after its reservation was sent, until the response starts.
+    fn respond(&mut self, request: InFlight) {
+        self.report(request, reserved());
+        let step = self.report(request, Event::Prefilled { handle: "handle".into() });
         assert!(matches!(step, Step::Decode { .. }), "{step:?}");
-        self.entry.report(key, Event::ResponseStarted { status: 200 });
-        Some(key)
+        self.report(request, Event::ResponseStarted { status: 200 });
+    }
+
+    fn report(&mut self, request: InFlight, event: Event) -> Step {
+        self.entries[request.entry].report(request.key, event)
+    }
+
+    fn events(&mut self, request: InFlight, events: u32) {
+        let entry = &mut self.entries[request.entry];
+        for _ in 0..events {
+            entry.router.record_event(entry.now, request.key);
+        }
+    }
+
+    fn finish(&mut self, request: InFlight) {
+        self.entries[request.entry].router.finish(request.key);
+    }
+
+    /// Has the engine of a request crash and start again. The caller does not wait for a retry.
+    fn end_connection(&mut self, request: InFlight) {
+        let engine = self.entries[request.entry].router.request(request.key);
+        let engine_id = engine.expect("the request is in flight").upstream_id();
+        self.report(request, Event::ResponseInterrupted { last_event: None });
+        self.finish(request);
+        self.share_reports();
+        let started_ms = 1_000 + u64::from(self.last_request);
+        let restarted = upstream(&engine_id, ENGINES, PoolRole::Decode);
+        for entry in &mut self.entries {
+            entry.list_upstream(ListedUpstream { started_ms, ..restarted.clone() });
+        }
     }
 
     /// Runs a request whose engine crashes when it begins to generate. Returns false if the
     /// request was refused.
-    fn crash(&mut self, parts: &[&str]) -> bool {
-        let Some(key) = self.run(parts) else { return false };
-        self.entry.report(key, Event::ResponseInterrupted { last_event: None });
-        self.entry.router.finish(key);
+    fn crash(&mut self, entry: usize, parts: &[&str]) -> bool {
+        let request = self.run(entry, parts);
+        request.map(|request| self.end_connection(request)).is_some()
+    }
+
+    /// Runs a request that is served. Returns false if it was refused.
+    fn serve(&mut self, entry: usize, parts: &[&str]) -> bool {
+        let Some(request) = self.run(entry, parts) else { return false };
+        self.events(request, 10);
+        self.finish(request);
+        self.share_reports();
         true
     }
+
+    /// Runs requests with the poisonous part until it is poisonous.
+    fn poison(&mut self) {
+        while self.crash(self.last_request as usize % self.entries.len(), &[COMMON, POISON]) {
+            assert!(self.last_request < 20, "the part is never poisonous");
+        }
+    }
 }
 
 #[test]
 fn requests_with_a_part_that_crashes_engines_are_refused_after_five_crashes() {
-    let mut fleet = Fleet::new();
-    let sent = (0..20).filter(|_| fleet.crash(&[COMMON, POISON])).count();
+    let mut fleet = Fleet::new(1);
+    let sent = (0..20).filter(|_| fleet.crash(0, &[COMMON, POISON])).count();
+    assert!(sent <= 5, "{sent} requests were sent");
+}
+
+#[test]
+fn entries_that_see_one_crash_each_learn_of_the_others() {
+    let mut fleet = Fleet::new(20);
+    let sent = (0..20).filter(|&entry| fleet.crash(entry, &[COMMON, POISON])).count();
+    assert!(sent <= 5, "{sent} requests were sent");
+}
+
+/// Requests that have only harmless parts in common with the crashed ones are served.
+#[test]
+fn requests_that_share_the_other_parts_are_served() {
+    let mut fleet = Fleet::new(3);
+    fleet.poison();
+    for entry in 0..3 {
+        assert!(fleet.serve(entry, &[COMMON]));
+        assert!(fleet.serve(entry, &[COMMON, "e0"]));
+        assert!(!fleet.crash(entry, &[COMMON, POISON]));
+    }
+}
+
+#[test]
+fn the_part_is_found_whatever_else_the_prompts_hold() {
+    let mut fleet = Fleet::new(5);
+    let mut sent = 0;
+    for number in 0..20_usize {
+        let other = format!("o{number}");
+        sent += usize::from(fleet.crash(number % 5, &[&other, POISON, "e0"]));
+        fleet.serve(number % 5, &["e0"]);
+    }
     assert!(sent <= 5, "{sent} requests were sent");
+    assert!(fleet.serve(0, &["o0"]) && fleet.serve(1, &["o1", "e0"]));
+}
+
+/// The first crashes all have the common part; the next request with the poisonous one has not.
+#[test]
+fn a_part_that_had_always_the_same_company_costs_one_more_crash_without_it() {
+    let mut fleet = Fleet::new(5);
+    fleet.poison();
+    let sent = (0..20).filter(|&number| fleet.crash(number % 5, &["o1", POISON])).count();
+    assert!(sent <= 1, "{sent} requests were sent");
+}
+
+#[test]
+fn an_entry_that_starts_late_learns_the_part_from_the_log() {
+    let mut fleet = Fleet::new(2);
+    let mut log = Vec::new();
+    while fleet.crash(0, &[COMMON, POISON]) {
+        log.push(PartReport::Crashed(CrashedRun {
+            request_id: format!("r{}", fleet.last_request).into(),
+            engine_id: format!("d{}", fleet.last_request).into(),
+            engine_started_ms: 1,
+            parts: vec![PromptPartId(COMMON.into()), PromptPartId(POISON.into())],
+        }));
+    }
+    let mut late = Harness::new(engines());
+    late.router.record_part_reports(late.now, log);
+    let shared_parts = vec![PromptPartId(COMMON.into()), PromptPartId(POISON.into())];
+    let (_, step) = late.start(IncomingRequest { shared_parts, ..incoming("/stream/1") });
+    assert!(matches!(step, Step::Refuse(_)), "{step:?}");
+}
+
+/// Sound streams end with their engine, too, when others crash it.
+#[test]
+fn parts_of_streams_that_had_begun_to_arrive_are_harmless() {
+    let mut fleet = Fleet::new(2);
+    for number in 0..6 {
+        let request = fleet.run(number % 2, &["e0"]).expect("the request is not refused");
+        fleet.events(request, 4);
+        fleet.end_connection(request);
+    }
+    assert!(fleet.serve(0, &["e0"]));
+}
+
+#[test]
+fn a_part_that_went_well_elsewhere_in_the_meantime_is_harmless() {
+    let mut fleet = Fleet::new(3);
+    for _ in 0..2 {
+        assert!(fleet.crash(0, &[COMMON]));
+    }
+    assert!(fleet.serve(2, &[COMMON]));
+    for _ in 0..2 {
+        assert!(fleet.crash(1, &[COMMON]));
+    }
+    assert!(fleet.serve(0, &[COMMON]) && fleet.serve(1, &[COMMON]));
+}
+
+#[test]
+fn a_short_stream_that_is_complete_shows_that_its_parts_are_harmless() {
+    let mut fleet = Fleet::new(1);
+    for _ in 0..2 {
+        assert!(fleet.crash(0, &[COMMON]));
+    }
+    let request = fleet.run(0, &[COMMON]).expect("the request is not refused");
+    fleet.events(request, 1);
+    let entry = &mut fleet.entries[0];
+    entry.router.record_complete_stream(entry.now, request.key);
+    fleet.finish(request);
+    assert!(fleet.crash(0, &[COMMON]));
+    assert!(fleet.serve(0, &[COMMON]));
+}
+
+/// All engines crash at once, before a run went well: the runs that go on clear the part.
+#[test]
+fn a_part_of_all_requests_is_harmless_once_one_of_them_goes_on() {
+    let mut fleet = Fleet::new(2);
+    let requests: Vec<InFlight> =
+        (0..10).filter_map(|number| fleet.run(number % 2, &[COMMON])).collect();
+    let (crashed, sound) = requests.split_at(9);
+    for request in crashed {
+        fleet.end_connection(*request);
+    }
+    assert!(!fleet.crash(0, &[COMMON]));
+    fleet.events(sound[0], 4);
+    fleet.share_reports();
+    assert!(fleet.serve(0, &[COMMON]) && fleet.serve(1, &[COMMON]));
+}
+
+#[test]
+fn retries_of_one_request_do_not_make_its_part_poisonous() {
+    let mut fleet = Fleet::new(1);
+    let request = fleet.run(0, &["e0"]).expect("the request is not refused");
+    let step = fleet.report(request, Event::ResponseInterrupted { last_event: None });
+    assert!(matches!(step, Step::Reserve { .. }), "{step:?}");
+    fleet.respond(request);
+    fleet.end_connection(request);
+    assert!(fleet.serve(0, &["e0"]));
+}
+
+#[test]
+fn a_stream_with_a_poisonous_part_does_not_run_again() {
+    let mut fleet = Fleet::new(2);
+    let request = fleet.run(0, &[COMMON, POISON]).expect("the request is not refused");
+    fleet.poison();
+    let step = fleet.report(request, Event::ResponseInterrupted { last_event: None });
+    assert_eq!(step, Step::Abort);
+}
+
+/// Cases: events after the start of a request during which its part becomes poisonous. It is
+/// refused as not run, and what it holds is released.
+macro_rules! refused_in_flight {
+    ($($name:ident: $events:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut fleet = Fleet::new(2);
+            let (request, _) = fleet.start(0, &[COMMON, POISON]);
+            let events: Vec<Event> = $events;
+            let (last, before) = events.split_last().expect("there is an event");
+            for event in before {
+                fleet.report(request, event.clone());
+            }
+            while fleet.crash(1, &[COMMON, POISON]) {}
+            let Step::Refuse(refusal) = fleet.report(request, last.clone()) else {
+                panic!("the request is not refused");
+            };
+            assert_eq!(refusal.reason, RefusalReason::PoisonousPrompt);
+            assert_eq!(refusal.outcome, Outcome::NotRun);
+            fleet.finish(request);
+            let router = &mut fleet.entries[0].router;
+            assert_eq!(router.take_cleanups().len(), events.len());
+            let held = router.upstreams().service_upstreams(ENGINES);
+            let held = held.map(|(_, engine)| engine.open_tokens + engine.prefilling_tokens);
+            assert_eq!(held.sum::<u64>(), 0);
+        }
+    )*};
+}
+
+refused_in_flight! {
+    a_request_with_a_reservation_is_refused_before_its_prefill: vec![reserved()];
+    a_request_that_is_prefilled_is_refused_before_its_decode:
+        vec![reserved(), Event::Prefilled { handle: "handle".into() }];
+}
+
+/// A request whose part still crashes engines may be tried again, by one entry and rarely.
+#[test]
+fn a_part_that_still_crashes_engines_is_tried_at_most_three_times_in_two_minutes() {
+    let mut fleet = Fleet::new(5);
+    fleet.poison();
+    let sent = (0..1_200_usize).filter(|number| fleet.crash(number % 5, &[COMMON, POISON]));
+    let sent = sent.count();
+    assert!((1..=3).contains(&sent), "{sent} requests were sent");
+}
+
+#[test]
+fn a_part_that_crashes_engines_no_more_is_served_again_after_a_trial() {
+    let mut fleet = Fleet::new(5);
+    fleet.poison();
+    fleet.wait(Duration::from_secs(16));
+    assert!(!fleet.serve(1, &[COMMON, POISON]));
+    assert!(fleet.serve(0, &[COMMON, POISON]));
+    for entry in 0..5 {
+        assert!(fleet.serve(entry, &[COMMON, POISON]));
+    }
 }
