A harmless part of a single crashed run is not taken for the poisonous one

The new process test showed it: a sound request that crashed once beside the poisonous ones, as streams do that had just begun when another request crashed their engine, made their common first part poisonous, as no longer all of its crashes had the poisonous part beside it. Sound requests were then refused until a trial. Crashes that another part may explain do not count now, and two others must be left (before: none had to be explained by one and the same part). A part that always had the same company costs two crashes more without it instead of one; three are allowed. a_harmless_part_of_one_more_crashed_run_is_not_to_blame and the process test failed before. Crashed runs without a poisonous part are remembered for 60 s instead of 600 s.

--- a/src/router/poison.rs
+++ b/src/router/poison.rs
@@ -3,9 +3,9 @@
 //! A run that ends with the connection of its engine, before it has sent more than a few
 //! events, makes the shared parts of its prompt suspects. Entries tell each other of such runs
 //! through a log of the store, as each sees only some of the crashes. A part is poisonous once
-//! engines have crashed under enough runs with it while none went well. A part that was always
-//! accompanied by another suspect is not to blame without that one, so that prompts that share
-//! only harmless parts with the crashed ones are served.
+//! engines have crashed under enough runs with it while none went well. Crashes that another part
+//! may explain do not count for prompts without that part, so that prompts that share only
+//! harmless parts with the crashed ones are served.
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -24,13 +24,18 @@
 pub const MIN_SOUND_EVENTS: u32 = 4;
 /// Crashed engines from which on a part is poisonous.
 const MIN_CRASHED_ENGINES: usize = 3;
+/// Engines that must have crashed under a part without another part that may have been the
+/// reason.
+const MIN_UNEXPLAINED_ENGINES: usize = 2;
 /// Requests that must have been among the crashed runs, so that the retries of one request
 /// do not suffice.
 const MIN_CRASHED_REQUESTS: usize = 2;
 /// Time for which a part is harmless after a run with it went well, whatever crashes.
 const SOUND_HOLD: Duration = Duration::from_secs(3);
 /// Time for which crashed runs are remembered.
-const RETENTION: Duration = Duration::from_secs(600);
+const RETENTION: Duration = Duration::from_secs(60);
+/// Time for which crashed runs with a poisonous part are remembered.
+const POISONOUS_RETENTION: Duration = Duration::from_secs(600);
 /// Largest number of crashed runs that are remembered.
 const MAX_CRASHED_RUNS: usize = 256;
 /// Time after which a poisonous part is tried again for the first time. It doubles with each
@@ -212,27 +217,33 @@
     /// be poisonous.
     fn trial_schedule(&mut self, now: Duration, part: &PromptPartId) -> &mut TrialSchedule {
         if !self.trials.contains_key(part) {
-            let crashed_engines = self.crashed_engines(part);
+            let crashed_engines = crashed_engines(self.suspects(part));
             self.changes.push(PartChange::Poisonous { part: part.clone(), crashed_engines });
         }
         let first = TrialSchedule { next_at: now + FIRST_TRIAL_AFTER, interval: FIRST_TRIAL_AFTER };
         self.trials.entry(part.clone()).or_insert(first)
     }
 
-    /// True if a part is poisonous for a request with these parts.
+    /// True if a part is poisonous for a request with these parts: enough engines crashed under
+    /// it, and some of these crashes have no other explanation.
     fn is_poisonous(&self, now: Duration, part: &PromptPartId, parts: &[PromptPartId]) -> bool {
-        let requests: HashSet<_> = self.suspects(part).map(|run| &run.request_id).collect();
-        requests.len() >= MIN_CRASHED_REQUESTS
-            && self.crashed_engines(part) >= MIN_CRASHED_ENGINES
-            && !self.is_held_sound(now, part)
-            && !self.has_accomplice(part, parts)
+        if !self.has_crashed_enough(part) || self.is_held_sound(now, part) {
+            return false;
+        }
+        let unexplained = self.suspects(part).filter(|run| !self.is_explained(run, parts));
+        crashed_engines(unexplained) >= MIN_UNEXPLAINED_ENGINES
     }
 
-    /// True if another suspect that is not among `parts` was in all crashed runs with the part.
-    fn has_accomplice(&self, part: &PromptPartId, parts: &[PromptPartId]) -> bool {
-        let Some(first) = self.suspects(part).next() else { return false };
-        let mut others = first.parts.iter().filter(|other| !parts.contains(other));
-        others.any(|other| self.suspects(part).all(|run| run.parts.contains(other)))
+    /// True if a crash may be due to a part that a request with `parts` does not have.
+    fn is_explained(&self, run: &CrashedRun, parts: &[PromptPartId]) -> bool {
+        let mut others = run.parts.iter().filter(|other| !parts.contains(other));
+        others.any(|other| self.has_crashed_enough(other))
+    }
+
+    fn has_crashed_enough(&self, part: &PromptPartId) -> bool {
+        let requests: HashSet<_> = self.suspects(part).map(|run| &run.request_id).collect();
+        requests.len() >= MIN_CRASHED_REQUESTS
+            && crashed_engines(self.suspects(part)) >= MIN_CRASHED_ENGINES
     }
 
     /// Crashed runs with a part, since a run with it last went well.
@@ -241,11 +252,6 @@
         runs.filter(move |run| run.parts.contains(part))
     }
 
-    fn crashed_engines(&self, part: &PromptPartId) -> usize {
-        let engines = self.suspects(part).map(|run| (&run.engine_id, run.engine_started_ms));
-        engines.collect::<HashSet<_>>().len()
-    }
-
     fn is_held_sound(&self, now: Duration, part: &PromptPartId) -> bool {
         self.sound_at.get(part).is_some_and(|sound_at| now < *sound_at + SOUND_HOLD)
     }
@@ -273,7 +279,12 @@
     }
 
     fn forget_old_runs(&mut self, now: Duration) {
-        self.crashed.retain(|crashed| now < crashed.recorded_at + RETENTION);
+        let trials = &self.trials;
+        self.crashed.retain(|crashed| {
+            let poisonous = crashed.run.parts.iter().any(|part| trials.contains_key(part));
+            let retention = if poisonous { POISONOUS_RETENTION } else { RETENTION };
+            now < crashed.recorded_at + retention
+        });
         let crashed = &self.crashed;
         self.trials.retain(|part, _| crashed.iter().any(|it| it.run.parts.contains(part)));
     }
@@ -294,6 +305,11 @@
     }
 }
 
+/// Number of different engines of crashed runs.
+fn crashed_engines<'a>(runs: impl Iterator<Item = &'a CrashedRun>) -> usize {
+    runs.map(|run| (&run.engine_id, run.engine_started_ms)).collect::<HashSet<_>>().len()
+}
+
 impl Router {
     /// Sets whether this entry is the one of all entries that tries poisonous parts of prompts
     /// again. One entry at a time should be, such as the holder of the lease.
