Poisonous prompts: a failed trial does not run again, callers are asked to wait, no retry is paid for

A resumable request that was let through as a trial ran again after it had crashed its engine; at entries that try nothing, Retry-After was 0 once the trial was overdue, so that callers came back at once; and an interrupted poisonous stream took sends out of the retry budget for a run that it does not get. Two of three new tests failed before; the third (the budget) passed already, as its case did not exhaust the budget.

--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -373,6 +373,9 @@
             self.upstreams.record_failure(now, target.key);
             self.record_crashed_run(now, key, &target);
         }
+        if let Some(end) = self.end_if_poisonous(now, key) {
+            return end;
+        }
         if resumable && self.try_spend_rerun(now, key) {
             return self.queue_for_reservation(now, key);
         }
--- a/src/router/poison.rs
+++ b/src/router/poison.rs
@@ -19,6 +19,7 @@
 use crate::router::flow::Target;
 use crate::router::request::PromptPartId;
 use crate::router::request::RequestKey;
+use crate::router::reserving::CAPACITY_RETRY_AFTER;
 
 /// Events after which a run shows that the parts of its prompt are harmless.
 pub const MIN_SOUND_EVENTS: u32 = 4;
@@ -341,10 +342,11 @@
     /// Records that a run ended with the connection of its engine. Its parts become suspects if
     /// it had hardly begun to generate.
     pub(super) fn record_crashed_run(&mut self, now: Duration, key: RequestKey, engine: &Target) {
-        let request = &self.requests[key];
+        let request = &mut self.requests[key];
         if request.run_events >= MIN_SOUND_EVENTS || request.shared_parts.is_empty() {
             return;
         }
+        request.is_trial = false;
         let started_ms = self.upstreams.get(engine.key).map(|engine| engine.listed.started_ms);
         let run = CrashedRun {
             request_id: request.id.clone(),
@@ -391,6 +393,7 @@
             }
             Verdict::Poisonous { retry_after } => {
                 let reason = RefusalReason::PoisonousPrompt;
+                let retry_after = retry_after.max(CAPACITY_RETRY_AFTER);
                 Some(Step::Refuse(self.refusal(now, key, reason, retry_after)))
             }
         }
--- a/tests/router/poison.rs
+++ b/tests/router/poison.rs
@@ -368,3 +368,37 @@
         assert!(fleet.serve(entry, &[COMMON, POISON]));
     }
 }
+
+#[test]
+fn a_trial_that_crashes_its_engine_does_not_run_again() {
+    let mut fleet = Fleet::new(1);
+    fleet.poison();
+    fleet.wait(Duration::from_secs(16));
+    let request = fleet.run(0, &[COMMON, POISON]).expect("the request is a trial");
+    let step = fleet.report(request, Event::ResponseInterrupted { last_event: None });
+    assert_eq!(step, Step::Abort);
+}
+
+/// Only one entry tries the part; at the others no trial is due, however long they wait.
+#[test]
+fn callers_are_asked_to_wait_also_where_a_trial_is_overdue() {
+    let mut fleet = Fleet::new(2);
+    fleet.poison();
+    fleet.wait(Duration::from_secs(40));
+    let (_, step) = fleet.start(1, &[COMMON, POISON]);
+    let Step::Refuse(refusal) = step else { panic!("the request is not refused") };
+    assert!(refusal.retry_after.is_some_and(|wait| wait >= Duration::from_secs(2)), "{refusal:?}");
+}
+
+#[test]
+fn a_poisoned_stream_that_does_not_run_again_takes_nothing_out_of_the_retry_budget() {
+    let mut fleet = Fleet::new(1);
+    let poisoned: Vec<InFlight> = (0..12).filter_map(|_| fleet.run(0, &[COMMON, POISON])).collect();
+    for request in poisoned {
+        fleet.end_connection(request);
+    }
+    let sound = fleet.run(0, &[COMMON]).expect("the request is not refused");
+    fleet.events(sound, 10);
+    let step = fleet.report(sound, Event::ResponseInterrupted { last_event: Some(10) });
+    assert!(matches!(step, Step::Reserve { .. }), "{step:?}");
+}
