Reports about parts of prompts carry their time

An entry that starts reads the whole log and took reports of minutes ago for new ones: it alone would have refused a part that the others had forgotten or served again, for ten minutes. Batches carry the time of day at which they were written; reports of more than 300 s ago are not believed, and that is how long all crashed runs are remembered.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -3,6 +3,8 @@
 
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 /// A monotonic clock that counts from an arbitrary fixed start.
 pub trait Clock: Send + Sync + 'static {
@@ -68,3 +70,8 @@
 pub fn from_ms(ms: impl Into<u64>) -> Duration {
     Duration::from_millis(ms.into())
 }
+
+/// Returns the time of day as the time since the Unix epoch; zero before it. It may jump.
+pub fn unix_time() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -7,8 +7,6 @@
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use argh::FromArgs;
 use tokio::net::TcpListener;
@@ -59,7 +57,7 @@
 /// since the Unix epoch, so a later start has a higher number unless the system
 /// clock was set back. Returns 0 if the clock is before 1970.
 pub fn new_incarnation() -> u64 {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let since_epoch = crate::clock::unix_time();
     since_epoch.as_micros() as u64
 }
 
--- a/src/edge/direct/part_log.rs
+++ b/src/edge/direct/part_log.rs
@@ -8,6 +8,8 @@
 use prost::Message;
 use tokio::sync::Notify;
 
+use crate::clock::as_ms;
+use crate::clock::unix_time;
 use crate::edge::direct::dispatch::Dispatcher;
 use crate::edge::direct::store_follower::EntryLog;
 use crate::edge::direct::store_follower::Store;
@@ -110,8 +112,12 @@
         }
         page => page?,
     };
-    let reports = page.records.into_iter().flat_map(decode).collect();
-    dispatcher.router.borrow_mut().record_part_reports(dispatcher.now(), reports);
+    for record in page.records {
+        let (reports, age) = decode(record);
+        let now = dispatcher.now();
+        let reported_at = now.saturating_sub(age);
+        dispatcher.router.borrow_mut().record_part_reports(now, reported_at, reports);
+    }
     position.next_offset = page.next_offset;
     Ok(())
 }
@@ -152,16 +158,20 @@
             PartReport::Sound(part) => record::part_report::Kind::SoundPart(part.0.into()),
         }),
     });
-    record::PartReportBatch { reports: reports.collect() }.encode_to_vec().into()
+    let written_unix_ms = as_ms(unix_time());
+    record::PartReportBatch { reports: reports.collect(), written_unix_ms }.encode_to_vec().into()
 }
 
-/// Decodes a record; one that is not valid holds no reports.
-fn decode(record: Bytes) -> Vec<PartReport> {
+/// Decodes a record and returns its reports and their age; one that is not valid holds no
+/// reports.
+fn decode(record: Bytes) -> (Vec<PartReport>, Duration) {
     let batch = record::PartReportBatch::decode(record).unwrap_or_else(|error| {
         spdlog::warn!("part-reports-unreadable", kv: { detail: = error });
         record::PartReportBatch::default()
     });
-    batch.reports.into_iter().filter_map(|report| report.kind).map(decode_report).collect()
+    let age = unix_time().saturating_sub(Duration::from_millis(batch.written_unix_ms));
+    let reports = batch.reports.into_iter().filter_map(|report| report.kind).map(decode_report);
+    (reports.collect(), age)
 }
 
 fn decode_report(kind: record::part_report::Kind) -> PartReport {
--- a/src/router/poison.rs
+++ b/src/router/poison.rs
@@ -34,9 +34,7 @@
 /// Time for which a part is harmless after a run with it went well, whatever crashes.
 const SOUND_HOLD: Duration = Duration::from_secs(3);
 /// Time for which crashed runs are remembered.
-const RETENTION: Duration = Duration::from_secs(60);
-/// Time for which crashed runs with a poisonous part are remembered.
-const POISONOUS_RETENTION: Duration = Duration::from_secs(600);
+const RETENTION: Duration = Duration::from_secs(300);
 /// Largest number of crashed runs that are remembered.
 const MAX_CRASHED_RUNS: usize = 256;
 /// Time after which a poisonous part is tried again for the first time. It doubles with each
@@ -115,7 +113,7 @@
 #[derive(Debug)]
 struct RememberedRun {
     run: CrashedRun,
-    recorded_at: Duration,
+    reported_at: Duration,
 }
 
 /// When a poisonous part is tried again.
@@ -155,7 +153,7 @@
 
     /// Records a crashed run of this entry and has it reported.
     pub fn record_crash(&mut self, now: Duration, run: CrashedRun) {
-        if let Some(run) = self.remember(now, run) {
+        if let Some(run) = self.remember(now, now, run) {
             self.unsent.push(PartReport::Crashed(run));
         }
     }
@@ -163,21 +161,26 @@
     /// Records that a run of this entry went well, and has it reported if a part was a suspect.
     pub fn record_sound_run(&mut self, now: Duration, parts: &[PromptPartId]) {
         for part in parts {
-            if self.record_sound(now, part) {
+            if self.record_sound(now, now, part) {
                 self.unsent.push(PartReport::Sound(part.clone()));
             }
         }
     }
 
-    /// Records reports of all entries, this one included.
-    pub fn record_reports(&mut self, now: Duration, reports: Vec<PartReport>) {
+    /// Records reports of an entry, perhaps this one, that were made at `reported_at`.
+    pub fn record_reports(
+        &mut self,
+        now: Duration,
+        reported_at: Duration,
+        reports: Vec<PartReport>,
+    ) {
         for report in reports {
             match report {
                 PartReport::Crashed(run) => {
-                    self.remember(now, run);
+                    self.remember(now, reported_at, run);
                 }
                 PartReport::Sound(part) => {
-                    self.record_sound(now, &part);
+                    self.record_sound(now, reported_at, &part);
                 }
             }
         }
@@ -259,18 +262,24 @@
 
     /// Remembers a crashed run and returns it with the parts that are suspects; `None` if there
     /// are none or it is known.
-    fn remember(&mut self, now: Duration, run: CrashedRun) -> Option<CrashedRun> {
+    fn remember(
+        &mut self,
+        now: Duration,
+        reported_at: Duration,
+        run: CrashedRun,
+    ) -> Option<CrashedRun> {
         self.forget_old_runs(now);
         let mut run = run;
         run.parts.retain(|part| !self.is_held_sound(now, part));
         let is_known = self.crashed.iter().any(|crashed| crashed.run.is_same_run(&run));
-        if is_known || run.parts.is_empty() {
+        let is_old = now >= reported_at + RETENTION;
+        if is_known || is_old || run.parts.is_empty() {
             return None;
         }
         if self.crashed.len() == MAX_CRASHED_RUNS {
             self.crashed.remove(0);
         }
-        self.crashed.push(RememberedRun { run: run.clone(), recorded_at: now });
+        self.crashed.push(RememberedRun { run: run.clone(), reported_at });
         for part in &run.parts {
             if self.is_poisonous(now, part, &run.parts) {
                 self.trial_schedule(now, part);
@@ -280,20 +289,15 @@
     }
 
     fn forget_old_runs(&mut self, now: Duration) {
-        let trials = &self.trials;
-        self.crashed.retain(|crashed| {
-            let poisonous = crashed.run.parts.iter().any(|part| trials.contains_key(part));
-            let retention = if poisonous { POISONOUS_RETENTION } else { RETENTION };
-            now < crashed.recorded_at + retention
-        });
+        self.crashed.retain(|crashed| now < crashed.reported_at + RETENTION);
         let crashed = &self.crashed;
         self.trials.retain(|part, _| crashed.iter().any(|it| it.run.parts.contains(part)));
     }
 
-    /// Records that a part is harmless. Returns true if it was a suspect.
-    fn record_sound(&mut self, now: Duration, part: &PromptPartId) -> bool {
+    /// Records that a part was harmless at `sound_at`. Returns true if it was a suspect.
+    fn record_sound(&mut self, now: Duration, sound_at: Duration, part: &PromptPartId) -> bool {
         self.sound_at.retain(|_, sound_at| now < *sound_at + SOUND_HOLD);
-        self.sound_at.insert(part.clone(), now);
+        self.sound_at.insert(part.clone(), sound_at);
         if self.trials.remove(part).is_some() {
             self.changes.push(PartChange::Sound { part: part.clone() });
         }
@@ -329,9 +333,15 @@
         self.part_health.has_unsent()
     }
 
-    /// Records reports of all entries that were read from the log of the store.
-    pub fn record_part_reports(&mut self, now: Duration, reports: Vec<PartReport>) {
-        self.part_health.record_reports(now, reports);
+    /// Records reports of an entry that were read from the log of the store.
+    /// They were made at `reported_at`.
+    pub fn record_part_reports(
+        &mut self,
+        now: Duration,
+        reported_at: Duration,
+        reports: Vec<PartReport>,
+    ) {
+        self.part_health.record_reports(now, reported_at, reports);
     }
 
     /// Returns what has changed about parts of prompts since the last call.
--- a/src/schema/bamboodoor.record.rs
+++ b/src/schema/bamboodoor.record.rs
@@ -142,6 +142,9 @@
     /// Reports in the order in which the entry made them.
     #[prost(message, repeated, tag = "1")]
     pub reports: ::prost::alloc::vec::Vec<PartReport>,
+    /// When the batch was written, in milliseconds since the Unix epoch.
+    #[prost(uint64, tag = "2")]
+    pub written_unix_ms: u64,
 }
 /// What an entry has found out about parts of prompts.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/src/schema/bamboodoor.record.serde.rs
+++ b/src/schema/bamboodoor.record.serde.rs
@@ -1093,10 +1093,18 @@
         if !self.reports.is_empty() {
             len += 1;
         }
+        if self.written_unix_ms != 0 {
+            len += 1;
+        }
         let mut struct_ser = serializer.serialize_struct("bamboodoor.record.PartReportBatch", len)?;
         if !self.reports.is_empty() {
             struct_ser.serialize_field("reports", &self.reports)?;
         }
+        if self.written_unix_ms != 0 {
+            #[allow(clippy::needless_borrow)]
+            #[allow(clippy::needless_borrows_for_generic_args)]
+            struct_ser.serialize_field("written_unix_ms", ToString::to_string(&self.written_unix_ms).as_str())?;
+        }
         struct_ser.end()
     }
 }
@@ -1108,11 +1116,14 @@
     {
         const FIELDS: &[&str] = &[
             "reports",
+            "written_unix_ms",
+            "writtenUnixMs",
         ];
 
         #[allow(clippy::enum_variant_names)]
         enum GeneratedField {
             Reports,
+            WrittenUnixMs,
         }
         impl<'de> serde::Deserialize<'de> for GeneratedField {
             fn deserialize<D>(deserializer: D) -> std::result::Result<GeneratedField, D::Error>
@@ -1135,6 +1146,7 @@
                     {
                         match value {
                             "reports" => Ok(GeneratedField::Reports),
+                            "writtenUnixMs" | "written_unix_ms" => Ok(GeneratedField::WrittenUnixMs),
                             _ => Err(serde::de::Error::unknown_field(value, FIELDS)),
                         }
                     }
@@ -1155,6 +1167,7 @@
                     V: serde::de::MapAccess<'de>,
             {
                 let mut reports__ = None;
+                let mut written_unix_ms__ = None;
                 while let Some(k) = map_.next_key()? {
                     match k {
                         GeneratedField::Reports => {
@@ -1163,10 +1176,19 @@
                             }
                             reports__ = Some(map_.next_value()?);
                         }
+                        GeneratedField::WrittenUnixMs => {
+                            if written_unix_ms__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("writtenUnixMs"));
+                            }
+                            written_unix_ms__ = 
+                                Some(map_.next_value::<::pbjson::private::NumberDeserialize<_>>()?.0)
+                            ;
+                        }
                     }
                 }
                 Ok(PartReportBatch {
                     reports: reports__.unwrap_or_default(),
+                    written_unix_ms: written_unix_ms__.unwrap_or_default(),
                 })
             }
         }
--- a/tests/router/poison.rs
+++ b/tests/router/poison.rs
@@ -70,7 +70,7 @@
             .flat_map(|entry| entry.router.take_unsent_part_reports())
             .collect();
         for entry in &mut self.entries {
-            entry.router.record_part_reports(entry.now, reports.clone());
+            entry.router.record_part_reports(entry.now, entry.now, reports.clone());
         }
     }
 
@@ -217,23 +217,35 @@
     assert!(sent <= 2, "{sent} requests were sent");
 }
 
-#[test]
-fn an_entry_that_starts_late_learns_the_part_from_the_log() {
-    let mut fleet = Fleet::new(2);
-    let mut log = Vec::new();
-    while fleet.crash(0, &[COMMON, POISON]) {
-        log.push(PartReport::Crashed(CrashedRun {
-            request_id: format!("r{}", fleet.last_request).into(),
-            engine_id: format!("d{}", fleet.last_request).into(),
-            engine_started_ms: 1,
-            parts: vec![PromptPartId(COMMON.into()), PromptPartId(POISON.into())],
-        }));
-    }
-    let mut late = Harness::new(engines());
-    late.router.record_part_reports(late.now, log);
-    let shared_parts = vec![PromptPartId(COMMON.into()), PromptPartId(POISON.into())];
-    let (_, step) = late.start(IncomingRequest { shared_parts, ..incoming("/stream/1") });
-    assert!(matches!(step, Step::Refuse(_)), "{step:?}");
+/// Cases of an entry that starts late and reads the log: age of the reports, and whether it
+/// refuses a request with the part.
+macro_rules! late_entry {
+    ($($name:ident: $age_s:literal => $refused:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            let parts = vec![PromptPartId(COMMON.into()), PromptPartId(POISON.into())];
+            let reports = (0..3).map(|number| {
+                PartReport::Crashed(CrashedRun {
+                    request_id: format!("r{number}").into(),
+                    engine_id: format!("d{number}").into(),
+                    engine_started_ms: 1,
+                    parts: parts.clone(),
+                })
+            });
+            let mut late = Harness::new(engines());
+            late.now += Duration::from_secs(1_000);
+            let reported_at = late.now - Duration::from_secs($age_s);
+            late.router.record_part_reports(late.now, reported_at, reports.collect());
+            let request = IncomingRequest { shared_parts: parts, ..incoming("/stream/1") };
+            let (_, step) = late.start(request);
+            assert_eq!(matches!(step, Step::Refuse(_)), $refused, "{step:?}");
+        }
+    )*};
+}
+
+late_entry! {
+    an_entry_that_starts_late_learns_the_part_from_the_log: 20 => true;
+    an_entry_that_starts_late_does_not_believe_old_reports: 301 => false;
 }
 
 /// Sound streams end with their engine, too, when others crash it.
