The end of a connection before the first event ends no stream, also not a continued one

What this costs: a caller that takes up a stream after its last event, at an engine that sends neither a length nor chunks, gets an incomplete response in place of an empty complete one. a_stream_whose_continuation_is_cut_before_its_first_byte_is_incomplete failed before; stream_ends: 45 passed.

--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -66,15 +66,14 @@
         }
     }
 
-    /// True if the response is complete now that its body has ended. `continues` says that
-    /// the stream continues after an event, so that no further one may be due.
-    fn is_complete(&self, continues: bool) -> bool {
+    /// True if the response is complete now that its body has ended. An engine that crashes may
+    /// end the connection before the first event, also of a stream that it continues.
+    fn is_complete(&self) -> bool {
         if !self.response.is_event_stream {
             return true;
         }
         let end_is_explicit = self.response.framing != BodyFraming::Connection;
-        let may_be_at_end = end_is_explicit || self.has_events || continues;
-        may_be_at_end && !self.splitter.is_inside_event()
+        (end_is_explicit || self.has_events) && !self.splitter.is_inside_event()
     }
 
     async fn next_frame(&mut self) -> BodyFrame {
@@ -268,7 +267,7 @@
                     stream.response.connection.log_if_exceeded(ResponsePlace::Body);
                     return RelayResult::Failed(Event::ResponseInterrupted { last_event });
                 }
-                Ok(None) if stream.is_complete(self.continues_stream()) => {
+                Ok(None) if stream.is_complete() => {
                     return RelayResult::Complete;
                 }
                 Ok(None) => return RelayResult::Failed(self.broken_off(stream)),
@@ -298,12 +297,6 @@
         }
     }
 
-    /// True if the stream continues after an event that the caller has received.
-    fn continues_stream(&self) -> bool {
-        let router = self.dispatcher.router.borrow();
-        router.request(self.key).is_some_and(|request| request.last_event().is_some())
-    }
-
     /// Logs that a stream ended before it was complete, and returns the event for the router.
     fn broken_off(&self, stream: &OpenStream) -> Event {
         self.log_stream_end(stream);
