Soak: streams that end with their connection, and break off

A proxy that has dropped bytes of a connection resets it now at its end: a connection that lost bytes cannot end in order, and with this framing it would look complete. The check 'sound upstream' excuses these replicas as it does other replicas that break streams.

--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -75,6 +75,7 @@
             Action::ReplicaLink(..)
                 | Action::ReplicaFault(..)
                 | Action::ReplicaFull(..)
+                | Action::EndWithConnection(..)
                 | Action::RateLimit(..)
         ) || self.leaves_all_sound()
     }
@@ -92,6 +93,8 @@
 }
 
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Time between two streams of a replica that break off.
+const BREAK_INTERVAL: Duration = Duration::from_millis(300);
 /// Time after which a one-time fault is switched off: the replica may get no request that shows
 /// it.
 const ONE_TIME_FAULT_TIMEOUT: Duration = Duration::from_secs(3);
@@ -175,6 +178,9 @@
                 tokio::time::sleep(duration).await;
                 node.replica.full.set(false);
             }
+            Action::EndWithConnection(position, duration) => {
+                self.end_with_connection(position, duration).await;
+            }
             Action::RateLimit(position, tenths_per_s, duration) => {
                 fleet
                     .node(position)
@@ -240,6 +246,19 @@
         proxy.set_fault(LinkFault::None);
     }
 
+    /// Has the streams of a replica end with their connection, and breaks one off now and then.
+    async fn end_with_connection(&self, position: usize, duration: Duration) {
+        let replica = self.fleet.node(position).replica.clone();
+        replica.end_with_connection.set(true);
+        let started_at = Instant::now();
+        while started_at.elapsed() < duration {
+            replica.break_next_stream.set(true);
+            tokio::time::sleep(BREAK_INTERVAL).await;
+        }
+        replica.break_next_stream.set(false);
+        replica.end_with_connection.set(false);
+    }
+
     async fn trigger_fault(&self, position: usize, fault: OneTimeFault) {
         let replica = self.fleet.node(position).replica.clone();
         let switch = match fault {
--- a/soak/src/lost.rs
+++ b/soak/src/lost.rs
@@ -85,7 +85,11 @@
 
 fn has_fault(record: &RunRecord, request: &CallerRequest, node: &ReplicaNode) -> bool {
     record.applied_actions.iter().any(|applied| {
-        matches!(applied.action, Action::ReplicaLink(..) | Action::ReplicaFault(..))
+        let is_fault = matches!(
+            applied.action,
+            Action::ReplicaLink(..) | Action::ReplicaFault(..) | Action::EndWithConnection(..)
+        );
+        is_fault
             && applied.replica_id.as_ref() == Some(&node.replica.id)
             && applied.started_at <= request.ended_at
             && applied.ended_at + FAULT_AFTEREFFECT_TIME >= request.sent_at
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -58,6 +58,8 @@
     ReplicaFault(usize, OneTimeFault),
     /// A replica has no capacity and rejects reservations.
     ReplicaFull(usize, Duration),
+    /// Streams of a replica end with their connection only, and some of them break off.
+    EndWithConnection(usize, Duration),
     /// A replica names a rate limit, in tenths of a request a second.
     RateLimit(usize, u32, Duration),
     /// Replicas send nothing for this long, keep their connections open, and continue afterwards.
@@ -91,6 +93,7 @@
             | Self::ReplicaFault(position, _)
             | Self::ReplicaFull(position, _)
             | Self::RateLimit(position, ..)
+            | Self::EndWithConnection(position, _)
             | Self::PauseReplicas(position, ..)
             | Self::TurnAway(position, ..)
             | Self::LeaveWithNotice(position, _)
@@ -129,6 +132,10 @@
 pub const FIRST_EXTENDED_SEED: u64 = 1_000;
 /// First seed whose replicas also pause, turn requests away, and say that they leave.
 pub const FIRST_NOTICE_SEED: u64 = 2_000;
+/// First seed whose replicas also send streams that end with their connection.
+pub const FIRST_CONNECTION_END_SEED: u64 = 3_000;
+/// Longest time between the starts of two times of such streams.
+const MAX_CONNECTION_END_INTERVAL_MS: u64 = 1_500;
 /// Longest time between the starts of two series of pauses, of two times of turning away, and of
 /// two leaving replicas.
 const MAX_PAUSE_SERIES_INTERVAL_MS: u64 = 3_000;
@@ -166,6 +173,9 @@
         actions.extend(draw_turn_aways(&mut rng, size));
         actions.extend(draw_leaves(&mut rng, size));
     }
+    if seed >= FIRST_CONNECTION_END_SEED {
+        actions.extend(draw_connection_ends(&mut rng, size));
+    }
     actions.sort_by_key(|action| action.at);
     actions
 }
@@ -232,6 +242,18 @@
     actions
 }
 
+fn draw_connection_ends(rng: &mut ChaCha8Rng, size: RunSize) -> Vec<ScheduledAction> {
+    let mut actions = Vec::new();
+    let mut at = Duration::ZERO;
+    while at < size.fault_duration {
+        let replica = rng.random_range(0..size.replicas);
+        let duration = Duration::from_millis(rng.random_range(500..5_000));
+        actions.push(ScheduledAction { at, action: Action::EndWithConnection(replica, duration) });
+        at += Duration::from_millis(rng.random_range(0..MAX_CONNECTION_END_INTERVAL_MS));
+    }
+    actions
+}
+
 fn draw_leaves(rng: &mut ChaCha8Rng, size: RunSize) -> Vec<ScheduledAction> {
     let mut actions = Vec::new();
     let mut at = Duration::ZERO;
--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -80,8 +80,10 @@
     let (from_client, to_client) = client.split();
     let (from_server, to_server) = server.split();
     let is_reset = tokio::select! {
-        () = forward_bytes(from_client, to_server, fault.clone(), LinkFault::DropToServer) => false,
-        () = forward_bytes(from_server, to_client, fault, LinkFault::DropToClient) => false,
+        dropped = forward_bytes(from_client, to_server, fault.clone(), LinkFault::DropToServer) => {
+            dropped
+        }
+        dropped = forward_bytes(from_server, to_client, fault, LinkFault::DropToClient) => dropped,
         _ = fault_watch.wait_for(|fault| *fault == LinkFault::Reset) => true,
     };
     if is_reset {
@@ -91,17 +93,18 @@
 }
 
 /// Forwards bytes in one direction until either end closes; `dropped_by` is the fault that drops
-/// the bytes of this direction.
+/// the bytes of this direction. Returns true if it dropped any: the connection then cannot end in
+/// order.
 async fn forward_bytes(
     mut from: ReadHalf<'_>,
     mut to: WriteHalf<'_>,
     fault: watch::Receiver<LinkFault>,
     dropped_by: LinkFault,
-) {
+) -> bool {
     let mut chunk = vec![0; MAX_CHUNK_BYTES];
     let mut dropping = false;
     loop {
-        let Ok(length @ 1..) = from.read(&mut chunk).await else { return };
+        let Ok(length @ 1..) = from.read(&mut chunk).await else { return dropping };
         let current = *fault.borrow();
         dropping |= current == dropped_by || current == LinkFault::DropBoth;
         if dropping {
@@ -112,7 +115,7 @@
             tokio::time::sleep(delay).await;
         }
         if to.write_all(&chunk[..length]).await.is_err() {
-            return;
+            return dropping;
         }
     }
 }
--- a/standins/src/platform/replica.rs
+++ b/standins/src/platform/replica.rs
@@ -19,6 +19,7 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::Version;
 use hyper::body::Incoming;
 use serde_json::json;
 
@@ -95,6 +96,8 @@
     pub mismatch_next_id: Switch,
     /// Breaks the connection of the next stream in the middle of event 4.
     pub break_next_stream: Switch,
+    /// Marks the end of its responses to executed requests only by the end of the connection.
+    pub end_with_connection: Switch,
     /// Delay before each request is executed or prefilled, and before each event of a stream.
     pub response_delay: Delay,
     /// Sends nothing on any connection during a pause, but keeps all open. It serves the requests
@@ -132,6 +135,7 @@
             reject_next: Switch::default(),
             mismatch_next_id: Switch::default(),
             break_next_stream: Switch::default(),
+            end_with_connection: Switch::default(),
             response_delay: Delay::default(),
             pause: Pause::default(),
             retry_after: Mutex::default(),
@@ -313,6 +317,11 @@
         head.insert("bamboodoor-request-id", id.parse().expect("the header is valid"));
         let signature = format!("sig.{id}").parse().expect("the header is valid");
         head.insert("bamboodoor-response-signature", signature);
+        if self.end_with_connection.is_on() {
+            // The version of the response decides that it has no chunks; a body with a known
+            // size has its length all the same.
+            *response.version_mut() = Version::HTTP_10;
+        }
         Ok(response)
     }
 
