Reports about parts cost fewer calls to the store

Now a part that went well here in the last 10 s is not reported, one that goes well only if two engines have crashed under it, and after a read there is a pause: 250 ms if an engine crashed while it responded, 2 s if responses were lost before their head, as happens for many reasons. The idle long poll is 8 s instead of 4 s.

--- a/src/edge/direct/part_log.rs
+++ b/src/edge/direct/part_log.rs
@@ -25,7 +25,7 @@
 
 /// Time for which reports are collected before they are appended in one record: a crash ends
 /// many runs at once.
-const BATCH_DELAY: Duration = Duration::from_millis(50);
+const BATCH_DELAY: Duration = Duration::from_millis(100);
 /// Pause after a call that failed.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Largest number of appends of one batch.
@@ -33,7 +33,33 @@
 /// Time limit of a call to the store, beyond the long poll.
 const STORE_TIMEOUT: Duration = Duration::from_millis(700);
 /// Long poll of the log. A connection that became unresponsive is only noticed after it.
-const LONG_POLL: Duration = Duration::from_secs(4);
+const LONG_POLL: Duration = Duration::from_secs(8);
+/// Pause after weak reports were read, so that many reports of many entries do not become a call
+/// of each entry for each report.
+const READ_INTERVAL: Duration = Duration::from_millis(2_000);
+/// Pause after strong reports were read.
+const URGENT_READ_INTERVAL: Duration = Duration::from_millis(250);
+
+/// What a read of the log has brought.
+enum NewReports {
+    None,
+    /// Reports of runs that may have ended for many reasons, or went well.
+    Weak,
+    /// Reports of engines that crashed while they responded: more may follow soon.
+    Strong,
+}
+
+impl NewReports {
+    fn of(reports: &[PartReport]) -> Self {
+        let is_strong =
+            |report: &PartReport| matches!(report, PartReport::Crashed(run) if run.response_begun);
+        match reports {
+            [] => Self::None,
+            reports if reports.iter().any(is_strong) => Self::Strong,
+            _ => Self::Weak,
+        }
+    }
+}
 
 /// Signal from requests to the task that appends.
 #[derive(Debug, Default)]
@@ -68,14 +94,23 @@
     dispatcher: &Dispatcher<U>,
     reports: Vec<PartReport>,
 ) {
-    let count = reports.len();
+    let is_crash = |report: &&PartReport| matches!(report, PartReport::Crashed(_));
+    let crashed = reports.iter().filter(is_crash).count();
+    let sound = reports.len() - crashed;
     let record = encode(reports);
     for _ in 0..MAX_APPENDS {
         let log = EntryLog::PartReports;
         let appended = store.append_record(log, record.clone(), STORE_TIMEOUT).await;
         dispatcher.record_store_eras(store);
-        let Err(error) = appended else { return };
-        spdlog::warn!("part-reports-not-appended", kv: { reports = count, detail: = error });
+        let Err(error) = appended else {
+            spdlog::info!("part-reports-appended", kv: { crashed = crashed, sound = sound });
+            return;
+        };
+        spdlog::warn!("part-reports-not-appended", kv: {
+            crashed = crashed,
+            sound = sound,
+            detail: = error
+        });
         tokio::time::sleep(RETRY_DELAY).await;
     }
 }
@@ -84,11 +119,17 @@
 pub async fn follow<S: Store, U: UpstreamClient>(store: Rc<S>, dispatcher: Rc<Dispatcher<U>>) {
     let mut position = LogPosition::default();
     loop {
-        if let Err(error) = read(&*store, &dispatcher, &mut position).await {
-            spdlog::debug!("part-reports-not-read", kv: { detail: = error });
-            tokio::time::sleep(RETRY_DELAY).await;
-        }
+        let pause = match read(&*store, &dispatcher, &mut position).await {
+            Ok(NewReports::None) => Duration::ZERO,
+            Ok(NewReports::Weak) => READ_INTERVAL,
+            Ok(NewReports::Strong) => URGENT_READ_INTERVAL,
+            Err(error) => {
+                spdlog::debug!("part-reports-not-read", kv: { detail: = error });
+                RETRY_DELAY
+            }
+        };
         dispatcher.log_part_changes();
+        tokio::time::sleep(pause).await;
     }
 }
 
@@ -97,29 +138,31 @@
     store: &S,
     dispatcher: &Dispatcher<U>,
     position: &mut LogPosition,
-) -> Result<(), StoreError> {
+) -> Result<NewReports, StoreError> {
     position.enter_era(dispatcher.router.borrow().store_era());
     let (log, from) = (EntryLog::PartReports, position.next_offset);
     let page = store.read_log(log, from, LONG_POLL, LONG_POLL + STORE_TIMEOUT).await;
     dispatcher.record_store_eras(store);
     if position.enter_era(dispatcher.router.borrow().store_era()) {
-        return Ok(());
+        return Ok(NewReports::None);
     }
     let page = match page {
         Err(StoreError::HistoryLost { first_offset }) => {
             position.next_offset = first_offset;
-            return Ok(());
+            return Ok(NewReports::None);
         }
         page => page?,
     };
+    let now = dispatcher.now();
+    let mut all_reports = Vec::new();
     for record in page.records {
         let (reports, age) = decode(record);
-        let now = dispatcher.now();
+        all_reports.extend_from_slice(&reports);
         let reported_at = now.saturating_sub(age);
         dispatcher.router.borrow_mut().record_part_reports(now, reported_at, reports);
     }
     position.next_offset = page.next_offset;
-    Ok(())
+    Ok(NewReports::of(&all_reports))
 }
 
 impl<U: UpstreamClient> Dispatcher<U> {
@@ -154,6 +197,7 @@
                 engine_id: run.engine_id.into(),
                 engine_started_ms: run.engine_started_ms,
                 parts: run.parts.into_iter().map(|part| part.0.into()).collect(),
+                response_begun: run.response_begun,
             }),
             PartReport::Sound(part) => record::part_report::Kind::SoundPart(part.0.into()),
         }),
@@ -182,6 +226,7 @@
             engine_id: run.engine_id.into(),
             engine_started_ms: run.engine_started_ms,
             parts: run.parts.into_iter().map(|part| PromptPartId(part.into())).collect(),
+            response_begun: run.response_begun,
         }),
     }
 }
--- a/src/router/poison.rs
+++ b/src/router/poison.rs
@@ -17,6 +17,7 @@
 use crate::router::Router;
 use crate::router::flow::Step;
 use crate::router::flow::Target;
+use crate::router::request::Phase;
 use crate::router::request::PromptPartId;
 use crate::router::request::RequestKey;
 use crate::router::reserving::CAPACITY_RETRY_AFTER;
@@ -33,6 +34,11 @@
 const MIN_CRASHED_REQUESTS: usize = 2;
 /// Time for which a part is harmless after a run with it went well, whatever crashes.
 const SOUND_HOLD: Duration = Duration::from_secs(3);
+/// Time for which a part is not reported after a run with it went well at this entry. Most
+/// crashes have other reasons, and most parts go well all the time.
+const REPORT_HOLD: Duration = Duration::from_secs(10);
+/// Crashed engines from which on a part may become poisonous with the next report.
+const SUSPICIOUS_ENGINES: usize = MIN_CRASHED_ENGINES - 1;
 /// Time for which crashed runs are remembered.
 const RETENTION: Duration = Duration::from_secs(300);
 /// Largest number of crashed runs that are remembered.
@@ -55,6 +61,9 @@
     pub engine_started_ms: u64,
     /// Shared parts of the prompt that are suspects: those that have not gone well since.
     pub parts: Vec<PromptPartId>,
+    /// True if the head of the response had arrived. A response that is lost before its head
+    /// has many other causes.
+    pub response_begun: bool,
 }
 
 impl CrashedRun {
@@ -135,7 +144,7 @@
 pub struct PartHealth {
     /// Crashed runs, the oldest one first.
     crashed: Vec<RememberedRun>,
-    /// When a run with a part last went well, for [`SOUND_HOLD`].
+    /// When a run with a part last went well, for [`REPORT_HOLD`].
     sound_at: HashMap<PromptPartId, Duration>,
     /// When poisonous parts are tried again.
     trials: HashMap<PromptPartId, TrialSchedule>,
@@ -153,17 +162,21 @@
 
     /// Records a crashed run of this entry and has it reported.
     pub fn record_crash(&mut self, now: Duration, run: CrashedRun) {
+        let mut run = run;
+        run.parts.retain(|part| !self.went_well_within(REPORT_HOLD, now, part));
         if let Some(run) = self.remember(now, now, run) {
             self.unsent.push(PartReport::Crashed(run));
         }
     }
 
-    /// Records that a run of this entry went well, and has it reported if a part was a suspect.
+    /// Records that a run of this entry went well, and has it reported if engines have crashed
+    /// under a part.
     pub fn record_sound_run(&mut self, now: Duration, parts: &[PromptPartId]) {
         for part in parts {
-            if self.record_sound(now, now, part) {
+            if crashed_engines(self.suspects(part)) >= SUSPICIOUS_ENGINES {
                 self.unsent.push(PartReport::Sound(part.clone()));
             }
+            self.record_sound(now, now, part);
         }
     }
 
@@ -179,9 +192,7 @@
                 PartReport::Crashed(run) => {
                     self.remember(now, reported_at, run);
                 }
-                PartReport::Sound(part) => {
-                    self.record_sound(now, reported_at, &part);
-                }
+                PartReport::Sound(part) => self.record_sound(now, reported_at, &part),
             }
         }
     }
@@ -257,7 +268,11 @@
     }
 
     fn is_held_sound(&self, now: Duration, part: &PromptPartId) -> bool {
-        self.sound_at.get(part).is_some_and(|sound_at| now < *sound_at + SOUND_HOLD)
+        self.went_well_within(SOUND_HOLD, now, part)
+    }
+
+    fn went_well_within(&self, period: Duration, now: Duration, part: &PromptPartId) -> bool {
+        self.sound_at.get(part).is_some_and(|sound_at| now < *sound_at + period)
     }
 
     /// Remembers a crashed run and returns it with the parts that are suspects; `None` if there
@@ -294,19 +309,17 @@
         self.trials.retain(|part, _| crashed.iter().any(|it| it.run.parts.contains(part)));
     }
 
-    /// Records that a part was harmless at `sound_at`. Returns true if it was a suspect.
-    fn record_sound(&mut self, now: Duration, sound_at: Duration, part: &PromptPartId) -> bool {
-        self.sound_at.retain(|_, sound_at| now < *sound_at + SOUND_HOLD);
+    /// Records that a part was harmless at `sound_at`.
+    fn record_sound(&mut self, now: Duration, sound_at: Duration, part: &PromptPartId) {
+        self.sound_at.retain(|_, sound_at| now < *sound_at + REPORT_HOLD);
         self.sound_at.insert(part.clone(), sound_at);
         if self.trials.remove(part).is_some() {
             self.changes.push(PartChange::Sound { part: part.clone() });
         }
-        let was_suspect = self.suspects(part).next().is_some();
         for crashed in &mut self.crashed {
             crashed.run.parts.retain(|suspect| suspect != part);
         }
         self.crashed.retain(|crashed| !crashed.run.parts.is_empty());
-        was_suspect
     }
 }
 
@@ -352,6 +365,7 @@
     /// Records that a run ended with the connection of its engine. Its parts become suspects if
     /// it had hardly begun to generate.
     pub(super) fn record_crashed_run(&mut self, now: Duration, key: RequestKey, engine: &Target) {
+        let response_begun = self.requests[key].phase != Phase::Decoding;
         let request = &mut self.requests[key];
         if request.run_events >= MIN_SOUND_EVENTS || request.shared_parts.is_empty() {
             return;
@@ -363,6 +377,7 @@
             engine_id: engine.id.clone(),
             engine_started_ms: started_ms.unwrap_or(0),
             parts: request.shared_parts.clone(),
+            response_begun,
         };
         self.part_health.record_crash(now, run);
     }
--- a/src/schema/bamboodoor.record.rs
+++ b/src/schema/bamboodoor.record.rs
@@ -179,4 +179,7 @@
     /// Ids of the shared parts of the prompt that are suspects.
     #[prost(string, repeated, tag = "4")]
     pub parts: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// True if the head of the response had arrived.
+    #[prost(bool, tag = "5")]
+    pub response_begun: bool,
 }
--- a/src/schema/bamboodoor.record.serde.rs
+++ b/src/schema/bamboodoor.record.serde.rs
@@ -735,6 +735,9 @@
         if !self.parts.is_empty() {
             len += 1;
         }
+        if self.response_begun {
+            len += 1;
+        }
         let mut struct_ser = serializer.serialize_struct("bamboodoor.record.CrashedRun", len)?;
         if !self.request_id.is_empty() {
             struct_ser.serialize_field("request_id", &self.request_id)?;
@@ -750,6 +753,9 @@
         if !self.parts.is_empty() {
             struct_ser.serialize_field("parts", &self.parts)?;
         }
+        if self.response_begun {
+            struct_ser.serialize_field("response_begun", &self.response_begun)?;
+        }
         struct_ser.end()
     }
 }
@@ -767,6 +773,8 @@
             "engine_started_ms",
             "engineStartedMs",
             "parts",
+            "response_begun",
+            "responseBegun",
         ];
 
         #[allow(clippy::enum_variant_names)]
@@ -775,6 +783,7 @@
             EngineId,
             EngineStartedMs,
             Parts,
+            ResponseBegun,
         }
         impl<'de> serde::Deserialize<'de> for GeneratedField {
             fn deserialize<D>(deserializer: D) -> std::result::Result<GeneratedField, D::Error>
@@ -800,6 +809,7 @@
                             "engineId" | "engine_id" => Ok(GeneratedField::EngineId),
                             "engineStartedMs" | "engine_started_ms" => Ok(GeneratedField::EngineStartedMs),
                             "parts" => Ok(GeneratedField::Parts),
+                            "responseBegun" | "response_begun" => Ok(GeneratedField::ResponseBegun),
                             _ => Err(serde::de::Error::unknown_field(value, FIELDS)),
                         }
                     }
@@ -823,6 +833,7 @@
                 let mut engine_id__ = None;
                 let mut engine_started_ms__ = None;
                 let mut parts__ = None;
+                let mut response_begun__ = None;
                 while let Some(k) = map_.next_key()? {
                     match k {
                         GeneratedField::RequestId => {
@@ -851,6 +862,12 @@
                             }
                             parts__ = Some(map_.next_value()?);
                         }
+                        GeneratedField::ResponseBegun => {
+                            if response_begun__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("responseBegun"));
+                            }
+                            response_begun__ = Some(map_.next_value()?);
+                        }
                     }
                 }
                 Ok(CrashedRun {
@@ -858,6 +875,7 @@
                     engine_id: engine_id__.unwrap_or_default(),
                     engine_started_ms: engine_started_ms__.unwrap_or_default(),
                     parts: parts__.unwrap_or_default(),
+                    response_begun: response_begun__.unwrap_or_default(),
                 })
             }
         }
--- a/tests/router/poison.rs
+++ b/tests/router/poison.rs
@@ -230,6 +230,7 @@
                     engine_id: format!("d{number}").into(),
                     engine_started_ms: 1,
                     parts: parts.clone(),
+                    response_begun: true,
                 })
             });
             let mut late = Harness::new(engines());
