The log of reports is read at most four times a second, whatever the store responds

Read again: a store that responds at once to a long poll without records, or with 410 again and again, would have been called without a pause. There is no test for it, as the stand-in of the store does neither.

--- a/src/edge/direct/part_log.rs
+++ b/src/edge/direct/part_log.rs
@@ -37,8 +37,8 @@
 /// Pause after weak reports were read, so that many reports of many entries do not become a call
 /// of each entry for each report.
 const READ_INTERVAL: Duration = Duration::from_millis(2_000);
-/// Pause after strong reports were read.
-const URGENT_READ_INTERVAL: Duration = Duration::from_millis(250);
+/// Shortest pause between two reads, whatever the store responds.
+const MIN_READ_INTERVAL: Duration = Duration::from_millis(250);
 
 /// What a read of the log has brought.
 enum NewReports {
@@ -120,9 +120,8 @@
     let mut position = LogPosition::default();
     loop {
         let pause = match read(&*store, &dispatcher, &mut position).await {
-            Ok(NewReports::None) => Duration::ZERO,
             Ok(NewReports::Weak) => READ_INTERVAL,
-            Ok(NewReports::Strong) => URGENT_READ_INTERVAL,
+            Ok(NewReports::None | NewReports::Strong) => MIN_READ_INTERVAL,
             Err(error) => {
                 spdlog::debug!("part-reports-not-read", kv: { detail: = error });
                 RETRY_DELAY
@@ -146,13 +145,10 @@
     if position.enter_era(dispatcher.router.borrow().store_era()) {
         return Ok(NewReports::None);
     }
-    let page = match page {
-        Err(StoreError::HistoryLost { first_offset }) => {
-            position.next_offset = first_offset;
-            return Ok(NewReports::None);
-        }
-        page => page?,
-    };
+    if let Err(StoreError::HistoryLost { first_offset }) = page {
+        position.next_offset = first_offset;
+    }
+    let page = page?;
     let now = dispatcher.now();
     let mut all_reports = Vec::new();
     for record in page.records {
