Events that the caller has had are not relayed again

Read again: an engine that begins a stream anew when it was asked to continue it (ORDER: a piece comes twice, or pieces of two runs are joined) had its events relayed as they came.

--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -14,6 +14,7 @@
 use crate::edge::direct::bounded_read::MAX_PART_READ_BYTES;
 use crate::edge::direct::bounded_read::ResponsePlace;
 use crate::edge::direct::request_log::RequestEnding;
+use crate::edge::direct::request_log::StreamEnd;
 use crate::edge::direct::request_log::log_kept_run;
 use crate::edge::direct::request_log::log_refusal;
 use crate::edge::direct::request_log::log_request_ending;
@@ -46,8 +47,10 @@
     splitter: EventSplitter,
     /// Id of the last event that was relayed, if any.
     last_event: Option<u64>,
-    /// True once an event was relayed.
+    /// True once an event was received.
     has_events: bool,
+    /// Number of events that were not relayed, as the caller has had them.
+    repeated_events: usize,
     /// Frame that was received while the stream was not relayed.
     unread: Option<BodyFrame>,
     /// True once it was logged that the entry waits for the paused stream, until it goes on.
@@ -61,6 +64,7 @@
             splitter: EventSplitter::default(),
             last_event: None,
             has_events: false,
+            repeated_events: 0,
             unread: None,
             kept_logged: false,
         }
@@ -245,6 +249,7 @@
         parts: &mpsc::Sender<ResponsePart>,
         idle_timeout: Option<Duration>,
     ) -> RelayResult {
+        let resumed_after = self.last_event();
         loop {
             let remaining_time = self.remaining_time();
             if remaining_time.is_zero() {
@@ -282,11 +287,15 @@
             }
             stream.splitter.push(&data);
             while let Some(event) = stream.splitter.next_event() {
+                stream.has_events = true;
+                if event.id.is_some() && event.id <= stream.last_event.or(resumed_after) {
+                    stream.repeated_events += 1;
+                    continue;
+                }
                 if parts.send(ResponsePart::Data(event.bytes)).await.is_err() {
                     return RelayResult::Ended(RequestEnding::CallerGone);
                 }
                 stream.last_event = event.id.or(stream.last_event);
-                stream.has_events = true;
                 self.record_event();
             }
             if stream.splitter.pending_bytes() > MAX_EVENT_BYTES {
@@ -297,6 +306,12 @@
         }
     }
 
+    /// Id of the last event that the caller had received when the present run began, if any.
+    fn last_event(&self) -> Option<u64> {
+        let router = self.dispatcher.router.borrow();
+        router.request(self.key).and_then(|request| request.last_event())
+    }
+
     /// Logs that a stream ended before it was complete, and returns the event for the router.
     fn broken_off(&self, stream: &OpenStream) -> Event {
         self.log_stream_end(stream);
@@ -323,9 +338,13 @@
     fn log_stream_end(&self, stream: &OpenStream) {
         let router = self.dispatcher.router.borrow();
         let Some(request) = router.request(self.key) else { return };
-        let (framing, remainder_bytes) = (stream.response.framing, stream.splitter.pending_bytes());
-        let name = &self.dispatcher.name;
-        log_stream_end(name, request, framing, stream.last_event, remainder_bytes);
+        let end = StreamEnd {
+            framing: stream.response.framing,
+            last_event: stream.last_event,
+            repeated_events: stream.repeated_events,
+            remainder_bytes: stream.splitter.pending_bytes(),
+        };
+        log_stream_end(&self.dispatcher.name, request, &end);
     }
 
     fn record_event(&self) {
--- a/src/edge/direct/request_log.rs
+++ b/src/edge/direct/request_log.rs
@@ -131,22 +131,28 @@
     });
 }
 
-/// Logs how the upstream ended a response that was relayed part by part. `last_event` is the id
-/// of the last event that was relayed, `remainder_bytes` the size of what follows its end.
-pub(super) fn log_stream_end(
-    instance: &str,
-    request: &Request,
-    framing: BodyFraming,
-    last_event: Option<u64>,
-    remainder_bytes: usize,
-) {
+/// How an upstream ended a response that was relayed part by part.
+pub(super) struct StreamEnd {
+    /// What ends the body.
+    pub(super) framing: BodyFraming,
+    /// Id of the last event that was relayed, if any.
+    pub(super) last_event: Option<u64>,
+    /// Number of events that were not relayed, as the caller has had them.
+    pub(super) repeated_events: usize,
+    /// Number of bytes after the end of the last event.
+    pub(super) remainder_bytes: usize,
+}
+
+/// Logs how the upstream ended a response that was relayed part by part.
+pub(super) fn log_stream_end(instance: &str, request: &Request, end: &StreamEnd) {
     spdlog::info!("stream-ended", kv: {
         instance: = instance,
         request_id: = request.id,
         upstream: = request.upstream_id(),
-        framing: = framing,
-        last_event = last_event.unwrap_or(0),
-        remainder_bytes = remainder_bytes
+        framing: = end.framing,
+        last_event = end.last_event.unwrap_or(0),
+        repeated_events = end.repeated_events,
+        remainder_bytes = end.remainder_bytes
     });
 }
 
