--- a/src/router.rs
+++ b/src/router.rs
@@ -18,6 +18,7 @@
 pub mod pauses;
 mod plain;
 pub mod poison;
+mod poisoned_requests;
 pub mod rate_limit;
 pub mod request;
 pub mod reservation_queue;
