Silence of all streams of an engine is no sign of a lack of memory

Cause: each pause of a stream that is longer than its route allows was taken for a preemption. A preempted stream pauses while others go on.

--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -304,9 +304,9 @@
 
     /// Records that an event of a request's stream was received from its engine. A
     /// pause that is longer than the route allows mostly shows that the engine
-    /// ran out of memory and preempted the stream; the first one of a stream
-    /// changes the margin of the memory that is reserved for output. Returns the
-    /// pause then.
+    /// ran out of memory and preempted the stream, unless all of its streams were silent;
+    /// the first one of a stream changes the margin of the memory that is reserved for
+    /// output. Returns the pause then.
     pub fn record_event(&mut self, now: Duration, key: RequestKey) -> Option<StreamStall> {
         if !self.requests.contains_key(key) {
             return None;
@@ -319,14 +319,23 @@
         }
         let request = self.requests.get_mut(key)?;
         request.replacement_sought = false;
+        let max_interval = request.max_event_interval();
+        let engine = request.current.as_ref().and_then(|engine| self.upstreams.get_mut(engine.key));
+        let event_times = engine.map(|engine| {
+            engine.event_times.record(now, max_interval, engine.open_requests);
+            engine.event_times
+        });
         let previous = request.last_event_at.replace(now)?;
         let interval = now.saturating_sub(previous);
         let service = request.service.clone();
-        if interval <= request.max_event_interval() {
+        if interval <= max_interval {
             self.engine_time.entry(service).or_default().record_event(interval);
             return None;
         }
-        if std::mem::replace(&mut request.stalled, true) {
+        let was_stalled = std::mem::replace(&mut request.stalled, true);
+        let engine_was_silent =
+            event_times.is_some_and(|times| times.silence_explains(previous, now, max_interval));
+        if was_stalled || engine_was_silent {
             return None;
         }
         let margin = self.output_margins.entry(service).or_default();
--- a/src/router/upstreams.rs
+++ b/src/router/upstreams.rs
@@ -79,6 +79,42 @@
     pub turned_away_until: Duration,
     /// Rate limit that the upstream names in its responses, if it does.
     pub rate_limit: Option<RateLimit>,
+    /// When this entry received events of the upstream's streams.
+    pub event_times: EventTimes,
+}
+
+/// When events of any stream of an engine were received.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct EventTimes {
+    last_at: Option<Duration>,
+    /// Start and end of the last silence of several streams that was longer than their routes
+    /// allow.
+    last_silence: Option<(Duration, Duration)>,
+}
+
+impl EventTimes {
+    /// Records an event of a stream whose route allows intervals of `max_interval`, at an
+    /// engine that has `streams` streams of this entry. One stream alone does not show
+    /// whether its engine is silent.
+    pub fn record(&mut self, now: Duration, max_interval: Duration, streams: u32) {
+        let Some(previous) = self.last_at.replace(now) else { return };
+        if streams > 1 && now.saturating_sub(previous) > max_interval {
+            self.last_silence = Some((previous, now));
+        }
+    }
+
+    /// True if a stream whose last event before `now` was at `previous` would not have paused
+    /// for longer than `max_interval` but for a silence of all streams.
+    pub fn silence_explains(
+        &self,
+        previous: Duration,
+        now: Duration,
+        max_interval: Duration,
+    ) -> bool {
+        let Some((from, until)) = self.last_silence else { return false };
+        let silent = until.saturating_sub(from.max(previous));
+        now.saturating_sub(previous).saturating_sub(silent) <= max_interval
+    }
 }
 
 impl Upstream {
@@ -181,6 +217,7 @@
             capacity_backoff: CapacityBackoff::default(),
             turned_away_until: Duration::ZERO,
             rate_limit: None,
+            event_times: EventTimes::default(),
         });
         self.by_id.insert(id, key);
         self.by_service.entry(service).or_default().push(key);
--- a/tests/router/pauses.rs
+++ b/tests/router/pauses.rs
@@ -325,6 +325,27 @@
     assert_eq!(tokens(&step), before);
 }
 
+/// One of two streams of an engine pauses while the other goes on: it was preempted.
+#[test]
+fn a_stream_that_pauses_alone_enlarges_the_memory_of_later_requests() {
+    let mut harness = Harness::new(default_upstreams());
+    let streams: Vec<RequestKey> = (0..4).map(|_| start_stream(&mut harness)).collect();
+    for _ in 0..40 {
+        harness.now += ms(50);
+        for &key in &streams[1..] {
+            assert_eq!(harness.router.record_event(harness.now, key), None);
+        }
+    }
+    assert!(harness.router.record_event(harness.now, streams[0]).is_none());
+    for _ in 0..40 {
+        harness.now += ms(50);
+        for &key in &streams[1..] {
+            harness.router.record_event(harness.now, key);
+        }
+    }
+    assert!(harness.router.record_event(harness.now, streams[0]).is_some());
+}
+
 #[test]
 fn new_requests_are_served_while_paused_streams_search() {
     let mut upstreams = default_upstreams();
