A suspect part that goes well is reported after the first crash already

The entries that were there cleared it for themselves, but the log kept the reports of crashes alone: an entry that started later read three of them from different minutes, and refused a common part that was served everywhere else, until a trial of the holder of the lease or for 300 s.

--- a/src/router/poison.rs
+++ b/src/router/poison.rs
@@ -30,8 +30,6 @@
 /// Time for which a part is not reported after a run with it went well at this entry. Most
 /// crashes have other reasons, and most parts go well all the time.
 const REPORT_HOLD: Duration = Duration::from_secs(10);
-/// Crashed engines from which on a part may become poisonous with the next report.
-const SUSPICIOUS_ENGINES: usize = MIN_CRASHED_ENGINES - 1;
 /// Time for which crashed runs are remembered.
 const RETENTION: Duration = Duration::from_secs(300);
 /// Largest number of crashed runs that are remembered.
@@ -162,11 +160,11 @@
         }
     }
 
-    /// Records that a run of this entry went well, and has it reported if engines have crashed
-    /// under a part.
+    /// Records that a run of this entry went well, and has it reported if a part was a suspect:
+    /// entries that start later read all reports of crashes.
     pub fn record_sound_run(&mut self, now: Duration, parts: &[PromptPartId]) {
         for part in parts {
-            if crashed_engines(self.suspects(part)) >= SUSPICIOUS_ENGINES {
+            if self.suspects(part).next().is_some() {
                 self.unsent.push(PartReport::Sound(part.clone()));
             }
             self.record_sound(now, now, part);
--- a/tests/router/poison.rs
+++ b/tests/router/poison.rs
@@ -39,6 +39,8 @@
     entries: Vec<Harness>,
     /// Number of the last request that was started.
     last_request: u32,
+    /// Log of the store, with the time of each report.
+    log: Vec<(Duration, PartReport)>,
 }
 
 /// A request in flight at an entry.
@@ -53,7 +55,7 @@
     fn new(entries: usize) -> Self {
         let mut entries: Vec<Harness> = (0..entries).map(|_| Harness::new(engines())).collect();
         entries[0].router.set_tries_poisonous_parts(true);
-        Self { entries, last_request: 0 }
+        Self { entries, last_request: 0, log: Vec::new() }
     }
 
     fn wait(&mut self, pause: Duration) {
@@ -69,6 +71,8 @@
             .iter_mut()
             .flat_map(|entry| entry.router.take_unsent_part_reports())
             .collect();
+        let now = self.entries[0].now;
+        self.log.extend(reports.iter().map(|report| (now, report.clone())));
         for entry in &mut self.entries {
             entry.router.record_part_reports(entry.now, entry.now, reports.clone());
         }
@@ -415,3 +419,22 @@
     let step = fleet.report(sound, Event::ResponseInterrupted { last_event: Some(10) });
     assert!(matches!(step, Step::Reserve { .. }), "{step:?}");
 }
+
+/// Engines crash for other reasons now and then; each time the part goes well again soon.
+#[test]
+fn an_entry_that_starts_late_serves_a_part_that_went_well_after_each_crash() {
+    let mut fleet = Fleet::new(3);
+    for _ in 0..5 {
+        assert!(fleet.crash(0, &[COMMON]));
+        assert!(fleet.serve(0, &[COMMON]));
+        fleet.wait(Duration::from_secs(20));
+    }
+    let mut late = Harness::new(engines());
+    late.now = fleet.entries[0].now;
+    for (reported_at, report) in fleet.log {
+        late.router.record_part_reports(late.now, reported_at, vec![report]);
+    }
+    let shared_parts = vec![PromptPartId(COMMON.into())];
+    let (_, step) = late.start(IncomingRequest { shared_parts, ..incoming("/stream/1") });
+    assert!(matches!(step, Step::Reserve { .. }), "{step:?}");
+}
