--- a/src/edge/direct/dispatch.rs
+++ b/src/edge/direct/dispatch.rs
@@ -176,6 +176,7 @@
         spdlog::info!("arrived", kv: {
             instance: = self.name,
             request_id: = request.id,
+            fingerprint: = request.fingerprint,
             route: = request.route().name,
             patience_ms = crate::clock::as_ms(request.remaining_time(request.arrived_at)),
             prompt_tokens = request.prompt.map_or(0, |prompt| prompt.tokens),
--- a/src/edge/direct/request_log.rs
+++ b/src/edge/direct/request_log.rs
@@ -104,6 +104,7 @@
     spdlog::info!("{what}", kv: {
         instance: = instance,
         request_id: = request.id,
+        fingerprint: = request.fingerprint,
         route: = request.route().name,
         upstream: = request.upstream_id(),
         generation = request.version(),
--- a/src/router.rs
+++ b/src/router.rs
@@ -9,6 +9,7 @@
 pub mod configuration;
 pub mod connection_limits;
 pub mod engine_time;
+pub mod fingerprint;
 pub mod flow;
 pub mod follow;
 mod generate;
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -10,6 +10,7 @@
 use crate::router::configuration::Configuration;
 use crate::router::configuration::Engine;
 use crate::router::configuration::Route;
+use crate::router::fingerprint::RequestFingerprint;
 use crate::router::flow::Cleanup;
 use crate::router::flow::Target;
 use crate::router::upstreams::UpstreamKey;
@@ -28,6 +29,8 @@
     pub host: CompactString,
     /// Path of the request, without the query.
     pub path: CompactString,
+    /// Fingerprint of its content and its caller.
+    pub fingerprint: RequestFingerprint,
     /// How long the caller waits, if it sent a limit. The timeout of the route
     /// applies if it is shorter.
     pub caller_timeout: Option<Duration>,
@@ -109,6 +112,8 @@
 pub struct Request {
     /// Request id that the caller assigned.
     pub id: CompactString,
+    /// Fingerprint of its content and its caller.
+    pub fingerprint: RequestFingerprint,
     /// When the request arrived.
     pub arrived_at: Duration,
     /// Time at which the request ends at the latest: its arrival plus the
@@ -205,6 +210,7 @@
         });
         Self {
             id: incoming.id,
+            fingerprint: incoming.fingerprint,
             arrived_at: now,
             deadline: now + caller_timeout,
             reservation_deadline: now,
