--- a/src/edge/direct/connections.rs
+++ b/src/edge/direct/connections.rs
@@ -20,6 +20,7 @@
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
+use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
@@ -29,6 +30,9 @@
 use crate::edge::direct::bounded_read::ResponsePlace;
 use crate::router::flow::Failure;
 
+/// Probes without a response after which a connection is closed.
+const KEEPALIVE_PROBES: u32 = 2;
+
 /// Timeouts of client connections.
 #[derive(Debug, Clone)]
 pub struct ConnectionSettings {
@@ -36,6 +40,10 @@
     pub connect_timeout: Duration,
     /// `TCP_USER_TIMEOUT`: time after which unacknowledged bytes close a connection.
     pub tcp_user_timeout: Duration,
+    /// Time without a byte after which the peer is probed.
+    pub keepalive_after: Duration,
+    /// Time between two probes.
+    pub keepalive_interval: Duration,
     /// Time for which an idle connection is kept if the peer announces no
     /// keep-alive timeout.
     pub idle_timeout: Duration,
@@ -49,6 +57,8 @@
         Self {
             connect_timeout: Duration::from_millis(300),
             tcp_user_timeout: Duration::from_secs(2),
+            keepalive_after: Duration::from_secs(5),
+            keepalive_interval: Duration::from_secs(1),
             idle_timeout: Duration::from_secs(4),
             max_fresh_idle: Duration::from_millis(1_000),
         }
@@ -175,12 +185,28 @@
         None
     }
 
+    /// True if the peer accepts a connection within `limit`.
+    pub async fn accepts_connections(&self, address: SocketAddr, limit: Duration) -> bool {
+        let connecting = TcpStream::connect(address);
+        matches!(tokio::time::timeout(limit, connecting).await, Ok(Ok(_)))
+    }
+
+    /// Probes that close a connection whose peer has become unresponsive.
+    fn keepalive(&self) -> TcpKeepalive {
+        TcpKeepalive::new()
+            .with_time(self.settings.keepalive_after)
+            .with_interval(self.settings.keepalive_interval)
+            .with_retries(KEEPALIVE_PROBES)
+    }
+
     async fn connect(&self, address: SocketAddr) -> Option<Connection> {
         let connecting = TcpStream::connect(address);
         let stream =
             tokio::time::timeout(self.settings.connect_timeout, connecting).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
-        SockRef::from(&stream).set_tcp_user_timeout(Some(self.settings.tcp_user_timeout)).ok()?;
+        let socket = SockRef::from(&stream);
+        socket.set_tcp_user_timeout(Some(self.settings.tcp_user_timeout)).ok()?;
+        socket.set_tcp_keepalive(&self.keepalive()).ok()?;
         let allowance = ReadAllowance::default();
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_READ_BUFFER_BYTES)
--- a/src/edge/direct/dispatch.rs
+++ b/src/edge/direct/dispatch.rs
@@ -12,9 +12,9 @@
 use tokio::sync::oneshot;
 
 use crate::clock::Clock;
+use crate::edge::direct::crash_log::CrashLog;
 use crate::edge::direct::metrics::Metrics;
 use crate::edge::direct::origin_log::OriginLog;
-use crate::edge::direct::part_log::PartLog;
 use crate::edge::direct::request_log::log_refusal;
 use crate::edge::direct::request_task::CallerChannel;
 use crate::edge::direct::request_task::RequestTask;
@@ -47,8 +47,8 @@
     pub metrics: Metrics,
     /// Access of requests to the origins of streams in the store.
     pub(super) origin_log: OriginLog,
-    /// Reports about parts of prompts in the store.
-    pub(super) part_log: PartLog,
+    /// Access to the reports of crashed runs in the store.
+    pub(super) crash_log: CrashLog,
     /// Memory of the responses that are buffered.
     pub(super) response_memory: ResponseMemory,
     /// Signal that the store came back from an older copy.
@@ -74,7 +74,7 @@
             connection_limits: Rc::default(),
             metrics: Metrics::default(),
             origin_log: OriginLog::default(),
-            part_log: PartLog::default(),
+            crash_log: CrashLog::default(),
             response_memory: ResponseMemory::default(),
             era_risen: Notify::new(),
             waiting: RefCell::default(),
@@ -205,8 +205,8 @@
                 async move { dispatcher.upstream_client.clean_up(cleanup).await },
             );
         }
-        self.part_log.wake_appender(&self.router.borrow());
-        self.log_part_changes();
+        self.crash_log.wake(&self.router.borrow());
+        self.log_suspect_changes();
         let runnable = self.router.borrow_mut().take_runnable();
         let waiting = self.waiting.borrow();
         for key in runnable {
--- a/src/edge/direct/lease_task.rs
+++ b/src/edge/direct/lease_task.rs
@@ -69,7 +69,7 @@
         let rate_limit_share = self.lease.rate_limit_share(now).unwrap_or(FALLBACK_SHARE);
         let holds = self.lease.fencing_token(now).is_some();
         let mut router = self.dispatcher.router.borrow_mut();
-        router.set_tries_poisonous_parts(holds);
+        router.set_tries_poisonous_requests(now, holds);
         router.set_budget_share(budget_share.max(FALLBACK_SHARE));
         router.set_rate_limit_share(now, rate_limit_share);
     }
--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -156,6 +156,8 @@
         match self.response.take()? {
             ReadyResponse::Buffered { status, headers, body } => {
                 self.record_response_metrics(status);
+                let now = self.dispatcher.now();
+                self.dispatcher.router.borrow_mut().record_complete_response(now, self.key);
                 if let CallerChannel::AwaitingHead(head) = &mut self.caller {
                     let body = ResponseBody::Complete(body);
                     let sent =
@@ -230,14 +232,21 @@
             RelayResult::Ended(ending) => self.log_request_ending(*ending, status),
             RelayResult::Complete => {
                 let now = self.dispatcher.now();
-                self.dispatcher.router.borrow_mut().record_complete_stream(now, self.key);
+                self.dispatcher.router.borrow_mut().record_complete_response(now, self.key);
                 let fully_sent = self.end_response(stream, parts).await;
                 self.log_request_ending(ending_for(fully_sent), status);
             }
             RelayResult::Failed(Event::ResponsePaused { .. }) => self.paused = Some(stream),
             RelayResult::Failed(_) => {}
         }
-        result.into_event()
+        match result.into_event() {
+            Some(Event::ResponseInterrupted { last_event })
+                if self.dispatcher.has_upstream_crashed(self.key).await =>
+            {
+                Some(Event::UpstreamCrashed { last_event })
+            }
+            event => event,
+        }
     }
 
     /// Relays the body. An event stream is relayed event by event, so that it can be
@@ -351,7 +360,7 @@
         let now = self.dispatcher.now();
         let stall = self.dispatcher.router.borrow_mut().record_event(now, self.key);
         self.dispatcher.origin_log.wake_appender(&self.dispatcher.router.borrow());
-        self.dispatcher.part_log.wake_appender(&self.dispatcher.router.borrow());
+        self.dispatcher.crash_log.wake(&self.dispatcher.router.borrow());
         let Some(stall) = stall else { return };
         spdlog::info!("stream-stalled", kv: {
             instance: = self.dispatcher.name,
--- a/src/edge/direct/request_log.rs
+++ b/src/edge/direct/request_log.rs
@@ -8,7 +8,6 @@
 use crate::router::Event;
 use crate::router::Step;
 use crate::router::Target;
-use crate::router::request::PromptPartId;
 use crate::router::request::Request;
 
 /// Returns the name of a step in logs and metrics.
@@ -31,6 +30,7 @@
     match event {
         Event::Failed(failure) => Some(failure.to_string()),
         Event::ResponseInterrupted { .. } => Some("broke-off".to_string()),
+        Event::UpstreamCrashed { .. } => Some("upstream-crashed".to_string()),
         Event::ResponsePaused { .. } => Some("paused".to_string()),
         Event::DeadlinePassed => Some("deadline-passed".to_string()),
         _ => None,
@@ -95,6 +95,9 @@
     let (what, detail) = match event {
         Event::Failed(failure) => ("failed", failure.to_string()),
         Event::ResponseInterrupted { last_event } => ("broke-off", format!("after {last_event:?}")),
+        Event::UpstreamCrashed { last_event } => {
+            ("upstream-crashed", format!("after {last_event:?}"))
+        }
         Event::ResponsePaused { .. } if request.is_silent() => return,
         Event::ResponsePaused { last_event } => ("paused", format!("after {last_event:?}")),
         Event::DeadlinePassed => ("deadline-passed", String::new()),
@@ -110,14 +113,14 @@
         generation = request.version(),
         age_ms = age_ms,
         run_events = request.run_events,
-        shared_parts: = format_parts(&request.shared_parts),
+        shared_parts: = format_parts(request),
         detail: = detail
     });
 }
 
-/// Returns the ids of parts, separated by commas.
-pub(super) fn format_parts(parts: &[PromptPartId]) -> String {
-    let ids: Vec<&str> = parts.iter().map(|part| part.0.as_str()).collect();
+/// Returns the ids of the parts of a prompt that others may share, separated by commas.
+fn format_parts(request: &Request) -> String {
+    let ids: Vec<&str> = request.shared_parts().map(|part| part.0.as_str()).collect();
     ids.join(",")
 }
 
--- a/src/edge/direct/request_task.rs
+++ b/src/edge/direct/request_task.rs
@@ -203,6 +203,7 @@
                         if resumed {
                             break Some(Event::ResponseResumed);
                         }
+                        dispatcher.check_paused_engine(key).await;
                     }
                 }
                 dispatcher.router.borrow_mut().end_paused_run(dispatcher.now(), key);
@@ -238,12 +239,12 @@
             Step::Prefill { target, remaining_time, timeout: limit } => {
                 match self.prefill(&target, remaining_time, limit).await {
                     Ok(handle) => Event::Prefilled { handle },
-                    Err(failure) => Event::Failed(failure),
+                    Err(failure) => self.dispatcher.failed(failure, &target).await,
                 }
             }
             Step::Decode { target, source, reservation, after_event, priority, remaining_time } => {
                 let parameters = GenerateParameters {
-                    target,
+                    target: target.clone(),
                     source,
                     reservation,
                     after_event,
@@ -252,7 +253,10 @@
                 };
                 let response =
                     self.dispatcher.upstream_client.generate(&self.request, &parameters).await;
-                self.receive_response(response).await
+                match self.receive_response(response).await {
+                    Ok(event) => event,
+                    Err(failure) => self.dispatcher.failed(failure, &target).await,
+                }
             }
             Step::Call { target, remaining_time, timeout: limit, fresh_connection } => {
                 let upstream_client = &self.dispatcher.upstream_client;
@@ -267,7 +271,10 @@
                 };
                 let abandon = |router: &mut Router, now| router.abandon_call(now, self.key);
                 let ready = self.wait_or_abandon(exchange, limit, abandon).await;
-                self.store_response(ready)
+                match ready {
+                    Ok(ready) => self.store_response(ready),
+                    Err(failure) => self.dispatcher.failed(failure, &target).await,
+                }
             }
             Step::LookUpOrigin { request_id, timeout: limit } => {
                 self.dispatcher.origin_log.read(limit).await;
@@ -315,27 +322,22 @@
         exchange.await
     }
 
-    async fn receive_response(&mut self, response: Result<UpstreamResponse, Failure>) -> Event {
-        let ready = match response {
-            Ok(response) => self.buffer_if_small(response).await,
-            Err(failure) => Err(failure),
-        };
-        self.store_response(ready)
+    async fn receive_response(
+        &mut self,
+        response: Result<UpstreamResponse, Failure>,
+    ) -> Result<Event, Failure> {
+        let ready = self.buffer_if_small(response?).await?;
+        Ok(self.store_response(ready))
     }
 
     /// Stores a response for `Step::Relay` and returns the event for the router.
-    fn store_response(&mut self, ready: Result<ReadyResponse, Failure>) -> Event {
-        match ready {
-            Ok(ready) => {
-                let status = match &ready {
-                    ReadyResponse::Buffered { status, .. } => *status,
-                    ReadyResponse::Streamed(response) => response.status,
-                };
-                self.response = Some(ready);
-                Event::ResponseStarted { status }
-            }
-            Err(failure) => Event::Failed(failure),
-        }
+    fn store_response(&mut self, ready: ReadyResponse) -> Event {
+        let status = match &ready {
+            ReadyResponse::Buffered { status, .. } => *status,
+            ReadyResponse::Streamed(response) => response.status,
+        };
+        self.response = Some(ready);
+        Event::ResponseStarted { status }
     }
 
     /// Reads a response completely, unless it is an event stream, announces a length above
--- a/src/edge/direct/store_eras.rs
+++ b/src/edge/direct/store_eras.rs
@@ -31,10 +31,11 @@
                     instance: = self.name,
                     era_before = before.0,
                     era = after.0,
-                    started_over = "feeds, membership, lease, shares, origins",
+                    started_over = "feeds, membership, lease, shares, origins, crash reports",
                     origins = origins
                 });
                 self.origin_log.wake_appender(&self.router.borrow());
+                self.crash_log.wake(&self.router.borrow());
                 self.era_risen.notify_waiters();
             }
             StoreEraChange::Fell { known, named } => {
--- a/src/edge/direct/store_follower.rs
+++ b/src/edge/direct/store_follower.rs
@@ -10,6 +10,7 @@
 use compact_str::CompactString;
 use tokio_util::sync::CancellationToken;
 
+use crate::edge::direct::crash_records::decode_record;
 use crate::edge::direct::dispatch::Dispatcher;
 use crate::edge::direct::upstream_client::UpstreamClient;
 use crate::router::configuration::Configuration;
@@ -21,6 +22,7 @@
 use crate::router::instance_list::InstanceRecord;
 use crate::router::instance_list::InstanceState;
 use crate::router::lease::RenewalResponse;
+use crate::router::poison::RecordAge;
 use crate::router::store_era::StoreEraNotice;
 
 /// One record of a feed of the store.
@@ -70,8 +72,8 @@
 pub enum EntryLog {
     /// Software versions at which streams began.
     StreamOrigins,
-    /// Reports about parts of prompts that crash engines.
-    PartReports,
+    /// Runs under which upstreams crashed.
+    CrashReports,
 }
 
 /// Why a call to the store failed.
@@ -146,6 +148,14 @@
         timeout: Duration,
     ) -> Result<LogPage, StoreError>;
 
+    /// Writes the record of a suspect to [`Feed::Suspects`]; without a value, removes it.
+    async fn put_suspect(
+        &self,
+        key: &str,
+        value: Option<Bytes>,
+        timeout: Duration,
+    ) -> Result<(), StoreError>;
+
     /// Returns what responses, also those of failed calls, have said about the era of the
     /// store since the last call of this function, in the order of arrival. A response that
     /// says the same as the one before it need not be included.
@@ -229,8 +239,10 @@
                 page.await.map(ReadResponse::Page)
             }
             Read::Changes { from } => {
-                let timeout = timing.long_poll + timing.response_timeout;
-                let changes = self.store.changes_since(self.feed, *from, timing.long_poll, timeout);
+                // After a failure the first response shows that the store is back.
+                let wait = if self.reachable { timing.long_poll } else { Duration::ZERO };
+                let timeout = wait + timing.response_timeout;
+                let changes = self.store.changes_since(self.feed, *from, wait, timeout);
                 changes.await.map(ReadResponse::Changes)
             }
         }
@@ -240,7 +252,7 @@
         match response {
             ReadResponse::Page(page) => {
                 let keys = page.records.iter().map(|record| record.key.clone()).collect();
-                self.apply_records(page.records);
+                self.apply_records(page.records, RecordAge::Any);
                 if let Some((keys, end_offset)) =
                     self.cursor.record_page(keys, page.has_more, page.end_offset)
                 {
@@ -248,7 +260,7 @@
                 }
             }
             ReadResponse::Changes(changes) => {
-                self.apply_records(changes.records);
+                self.apply_records(changes.records, RecordAge::New);
                 self.cursor.record_changes(changes.next_offset);
             }
         }
@@ -306,12 +318,17 @@
         timing.retry_delay
     }
 
-    fn apply_records(&self, records: Vec<StoreRecord>) {
+    fn apply_records(&self, records: Vec<StoreRecord>, age: RecordAge) {
         match self.feed {
             Feed::Configuration => {
                 records.iter().for_each(|record| self.apply_configuration(record))
             }
             Feed::Upstreams => records.into_iter().for_each(|record| self.apply_upstream(record)),
+            Feed::Suspects => {
+                records.into_iter().for_each(|record| self.apply_suspect(record, age));
+                self.dispatcher.log_suspect_changes();
+                self.dispatcher.crash_log.wake(&self.dispatcher.router.borrow());
+            }
         }
     }
 
@@ -360,6 +377,17 @@
         }
     }
 
+    /// Applies a record about what crashes upstreams.
+    fn apply_suspect(&self, record: StoreRecord, age: RecordAge) {
+        let (key, offset) = (record.key, record.offset);
+        let (Ok(suspect), Some(record)) = (key.parse(), decode_record(record.value)) else {
+            spdlog::warn!("suspect-unreadable", kv: { key: = key, offset = offset });
+            return;
+        };
+        let now = self.dispatcher.now();
+        self.dispatcher.router.borrow_mut().record_suspect(now, suspect, record, age);
+    }
+
     /// Applies a complete read of the instance list, which found these keys: upstreams that
     /// are no longer listed are removed.
     fn apply_full_list(&self, keys: &[CompactString], end_offset: u64) {
--- a/src/edge/problem.rs
+++ b/src/edge/problem.rs
@@ -50,6 +50,7 @@
         | RefusalReason::NoUpstream
         | RefusalReason::VersionUnavailable
         | RefusalReason::PoisonousPrompt
+        | RefusalReason::PoisonousRequest
         | RefusalReason::RetryBudget
         | RefusalReason::ShuttingDown
         | RefusalReason::NotReady => StatusCode::SERVICE_UNAVAILABLE,
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -38,6 +38,8 @@
     PromptTooLong,
     /// A part of the prompt has crashed engines.
     PoisonousPrompt,
+    /// The request has crashed upstreams.
+    PoisonousRequest,
     /// The request body is larger than the settings allow.
     BodyTooLarge,
     /// The request header is larger than the configuration allows.
--- a/src/router.rs
+++ b/src/router.rs
@@ -57,7 +57,7 @@
 use crate::router::engine_time::PrefillTimeEstimate;
 use crate::router::instance_list::InstanceList;
 use crate::router::output_margin::OutputMargin;
-use crate::router::poison::PartHealth;
+use crate::router::poison::PoisonDetector;
 use crate::router::request::IncomingRequest;
 use crate::router::request::Request;
 use crate::router::request::RequestKey;
@@ -133,8 +133,8 @@
     output_margins: HashMap<CompactString, OutputMargin>,
     /// Software versions of the engines of each service.
     version_histories: HashMap<CompactString, VersionHistory>,
-    /// Parts of prompts that crash engines.
-    part_health: PartHealth,
+    /// Requests and parts of prompts that crash upstreams.
+    poison: PoisonDetector,
     /// Where streams began that their callers may take up.
     stream_origins: StreamOrigins,
     /// When the last model request arrived.
@@ -176,7 +176,7 @@
             caller_timeouts: HashMap::new(),
             output_margins: HashMap::new(),
             version_histories: HashMap::new(),
-            part_health: PartHealth::default(),
+            poison: PoisonDetector::default(),
             stream_origins: StreamOrigins::default(),
             last_prompt_at: None,
             runnable: Vec::new(),
@@ -367,6 +367,7 @@
     /// [`Router::take_cleanups`].
     pub fn finish(&mut self, key: RequestKey) {
         self.record_steady_stream(key);
+        self.report_crashed_runs(key);
         let Some(request) = self.requests.get_mut(key) else { return };
         let held = request.take_cleanups();
         self.cleanups.extend(held);
--- a/src/router/flow.rs
+++ b/src/router/flow.rs
@@ -132,6 +132,9 @@
     /// The exchange was interrupted or the response is not valid; the request
     /// may have run.
     Broken,
+    /// The exchange was interrupted, and the upstream accepts no connections any more; the
+    /// request may have run, and may have crashed it.
+    Crashed,
 }
 
 impl Failure {
@@ -176,6 +179,11 @@
         /// Id of the last event that was relayed to the caller, if any.
         last_event: Option<u64>,
     },
+    /// The same, and the upstream accepts no connections any more.
+    UpstreamCrashed {
+        /// Id of the last event that was relayed to the caller, if any.
+        last_event: Option<u64>,
+    },
     /// No part of the response was received for the idle timeout of
     /// [`Step::Relay`], while its connection stayed open. It stays open until another
     /// engine responds to [`Step::Decode`].
--- a/src/router/follow.rs
+++ b/src/router/follow.rs
@@ -20,6 +20,8 @@
     Configuration,
     /// Instance list of the upstreams.
     Upstreams,
+    /// What crashed more than one upstream; the entries write it themselves.
+    Suspects,
 }
 
 /// Timing of the reads of one feed.
@@ -59,6 +61,14 @@
 /// would notice it too late.
 const CONFIGURATION_POLL_SHARE: f64 = 0.9;
 
+/// Long poll of the suspects. Keep-alive probes close a connection that became unresponsive.
+const SUSPECTS_POLL: Duration = Duration::from_secs(28);
+/// Pause between two reads of the suspects, so that many records take few reads.
+const SUSPECTS_INTERVAL: Duration = Duration::from_millis(250);
+/// Pause after a failed read of the suspects. The other feeds already find out when the store
+/// is back.
+const SUSPECTS_RETRY_DELAY: Duration = Duration::from_secs(2);
+
 impl ReadTiming {
     /// Returns the timing for the reads of a feed, derived from the bounds.
     pub fn of(feed: Feed, bounds: &FollowBounds) -> Self {
@@ -70,6 +80,12 @@
             Feed::Upstreams => {
                 Self { interval: bounds.drain.mul_f64(LIST_INTERVAL_SHARE), ..Self::default() }
             }
+            Feed::Suspects => Self {
+                long_poll: SUSPECTS_POLL,
+                interval: SUSPECTS_INTERVAL,
+                retry_delay: SUSPECTS_RETRY_DELAY,
+                ..Self::default()
+            },
         }
     }
 }
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -62,6 +62,10 @@
             Event::ResponseInterrupted { last_event } => {
                 self.stream_interrupted(now, key, last_event)
             }
+            Event::UpstreamCrashed { last_event } => {
+                self.record_crashed_run(now, key);
+                self.stream_interrupted(now, key, last_event)
+            }
             Event::ResponsePaused { last_event } => self.stream_paused(now, key, last_event),
             Event::ResponseResumed => self.stream_resumed(key),
             Event::DeadlinePassed => self.generate_deadline_passed(now, key),
@@ -111,6 +115,7 @@
         let timeout = self.prefill_timeout(key);
         let request = &mut self.requests[key];
         request.phase = Phase::Prefilling;
+        request.run_events = 0;
         request.unsent_replacement = request.unsent_replacement.saturating_sub(1);
         request.prefills += 1;
         request.step_started_at = now;
@@ -216,6 +221,9 @@
 
     fn generate_failed(&mut self, now: Duration, key: RequestKey, failure: Failure) -> Step {
         self.record_step_failure(now, key, failure);
+        if failure == Failure::Crashed && self.requests[key].phase != Phase::Reserving {
+            self.record_crashed_run(now, key);
+        }
         match self.requests[key].phase {
             // The failure does not show that the engines are full, so another
             // one is asked even after the deadline for the reservation.
@@ -272,11 +280,6 @@
             // but runs nothing. Failures eject it.
             self.upstreams.record_failure(now, engine.key);
         }
-        if let Some(engine) =
-            self.requests[key].current.clone().filter(|_| failure == Failure::Broken)
-        {
-            self.record_crashed_run(now, key, &engine);
-        }
         let request = &mut self.requests[key];
         if failure.proves_not_run() {
             request.runs -= 1;
@@ -289,7 +292,7 @@
         let repeatable = failure.proves_not_run() || request.route().allows_rerun();
         let reason = match failure {
             Failure::Silent => RefusalReason::DeadlineExceeded,
-            Failure::Broken => RefusalReason::UpstreamLost,
+            Failure::Broken | Failure::Crashed => RefusalReason::UpstreamLost,
             Failure::NotRun => RefusalReason::Overloaded,
             Failure::NotSent | Failure::OtherInstance => RefusalReason::NoUpstream,
         };
@@ -380,7 +383,6 @@
         if let Some(target) = request.current.clone() {
             self.requests[key].excluded.push(target.key);
             self.upstreams.record_failure(now, target.key);
-            self.record_crashed_run(now, key, &target);
         }
         if let Some(end) = self.end_if_poisonous(now, key) {
             return end;
--- a/src/router/pauses.rs
+++ b/src/router/pauses.rs
@@ -133,15 +133,11 @@
         let request = &mut self.requests[key];
         request.may_have_run = true;
         request.last_event_at = None;
-        // Once the replacement was sent, the entry itself ends the paused run.
-        let lost = request.paused_run.take().filter(|_| request.phase != Phase::Decoding);
+        request.paused_run = None;
         request.reservation_deadline = now + STARTED_REQUEST_MAX_WAIT;
         if request.phase == Phase::Reserving {
             let service = request.service.clone();
             self.reservation_queues.entry(service).or_default().push_front(key);
         }
-        if let Some(engine) = lost {
-            self.record_crashed_run(now, key, &engine);
-        }
     }
 }
--- a/src/router/plain.rs
+++ b/src/router/plain.rs
@@ -39,12 +39,20 @@
             Event::Failed(failure) => self.call_failed(now, key, failure),
             Event::DeadlinePassed => self.call_deadline_passed(now, key),
             Event::ResponseInterrupted { .. } => Step::Abort,
+            Event::UpstreamCrashed { .. } => {
+                self.record_crashed_run(now, key);
+                Step::Abort
+            }
             _ => Step::Relay { idle_timeout: None },
         }
     }
 
     fn call(&mut self, now: Duration, key: RequestKey) -> Step {
         let booked = self.requests[key].booked_upstream.take();
+        if let Some(end) = self.end_if_poisonous(now, key) {
+            booked.into_iter().for_each(|upstream| self.upstreams.give_back_permit(upstream));
+            return end;
+        }
         let target = booked.and_then(|upstream| self.target(upstream));
         if let Some(target) = target.filter(|target| self.upstreams.accepts_work(now, target.key)) {
             return self.call_upstream(now, key, target);
@@ -99,6 +107,8 @@
             self.upstreams.record_success(target.key);
             return Step::Relay { idle_timeout: None };
         }
+        // Its upstream has survived the request.
+        self.record_sound_run(now, key);
         self.requests[key].excluded.push(target.key);
         if self.try_spend_retry(now, key) {
             return self.call(now, key);
@@ -125,11 +135,17 @@
 
     fn call_failed(&mut self, now: Duration, key: RequestKey, failure: Failure) -> Step {
         self.record_step_failure(now, key, failure);
+        if failure == Failure::Crashed {
+            self.record_crashed_run(now, key);
+        }
         if failure.proves_not_run() {
             self.requests[key].runs -= 1;
         } else {
             self.requests[key].may_have_run = true;
         }
+        if let Some(end) = self.end_if_poisonous(now, key) {
+            return end;
+        }
         let repeatable = failure.proves_not_run() || self.requests[key].route().idempotent;
         let paid = std::mem::take(&mut self.requests[key].retry_paid);
         let unsent = failure == Failure::NotSent && self.requests[key].attempts < MAX_ATTEMPTS;
@@ -140,7 +156,7 @@
             Failure::NotRun => RefusalReason::Overloaded,
             Failure::NotSent | Failure::OtherInstance => RefusalReason::NoUpstream,
             Failure::Silent => RefusalReason::DeadlineExceeded,
-            Failure::Broken => RefusalReason::UpstreamLost,
+            Failure::Broken | Failure::Crashed => RefusalReason::UpstreamLost,
         };
         Step::Refuse(self.refusal(now, key, reason, NO_UPSTREAM_RETRY_AFTER))
     }
--- a/src/router/poison.rs
+++ b/src/router/poison.rs
@@ -1,320 +1,439 @@
-//! Parts of prompts that crash engines, whatever else the prompt holds.
+//! Requests, and parts of prompts, that crash the upstreams that run them.
 //!
-//! A run that ends with the connection of its engine, before it has sent more than a few
-//! events, makes the shared parts of its prompt suspects. Entries tell each other of such runs
-//! through a log of the store, as each sees only some of the crashes. A part is poisonous once
-//! engines have crashed under enough runs with it while none went well. Crashes that another part
-//! may explain do not count for prompts without that part, so that prompts that share only
-//! harmless parts with the crashed ones are served.
+//! A run under which its upstream crashed makes its request as a whole a suspect and, if it had
+//! hardly begun to generate, the shared parts of its prompt. Entries report such runs in a log
+//! of the store, as each sees only some of the crashes. An entry that has reported one reads the
+//! log, and publishes the suspects that crashed more than one upstream to all entries.
+//!
+//! A suspect is poisonous once enough upstreams have crashed under it while no run with it went
+//! well, unless another suspect explains the crashes.
+
+mod evidence;
+mod soundness;
+mod suspect;
 
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::time::Duration;
 
-use compact_str::CompactString;
+pub use evidence::MAX_CRASHED_RUNS;
+pub use suspect::AgedRun;
+pub use suspect::CrashedRun;
+pub use suspect::Incarnation;
+pub use suspect::InvalidSuspect;
+pub use suspect::Suspect;
+pub use suspect::SuspectRecord;
 
-use crate::router::request::PromptPartId;
+use crate::router::poison::evidence::Evidence;
+use crate::router::poison::evidence::KnownRun;
+use crate::router::poison::evidence::count_upstreams;
+use crate::router::poison::soundness::SoundTimes;
 
 /// Events after which a run shows that the parts of its prompt are harmless.
 pub const MIN_SOUND_EVENTS: u32 = 4;
-/// Crashed engines from which on a part is poisonous.
-const MIN_CRASHED_ENGINES: usize = 3;
-/// Engines that must have crashed under a part without another part that may have been the
+/// Crashed upstreams from which on a part of a prompt is poisonous.
+const MIN_CRASHED_BY_PART: usize = 3;
+/// Requests that must have been among the crashed runs of a part: a request that comes again
+/// says nothing about others with the same part.
+const MIN_REQUESTS_OF_PART: usize = 2;
+/// Crashed upstreams from which on a request is poisonous. A service may have no more than
+/// three.
+const MIN_CRASHED_BY_REQUEST: usize = 2;
+/// Upstreams that must have crashed under a suspect without another one that may have been the
 /// reason.
-const MIN_UNEXPLAINED_ENGINES: usize = 2;
-/// Requests that must have been among the crashed runs, so that the retries of one request
-/// do not suffice.
-const MIN_CRASHED_REQUESTS: usize = 2;
-/// Time for which a part is harmless after a run with it went well, whatever crashes.
+const MIN_UNEXPLAINED: usize = 2;
+/// Crashed upstreams from which on a suspect is published.
+const MIN_CRASHED_TO_PUBLISH: usize = 2;
+/// Largest number of crashed runs of a suspect in the store.
+const MAX_PUBLISHED_RUNS: usize = 32;
+/// Time for which a suspect is harmless after a run with it went well, whatever crashes.
 const SOUND_HOLD: Duration = Duration::from_secs(3);
-/// Time for which a part is not reported after a run with it went well at this entry. Most
+/// Time for which a suspect is not reported after a run with it went well at this entry. Most
 /// crashes have other reasons, and most parts go well all the time.
 const REPORT_HOLD: Duration = Duration::from_secs(10);
 /// Time for which crashed runs are remembered.
 const RETENTION: Duration = Duration::from_secs(300);
-/// Largest number of crashed runs that are remembered.
-const MAX_CRASHED_RUNS: usize = 256;
-/// Time after which a poisonous part is tried again for the first time. It doubles with each
+/// Time for which runs of this entry are reported again in a new era of the store, whose copy
+/// may lack them.
+const REPORT_AGAIN_WITHIN: Duration = Duration::from_secs(60);
+/// Time after which a poisonous suspect is tried again for the first time. It doubles with each
 /// trial.
 const FIRST_TRIAL_AFTER: Duration = Duration::from_secs(15);
-/// Largest time between two trials of a part.
+/// Largest time between two trials of a suspect.
 const MAX_TRIAL_INTERVAL: Duration = Duration::from_secs(600);
 
-/// Run that ended with the connection of its engine, before it had sent
-/// [`MIN_SOUND_EVENTS`] events.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct CrashedRun {
-    /// Id of the request.
-    pub request_id: CompactString,
-    /// Id of the instance of the engine.
-    pub engine_id: CompactString,
-    /// Start time of the engine in milliseconds since the Unix epoch; 0 if not known.
-    pub engine_started_ms: u64,
-    /// Shared parts of the prompt that are suspects: those that have not gone well since.
-    pub parts: Vec<PromptPartId>,
-    /// True if the head of the response had arrived. A response that is lost before its head
-    /// has many other causes.
-    pub response_begun: bool,
-}
-
-impl CrashedRun {
-    fn is_same_run(&self, other: &Self) -> bool {
-        self.request_id == other.request_id
-            && self.engine_id == other.engine_id
-            && self.engine_started_ms == other.engine_started_ms
-    }
-}
-
-/// What entries tell each other about parts of prompts.
+/// Change of what the store is to hold about a suspect.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum PartReport {
-    /// A run crashed.
-    Crashed(CrashedRun),
-    /// A run with a part that was a suspect went well.
-    Sound(PromptPartId),
+pub struct SuspectUpdate {
+    /// The suspect.
+    pub suspect: Suspect,
+    /// What the store is to hold.
+    pub record: SuspectRecord,
 }
 
-/// Change of what is believed about a part.
+/// Change of what is believed about a suspect.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum PartChange {
-    /// Requests with the part are refused from now on.
+pub enum SuspectChange {
+    /// Requests with it are refused from now on.
     Poisonous {
-        /// The part.
-        part: PromptPartId,
-        /// Engines that crashed under runs with it.
-        crashed_engines: usize,
+        /// The suspect.
+        suspect: Suspect,
+        /// Upstreams that crashed under runs with it.
+        crashed_upstreams: usize,
     },
-    /// A request with the part is let through, to find out whether it still crashes engines.
+    /// A request with it is let through, to find out whether it still crashes upstreams.
     Tried {
-        /// The part.
-        part: PromptPartId,
+        /// The suspect.
+        suspect: Suspect,
     },
-    /// A poisonous part is harmless.
+    /// It was poisonous, and is harmless.
     Sound {
-        /// The part.
-        part: PromptPartId,
+        /// The suspect.
+        suspect: Suspect,
     },
 }
 
-/// Whether a request may go to engines.
+/// Whether a request may go to upstreams.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
-    /// No part of its prompt is poisonous.
+    /// Nothing about it is poisonous.
     Harmless,
-    /// It may, to find out whether a poisonous part still crashes engines.
+    /// It may, to find out whether it still crashes upstreams.
     Trial,
-    /// A part is poisonous; it is tried again after this time at the earliest.
+    /// It, or a part of its prompt, is poisonous.
     Poisonous {
-        /// Time until the next trial.
+        /// Time until the next trial at the earliest.
         retry_after: Duration,
+        /// True if the request as a whole is poisonous.
+        as_a_whole: bool,
     },
 }
 
-#[derive(Debug)]
-struct RememberedRun {
-    run: CrashedRun,
-    reported_at: Duration,
-}
-
-/// When a poisonous part is tried again.
-#[derive(Debug)]
-struct TrialSchedule {
-    next_at: Duration,
-    interval: Duration,
-}
-
-impl TrialSchedule {
-    fn postpone(&mut self, now: Duration) {
-        self.interval = (self.interval * 2).min(MAX_TRIAL_INTERVAL);
-        self.next_at = now + self.interval;
-    }
+/// How the record of a suspect was read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RecordAge {
+    /// It has just been written.
+    New,
+    /// It may be old.
+    Any,
 }
 
-/// What one entry knows about parts of prompts.
+/// What one entry knows about what crashes upstreams.
 #[derive(Debug, Default)]
-pub struct PartHealth {
-    /// Crashed runs, the oldest one first.
-    crashed: Vec<RememberedRun>,
-    /// When a run with a part last went well, for [`REPORT_HOLD`].
-    sound_at: HashMap<PromptPartId, Duration>,
-    /// When poisonous parts are tried again.
-    trials: HashMap<PromptPartId, TrialSchedule>,
-    /// True if this entry is the one that tries poisonous parts.
+pub struct PoisonDetector {
+    evidence: Evidence,
+    sound: SoundTimes,
+    /// When this entry let a request with a poisonous suspect through.
+    tried_at: HashMap<Suspect, Duration>,
+    /// Suspects that were found to be poisonous.
+    poisonous: HashSet<Suspect>,
+    /// Number of crashed runs of each suspect that the store holds.
+    published: HashMap<Suspect, usize>,
+    /// Suspects that the store holds, but whose crashes are long ago.
+    outdated: HashSet<Suspect>,
+    /// True if this entry is the one that tries poisonous suspects.
     tries: bool,
-    unsent: Vec<PartReport>,
-    changes: Vec<PartChange>,
+    unreported: Vec<CrashedRun>,
+    updates: Vec<SuspectUpdate>,
+    changes: Vec<SuspectChange>,
 }
 
-impl PartHealth {
-    /// Sets whether this entry is the one of all entries that tries poisonous parts.
-    pub fn set_tries(&mut self, tries: bool) {
+impl PoisonDetector {
+    /// Sets whether this entry is the one of all entries that tries poisonous suspects, and
+    /// removes outdated ones from the store.
+    pub fn set_tries(&mut self, now: Duration, tries: bool) {
         self.tries = tries;
+        self.forget_old_runs(now);
+        if tries {
+            let outdated = std::mem::take(&mut self.outdated);
+            outdated.into_iter().for_each(|suspect| self.update(suspect, SuspectRecord::Harmless));
+        }
     }
 
-    /// Records a crashed run of this entry and has it reported.
-    pub fn record_crash(&mut self, now: Duration, run: CrashedRun) {
+    /// Records a crashed run of this entry. Returns it for [`PoisonDetector::report`] with the
+    /// suspects that have not just gone well, if there are any.
+    pub fn record_crash(&mut self, now: Duration, run: CrashedRun) -> Option<CrashedRun> {
         let mut run = run;
-        run.parts.retain(|part| !self.went_well_within(REPORT_HOLD, now, part));
-        if let Some(run) = self.remember(now, now, run) {
-            self.unsent.push(PartReport::Crashed(run));
+        run.suspects.retain(|suspect| !self.went_well_within(REPORT_HOLD, now, suspect));
+        if run.is_trial {
+            self.tried_at.retain(|suspect, _| !run.suspects.contains(suspect));
         }
+        self.remember(KnownRun { run: run.clone(), known_at: now, crashed_at: now, is_own: true });
+        (!run.suspects.is_empty()).then_some(run)
     }
 
-    /// Records that a run of this entry went well, and has it reported if a part was a suspect:
-    /// entries that start later read all reports of crashes.
-    pub fn record_sound_run(&mut self, now: Duration, parts: &[PromptPartId]) {
-        for part in parts {
-            if self.suspects(part).next().is_some() {
-                self.unsent.push(PartReport::Sound(part.clone()));
+    /// Has crashed runs of this entry reported, once their request has ended and did not go
+    /// well in another run.
+    pub fn report(&mut self, runs: Vec<CrashedRun>) {
+        for mut run in runs {
+            run.suspects.retain(|suspect| self.evidence.has(suspect));
+            if !run.suspects.is_empty() && self.unreported.len() < MAX_CRASHED_RUNS {
+                self.unreported.push(run);
             }
-            self.record_sound(now, now, part);
         }
     }
 
-    /// Records reports of an entry, perhaps this one, that were made at `reported_at`.
-    pub fn record_reports(
+    /// Records that a run of this entry went well, and has it published if a suspect was known.
+    pub fn record_sound_run<'a>(
         &mut self,
         now: Duration,
-        reported_at: Duration,
-        reports: Vec<PartReport>,
+        suspects: impl IntoIterator<Item = &'a Suspect>,
     ) {
-        for report in reports {
-            match report {
-                PartReport::Crashed(run) => {
-                    self.remember(now, reported_at, run);
-                }
-                PartReport::Sound(part) => self.record_sound(now, reported_at, &part),
+        for suspect in suspects {
+            if self.published.remove(suspect).is_some() {
+                self.update(suspect.clone(), SuspectRecord::Harmless);
+            }
+            self.record_sound(now, suspect);
+        }
+    }
+
+    /// Records runs of all entries that were read from the log of reports.
+    pub fn record_reports(&mut self, now: Duration, runs: Vec<AgedRun>) {
+        for AgedRun { run, age } in runs {
+            let crashed_at = now.saturating_sub(age);
+            self.remember(KnownRun { run, known_at: now, crashed_at, is_own: false });
+        }
+    }
+
+    /// Has the suspects of these runs published that crashed more than one upstream, after the
+    /// log was read up to the reports of these runs.
+    pub fn publish_repeated(&mut self, now: Duration, runs: &[CrashedRun]) {
+        let suspects: HashSet<&Suspect> = runs.iter().flat_map(|run| &run.suspects).collect();
+        for suspect in suspects {
+            let known = self.evidence.runs_with(suspect).count();
+            let published = self.published.get(suspect).copied().unwrap_or(0);
+            if self.evidence.crashed_upstreams(suspect) >= MIN_CRASHED_TO_PUBLISH
+                && known > published
+            {
+                let record = SuspectRecord::Crashed(self.aged_runs(now, suspect));
+                self.update(suspect.clone(), record);
             }
         }
     }
 
-    /// Decides whether a request with these shared parts may go to engines.
-    pub fn judge(&mut self, now: Duration, parts: &[PromptPartId]) -> Verdict {
-        let poisonous = parts.iter().filter(|part| self.is_poisonous(now, part, parts));
-        let poisonous: Vec<&PromptPartId> = poisonous.collect();
-        let next_trials = poisonous.iter().map(|part| self.trial_schedule(now, part).next_at);
+    /// Records what the store holds about a suspect.
+    pub fn record_suspect(
+        &mut self,
+        now: Duration,
+        suspect: Suspect,
+        record: SuspectRecord,
+        record_age: RecordAge,
+    ) {
+        let SuspectRecord::Crashed(mut runs) = record else {
+            self.published.remove(&suspect);
+            self.outdated.remove(&suspect);
+            self.updates.retain(|update| update.suspect != suspect);
+            return self.record_sound(now, &suspect);
+        };
+        if record_age == RecordAge::New {
+            start_ages_at_zero(&mut runs);
+        }
+        let is_old = |it: &AgedRun| record_age == RecordAge::Any && it.age >= RETENTION;
+        if runs.iter().all(is_old) {
+            self.outdated.insert(suspect);
+            return;
+        }
+        let published = runs.len();
+        let went_well = |it: &AgedRun| self.sound.after(now.saturating_sub(it.age), &suspect);
+        let is_harmless = runs.iter().any(went_well);
+        self.record_reports(now, runs);
+        if is_harmless {
+            // Only the entries that have served it know.
+            self.update(suspect, SuspectRecord::Harmless);
+        } else {
+            self.published.insert(suspect, published);
+        }
+    }
+
+    /// Has what this entry found out lately reported again, in a new era of the store.
+    pub fn report_again(&mut self, now: Duration) {
+        self.published.clear();
+        let own = self.evidence.own_runs(now.saturating_sub(REPORT_AGAIN_WITHIN));
+        let own = own.filter(|known| !known.run.suspects.is_empty());
+        self.unreported = own.map(|known| known.run.clone()).collect();
+    }
+
+    /// Decides whether a request with these suspects may go to upstreams.
+    pub fn judge(&mut self, now: Duration, suspects: &[Suspect]) -> Verdict {
+        if !suspects.iter().any(|suspect| self.evidence.has(suspect)) {
+            return Verdict::Harmless;
+        }
+        self.forget_old_runs(now);
+        let poisonous: Vec<&Suspect> =
+            suspects.iter().filter(|suspect| self.is_poisonous(now, suspect, suspects)).collect();
+        let next_trials = poisonous.iter().map(|suspect| self.next_trial_at(suspect));
         let Some(next_trial_at) = next_trials.max() else { return Verdict::Harmless };
         if !self.tries || now < next_trial_at {
-            return Verdict::Poisonous { retry_after: next_trial_at.saturating_sub(now) };
+            let retry_after = next_trial_at.saturating_sub(now);
+            let as_a_whole = poisonous.iter().any(|it| matches!(it, Suspect::Request(_)));
+            return Verdict::Poisonous { retry_after, as_a_whole };
         }
-        for part in poisonous {
-            self.trial_schedule(now, part).postpone(now);
-            self.changes.push(PartChange::Tried { part: part.clone() });
+        for suspect in poisonous {
+            self.tried_at.insert(suspect.clone(), now);
+            self.changes.push(SuspectChange::Tried { suspect: suspect.clone() });
         }
         Verdict::Trial
     }
 
-    /// Returns the reports for the other entries, and clears the list of them.
-    pub fn take_unsent(&mut self) -> Vec<PartReport> {
-        std::mem::take(&mut self.unsent)
+    /// Returns the crashed runs for the log of reports, and clears the list of them.
+    pub fn take_unreported(&mut self) -> Vec<CrashedRun> {
+        std::mem::take(&mut self.unreported)
     }
 
-    /// True if there are reports for the other entries.
+    /// Returns what the store is to hold from now on, and clears the list of it.
+    pub fn take_updates(&mut self) -> Vec<SuspectUpdate> {
+        std::mem::take(&mut self.updates)
+    }
+
+    /// True if there are crashed runs for the log of reports.
+    pub fn has_unreported(&self) -> bool {
+        !self.unreported.is_empty()
+    }
+
+    /// True if there are reports or updates for the store.
     pub fn has_unsent(&self) -> bool {
-        !self.unsent.is_empty()
+        !self.unreported.is_empty() || !self.updates.is_empty()
     }
 
     /// Returns what has changed since the last call.
-    pub fn take_changes(&mut self) -> Vec<PartChange> {
+    pub fn take_changes(&mut self) -> Vec<SuspectChange> {
         std::mem::take(&mut self.changes)
     }
 
-    /// Returns when a poisonous part is tried again. The first time is set once it is found to
-    /// be poisonous.
-    fn trial_schedule(&mut self, now: Duration, part: &PromptPartId) -> &mut TrialSchedule {
-        if !self.trials.contains_key(part) {
-            let crashed_engines = crashed_engines(self.suspects(part));
-            self.changes.push(PartChange::Poisonous { part: part.clone(), crashed_engines });
-        }
-        let first = TrialSchedule { next_at: now + FIRST_TRIAL_AFTER, interval: FIRST_TRIAL_AFTER };
-        self.trials.entry(part.clone()).or_insert(first)
+    /// Returns when a poisonous suspect is tried again. It depends on reports alone, but for the
+    /// trials of this entry, so that all entries that become the one that tries wait as long.
+    fn next_trial_at(&self, suspect: &Suspect) -> Duration {
+        let runs = || self.evidence.runs_with(suspect);
+        let last_crash_at = runs().map(|known| known.known_at).max().unwrap_or_default();
+        let trials = runs().filter(|known| known.run.is_trial).count();
+        let next_at = last_crash_at + trial_interval(trials);
+        let tried_at = self.tried_at.get(suspect);
+        tried_at.map_or(next_at, |tried_at| next_at.max(*tried_at + trial_interval(trials + 1)))
     }
 
-    /// True if a part is poisonous for a request with these parts: enough engines crashed under
-    /// it, and some of these crashes have no other explanation.
-    fn is_poisonous(&self, now: Duration, part: &PromptPartId, parts: &[PromptPartId]) -> bool {
-        if !self.has_crashed_enough(part) || self.is_held_sound(now, part) {
+    /// True if a suspect is poisonous for a request with `own` suspects.
+    fn is_poisonous(&self, now: Duration, suspect: &Suspect, own: &[Suspect]) -> bool {
+        if !self.has_crashed_enough(suspect) || self.went_well_within(SOUND_HOLD, now, suspect) {
             return false;
         }
-        let unexplained = self.suspects(part).filter(|run| !self.is_explained(run, parts));
-        crashed_engines(unexplained) >= MIN_UNEXPLAINED_ENGINES
+        let runs = self.evidence.runs_with(suspect);
+        let unexplained: Vec<_> =
+            runs.filter(|known| !self.is_explained(&known.run, suspect, own)).collect();
+        count_upstreams(unexplained.iter().copied()) >= MIN_UNEXPLAINED
+            && has_enough_requests(suspect, unexplained.into_iter())
     }
 
-    /// True if a crash may be due to a part that a request with `parts` does not have.
-    fn is_explained(&self, run: &CrashedRun, parts: &[PromptPartId]) -> bool {
-        let mut others = run.parts.iter().filter(|other| !parts.contains(other));
-        others.any(|other| self.has_crashed_enough(other))
+    /// True if the crash of a run may be due to something that a request with `own` suspects
+    /// does not have: another part of the same prompt, or a suspect of another run at the same
+    /// upstream that crashed more upstreams than this one.
+    fn is_explained(&self, run: &CrashedRun, suspect: &Suspect, own: &[Suspect]) -> bool {
+        let is_other = |other: &&Suspect| !own.contains(other);
+        let mut other_parts = run.suspects.iter().filter(is_other);
+        if other_parts.any(|it| matches!(it, Suspect::Part(_)) && self.has_crashed_enough(it)) {
+            return true;
+        }
+        let neighbors = self.evidence.runs_at(&run.upstream);
+        let neighbors = neighbors.filter(|known| known.run.request != run.request);
+        let mut others = neighbors.flat_map(|known| &known.run.suspects).filter(is_other);
+        others.any(|other| {
+            self.has_crashed_enough(other)
+                && self.evidence.crashed_upstreams(other) > self.crashed_without(suspect, other)
+        })
     }
 
-    fn has_crashed_enough(&self, part: &PromptPartId) -> bool {
-        let requests: HashSet<_> = self.suspects(part).map(|run| &run.request_id).collect();
-        requests.len() >= MIN_CRASHED_REQUESTS
-            && crashed_engines(self.suspects(part)) >= MIN_CRASHED_ENGINES
+    /// Number of upstreams that crashed under a suspect in runs that are not of `other`, if that
+    /// is a request.
+    fn crashed_without(&self, suspect: &Suspect, other: &Suspect) -> usize {
+        let is_other = |known: &&KnownRun| *other == Suspect::Request(known.run.request);
+        count_upstreams(self.evidence.runs_with(suspect).filter(|known| !is_other(known)))
     }
 
-    /// Crashed runs with a part, since a run with it last went well.
-    fn suspects(&self, part: &PromptPartId) -> impl Iterator<Item = &CrashedRun> {
-        let runs = self.crashed.iter().map(|crashed| &crashed.run);
-        runs.filter(move |run| run.parts.contains(part))
+    fn has_crashed_enough(&self, suspect: &Suspect) -> bool {
+        let min = match suspect {
+            Suspect::Part(_) => MIN_CRASHED_BY_PART,
+            Suspect::Request(_) => MIN_CRASHED_BY_REQUEST,
+        };
+        self.evidence.crashed_upstreams(suspect) >= min
+            && has_enough_requests(suspect, self.evidence.runs_with(suspect))
     }
 
-    fn is_held_sound(&self, now: Duration, part: &PromptPartId) -> bool {
-        self.went_well_within(SOUND_HOLD, now, part)
+    fn went_well_within(&self, period: Duration, now: Duration, suspect: &Suspect) -> bool {
+        self.sound.after(now.saturating_sub(period), suspect)
     }
 
-    fn went_well_within(&self, period: Duration, now: Duration, part: &PromptPartId) -> bool {
-        self.sound_at.get(part).is_some_and(|sound_at| now < *sound_at + period)
+    fn aged_runs(&self, now: Duration, suspect: &Suspect) -> Vec<AgedRun> {
+        let runs = self.evidence.runs_with(suspect).take(MAX_PUBLISHED_RUNS);
+        let aged = |known: &KnownRun| AgedRun {
+            run: known.run.clone(),
+            age: now.saturating_sub(known.crashed_at),
+        };
+        runs.map(aged).collect()
     }
 
-    /// Remembers a crashed run and returns it with the parts that are suspects; `None` if there
-    /// are none or it is known.
-    fn remember(
-        &mut self,
-        now: Duration,
-        reported_at: Duration,
-        run: CrashedRun,
-    ) -> Option<CrashedRun> {
+    fn update(&mut self, suspect: Suspect, record: SuspectRecord) {
+        self.updates.retain(|update| update.suspect != suspect);
+        self.updates.push(SuspectUpdate { suspect, record });
+    }
+
+    /// Remembers a run with the suspects that have not gone well since its crash.
+    fn remember(&mut self, known: KnownRun) {
+        let now = known.known_at;
         self.forget_old_runs(now);
-        let mut run = run;
-        run.parts.retain(|part| !self.is_held_sound(now, part));
-        let is_known = self.crashed.iter().any(|crashed| crashed.run.is_same_run(&run));
-        let is_old = now >= reported_at + RETENTION;
-        if is_known || is_old || run.parts.is_empty() {
-            return None;
+        let mut known = known;
+        known.run.suspects.retain(|suspect| {
+            !self.went_well_within(SOUND_HOLD, now, suspect)
+                && !self.sound.after(known.crashed_at, suspect)
+        });
+        let suspects = known.run.suspects.clone();
+        if suspects.is_empty() || !self.evidence.add(known) {
+            return;
         }
-        if self.crashed.len() == MAX_CRASHED_RUNS {
-            self.crashed.remove(0);
-        }
-        self.crashed.push(RememberedRun { run: run.clone(), reported_at });
-        for part in &run.parts {
-            if self.is_poisonous(now, part, &run.parts) {
-                self.trial_schedule(now, part);
+        for suspect in &suspects {
+            if self.is_poisonous(now, suspect, &suspects) && self.poisonous.insert(suspect.clone())
+            {
+                let crashed_upstreams = self.evidence.crashed_upstreams(suspect);
+                let suspect = suspect.clone();
+                self.changes.push(SuspectChange::Poisonous { suspect, crashed_upstreams });
             }
         }
-        Some(run)
     }
 
-    fn forget_old_runs(&mut self, now: Duration) {
-        self.crashed.retain(|crashed| now < crashed.reported_at + RETENTION);
-        let crashed = &self.crashed;
-        self.trials.retain(|part, _| crashed.iter().any(|it| it.run.parts.contains(part)));
+    /// Records that a suspect was harmless just now.
+    fn record_sound(&mut self, now: Duration, suspect: &Suspect) {
+        self.sound.record(now, suspect);
+        self.evidence.clear(suspect);
+        self.tried_at.remove(suspect);
+        if self.poisonous.remove(suspect) {
+            self.changes.push(SuspectChange::Sound { suspect: suspect.clone() });
+        }
     }
 
-    /// Records that a part was harmless at `sound_at`.
-    fn record_sound(&mut self, now: Duration, sound_at: Duration, part: &PromptPartId) {
-        self.sound_at.retain(|_, sound_at| now < *sound_at + REPORT_HOLD);
-        self.sound_at.insert(part.clone(), sound_at);
-        if self.trials.remove(part).is_some() {
-            self.changes.push(PartChange::Sound { part: part.clone() });
-        }
-        for crashed in &mut self.crashed {
-            crashed.run.parts.retain(|suspect| suspect != part);
-        }
-        self.crashed.retain(|crashed| !crashed.run.parts.is_empty());
+    fn forget_old_runs(&mut self, now: Duration) {
+        let Some(until) = now.checked_sub(RETENTION) else { return };
+        self.evidence.forget(until);
+        let evidence = &self.evidence;
+        self.poisonous.retain(|suspect| evidence.has(suspect));
+        self.tried_at.retain(|suspect, _| evidence.has(suspect));
+        let outdated = self.published.extract_if(|suspect, _| !evidence.has(suspect));
+        self.outdated.extend(outdated.map(|(suspect, _)| suspect));
     }
 }
 
-/// Number of different engines of crashed runs.
-fn crashed_engines<'a>(runs: impl Iterator<Item = &'a CrashedRun>) -> usize {
-    runs.map(|run| (&run.engine_id, run.engine_started_ms)).collect::<HashSet<_>>().len()
+/// Takes the newest crash of a record that has just been written as one of this moment, as the
+/// clocks of instances may differ.
+fn start_ages_at_zero(runs: &mut [AgedRun]) {
+    let newest = runs.iter().map(|it| it.age).min().unwrap_or_default();
+    runs.iter_mut().for_each(|it| it.age -= newest);
+}
+
+/// True if enough different requests are among the crashed runs of a suspect.
+fn has_enough_requests<'a>(suspect: &Suspect, runs: impl Iterator<Item = &'a KnownRun>) -> bool {
+    let requests = || runs.map(|known| known.run.request).collect::<HashSet<_>>().len();
+    matches!(suspect, Suspect::Request(_)) || requests() >= MIN_REQUESTS_OF_PART
+}
+
+/// Time between the `trials`-th trial of a suspect that crashed its upstream and the next one.
+fn trial_interval(trials: usize) -> Duration {
+    let factor = 1_u32.checked_shl(trials as u32).unwrap_or(u32::MAX);
+    FIRST_TRIAL_AFTER.saturating_mul(factor).min(MAX_TRIAL_INTERVAL)
 }
--- a/src/router/poisoned_requests.rs
+++ b/src/router/poisoned_requests.rs
@@ -1,4 +1,4 @@
-//! Refuses requests whose prompts have a poisonous part, and records how runs end for that.
+//! Refuses requests that crash upstreams, and records how runs end for that.
 
 use std::time::Duration;
 
@@ -6,75 +6,132 @@
 use crate::router::Router;
 use crate::router::flow::Step;
 use crate::router::flow::Target;
+use crate::router::poison::AgedRun;
 use crate::router::poison::CrashedRun;
+use crate::router::poison::Incarnation;
 use crate::router::poison::MIN_SOUND_EVENTS;
-use crate::router::poison::PartChange;
-use crate::router::poison::PartReport;
+use crate::router::poison::RecordAge;
+use crate::router::poison::Suspect;
+use crate::router::poison::SuspectChange;
+use crate::router::poison::SuspectRecord;
+use crate::router::poison::SuspectUpdate;
 use crate::router::poison::Verdict;
-use crate::router::request::Phase;
 use crate::router::request::RequestKey;
 use crate::router::reserving::CAPACITY_RETRY_AFTER;
 
 impl Router {
-    /// Sets whether this entry is the one of all entries that tries poisonous parts of prompts
-    /// again. One entry at a time should be, such as the holder of the lease.
-    pub fn set_tries_poisonous_parts(&mut self, tries: bool) {
-        self.part_health.set_tries(tries);
+    /// Sets whether this entry is the one of all entries that tries poisonous requests again.
+    /// One entry at a time should be, such as the holder of the lease.
+    pub fn set_tries_poisonous_requests(&mut self, now: Duration, tries: bool) {
+        self.poison.set_tries(now, tries);
     }
 
-    /// Returns what this entry has found out about parts of prompts and the others have not been
-    /// told yet, and clears the list of it.
-    pub fn take_unsent_part_reports(&mut self) -> Vec<PartReport> {
-        self.part_health.take_unsent()
+    /// Returns the crashed runs of this entry that are to be reported, and clears the list of
+    /// them.
+    pub fn take_unreported_crashes(&mut self) -> Vec<CrashedRun> {
+        self.poison.take_unreported()
     }
 
-    /// True if there are reports about parts of prompts to append to the log of the store.
-    pub fn has_unsent_part_reports(&self) -> bool {
-        self.part_health.has_unsent()
+    /// Records crashed runs of all entries that were read from the log of reports.
+    pub fn record_crash_reports(&mut self, now: Duration, runs: Vec<AgedRun>) {
+        self.poison.record_reports(now, runs);
     }
 
-    /// Records reports of an entry that were read from the log of the store.
-    /// They were made at `reported_at`.
-    pub fn record_part_reports(
+    /// Has suspects of these runs published that crashed more than one upstream. The log must
+    /// have been read up to the reports of these runs.
+    pub fn publish_repeated_crashes(&mut self, now: Duration, runs: &[CrashedRun]) {
+        self.poison.publish_repeated(now, runs);
+    }
+
+    /// Returns what the store is to hold about suspects from now on, and clears the list of it.
+    pub fn take_suspect_updates(&mut self) -> Vec<SuspectUpdate> {
+        self.poison.take_updates()
+    }
+
+    /// Records what the store holds about a suspect.
+    pub fn record_suspect(
         &mut self,
         now: Duration,
-        reported_at: Duration,
-        reports: Vec<PartReport>,
+        suspect: Suspect,
+        record: SuspectRecord,
+        record_age: RecordAge,
     ) {
-        self.part_health.record_reports(now, reported_at, reports);
+        self.poison.record_suspect(now, suspect, record, record_age);
+    }
+
+    /// True if there are crashed runs to report.
+    pub fn has_unreported_crashes(&self) -> bool {
+        self.poison.has_unreported()
     }
 
-    /// Returns what has changed about parts of prompts since the last call.
-    pub fn take_part_changes(&mut self) -> Vec<PartChange> {
-        self.part_health.take_changes()
+    /// True if there are crashed runs to report, or suspects to publish.
+    pub fn has_unsent_crash_reports(&self) -> bool {
+        self.poison.has_unsent()
+    }
+
+    /// Returns what has changed about suspects since the last call.
+    pub fn take_suspect_changes(&mut self) -> Vec<SuspectChange> {
+        self.poison.take_changes()
+    }
+
+    /// Records that the upstream of the current run has crashed.
+    pub(super) fn record_crashed_run(&mut self, now: Duration, key: RequestKey) {
+        if let Some(upstream) = self.requests[key].current.clone() {
+            self.record_crash_of(now, key, &upstream);
+        }
     }
 
-    /// Records that a run ended with the connection of its engine. Its parts become suspects if
-    /// it had hardly begun to generate.
-    pub(super) fn record_crashed_run(&mut self, now: Duration, key: RequestKey, engine: &Target) {
-        let response_begun = self.requests[key].phase != Phase::Decoding;
+    /// Records that the engine of the paused run has crashed.
+    ///
+    /// # Panics
+    /// If no request with this key is in flight.
+    pub fn record_crash_of_paused_run(&mut self, now: Duration, key: RequestKey) {
+        if let Some(engine) = self.requests[key].paused_run.clone() {
+            self.record_crash_of(now, key, &engine);
+        }
+    }
+
+    /// Records that an upstream has crashed under a run. The parts of the prompt become suspects
+    /// only if it had hardly begun to generate.
+    fn record_crash_of(&mut self, now: Duration, key: RequestKey, upstream: &Target) {
         let request = &mut self.requests[key];
-        if request.run_events >= MIN_SOUND_EVENTS || request.shared_parts.is_empty() {
-            return;
+        let mut suspects = request.suspects.clone();
+        if request.run_events >= MIN_SOUND_EVENTS {
+            suspects.retain(|suspect| matches!(suspect, Suspect::Request(_)));
         }
-        request.is_trial = false;
-        let started_ms = self.upstreams.get(engine.key).map(|engine| engine.listed.started_ms);
+        let started_ms = self.upstreams.get(upstream.key).map(|it| it.listed.started_ms);
         let run = CrashedRun {
             request_id: request.id.clone(),
-            engine_id: engine.id.clone(),
-            engine_started_ms: started_ms.unwrap_or(0),
-            parts: request.shared_parts.clone(),
-            response_begun,
+            request: request.fingerprint,
+            upstream: Incarnation { id: upstream.id.clone(), started_ms: started_ms.unwrap_or(0) },
+            suspects,
+            is_trial: std::mem::take(&mut request.is_trial),
         };
-        self.part_health.record_crash(now, run);
+        request.crashed_runs.extend(self.poison.record_crash(now, run));
+    }
+
+    /// Has the crashed runs of a request that ends reported, unless it went well in the end.
+    pub(super) fn report_crashed_runs(&mut self, key: RequestKey) {
+        let Some(request) = self.requests.get_mut(key) else { return };
+        let runs = std::mem::take(&mut request.crashed_runs);
+        if !request.is_complete {
+            self.poison.report(runs);
+        }
     }
 
-    /// Records that a stream is complete, so that the parts of its prompt are harmless.
-    pub fn record_complete_stream(&mut self, now: Duration, key: RequestKey) {
-        let Some(request) = self.requests.get(key) else { return };
-        if request.run_events < MIN_SOUND_EVENTS {
-            self.part_health.record_sound_run(now, &request.shared_parts);
+    /// Records that the upstream of a run has responded completely, so that the request is
+    /// harmless.
+    pub fn record_complete_response(&mut self, now: Duration, key: RequestKey) {
+        if !self.requests.contains_key(key) {
+            return;
         }
+        self.requests[key].is_complete = true;
+        self.record_sound_run(now, key);
+    }
+
+    /// Records that an upstream has survived a run.
+    pub(super) fn record_sound_run(&mut self, now: Duration, key: RequestKey) {
+        self.poison.record_sound_run(now, &self.requests[key].suspects);
     }
 
     /// Records an event of a run, the last one that is needed to show that the parts of its
@@ -83,18 +140,20 @@
         let request = &mut self.requests[key];
         request.run_events += 1;
         if request.run_events == MIN_SOUND_EVENTS {
-            self.part_health.record_sound_run(now, &request.shared_parts);
+            let parts = request.suspects.iter().filter(|it| matches!(it, Suspect::Part(_)));
+            self.poison.record_sound_run(now, parts);
         }
     }
 
-    /// Returns the step that ends a request whose prompt has a poisonous part: a refusal, or if
-    /// its response has started, what remains without another run. `None` if it may go on.
+    /// Returns the step that ends a request that is poisonous, or whose prompt has a poisonous
+    /// part: a refusal, or if its response has started, what remains without another run. `None`
+    /// if it may go on.
     pub(super) fn end_if_poisonous(&mut self, now: Duration, key: RequestKey) -> Option<Step> {
         let request = &self.requests[key];
-        if request.is_trial || request.shared_parts.is_empty() {
+        if request.is_trial {
             return None;
         }
-        match self.part_health.judge(now, &request.shared_parts) {
+        match self.poison.judge(now, &request.suspects) {
             Verdict::Harmless => None,
             Verdict::Trial => {
                 self.requests[key].is_trial = true;
@@ -103,8 +162,12 @@
             Verdict::Poisonous { .. } if self.requests[key].response_started => {
                 Some(self.return_to_paused_run(key))
             }
-            Verdict::Poisonous { retry_after } => {
-                let reason = RefusalReason::PoisonousPrompt;
+            Verdict::Poisonous { retry_after, as_a_whole } => {
+                let reason = if as_a_whole {
+                    RefusalReason::PoisonousRequest
+                } else {
+                    RefusalReason::PoisonousPrompt
+                };
                 let retry_after = retry_after.max(CAPACITY_RETRY_AFTER);
                 Some(Step::Refuse(self.refusal(now, key, reason, retry_after)))
             }
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -10,9 +10,11 @@
 use crate::router::configuration::Configuration;
 use crate::router::configuration::Engine;
 use crate::router::configuration::Route;
-use crate::router::fingerprint::RequestFingerprint;
+use crate::router::fingerprint::Fingerprint;
 use crate::router::flow::Cleanup;
 use crate::router::flow::Target;
+use crate::router::poison::CrashedRun;
+use crate::router::poison::Suspect;
 use crate::router::upstreams::UpstreamKey;
 
 new_key_type! {
@@ -30,7 +32,7 @@
     /// Path of the request, without the query.
     pub path: CompactString,
     /// Fingerprint of its content and its caller.
-    pub fingerprint: RequestFingerprint,
+    pub fingerprint: Fingerprint,
     /// How long the caller waits, if it sent a limit. The timeout of the route
     /// applies if it is shorter.
     pub caller_timeout: Option<Duration>,
@@ -113,7 +115,7 @@
     /// Request id that the caller assigned.
     pub id: CompactString,
     /// Fingerprint of its content and its caller.
-    pub fingerprint: RequestFingerprint,
+    pub fingerprint: Fingerprint,
     /// When the request arrived.
     pub arrived_at: Duration,
     /// Time at which the request ends at the latest: its arrival plus the
@@ -130,8 +132,13 @@
     pub service: CompactString,
     /// Size of the prompt; set for a model request that goes to engines.
     pub prompt: Option<Prompt>,
-    /// Parts of the prompt that other prompts may share, in their order.
-    pub shared_parts: Vec<PromptPartId>,
+    /// What could make it crash the upstreams that run it: the parts of the prompt that other
+    /// prompts may share, in their order, and the request as a whole.
+    pub(super) suspects: Vec<Suspect>,
+    /// Its runs under which their upstreams crashed.
+    pub(super) crashed_runs: Vec<CrashedRun>,
+    /// True once a response is complete.
+    pub(super) is_complete: bool,
     /// Prompt and output tokens to reserve engine memory for; 0 without a prompt.
     pub(super) reserved_tokens: u32,
     /// Configuration in force when the request arrived.
@@ -185,7 +192,8 @@
     pub(super) stalled: bool,
     /// Engine of a run that is silent but still open, while another engine is sought.
     pub(super) paused_run: Option<Target>,
-    /// True if the request finds out whether a part of its prompt still crashes engines.
+    /// True if the request finds out whether it, or a part of its prompt, still crashes
+    /// upstreams.
     pub(super) is_trial: bool,
     /// True if the retry of an abandoned call has been taken out of the retry budget.
     pub(super) retry_paid: bool,
@@ -208,6 +216,8 @@
         let prompt = incoming.prompt.filter(|_| {
             configuration.service(&service).is_some_and(|service| service.engine.is_some())
         });
+        let parts = incoming.shared_parts.into_iter().map(Suspect::Part);
+        let suspects = parts.chain([Suspect::Request(incoming.fingerprint)]).collect();
         Self {
             id: incoming.id,
             fingerprint: incoming.fingerprint,
@@ -217,7 +227,9 @@
             is_late: false,
             service,
             prompt,
-            shared_parts: incoming.shared_parts,
+            suspects,
+            crashed_runs: Vec::new(),
+            is_complete: false,
             reserved_tokens: 0,
             configuration,
             route,
@@ -259,6 +271,16 @@
         self.configuration.version
     }
 
+    /// Upstream of the last step.
+    pub fn upstream(&self) -> Option<&Target> {
+        self.current.as_ref()
+    }
+
+    /// Engine of a run that is silent but still open, while another engine is sought.
+    pub fn paused_engine(&self) -> Option<&Target> {
+        self.paused_run.as_ref()
+    }
+
     /// Id of the upstream of the last step; empty before the first one.
     pub fn upstream_id(&self) -> CompactString {
         self.current.as_ref().map(|target| target.id.clone()).unwrap_or_default()
@@ -269,6 +291,14 @@
         self.last_event
     }
 
+    /// Parts of the prompt that other prompts may share, in their order.
+    pub fn shared_parts(&self) -> impl Iterator<Item = &PromptPartId> {
+        self.suspects.iter().filter_map(|suspect| match suspect {
+            Suspect::Part(part) => Some(part),
+            Suspect::Request(_) => None,
+        })
+    }
+
     /// Whether the request has taken effect so far.
     pub fn outcome(&self) -> Outcome {
         match (self.may_have_run, self.runs) {
--- a/src/schema/bamboodoor.record.rs
+++ b/src/schema/bamboodoor.record.rs
@@ -136,50 +136,45 @@
     #[prost(string, tag = "2")]
     pub version: ::prost::alloc::string::String,
 }
-/// A record of the log of reports about parts of prompts: one append carries a batch.
+/// A record of the log of crashed runs: one append carries a batch.
 #[derive(Clone, PartialEq, ::prost::Message)]
-pub struct PartReportBatch {
-    /// Reports in the order in which the entry made them.
+pub struct CrashReportBatch {
+    /// The runs, in the order in which the entry learned of their ends.
     #[prost(message, repeated, tag = "1")]
-    pub reports: ::prost::alloc::vec::Vec<PartReport>,
-    /// When the batch was written, in milliseconds since the Unix epoch.
-    #[prost(uint64, tag = "2")]
-    pub written_unix_ms: u64,
+    pub runs: ::prost::alloc::vec::Vec<CrashedRun>,
 }
-/// What an entry has found out about parts of prompts.
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct PartReport {
-    #[prost(oneof = "part_report::Kind", tags = "1, 2")]
-    pub kind: ::core::option::Option<part_report::Kind>,
-}
-/// Nested message and enum types in `PartReport`.
-pub mod part_report {
-    #[derive(Clone, PartialEq, Eq, Hash, ::prost::Oneof)]
-    pub enum Kind {
-        /// A run ended with the connection of its engine when it had hardly begun.
-        #[prost(message, tag = "1")]
-        Crashed(super::CrashedRun),
-        /// Id of a part that was a suspect; a run with it went well.
-        #[prost(string, tag = "2")]
-        SoundPart(::prost::alloc::string::String),
-    }
-}
-/// Run that ended with the connection of its engine when it had hardly begun.
+/// Run under which its upstream crashed.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct CrashedRun {
     /// Id of the request.
     #[prost(string, tag = "1")]
     pub request_id: ::prost::alloc::string::String,
-    /// Id of the instance of the engine.
+    /// Id of the instance of the upstream.
     #[prost(string, tag = "2")]
-    pub engine_id: ::prost::alloc::string::String,
-    /// Start time of the engine in milliseconds since the Unix epoch; 0 if not known.
+    pub upstream_id: ::prost::alloc::string::String,
+    /// Start time of the upstream in milliseconds since the Unix epoch; 0 if not known.
     #[prost(uint64, tag = "3")]
-    pub engine_started_ms: u64,
+    pub upstream_started_ms: u64,
     /// Ids of the shared parts of the prompt that are suspects.
     #[prost(string, repeated, tag = "4")]
     pub parts: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
-    /// True if the head of the response had arrived.
-    #[prost(bool, tag = "5")]
-    pub response_begun: bool,
+    /// Fingerprint of the request, 16 bytes.
+    #[prost(bytes = "vec", tag = "5")]
+    pub fingerprint: ::prost::alloc::vec::Vec<u8>,
+    /// True if the request as a whole is a suspect.
+    #[prost(bool, tag = "6")]
+    pub request_is_suspect: bool,
+    /// True if the run was to find out whether a suspect still crashes upstreams.
+    #[prost(bool, tag = "7")]
+    pub is_trial: bool,
+    /// When the upstream crashed, in milliseconds since the Unix epoch.
+    #[prost(uint64, tag = "8")]
+    pub crashed_unix_ms: u64,
+}
+/// Value of a record of the feed of suspects, whose key names the suspect.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct SuspectRecord {
+    /// Crashed runs with the suspect.
+    #[prost(message, repeated, tag = "1")]
+    pub runs: ::prost::alloc::vec::Vec<CrashedRun>,
 }
--- a/src/schema/bamboodoor.record.serde.rs
+++ b/src/schema/bamboodoor.record.serde.rs
@@ -715,6 +715,97 @@
         deserializer.deserialize_struct("bamboodoor.record.Completion", FIELDS, GeneratedVisitor)
     }
 }
+impl serde::Serialize for CrashReportBatch {
+    #[allow(deprecated)]
+    fn serialize<S>(&self, serializer: S) -> std::result::Result<S::Ok, S::Error>
+    where
+        S: serde::Serializer,
+    {
+        use serde::ser::SerializeStruct;
+        let mut len = 0;
+        if !self.runs.is_empty() {
+            len += 1;
+        }
+        let mut struct_ser = serializer.serialize_struct("bamboodoor.record.CrashReportBatch", len)?;
+        if !self.runs.is_empty() {
+            struct_ser.serialize_field("runs", &self.runs)?;
+        }
+        struct_ser.end()
+    }
+}
+impl<'de> serde::Deserialize<'de> for CrashReportBatch {
+    #[allow(deprecated)]
+    fn deserialize<D>(deserializer: D) -> std::result::Result<Self, D::Error>
+    where
+        D: serde::Deserializer<'de>,
+    {
+        const FIELDS: &[&str] = &[
+            "runs",
+        ];
+
+        #[allow(clippy::enum_variant_names)]
+        enum GeneratedField {
+            Runs,
+        }
+        impl<'de> serde::Deserialize<'de> for GeneratedField {
+            fn deserialize<D>(deserializer: D) -> std::result::Result<GeneratedField, D::Error>
+            where
+                D: serde::Deserializer<'de>,
+            {
+                struct GeneratedVisitor;
+
+                impl serde::de::Visitor<'_> for GeneratedVisitor {
+                    type Value = GeneratedField;
+
+                    fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                        write!(formatter, "expected one of: {:?}", &FIELDS)
+                    }
+
+                    #[allow(unused_variables)]
+                    fn visit_str<E>(self, value: &str) -> std::result::Result<GeneratedField, E>
+                    where
+                        E: serde::de::Error,
+                    {
+                        match value {
+                            "runs" => Ok(GeneratedField::Runs),
+                            _ => Err(serde::de::Error::unknown_field(value, FIELDS)),
+                        }
+                    }
+                }
+                deserializer.deserialize_identifier(GeneratedVisitor)
+            }
+        }
+        struct GeneratedVisitor;
+        impl<'de> serde::de::Visitor<'de> for GeneratedVisitor {
+            type Value = CrashReportBatch;
+
+            fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                formatter.write_str("struct bamboodoor.record.CrashReportBatch")
+            }
+
+            fn visit_map<V>(self, mut map_: V) -> std::result::Result<CrashReportBatch, V::Error>
+                where
+                    V: serde::de::MapAccess<'de>,
+            {
+                let mut runs__ = None;
+                while let Some(k) = map_.next_key()? {
+                    match k {
+                        GeneratedField::Runs => {
+                            if runs__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("runs"));
+                            }
+                            runs__ = Some(map_.next_value()?);
+                        }
+                    }
+                }
+                Ok(CrashReportBatch {
+                    runs: runs__.unwrap_or_default(),
+                })
+            }
+        }
+        deserializer.deserialize_struct("bamboodoor.record.CrashReportBatch", FIELDS, GeneratedVisitor)
+    }
+}
 impl serde::Serialize for CrashedRun {
     #[allow(deprecated)]
     fn serialize<S>(&self, serializer: S) -> std::result::Result<S::Ok, S::Error>
@@ -726,35 +817,57 @@
         if !self.request_id.is_empty() {
             len += 1;
         }
-        if !self.engine_id.is_empty() {
+        if !self.upstream_id.is_empty() {
             len += 1;
         }
-        if self.engine_started_ms != 0 {
+        if self.upstream_started_ms != 0 {
             len += 1;
         }
         if !self.parts.is_empty() {
             len += 1;
         }
-        if self.response_begun {
+        if !self.fingerprint.is_empty() {
+            len += 1;
+        }
+        if self.request_is_suspect {
+            len += 1;
+        }
+        if self.is_trial {
+            len += 1;
+        }
+        if self.crashed_unix_ms != 0 {
             len += 1;
         }
         let mut struct_ser = serializer.serialize_struct("bamboodoor.record.CrashedRun", len)?;
         if !self.request_id.is_empty() {
             struct_ser.serialize_field("request_id", &self.request_id)?;
         }
-        if !self.engine_id.is_empty() {
-            struct_ser.serialize_field("engine_id", &self.engine_id)?;
+        if !self.upstream_id.is_empty() {
+            struct_ser.serialize_field("upstream_id", &self.upstream_id)?;
         }
-        if self.engine_started_ms != 0 {
+        if self.upstream_started_ms != 0 {
             #[allow(clippy::needless_borrow)]
             #[allow(clippy::needless_borrows_for_generic_args)]
-            struct_ser.serialize_field("engine_started_ms", ToString::to_string(&self.engine_started_ms).as_str())?;
+            struct_ser.serialize_field("upstream_started_ms", ToString::to_string(&self.upstream_started_ms).as_str())?;
         }
         if !self.parts.is_empty() {
             struct_ser.serialize_field("parts", &self.parts)?;
         }
-        if self.response_begun {
-            struct_ser.serialize_field("response_begun", &self.response_begun)?;
+        if !self.fingerprint.is_empty() {
+            #[allow(clippy::needless_borrow)]
+            #[allow(clippy::needless_borrows_for_generic_args)]
+            struct_ser.serialize_field("fingerprint", pbjson::private::base64::encode(&self.fingerprint).as_str())?;
+        }
+        if self.request_is_suspect {
+            struct_ser.serialize_field("request_is_suspect", &self.request_is_suspect)?;
+        }
+        if self.is_trial {
+            struct_ser.serialize_field("is_trial", &self.is_trial)?;
+        }
+        if self.crashed_unix_ms != 0 {
+            #[allow(clippy::needless_borrow)]
+            #[allow(clippy::needless_borrows_for_generic_args)]
+            struct_ser.serialize_field("crashed_unix_ms", ToString::to_string(&self.crashed_unix_ms).as_str())?;
         }
         struct_ser.end()
     }
@@ -768,22 +881,30 @@
         const FIELDS: &[&str] = &[
             "request_id",
             "requestId",
-            "engine_id",
-            "engineId",
-            "engine_started_ms",
-            "engineStartedMs",
+            "upstream_id",
+            "upstreamId",
+            "upstream_started_ms",
+            "upstreamStartedMs",
             "parts",
-            "response_begun",
-            "responseBegun",
+            "fingerprint",
+            "request_is_suspect",
+            "requestIsSuspect",
+            "is_trial",
+            "isTrial",
+            "crashed_unix_ms",
+            "crashedUnixMs",
         ];
 
         #[allow(clippy::enum_variant_names)]
         enum GeneratedField {
             RequestId,
-            EngineId,
-            EngineStartedMs,
+            UpstreamId,
+            UpstreamStartedMs,
             Parts,
-            ResponseBegun,
+            Fingerprint,
+            RequestIsSuspect,
+            IsTrial,
+            CrashedUnixMs,
         }
         impl<'de> serde::Deserialize<'de> for GeneratedField {
             fn deserialize<D>(deserializer: D) -> std::result::Result<GeneratedField, D::Error>
@@ -806,10 +927,13 @@
                     {
                         match value {
                             "requestId" | "request_id" => Ok(GeneratedField::RequestId),
-                            "engineId" | "engine_id" => Ok(GeneratedField::EngineId),
-                            "engineStartedMs" | "engine_started_ms" => Ok(GeneratedField::EngineStartedMs),
+                            "upstreamId" | "upstream_id" => Ok(GeneratedField::UpstreamId),
+                            "upstreamStartedMs" | "upstream_started_ms" => Ok(GeneratedField::UpstreamStartedMs),
                             "parts" => Ok(GeneratedField::Parts),
-                            "responseBegun" | "response_begun" => Ok(GeneratedField::ResponseBegun),
+                            "fingerprint" => Ok(GeneratedField::Fingerprint),
+                            "requestIsSuspect" | "request_is_suspect" => Ok(GeneratedField::RequestIsSuspect),
+                            "isTrial" | "is_trial" => Ok(GeneratedField::IsTrial),
+                            "crashedUnixMs" | "crashed_unix_ms" => Ok(GeneratedField::CrashedUnixMs),
                             _ => Err(serde::de::Error::unknown_field(value, FIELDS)),
                         }
                     }
@@ -830,10 +954,13 @@
                     V: serde::de::MapAccess<'de>,
             {
                 let mut request_id__ = None;
-                let mut engine_id__ = None;
-                let mut engine_started_ms__ = None;
+                let mut upstream_id__ = None;
+                let mut upstream_started_ms__ = None;
                 let mut parts__ = None;
-                let mut response_begun__ = None;
+                let mut fingerprint__ = None;
+                let mut request_is_suspect__ = None;
+                let mut is_trial__ = None;
+                let mut crashed_unix_ms__ = None;
                 while let Some(k) = map_.next_key()? {
                     match k {
                         GeneratedField::RequestId => {
@@ -842,17 +969,17 @@
                             }
                             request_id__ = Some(map_.next_value()?);
                         }
-                        GeneratedField::EngineId => {
-                            if engine_id__.is_some() {
-                                return Err(serde::de::Error::duplicate_field("engineId"));
+                        GeneratedField::UpstreamId => {
+                            if upstream_id__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("upstreamId"));
                             }
-                            engine_id__ = Some(map_.next_value()?);
+                            upstream_id__ = Some(map_.next_value()?);
                         }
-                        GeneratedField::EngineStartedMs => {
-                            if engine_started_ms__.is_some() {
-                                return Err(serde::de::Error::duplicate_field("engineStartedMs"));
+                        GeneratedField::UpstreamStartedMs => {
+                            if upstream_started_ms__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("upstreamStartedMs"));
                             }
-                            engine_started_ms__ = 
+                            upstream_started_ms__ = 
                                 Some(map_.next_value::<::pbjson::private::NumberDeserialize<_>>()?.0)
                             ;
                         }
@@ -862,20 +989,45 @@
                             }
                             parts__ = Some(map_.next_value()?);
                         }
-                        GeneratedField::ResponseBegun => {
-                            if response_begun__.is_some() {
-                                return Err(serde::de::Error::duplicate_field("responseBegun"));
+                        GeneratedField::Fingerprint => {
+                            if fingerprint__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("fingerprint"));
+                            }
+                            fingerprint__ = 
+                                Some(map_.next_value::<::pbjson::private::BytesDeserialize<_>>()?.0)
+                            ;
+                        }
+                        GeneratedField::RequestIsSuspect => {
+                            if request_is_suspect__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("requestIsSuspect"));
                             }
-                            response_begun__ = Some(map_.next_value()?);
+                            request_is_suspect__ = Some(map_.next_value()?);
+                        }
+                        GeneratedField::IsTrial => {
+                            if is_trial__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("isTrial"));
+                            }
+                            is_trial__ = Some(map_.next_value()?);
+                        }
+                        GeneratedField::CrashedUnixMs => {
+                            if crashed_unix_ms__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("crashedUnixMs"));
+                            }
+                            crashed_unix_ms__ = 
+                                Some(map_.next_value::<::pbjson::private::NumberDeserialize<_>>()?.0)
+                            ;
                         }
                     }
                 }
                 Ok(CrashedRun {
                     request_id: request_id__.unwrap_or_default(),
-                    engine_id: engine_id__.unwrap_or_default(),
-                    engine_started_ms: engine_started_ms__.unwrap_or_default(),
+                    upstream_id: upstream_id__.unwrap_or_default(),
+                    upstream_started_ms: upstream_started_ms__.unwrap_or_default(),
                     parts: parts__.unwrap_or_default(),
-                    response_begun: response_begun__.unwrap_or_default(),
+                    fingerprint: fingerprint__.unwrap_or_default(),
+                    request_is_suspect: request_is_suspect__.unwrap_or_default(),
+                    is_trial: is_trial__.unwrap_or_default(),
+                    crashed_unix_ms: crashed_unix_ms__.unwrap_or_default(),
                 })
             }
         }
@@ -991,228 +1143,6 @@
         deserializer.deserialize_struct("bamboodoor.record.ManifestRecord", FIELDS, GeneratedVisitor)
     }
 }
-impl serde::Serialize for PartReport {
-    #[allow(deprecated)]
-    fn serialize<S>(&self, serializer: S) -> std::result::Result<S::Ok, S::Error>
-    where
-        S: serde::Serializer,
-    {
-        use serde::ser::SerializeStruct;
-        let mut len = 0;
-        if self.kind.is_some() {
-            len += 1;
-        }
-        let mut struct_ser = serializer.serialize_struct("bamboodoor.record.PartReport", len)?;
-        if let Some(v) = self.kind.as_ref() {
-            match v {
-                part_report::Kind::Crashed(v) => {
-                    struct_ser.serialize_field("crashed", v)?;
-                }
-                part_report::Kind::SoundPart(v) => {
-                    struct_ser.serialize_field("sound_part", v)?;
-                }
-            }
-        }
-        struct_ser.end()
-    }
-}
-impl<'de> serde::Deserialize<'de> for PartReport {
-    #[allow(deprecated)]
-    fn deserialize<D>(deserializer: D) -> std::result::Result<Self, D::Error>
-    where
-        D: serde::Deserializer<'de>,
-    {
-        const FIELDS: &[&str] = &[
-            "crashed",
-            "sound_part",
-            "soundPart",
-        ];
-
-        #[allow(clippy::enum_variant_names)]
-        enum GeneratedField {
-            Crashed,
-            SoundPart,
-        }
-        impl<'de> serde::Deserialize<'de> for GeneratedField {
-            fn deserialize<D>(deserializer: D) -> std::result::Result<GeneratedField, D::Error>
-            where
-                D: serde::Deserializer<'de>,
-            {
-                struct GeneratedVisitor;
-
-                impl serde::de::Visitor<'_> for GeneratedVisitor {
-                    type Value = GeneratedField;
-
-                    fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-                        write!(formatter, "expected one of: {:?}", &FIELDS)
-                    }
-
-                    #[allow(unused_variables)]
-                    fn visit_str<E>(self, value: &str) -> std::result::Result<GeneratedField, E>
-                    where
-                        E: serde::de::Error,
-                    {
-                        match value {
-                            "crashed" => Ok(GeneratedField::Crashed),
-                            "soundPart" | "sound_part" => Ok(GeneratedField::SoundPart),
-                            _ => Err(serde::de::Error::unknown_field(value, FIELDS)),
-                        }
-                    }
-                }
-                deserializer.deserialize_identifier(GeneratedVisitor)
-            }
-        }
-        struct GeneratedVisitor;
-        impl<'de> serde::de::Visitor<'de> for GeneratedVisitor {
-            type Value = PartReport;
-
-            fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-                formatter.write_str("struct bamboodoor.record.PartReport")
-            }
-
-            fn visit_map<V>(self, mut map_: V) -> std::result::Result<PartReport, V::Error>
-                where
-                    V: serde::de::MapAccess<'de>,
-            {
-                let mut kind__ = None;
-                while let Some(k) = map_.next_key()? {
-                    match k {
-                        GeneratedField::Crashed => {
-                            if kind__.is_some() {
-                                return Err(serde::de::Error::duplicate_field("crashed"));
-                            }
-                            kind__ = map_.next_value::<::std::option::Option<_>>()?.map(part_report::Kind::Crashed)
-;
-                        }
-                        GeneratedField::SoundPart => {
-                            if kind__.is_some() {
-                                return Err(serde::de::Error::duplicate_field("soundPart"));
-                            }
-                            kind__ = map_.next_value::<::std::option::Option<_>>()?.map(part_report::Kind::SoundPart);
-                        }
-                    }
-                }
-                Ok(PartReport {
-                    kind: kind__,
-                })
-            }
-        }
-        deserializer.deserialize_struct("bamboodoor.record.PartReport", FIELDS, GeneratedVisitor)
-    }
-}
-impl serde::Serialize for PartReportBatch {
-    #[allow(deprecated)]
-    fn serialize<S>(&self, serializer: S) -> std::result::Result<S::Ok, S::Error>
-    where
-        S: serde::Serializer,
-    {
-        use serde::ser::SerializeStruct;
-        let mut len = 0;
-        if !self.reports.is_empty() {
-            len += 1;
-        }
-        if self.written_unix_ms != 0 {
-            len += 1;
-        }
-        let mut struct_ser = serializer.serialize_struct("bamboodoor.record.PartReportBatch", len)?;
-        if !self.reports.is_empty() {
-            struct_ser.serialize_field("reports", &self.reports)?;
-        }
-        if self.written_unix_ms != 0 {
-            #[allow(clippy::needless_borrow)]
-            #[allow(clippy::needless_borrows_for_generic_args)]
-            struct_ser.serialize_field("written_unix_ms", ToString::to_string(&self.written_unix_ms).as_str())?;
-        }
-        struct_ser.end()
-    }
-}
-impl<'de> serde::Deserialize<'de> for PartReportBatch {
-    #[allow(deprecated)]
-    fn deserialize<D>(deserializer: D) -> std::result::Result<Self, D::Error>
-    where
-        D: serde::Deserializer<'de>,
-    {
-        const FIELDS: &[&str] = &[
-            "reports",
-            "written_unix_ms",
-            "writtenUnixMs",
-        ];
-
-        #[allow(clippy::enum_variant_names)]
-        enum GeneratedField {
-            Reports,
-            WrittenUnixMs,
-        }
-        impl<'de> serde::Deserialize<'de> for GeneratedField {
-            fn deserialize<D>(deserializer: D) -> std::result::Result<GeneratedField, D::Error>
-            where
-                D: serde::Deserializer<'de>,
-            {
-                struct GeneratedVisitor;
-
-                impl serde::de::Visitor<'_> for GeneratedVisitor {
-                    type Value = GeneratedField;
-
-                    fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-                        write!(formatter, "expected one of: {:?}", &FIELDS)
-                    }
-
-                    #[allow(unused_variables)]
-                    fn visit_str<E>(self, value: &str) -> std::result::Result<GeneratedField, E>
-                    where
-                        E: serde::de::Error,
-                    {
-                        match value {
-                            "reports" => Ok(GeneratedField::Reports),
-                            "writtenUnixMs" | "written_unix_ms" => Ok(GeneratedField::WrittenUnixMs),
-                            _ => Err(serde::de::Error::unknown_field(value, FIELDS)),
-                        }
-                    }
-                }
-                deserializer.deserialize_identifier(GeneratedVisitor)
-            }
-        }
-        struct GeneratedVisitor;
-        impl<'de> serde::de::Visitor<'de> for GeneratedVisitor {
-            type Value = PartReportBatch;
-
-            fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-                formatter.write_str("struct bamboodoor.record.PartReportBatch")
-            }
-
-            fn visit_map<V>(self, mut map_: V) -> std::result::Result<PartReportBatch, V::Error>
-                where
-                    V: serde::de::MapAccess<'de>,
-            {
-                let mut reports__ = None;
-                let mut written_unix_ms__ = None;
-                while let Some(k) = map_.next_key()? {
-                    match k {
-                        GeneratedField::Reports => {
-                            if reports__.is_some() {
-                                return Err(serde::de::Error::duplicate_field("reports"));
-                            }
-                            reports__ = Some(map_.next_value()?);
-                        }
-                        GeneratedField::WrittenUnixMs => {
-                            if written_unix_ms__.is_some() {
-                                return Err(serde::de::Error::duplicate_field("writtenUnixMs"));
-                            }
-                            written_unix_ms__ = 
-                                Some(map_.next_value::<::pbjson::private::NumberDeserialize<_>>()?.0)
-                            ;
-                        }
-                    }
-                }
-                Ok(PartReportBatch {
-                    reports: reports__.unwrap_or_default(),
-                    written_unix_ms: written_unix_ms__.unwrap_or_default(),
-                })
-            }
-        }
-        deserializer.deserialize_struct("bamboodoor.record.PartReportBatch", FIELDS, GeneratedVisitor)
-    }
-}
 impl serde::Serialize for Publish {
     #[allow(deprecated)]
     fn serialize<S>(&self, serializer: S) -> std::result::Result<S::Ok, S::Error>
@@ -1578,3 +1508,94 @@
         deserializer.deserialize_struct("bamboodoor.record.StreamOriginBatch", FIELDS, GeneratedVisitor)
     }
 }
+impl serde::Serialize for SuspectRecord {
+    #[allow(deprecated)]
+    fn serialize<S>(&self, serializer: S) -> std::result::Result<S::Ok, S::Error>
+    where
+        S: serde::Serializer,
+    {
+        use serde::ser::SerializeStruct;
+        let mut len = 0;
+        if !self.runs.is_empty() {
+            len += 1;
+        }
+        let mut struct_ser = serializer.serialize_struct("bamboodoor.record.SuspectRecord", len)?;
+        if !self.runs.is_empty() {
+            struct_ser.serialize_field("runs", &self.runs)?;
+        }
+        struct_ser.end()
+    }
+}
+impl<'de> serde::Deserialize<'de> for SuspectRecord {
+    #[allow(deprecated)]
+    fn deserialize<D>(deserializer: D) -> std::result::Result<Self, D::Error>
+    where
+        D: serde::Deserializer<'de>,
+    {
+        const FIELDS: &[&str] = &[
+            "runs",
+        ];
+
+        #[allow(clippy::enum_variant_names)]
+        enum GeneratedField {
+            Runs,
+        }
+        impl<'de> serde::Deserialize<'de> for GeneratedField {
+            fn deserialize<D>(deserializer: D) -> std::result::Result<GeneratedField, D::Error>
+            where
+                D: serde::Deserializer<'de>,
+            {
+                struct GeneratedVisitor;
+
+                impl serde::de::Visitor<'_> for GeneratedVisitor {
+                    type Value = GeneratedField;
+
+                    fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                        write!(formatter, "expected one of: {:?}", &FIELDS)
+                    }
+
+                    #[allow(unused_variables)]
+                    fn visit_str<E>(self, value: &str) -> std::result::Result<GeneratedField, E>
+                    where
+                        E: serde::de::Error,
+                    {
+                        match value {
+                            "runs" => Ok(GeneratedField::Runs),
+                            _ => Err(serde::de::Error::unknown_field(value, FIELDS)),
+                        }
+                    }
+                }
+                deserializer.deserialize_identifier(GeneratedVisitor)
+            }
+        }
+        struct GeneratedVisitor;
+        impl<'de> serde::de::Visitor<'de> for GeneratedVisitor {
+            type Value = SuspectRecord;
+
+            fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                formatter.write_str("struct bamboodoor.record.SuspectRecord")
+            }
+
+            fn visit_map<V>(self, mut map_: V) -> std::result::Result<SuspectRecord, V::Error>
+                where
+                    V: serde::de::MapAccess<'de>,
+            {
+                let mut runs__ = None;
+                while let Some(k) = map_.next_key()? {
+                    match k {
+                        GeneratedField::Runs => {
+                            if runs__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("runs"));
+                            }
+                            runs__ = Some(map_.next_value()?);
+                        }
+                    }
+                }
+                Ok(SuspectRecord {
+                    runs: runs__.unwrap_or_default(),
+                })
+            }
+        }
+        deserializer.deserialize_struct("bamboodoor.record.SuspectRecord", FIELDS, GeneratedVisitor)
+    }
+}
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -57,6 +57,22 @@
     newest_values: BTreeMap<String, (u64, Bytes)>,
 }
 
+impl Topic {
+    /// Appends a record to a topic with keys; without a value it removes the key.
+    fn append_keyed(&mut self, record: Record) {
+        let offset = self.first_offset + self.records.len() as u64;
+        match &record.value {
+            Some(value) => {
+                self.newest_values.insert(record.key.clone(), (offset, value.clone()));
+            }
+            None => {
+                self.newest_values.remove(&record.key);
+            }
+        }
+        self.records.push(record);
+    }
+}
+
 /// Copy of all that a store holds, to which it can go back. The default is that of an empty
 /// store.
 #[derive(Debug, Clone, Default)]
@@ -108,12 +124,7 @@
     pub fn put(&self, topic: &str, key: &str, value: Option<Bytes>) {
         let mut topics = self.topics.lock().expect("the mutex is not poisoned");
         let topic = topics.entry(topic.to_string()).or_default();
-        let offset = topic.first_offset + topic.records.len() as u64;
-        match &value {
-            Some(value) => topic.newest_values.insert(key.to_string(), (offset, value.clone())),
-            None => topic.newest_values.remove(key),
-        };
-        topic.records.push(Record { key: key.to_string(), value });
+        topic.append_keyed(Record { key: key.to_string(), value });
         self.appended.notify_waiters();
     }
 
@@ -204,7 +215,7 @@
         }
     }
 
-    /// Appends the records of a request to a topic without keys.
+    /// Appends the records of a request to a topic, unless operators or replicas write it.
     async fn append(&self, request: Request<Incoming>) -> Response<Body> {
         let topic = query_text(&request, "topic");
         let Ok(body) = request.into_body().collect().await else {
@@ -217,12 +228,22 @@
             if body.len() < length {
                 return server::json(StatusCode::BAD_REQUEST, &json!({}));
             }
-            records.push(Record { key: String::new(), value: Some(body.split_to(length)) });
+            records.push(body.split_to(length));
+        }
+        if topic == OPERATOR_TOPIC || topic == REPLICAS_TOPIC {
+            return server::json(StatusCode::FORBIDDEN, &json!({}));
         }
+        let is_keyed = topic.starts_with(KEYED_PREFIX);
         let mut topics = self.topics.lock().expect("the mutex is not poisoned");
         let topic = topics.entry(topic).or_default();
         let offset = topic.first_offset + topic.records.len() as u64;
-        topic.records.extend(records);
+        for content in records {
+            if is_keyed {
+                topic.append_keyed(keyed_record(content));
+            } else {
+                topic.records.push(Record { key: String::new(), value: Some(content) });
+            }
+        }
         let end = topic.first_offset + topic.records.len() as u64;
         self.appended.notify_waiters();
         server::json(StatusCode::OK, &json!({"offset": offset, "end": end}))
@@ -331,6 +352,15 @@
 /// [`Store::down`] was switched on.
 const READ_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Splits the content of a record in a topic with keys: the length of the key in one byte, the
+/// key, and the value; without a value the record removes the key.
+fn keyed_record(mut content: Bytes) -> Record {
+    let key_bytes = if content.is_empty() { 0 } else { usize::from(content.get_u8()) };
+    let key = content.split_to(key_bytes.min(content.len()));
+    let key = String::from_utf8_lossy(&key).into_owned();
+    Record { key, value: (!content.is_empty()).then_some(content) }
+}
+
 fn query_text(request: &Request<Incoming>, name: &str) -> String {
     let query = request.uri().query().unwrap_or_default();
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
--- a/tests/core/simulation.rs
+++ b/tests/core/simulation.rs
@@ -135,9 +135,13 @@
 ];
 
 /// Reasons of an entry that connects to upstreams directly; `tests/router` reaches them
-/// (`rate_limited_engines`, `upstream_notice`, `software_versions`).
-const ROUTER_REASONS: [RefusalReason; 3] =
-    [RefusalReason::RateLimited, RefusalReason::VersionUnavailable, RefusalReason::PoisonousPrompt];
+/// (`rate_limited_engines`, `upstream_notice`, `software_versions`, `poison`, `deadly_requests`).
+const ROUTER_REASONS: [RefusalReason; 4] = [
+    RefusalReason::RateLimited,
+    RefusalReason::VersionUnavailable,
+    RefusalReason::PoisonousPrompt,
+    RefusalReason::PoisonousRequest,
+];
 
 #[test]
 fn every_reason_for_refusal_or_retry_is_reached() {
--- a/tests/router/ended_tasks.rs
+++ b/tests/router/ended_tasks.rs
@@ -82,6 +82,10 @@
         Err(Failure::Broken)
     }
 
+    async fn accepts_connections(&self, _: &Target) -> bool {
+        true
+    }
+
     async fn clean_up(&self, _cleanup: Cleanup) {}
 
     fn take_notices(&self) -> Vec<UpstreamNotice> {
--- a/tests/router/harness.rs
+++ b/tests/router/harness.rs
@@ -12,6 +12,7 @@
 use bamboodoor::router::configuration::Engine;
 use bamboodoor::router::configuration::Route;
 use bamboodoor::router::configuration::Service;
+use bamboodoor::router::fingerprint::Fingerprint;
 use bamboodoor::router::instance_list::InstanceRecord;
 use bamboodoor::router::instance_list::InstanceState;
 use bamboodoor::router::request::IncomingRequest;
@@ -208,6 +209,7 @@
         id: "request".into(),
         host: HOST.into(),
         path: path.into(),
+        fingerprint: Fingerprint::default(),
         caller_timeout: Some(CALLER_TIMEOUT),
         prompt: goes_to_engines(path).then_some(prompt),
         shared_parts: Vec::new(),
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -4,6 +4,8 @@
 mod caller_retry;
 mod configuration;
 mod connection_limits;
+mod crash_fleet;
+mod deadly_requests;
 mod ended_tasks;
 mod engine_time;
 mod fleet;
--- a/tests/router/poison.rs
+++ b/tests/router/poison.rs
@@ -6,88 +6,31 @@
 use bamboodoor::outcome::RefusalReason;
 use bamboodoor::router::Event;
 use bamboodoor::router::Step;
+use bamboodoor::router::fingerprint::Fingerprint;
+use bamboodoor::router::poison::AgedRun;
 use bamboodoor::router::poison::CrashedRun;
-use bamboodoor::router::poison::PartReport;
+use bamboodoor::router::poison::Incarnation;
+use bamboodoor::router::poison::RecordAge;
+use bamboodoor::router::poison::Suspect;
+use bamboodoor::router::poison::SuspectRecord;
 use bamboodoor::router::request::IncomingRequest;
 use bamboodoor::router::request::PromptPartId;
-use bamboodoor::router::request::RequestKey;
-use bamboodoor::router::upstreams::ListedUpstream;
-use bamboodoor::router::upstreams::PoolRole;
 
+use crate::crash_fleet::Fleet;
+use crate::crash_fleet::InFlight;
+use crate::crash_fleet::upstreams;
 use crate::harness::ENGINES;
 use crate::harness::Harness;
 use crate::harness::incoming;
 use crate::harness::ms;
 use crate::harness::reserved;
-use crate::harness::upstream;
 
 /// Part that all prompts begin with.
 const COMMON: &str = "c0";
 /// Part that crashes engines.
 const POISON: &str = "d0";
 
-/// Returns two prefill engines and eight decode engines.
-fn engines() -> Vec<ListedUpstream> {
-    let prefill = ["p1", "p2"].map(|id| upstream(id, ENGINES, PoolRole::Prefill));
-    let decode = ["d1", "d2", "d3", "d4", "d5", "d6", "d7", "d8"];
-    let decode = decode.map(|id| upstream(id, ENGINES, PoolRole::Decode));
-    prefill.into_iter().chain(decode).collect()
-}
-
-/// Entries in virtual time that share the log of the store.
-struct Fleet {
-    entries: Vec<Harness>,
-    /// Number of the last request that was started.
-    last_request: u32,
-    /// Log of the store, with the time of each report.
-    log: Vec<(Duration, PartReport)>,
-}
-
-/// A request in flight at an entry.
-#[derive(Clone, Copy)]
-struct InFlight {
-    entry: usize,
-    key: RequestKey,
-}
-
 impl Fleet {
-    /// Creates entries, of which the first is the one that tries poisonous parts.
-    fn new(entries: usize) -> Self {
-        let mut entries: Vec<Harness> = (0..entries).map(|_| Harness::new(engines())).collect();
-        entries[0].router.set_tries_poisonous_parts(true);
-        Self { entries, last_request: 0, log: Vec::new() }
-    }
-
-    fn wait(&mut self, pause: Duration) {
-        for entry in &mut self.entries {
-            entry.now += pause;
-        }
-    }
-
-    /// Appends the reports of all entries to the log, which all entries read.
-    fn share_reports(&mut self) {
-        let reports: Vec<PartReport> = self
-            .entries
-            .iter_mut()
-            .flat_map(|entry| entry.router.take_unsent_part_reports())
-            .collect();
-        let now = self.entries[0].now;
-        self.log.extend(reports.iter().map(|report| (now, report.clone())));
-        for entry in &mut self.entries {
-            entry.router.record_part_reports(entry.now, entry.now, reports.clone());
-        }
-    }
-
-    /// Starts a request at an entry, on `/resumable/1`, whose prompt has these shared parts.
-    fn start(&mut self, entry: usize, parts: &[&str]) -> (InFlight, Step) {
-        self.last_request += 1;
-        let id = format!("r{}", self.last_request).into();
-        let shared_parts = parts.iter().map(|&part| PromptPartId(part.into())).collect();
-        let request = IncomingRequest { id, shared_parts, ..incoming("/resumable/1") };
-        let (key, step) = self.entries[entry].start(request);
-        (InFlight { entry, key }, step)
-    }
-
     /// Starts a request and reports its steps until the response starts; `None` if it was refused.
     fn run(&mut self, entry: usize, parts: &[&str]) -> Option<InFlight> {
         self.wait(ms(100));
@@ -102,43 +45,6 @@
         Some(request)
     }
 
-    /// Reports the steps of a request after its reservation was sent, until the response starts.
-    fn respond(&mut self, request: InFlight) {
-        self.report(request, reserved());
-        let step = self.report(request, Event::Prefilled { handle: "handle".into() });
-        assert!(matches!(step, Step::Decode { .. }), "{step:?}");
-        self.report(request, Event::ResponseStarted { status: 200 });
-    }
-
-    fn report(&mut self, request: InFlight, event: Event) -> Step {
-        self.entries[request.entry].report(request.key, event)
-    }
-
-    fn events(&mut self, request: InFlight, events: u32) {
-        let entry = &mut self.entries[request.entry];
-        for _ in 0..events {
-            entry.router.record_event(entry.now, request.key);
-        }
-    }
-
-    fn finish(&mut self, request: InFlight) {
-        self.entries[request.entry].router.finish(request.key);
-    }
-
-    /// Has the engine of a request crash and start again. The caller does not wait for a retry.
-    fn end_connection(&mut self, request: InFlight) {
-        let engine = self.entries[request.entry].router.request(request.key);
-        let engine_id = engine.expect("the request is in flight").upstream_id();
-        self.report(request, Event::ResponseInterrupted { last_event: None });
-        self.finish(request);
-        self.share_reports();
-        let started_ms = 1_000 + u64::from(self.last_request);
-        let restarted = upstream(&engine_id, ENGINES, PoolRole::Decode);
-        for entry in &mut self.entries {
-            entry.list_upstream(ListedUpstream { started_ms, ..restarted.clone() });
-        }
-    }
-
     /// Runs a request whose engine crashes when it begins to generate. Returns false if the
     /// request was refused.
     fn crash(&mut self, entry: usize, parts: &[&str]) -> bool {
@@ -228,19 +134,24 @@
         #[test]
         fn $name() {
             let parts = vec![PromptPartId(COMMON.into()), PromptPartId(POISON.into())];
-            let reports = (0..3).map(|number| {
-                PartReport::Crashed(CrashedRun {
+            let age = Duration::from_secs($age_s);
+            let runs = (0..3).map(|number: u8| AgedRun {
+                run: CrashedRun {
                     request_id: format!("r{number}").into(),
-                    engine_id: format!("d{number}").into(),
-                    engine_started_ms: 1,
-                    parts: parts.clone(),
-                    response_begun: true,
-                })
+                    request: Fingerprint::of(&[&[number]]),
+                    upstream: Incarnation { id: format!("d{number}").into(), started_ms: 1 },
+                    suspects: parts.iter().cloned().map(Suspect::Part).collect(),
+                    is_trial: false,
+                },
+                age,
             });
-            let mut late = Harness::new(engines());
+            let runs: Vec<AgedRun> = runs.collect();
+            let mut late = Harness::new(upstreams());
             late.now += Duration::from_secs(1_000);
-            let reported_at = late.now - Duration::from_secs($age_s);
-            late.router.record_part_reports(late.now, reported_at, reports.collect());
+            for part in parts.iter().cloned().map(Suspect::Part) {
+                let record = SuspectRecord::Crashed(runs.clone());
+                late.router.record_suspect(late.now, part, record, RecordAge::Any);
+            }
             let request = IncomingRequest { shared_parts: parts, ..incoming("/stream/1") };
             let (_, step) = late.start(request);
             assert_eq!(matches!(step, Step::Refuse(_)), $refused, "{step:?}");
@@ -287,7 +198,7 @@
     let request = fleet.run(0, &[COMMON]).expect("the request is not refused");
     fleet.events(request, 1);
     let entry = &mut fleet.entries[0];
-    entry.router.record_complete_stream(entry.now, request.key);
+    entry.router.record_complete_response(entry.now, request.key);
     fleet.finish(request);
     assert!(fleet.crash(0, &[COMMON]));
     assert!(fleet.serve(0, &[COMMON]));
@@ -313,7 +224,7 @@
 fn retries_of_one_request_do_not_make_its_part_poisonous() {
     let mut fleet = Fleet::new(1);
     let request = fleet.run(0, &["e0"]).expect("the request is not refused");
-    let step = fleet.report(request, Event::ResponseInterrupted { last_event: None });
+    let step = fleet.report(request, Event::UpstreamCrashed { last_event: None });
     assert!(matches!(step, Step::Reserve { .. }), "{step:?}");
     fleet.respond(request);
     fleet.end_connection(request);
@@ -325,7 +236,7 @@
     let mut fleet = Fleet::new(2);
     let request = fleet.run(0, &[COMMON, POISON]).expect("the request is not refused");
     fleet.poison();
-    let step = fleet.report(request, Event::ResponseInterrupted { last_event: None });
+    let step = fleet.report(request, Event::UpstreamCrashed { last_event: None });
     assert_eq!(step, Step::Abort);
 }
 
@@ -392,7 +303,7 @@
     fleet.poison();
     fleet.wait(Duration::from_secs(16));
     let request = fleet.run(0, &[COMMON, POISON]).expect("the request is a trial");
-    let step = fleet.report(request, Event::ResponseInterrupted { last_event: None });
+    let step = fleet.report(request, Event::UpstreamCrashed { last_event: None });
     assert_eq!(step, Step::Abort);
 }
 
@@ -429,11 +340,8 @@
         assert!(fleet.serve(0, &[COMMON]));
         fleet.wait(Duration::from_secs(20));
     }
-    let mut late = Harness::new(engines());
-    late.now = fleet.entries[0].now;
-    for (reported_at, report) in fleet.log {
-        late.router.record_part_reports(late.now, reported_at, vec![report]);
-    }
+    fleet.restart(2);
+    let late = &mut fleet.entries[2];
     let shared_parts = vec![PromptPartId(COMMON.into())];
     let (_, step) = late.start(IncomingRequest { shared_parts, ..incoming("/stream/1") });
     assert!(matches!(step, Step::Reserve { .. }), "{step:?}");
