A poisonous request is tried only while the lease is valid

An entry that was paused, or could not reach the store, went on with it after its lease had run out, beside the next holder. It is a time now, the end of the lease less its margin. an_entry_whose_lease_ran_out_tries_nothing.

--- a/src/edge/direct/lease_task.rs
+++ b/src/edge/direct/lease_task.rs
@@ -67,9 +67,9 @@
         // An entry to which the store assigns no share uses none: there may be more
         // entries than shares.
         let rate_limit_share = self.lease.rate_limit_share(now).unwrap_or(FALLBACK_SHARE);
-        let holds = self.lease.fencing_token(now).is_some();
+        let tries_until = self.lease.orders_until(now).unwrap_or_default();
         let mut router = self.dispatcher.router.borrow_mut();
-        router.set_tries_poisonous_requests(now, holds);
+        router.set_tries_poisonous_until(now, tries_until);
         router.set_budget_share(budget_share.max(FALLBACK_SHARE));
         router.set_rate_limit_share(now, rate_limit_share);
     }
--- a/src/router/lease.rs
+++ b/src/router/lease.rs
@@ -175,6 +175,12 @@
         (self.generation < GENERATIONS_PER_ERA).then_some(first_of_era + self.generation)
     }
 
+    /// End of the time in which orders may be given; `None` if none may be given now.
+    pub fn orders_until(&self, now: Duration) -> Option<Duration> {
+        self.fencing_token(now)
+            .map(|_| self.valid_until.saturating_sub(self.settings.safety_margin))
+    }
+
     /// Fencing token for orders; `None` if no order may be given now: the lease
     /// is not held, was won too recently, or is about to expire.
     pub fn fencing_token(&self, now: Duration) -> Option<u64> {
--- a/src/router/poison.rs
+++ b/src/router/poison.rs
@@ -131,20 +131,20 @@
     published: HashMap<Suspect, usize>,
     /// Suspects that the store holds, but whose crashes are long ago.
     outdated: HashSet<Suspect>,
-    /// True if this entry is the one that tries poisonous suspects.
-    tries: bool,
+    /// Time until which this entry is the one that tries poisonous suspects.
+    tries_until: Duration,
     unreported: Vec<CrashedRun>,
     updates: Vec<SuspectUpdate>,
     changes: Vec<SuspectChange>,
 }
 
 impl PoisonDetector {
-    /// Sets whether this entry is the one of all entries that tries poisonous suspects, and
+    /// Sets until when this entry is the one of all entries that tries poisonous suspects, and
     /// removes outdated ones from the store.
-    pub fn set_tries(&mut self, now: Duration, tries: bool) {
-        self.tries = tries;
+    pub fn set_tries_until(&mut self, now: Duration, until: Duration) {
+        self.tries_until = until;
         self.forget_old_runs(now);
-        if tries {
+        if now < until {
             let outdated = std::mem::take(&mut self.outdated);
             outdated.into_iter().for_each(|suspect| self.update(suspect, SuspectRecord::Harmless));
         }
@@ -263,7 +263,7 @@
             suspects.iter().filter(|suspect| self.is_poisonous(now, suspect, suspects)).collect();
         let next_trials = poisonous.iter().map(|suspect| self.next_trial_at(suspect));
         let Some(next_trial_at) = next_trials.max() else { return Verdict::Harmless };
-        if !self.tries || now < next_trial_at {
+        if now >= self.tries_until || now < next_trial_at {
             let retry_after = next_trial_at.saturating_sub(now);
             let as_a_whole = poisonous.iter().any(|it| matches!(it, Suspect::Request(_)));
             return Verdict::Poisonous { retry_after, as_a_whole };
--- a/src/router/poisoned_requests.rs
+++ b/src/router/poisoned_requests.rs
@@ -20,10 +20,10 @@
 use crate::router::reserving::CAPACITY_RETRY_AFTER;
 
 impl Router {
-    /// Sets whether this entry is the one of all entries that tries poisonous requests again.
+    /// Sets until when this entry is the one of all entries that tries poisonous requests again.
     /// One entry at a time should be, such as the holder of the lease.
-    pub fn set_tries_poisonous_requests(&mut self, now: Duration, tries: bool) {
-        self.poison.set_tries(now, tries);
+    pub fn set_tries_poisonous_until(&mut self, now: Duration, until: Duration) {
+        self.poison.set_tries_until(now, until);
     }
 
     /// Returns the crashed runs of this entry that are to be reported, and clears the list of
--- a/tests/router/crash_fleet.rs
+++ b/tests/router/crash_fleet.rs
@@ -65,7 +65,7 @@
         let read = vec![0; entries];
         let mut entries: Vec<Harness> = (0..entries).map(|_| Harness::new(upstreams())).collect();
         let first = &mut entries[0];
-        first.router.set_tries_poisonous_requests(first.now, true);
+        first.router.set_tries_poisonous_until(first.now, Duration::MAX);
         Self {
             entries,
             last_request: 0,
--- a/tests/router/deadly_requests.rs
+++ b/tests/router/deadly_requests.rs
@@ -229,7 +229,8 @@
         if arrival % 100 == 0 {
             let holder = arrival / 100 % 5;
             for (index, entry) in fleet.entries.iter_mut().enumerate() {
-                entry.router.set_tries_poisonous_requests(entry.now, index == holder);
+                let until = if index == holder { Duration::MAX } else { Duration::ZERO };
+                entry.router.set_tries_poisonous_until(entry.now, until);
             }
         }
         crashes += fleet.deadly(arrival % 5, LOOKUP).crashed_upstreams;
@@ -238,6 +239,17 @@
     assert!((3..=6).contains(&crashes), "{crashes} upstreams crashed");
 }
 
+/// The lease of the entry runs out while the entry is paused; another one has it by then.
+#[test]
+fn an_entry_whose_lease_ran_out_tries_nothing() {
+    let mut fleet = Fleet::new(2);
+    fleet.make_poisonous();
+    let entry = &mut fleet.entries[0];
+    entry.router.set_tries_poisonous_until(entry.now, entry.now + Duration::from_secs(3));
+    fleet.wait(Duration::from_secs(20));
+    assert_eq!(fleet.deadly(0, BOOKING).crashed_upstreams, 0);
+}
+
 #[test]
 fn an_entry_that_starts_later_refuses_the_request() {
     let mut fleet = Fleet::new(3);
@@ -353,7 +365,7 @@
     fleet.wait(Duration::from_secs(301));
     fleet.deadly(1, BOOKING);
     let holder = &mut fleet.entries[0];
-    holder.router.set_tries_poisonous_requests(holder.now, true);
+    holder.router.set_tries_poisonous_until(holder.now, Duration::MAX);
     fleet.share_reports();
     assert!(fleet.suspects.is_empty());
 }
