Runs that were given up or interrupted are checked for crashes; only a refused connection shows one

- A request that has crashed an upstream, or is a trial, is not given up for an early retry: its end must be seen.
- A crash is a refused connection.

With four cases for rules that no test noticed when they were taken out (a single crash, one unexplained crash, SOUND_HOLD, REPORT_HOLD).

--- a/src/edge/direct/connections.rs
+++ b/src/edge/direct/connections.rs
@@ -5,6 +5,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -185,10 +186,12 @@
         None
     }
 
-    /// True if the peer accepts a connection within `limit`.
-    pub async fn accepts_connections(&self, address: SocketAddr, limit: Duration) -> bool {
+    /// True if the peer refuses a connection within `limit`: its host runs, but no process
+    /// listens. False if it accepts one or does not answer.
+    pub async fn refuses_connections(&self, address: SocketAddr, limit: Duration) -> bool {
         let connecting = TcpStream::connect(address);
-        matches!(tokio::time::timeout(limit, connecting).await, Ok(Ok(_)))
+        let connected = tokio::time::timeout(limit, connecting).await;
+        matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
     }
 
     /// Probes that close a connection whose peer has become unresponsive.
--- a/src/edge/direct/dispatch.rs
+++ b/src/edge/direct/dispatch.rs
@@ -205,6 +205,7 @@
                 async move { dispatcher.upstream_client.clean_up(cleanup).await },
             );
         }
+        self.check_runs();
         self.crash_log.wake(&self.router.borrow());
         self.log_suspect_changes();
         let runnable = self.router.borrow_mut().take_runnable();
--- a/src/edge/direct/upstream_client.rs
+++ b/src/edge/direct/upstream_client.rs
@@ -154,8 +154,9 @@
         fresh_connection: bool,
     ) -> Result<UpstreamResponse, Failure>;
 
-    /// True if the upstream accepts a connection. One whose process has crashed does not.
-    async fn accepts_connections(&self, target: &Target) -> bool;
+    /// True if the upstream refuses connections: its process has crashed. One that does not
+    /// answer may also be unreachable.
+    async fn refuses_connections(&self, target: &Target) -> bool;
 
     /// Reads the state of an engine: its role, and how many orders it has accepted.
     async fn engine_state(&self, target: &Target) -> Result<EngineState, Failure>;
--- a/src/router.rs
+++ b/src/router.rs
@@ -19,7 +19,7 @@
 pub mod pauses;
 mod plain;
 pub mod poison;
-mod poisoned_requests;
+pub mod poisoned_requests;
 pub mod rate_limit;
 pub mod request;
 pub mod reservation_queue;
@@ -58,6 +58,7 @@
 use crate::router::instance_list::InstanceList;
 use crate::router::output_margin::OutputMargin;
 use crate::router::poison::PoisonDetector;
+use crate::router::poisoned_requests::UncheckedRun;
 use crate::router::request::IncomingRequest;
 use crate::router::request::Request;
 use crate::router::request::RequestKey;
@@ -135,6 +136,8 @@
     version_histories: HashMap<CompactString, VersionHistory>,
     /// Requests and parts of prompts that crash upstreams.
     poison: PoisonDetector,
+    /// Runs to check; see [`Router::take_unchecked_runs`].
+    unchecked_runs: Vec<UncheckedRun>,
     /// Where streams began that their callers may take up.
     stream_origins: StreamOrigins,
     /// When the last model request arrived.
@@ -177,6 +180,7 @@
             output_margins: HashMap::new(),
             version_histories: HashMap::new(),
             poison: PoisonDetector::default(),
+            unchecked_runs: Vec::new(),
             stream_origins: StreamOrigins::default(),
             last_prompt_at: None,
             runnable: Vec::new(),
@@ -307,6 +311,7 @@
     /// # Panics
     /// If no request with this key is in flight.
     pub fn advance(&mut self, now: Duration, key: RequestKey, event: Event) -> Step {
+        self.track_run(key, &event);
         if self.requests[key].prompt.is_some() {
             self.advance_generate(now, key, event)
         } else {
@@ -368,6 +373,7 @@
     pub fn finish(&mut self, key: RequestKey) {
         self.record_steady_stream(key);
         self.report_crashed_runs(key);
+        self.have_run_checked(key);
         let Some(request) = self.requests.get_mut(key) else { return };
         let held = request.take_cleanups();
         self.cleanups.extend(held);
--- a/src/router/flow.rs
+++ b/src/router/flow.rs
@@ -132,8 +132,8 @@
     /// The exchange was interrupted or the response is not valid; the request
     /// may have run.
     Broken,
-    /// The exchange was interrupted, and the upstream accepts no connections any more; the
-    /// request may have run, and may have crashed it.
+    /// The exchange was interrupted, and the upstream refuses connections now; the request may
+    /// have run, and may have crashed it.
     Crashed,
 }
 
@@ -179,7 +179,7 @@
         /// Id of the last event that was relayed to the caller, if any.
         last_event: Option<u64>,
     },
-    /// The same, and the upstream accepts no connections any more.
+    /// The same, and the upstream refuses connections now.
     UpstreamCrashed {
         /// Id of the last event that was relayed to the caller, if any.
         last_event: Option<u64>,
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -120,6 +120,7 @@
         request.prefills += 1;
         request.step_started_at = now;
         request.current = Some(target.clone());
+        request.open_run = Some(target.clone());
         let remaining_time = request.remaining_time(now);
         self.count_prefill(key, &target);
         Step::Prefill { target, remaining_time, timeout }
@@ -144,7 +145,9 @@
     pub fn abandon_prefill(&mut self, now: Duration, key: RequestKey) -> bool {
         let service = self.requests[key].service.clone();
         let below_max_prefills = self.requests[key].prefills < MAX_PREFILLS;
-        below_max_prefills && self.budget(&service).try_spend(now, 1)
+        below_max_prefills
+            && !self.may_crash_upstreams(key)
+            && self.budget(&service).try_spend(now, 1)
     }
 
     fn prefill_completed(&mut self, now: Duration, key: RequestKey, handle: CompactString) -> Step {
@@ -187,6 +190,7 @@
         request.run_events = 0;
         request.step_started_at = now;
         request.current = Some(reservation.target.clone());
+        request.open_run = Some(reservation.target.clone());
         let source = request
             .prefill_result
             .as_ref()
--- a/src/router/plain.rs
+++ b/src/router/plain.rs
@@ -92,6 +92,7 @@
         request.attempts += 1;
         request.runs += 1;
         request.current = Some(target.clone());
+        request.open_run = Some(target.clone());
         let remaining_time = request.remaining_time(now);
         let route = request.route();
         let may_repeat = route.idempotent && request.runs < route.max_runs;
@@ -108,6 +109,7 @@
             return Step::Relay { idle_timeout: None };
         }
         // Its upstream has survived the request.
+        self.requests[key].open_run = None;
         self.record_sound_run(now, key);
         self.requests[key].excluded.push(target.key);
         if self.try_spend_retry(now, key) {
@@ -123,6 +125,9 @@
     /// # Panics
     /// If no request with this key is in flight.
     pub fn abandon_call(&mut self, now: Duration, key: RequestKey) -> bool {
+        if self.may_crash_upstreams(key) {
+            return false;
+        }
         let Some(target) = self.requests[key].current.clone() else { return false };
         let excluded = self.requests[key].excluded.len();
         self.requests[key].excluded.push(target.key);
--- a/src/router/poison.rs
+++ b/src/router/poison.rs
@@ -24,6 +24,7 @@
 pub use suspect::Suspect;
 pub use suspect::SuspectRecord;
 
+use crate::router::fingerprint::Fingerprint;
 use crate::router::poison::evidence::Evidence;
 use crate::router::poison::evidence::KnownRun;
 use crate::router::poison::evidence::count_upstreams;
@@ -275,6 +276,11 @@
         Verdict::Trial
     }
 
+    /// True if an upstream has crashed under a request.
+    pub fn suspects_request(&self, request: Fingerprint) -> bool {
+        self.evidence.has(&Suspect::Request(request))
+    }
+
     /// Returns the crashed runs for the log of reports, and clears the list of them.
     pub fn take_unreported(&mut self) -> Vec<CrashedRun> {
         std::mem::take(&mut self.unreported)
--- a/src/router/poisoned_requests.rs
+++ b/src/router/poisoned_requests.rs
@@ -4,6 +4,8 @@
 
 use crate::outcome::RefusalReason;
 use crate::router::Router;
+use crate::router::flow::Event;
+use crate::router::flow::Failure;
 use crate::router::flow::Step;
 use crate::router::flow::Target;
 use crate::router::poison::AgedRun;
@@ -19,6 +21,16 @@
 use crate::router::request::RequestKey;
 use crate::router::reserving::CAPACITY_RETRY_AFTER;
 
+/// Run whose upstream may crash, or be about to: its exchange was interrupted while the upstream
+/// still accepted connections, or the entry has given it up.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UncheckedRun {
+    /// Upstream of the run.
+    pub target: Target,
+    /// The run, as a crashed one.
+    run: CrashedRun,
+}
+
 impl Router {
     /// Sets until when this entry is the one of all entries that tries poisonous requests again.
     /// One entry at a time should be, such as the holder of the lease.
@@ -91,23 +103,66 @@
         }
     }
 
-    /// Records that an upstream has crashed under a run. The parts of the prompt become suspects
-    /// only if it had hardly begun to generate.
+    /// Records that an upstream has crashed under a run.
     fn record_crash_of(&mut self, now: Duration, key: RequestKey, upstream: &Target) {
+        let run = self.end_run(key, upstream);
+        self.requests[key].crashed_runs.extend(self.poison.record_crash(now, run));
+    }
+
+    /// Returns runs whose upstreams are to be checked after a while, and clears the list of them.
+    pub fn take_unchecked_runs(&mut self) -> Vec<UncheckedRun> {
+        std::mem::take(&mut self.unchecked_runs)
+    }
+
+    /// Records that the upstream of a run has crashed after the run was given up or interrupted.
+    pub fn record_late_crash(&mut self, now: Duration, unchecked: UncheckedRun) {
+        let run = self.poison.record_crash(now, unchecked.run);
+        self.poison.report(run.into_iter().collect());
+    }
+
+    /// Keeps track of the run that an event ends.
+    pub(super) fn track_run(&mut self, key: RequestKey, event: &Event) {
+        match event {
+            Event::Failed(Failure::Broken | Failure::Silent)
+            | Event::ResponseInterrupted { .. } => self.have_run_checked(key),
+            Event::Failed(_) | Event::Prefilled { .. } | Event::UpstreamCrashed { .. } => {
+                self.requests[key].open_run = None;
+            }
+            _ => {}
+        }
+    }
+
+    /// Has the upstream of the open run of a request checked, if there is one.
+    pub(super) fn have_run_checked(&mut self, key: RequestKey) {
+        let Some(request) = self.requests.get_mut(key) else { return };
+        let Some(target) = request.open_run.take() else { return };
+        let run = self.end_run(key, &target);
+        self.unchecked_runs.push(UncheckedRun { target, run });
+    }
+
+    /// True if the request is known to have crashed an upstream. It is not given up before it
+    /// has ended: what it does to its upstream would not be seen.
+    pub(super) fn may_crash_upstreams(&self, key: RequestKey) -> bool {
+        let request = &self.requests[key];
+        request.is_trial || self.poison.suspects_request(request.fingerprint)
+    }
+
+    /// Returns a run as a crashed one. The parts of the prompt are suspects only if it had hardly
+    /// begun to generate.
+    fn end_run(&mut self, key: RequestKey, upstream: &Target) -> CrashedRun {
         let request = &mut self.requests[key];
         let mut suspects = request.suspects.clone();
         if request.run_events >= MIN_SOUND_EVENTS {
             suspects.retain(|suspect| matches!(suspect, Suspect::Request(_)));
         }
         let started_ms = self.upstreams.get(upstream.key).map(|it| it.listed.started_ms);
-        let run = CrashedRun {
+        CrashedRun {
             request_id: request.id.clone(),
             request: request.fingerprint,
             upstream: Incarnation { id: upstream.id.clone(), started_ms: started_ms.unwrap_or(0) },
             suspects,
             is_trial: std::mem::take(&mut request.is_trial),
-        };
-        request.crashed_runs.extend(self.poison.record_crash(now, run));
+        }
     }
 
     /// Has the crashed runs of a request that ends reported, unless it went well in the end.
@@ -126,6 +181,7 @@
             return;
         }
         self.requests[key].is_complete = true;
+        self.requests[key].open_run = None;
         self.record_sound_run(now, key);
     }
 
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -137,6 +137,8 @@
     pub(super) suspects: Vec<Suspect>,
     /// Its runs under which their upstreams crashed.
     pub(super) crashed_runs: Vec<CrashedRun>,
+    /// Upstream of a run that has not ended in a known way.
+    pub(super) open_run: Option<Target>,
     /// True once a response is complete.
     pub(super) is_complete: bool,
     /// Prompt and output tokens to reserve engine memory for; 0 without a prompt.
@@ -229,6 +231,7 @@
             prompt,
             suspects,
             crashed_runs: Vec::new(),
+            open_run: None,
             is_complete: false,
             reserved_tokens: 0,
             configuration,
--- a/tests/router/deadly_requests.rs
+++ b/tests/router/deadly_requests.rs
@@ -113,6 +113,21 @@
         true
     }
 
+    /// Has the upstreams of runs of an entry crash that were given up or interrupted. Returns
+    /// their number.
+    fn crash_unchecked(&mut self, index: usize) -> usize {
+        let unchecked = self.entries[index].router.take_unchecked_runs();
+        let crashes = unchecked.len();
+        for run in unchecked {
+            let upstream = run.target.id.clone();
+            let entry = &mut self.entries[index];
+            entry.router.record_late_crash(entry.now, run);
+            self.share_reports();
+            self.list_restarted(&upstream);
+        }
+        crashes
+    }
+
     /// Has the deadly request crash upstreams until it is poisonous.
     fn make_poisonous(&mut self) {
         for arrival in 0..5 {
@@ -193,6 +208,73 @@
     assert!((2..=3).contains(&crashes), "{crashes} engines crashed");
 }
 
+/// The upstreams crash after the entry has gone on to the next one, or has given the request up.
+#[test]
+fn a_lookup_that_is_given_up_before_its_upstreams_crash_crashes_few() {
+    let mut fleet = Fleet::new(3);
+    let mut crashes = 0;
+    for arrival in 0..20 {
+        let entry = arrival % 3;
+        let (request, step) = fleet.arrive(entry, LOOKUP, "deadly");
+        if matches!(step, Step::Call { .. }) {
+            let router = &mut fleet.entries[entry].router;
+            assert!(router.abandon_call(ms(0), request.key));
+            let step = fleet.report(request, Event::Failed(Failure::Silent));
+            assert!(matches!(step, Step::Call { .. }), "{step:?}");
+            fleet.report(request, Event::DeadlinePassed);
+        }
+        fleet.finish(request);
+        crashes += fleet.crash_unchecked(entry);
+    }
+    assert!((2..=3).contains(&crashes), "{crashes} upstreams crashed");
+}
+
+/// Cases: event that ends the run of a booking or stream before its upstream crashes; none if its
+/// caller disconnects.
+macro_rules! late_crash {
+    ($($name:ident: $path:literal, $event:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut fleet = Fleet::new(3);
+            let mut crashes = 0;
+            for arrival in 0..20 {
+                let entry = arrival % 3;
+                let (request, step) = fleet.arrive(entry, $path, "deadly");
+                if matches!(step, Step::Reserve { .. }) {
+                    fleet.respond(request);
+                }
+                let end: Option<Event> = $event;
+                if let Some(event) = end.filter(|_| !matches!(step, Step::Refuse(_))) {
+                    fleet.report(request, event);
+                }
+                fleet.finish(request);
+                crashes += fleet.crash_unchecked(entry);
+            }
+            assert!((2..=3).contains(&crashes), "{crashes} upstreams crashed");
+        }
+    )*};
+}
+
+late_crash! {
+    an_upstream_that_crashes_after_the_deadline_is_evidence: "/booking/1", Some(Event::DeadlinePassed);
+    an_upstream_that_crashes_after_the_caller_has_left_is_evidence: "/booking/1", None;
+    an_upstream_that_stops_listening_late_is_evidence:
+        "/booking/1", Some(Event::Failed(Failure::Broken));
+    an_engine_that_crashes_after_the_deadline_is_evidence: "/stream/1", Some(Event::DeadlinePassed);
+    an_engine_that_stops_listening_late_is_evidence:
+        "/stream/1", Some(Event::ResponseInterrupted { last_event: None });
+}
+
+#[test]
+fn a_request_that_has_crashed_an_upstream_is_not_given_up() {
+    let mut fleet = Fleet::new(2);
+    fleet.deadly(0, BOOKING);
+    let (request, _) = fleet.arrive(0, LOOKUP, "deadly");
+    assert!(!fleet.entries[0].router.abandon_call(ms(0), request.key));
+    let (request, _) = fleet.arrive(0, LOOKUP, "another");
+    assert!(fleet.entries[0].router.abandon_call(ms(0), request.key));
+}
+
 /// Upstreams crash now and then for other reasons.
 #[test]
 fn a_request_that_went_well_at_any_entry_between_two_crashes_is_served() {
@@ -322,6 +404,46 @@
     assert!(!fleet.serve_lookup(0, "deadly"));
 }
 
+#[test]
+fn requests_of_which_one_crash_has_no_other_reason_are_served() {
+    let mut fleet = Fleet::new(1);
+    let at = |upstream, text| AgedRun { run: run_at(upstream, text), age: ms(0) };
+    let deadly = ["a", "b", "d", "e"].map(|upstream| at(upstream, "deadly"));
+    let beside = ["a", "b", "c"].map(|upstream| at(upstream, "beside"));
+    let runs = deadly.into_iter().chain(beside).collect();
+    let entry = &mut fleet.entries[0];
+    entry.router.record_crash_reports(entry.now, runs);
+    assert!(fleet.serve_lookup(0, "beside"));
+}
+
+#[test]
+fn a_request_that_crashed_one_upstream_is_served() {
+    let mut fleet = Fleet::new(2);
+    assert_eq!(fleet.deadly(0, BOOKING).crashed_upstreams, 1);
+    assert!(fleet.serve_lookup(0, "deadly") && fleet.serve_lookup(1, "deadly"));
+}
+
+/// Two upstreams crash for other reasons just after a run went well at one entry.
+#[test]
+fn a_request_that_has_just_gone_well_is_served_and_so_becomes_harmless_everywhere() {
+    let mut fleet = Fleet::new(3);
+    assert!(fleet.serve_lookup(0, "deadly"));
+    fleet.deadly(1, BOOKING);
+    fleet.deadly(2, BOOKING);
+    assert!(!fleet.serve_lookup(1, "deadly"));
+    assert!(fleet.serve_lookup(0, "deadly"));
+    assert!(fleet.serve_lookup(1, "deadly") && fleet.serve_lookup(2, "deadly"));
+}
+
+#[test]
+fn the_crash_of_a_request_that_went_well_lately_is_not_reported() {
+    let mut fleet = Fleet::new(1);
+    assert!(fleet.serve_lookup(0, "deadly"));
+    fleet.wait(Duration::from_secs(5));
+    fleet.deadly(0, BOOKING);
+    assert_eq!(fleet.store_writes, 0);
+}
+
 /// A deadly request that comes again says nothing about others with the same prompt parts, also
 /// if one of them ran beside it once.
 #[test]
--- a/tests/router/ended_tasks.rs
+++ b/tests/router/ended_tasks.rs
@@ -82,8 +82,8 @@
         Err(Failure::Broken)
     }
 
-    async fn accepts_connections(&self, _: &Target) -> bool {
-        true
+    async fn refuses_connections(&self, _: &Target) -> bool {
+        false
     }
 
     async fn clean_up(&self, _cleanup: Cleanup) {}
