Reports of other entries count only for what this entry reports itself

An entry that reported a crash read the log of all reports and took them for evidence, also of parts that had gone well many times since at other entries: they say so only of what is published. It refused such a part until a trial, with nobody to correct it. an_entry_that_reports_another_crash_serves_a_part_that_went_well_after_each_crash failed before. Now a report of another entry counts once this entry reports the same suspect, and so publishes it; a published record counts for its own suspect only; a known run takes up further suspects, but for those that have gone well since.

A crashed replica refuses connections for 3 s and comes back at another port.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -20,15 +20,19 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use standins::platform::replica::DEADLY_PATH;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use crate::fleet::Fleet;
+use crate::plan::DeadlyKind;
 
 /// Time for which a caller waits, according to its requests (`bamboodoor-deadline-ms`).
 pub const CALLER_TIMEOUT: Duration = Duration::from_secs(8);
 /// Time after which a caller really stops waiting, a little later than its requests say.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time between two requests that crash replicas.
+const DEADLY_INTERVAL: Duration = Duration::from_millis(300);
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Routes of the configuration, by name; each has its own kind of request.
 pub const ROUTES: [&str; 5] = ["stream", "resumable", "lookup", "booking", "moved"];
@@ -112,12 +116,19 @@
     next_id: AtomicU64,
     /// Requests with a known outcome so far, in the order in which they ended.
     pub requests: Mutex<Vec<CallerRequest>>,
+    /// The same for requests that crash replicas.
+    pub deadly_requests: Mutex<Vec<CallerRequest>>,
 }
 
 impl Callers {
     /// Creates the shared state of the callers of a fleet.
     pub fn new(fleet: Arc<Fleet>) -> Arc<Self> {
-        Arc::new(Self { fleet, next_id: AtomicU64::new(0), requests: Mutex::default() })
+        Arc::new(Self {
+            fleet,
+            next_id: AtomicU64::new(0),
+            requests: Mutex::default(),
+            deadly_requests: Mutex::default(),
+        })
     }
 
     /// Number of entries in the fleet.
@@ -208,7 +219,8 @@
     ) -> CallerRequest {
         let id = format!("r{}", self.next_id.fetch_add(1, Ordering::SeqCst));
         let (sent_at, entry) = (Instant::now(), connection.entry);
-        let request = build_request(&id, route, resumed.as_ref());
+        let path = format!("/{route}/{id}");
+        let request = build_request(&id, route, &path, &id, resumed.as_ref());
         let exchange = exchange(&mut connection.sender, request);
         let outcome = match timeout(disconnect_after.unwrap_or(RESPONSE_TIMEOUT), exchange).await {
             Ok(outcome) => outcome,
@@ -218,8 +230,34 @@
         CallerRequest { id, route, entry, sent_at, ended_at: Instant::now(), resumed, outcome }
     }
 
+    /// Sends requests of the same content, which crash replicas, to the entries by turns.
+    pub(crate) async fn send_deadly_requests(&self, kind: DeadlyKind, duration: Duration) {
+        let route = match kind {
+            DeadlyKind::Lookup => "lookup",
+            DeadlyKind::Booking => "booking",
+        };
+        let started_at = Instant::now();
+        for entry in (0..self.fleet.entries.len()).cycle() {
+            if started_at.elapsed() >= duration {
+                return;
+            }
+            tokio::time::sleep(DEADLY_INTERVAL).await;
+            let Some(mut connection) = self.connect(entry).await else { continue };
+            let id = format!("r{}", self.next_id.fetch_add(1, Ordering::SeqCst));
+            let (path, sent_at) = (format!("/{route}{DEADLY_PATH}"), Instant::now());
+            let request = build_request(&id, route, &path, "deadly", None);
+            let exchange = exchange(&mut connection.sender, request);
+            let outcome = timeout(RESPONSE_TIMEOUT, exchange).await;
+            let outcome = outcome.unwrap_or(RequestOutcome::Incomplete { body: Bytes::new() });
+            let ended_at = Instant::now();
+            let request =
+                CallerRequest { id, route, entry, sent_at, ended_at, resumed: None, outcome };
+            self.deadly_requests.lock().expect("the mutex is not poisoned").push(request);
+        }
+    }
+
     async fn connect(&self, entry: usize) -> Option<Connection> {
-        let address = self.fleet.entries[entry].caller_proxy.address;
+        let address = self.fleet.entries[entry].caller_proxy.address();
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await.ok()?.ok()?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
         tokio::spawn(async move {
@@ -265,10 +303,16 @@
     RequestOutcome::Complete { status: status.as_u16(), signature, body: received.freeze() }
 }
 
-fn build_request(id: &str, route: &str, resumed: Option<&ResumedStream>) -> Request<Full<Bytes>> {
+fn build_request(
+    id: &str,
+    route: &str,
+    path: &str,
+    body: &str,
+    resumed: Option<&ResumedStream>,
+) -> Request<Full<Bytes>> {
     let mut request = Request::builder()
         .method(method(route))
-        .uri(format!("/{route}/{id}"))
+        .uri(path)
         .header("host", "service.example")
         .header("bamboodoor-request-id", id)
         .header("bamboodoor-deadline-ms", CALLER_TIMEOUT.as_millis().to_string())
@@ -280,5 +324,5 @@
             .header("last-event-id", resumed.after_event.to_string())
             .header("resumes", &resumed.first_id);
     }
-    request.body(Full::from(Bytes::from(id.to_string()))).expect("the request is valid")
+    request.body(Full::from(Bytes::from(body.to_string()))).expect("the request is valid")
 }
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -14,6 +14,7 @@
 
 use crate::callers::CallerRequest;
 use crate::callers::RequestOutcome;
+use crate::deadly::check_deadly;
 use crate::fleet::APPLY_BOUND;
 use crate::fleet::DESK_SERVICE;
 use crate::fleet::DRAIN_BOUND;
@@ -67,6 +68,8 @@
     pub requests: &'a [CallerRequest],
     /// Faults and planned changes, with the time at which each started and ended.
     pub applied_actions: &'a [AppliedAction],
+    /// Requests that crash replicas, with their outcomes.
+    pub deadly_requests: &'a [CallerRequest],
     /// Number of request ids that the callers issued.
     pub issued_id_count: u64,
 }
@@ -125,6 +128,7 @@
     violations.extend(check_leaving(record, &arrivals, &nodes, &by_id));
     violations.extend(check_turn_aways(record, &arrivals, &nodes, &by_id));
     violations.extend(check_versions(record, &arrivals, &nodes));
+    violations.extend(check_deadly(record, &nodes));
     violations.extend(check_order_fencing(&record.orders()));
     violations.extend(record.check_stops());
     violations.extend(check_no_open_streams(&nodes));
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -86,7 +86,7 @@
         let (address, ready) = (unused_address(), unused_address());
         let store_proxy = Proxy::start(store).await;
         let settings_file = dir.join(format!("{name}.toml"));
-        std::fs::write(&settings_file, settings_text(&name, address, ready, store_proxy.address))
+        std::fs::write(&settings_file, settings_text(&name, address, ready, store_proxy.address()))
             .expect("the directory is writable");
         let log_file = dir.join(format!("{name}.log"));
         let child = Mutex::new(spawn(program, &settings_file, &log_file));
@@ -214,7 +214,7 @@
     }
 
     fn publish_replica(&self, node: &ReplicaNode, state: &str) {
-        let record = node.replica.instance_record(node.service, node.proxy.address, state);
+        let record = node.replica.instance_record(node.service, node.proxy.address(), state);
         self.store.put_json(REPLICAS_TOPIC, &node.replica.id, &record);
     }
 
--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -11,6 +11,7 @@
 
 use tokio::task::JoinSet;
 
+use crate::callers::Callers;
 use crate::fleet::Fleet;
 use crate::fleet::STOP_GRACE;
 use crate::plan::Action;
@@ -77,6 +78,7 @@
                 | Action::ReplicaFull(..)
                 | Action::EndWithConnection(..)
                 | Action::RateLimit(..)
+                | Action::DeadlyRequests(..)
         ) || self.leaves_all_sound()
     }
 
@@ -107,16 +109,18 @@
 /// Applies actions to a fleet and records them.
 pub(crate) struct Injector {
     fleet: Arc<Fleet>,
+    callers: Arc<Callers>,
     program: PathBuf,
     version: AtomicU64,
     applied_actions: Mutex<Vec<AppliedAction>>,
 }
 
 impl Injector {
-    pub(crate) fn new(fleet: Arc<Fleet>, program: &Path) -> Arc<Self> {
+    pub(crate) fn new(fleet: Arc<Fleet>, callers: Arc<Callers>, program: &Path) -> Arc<Self> {
         let program = program.to_path_buf();
         Arc::new(Self {
             fleet,
+            callers,
             program,
             version: AtomicU64::new(1),
             applied_actions: Mutex::default(),
@@ -213,6 +217,9 @@
                 tokio::time::sleep(duration).await;
                 fleet.entries[entry].signal("CONT");
             }
+            Action::DeadlyRequests(kind, duration) => {
+                self.callers.send_deadly_requests(kind, duration).await;
+            }
             Action::ReloadSettings(entry) => fleet.entries[entry].reload_settings(),
             Action::PublishConfiguration => {
                 let version = self.version.fetch_add(VERSION_STEP, Ordering::SeqCst);
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod callers;
 pub mod checks;
+mod deadly;
 pub mod fleet;
 mod inject;
 mod lost;
@@ -96,7 +97,7 @@
     };
     let actions = plan::plan(seed, size);
     let faults = actions.len();
-    let applied_actions = Injector::new(fleet.clone(), program).run(actions).await;
+    let applied_actions = Injector::new(fleet.clone(), callers.clone(), program).run(actions).await;
     violations.extend(wait_until_served(&callers, "recovery", checks::RECOVERY_TIMEOUT).await);
     for caller in caller_tasks {
         caller.abort();
@@ -104,10 +105,13 @@
     tokio::time::sleep(CLEANUP_TIME).await;
     heartbeat.abort();
     let requests = callers.requests.lock().expect("the mutex is not poisoned").clone();
+    let deadly_requests =
+        callers.deadly_requests.lock().expect("the mutex is not poisoned").clone();
     let record = RunRecord {
         fleet: &fleet,
         requests: &requests,
         applied_actions: &applied_actions,
+        deadly_requests: &deadly_requests,
         issued_id_count: callers.issued_id_count(),
     };
     violations.extend(checks::check_run(&record));
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -27,6 +27,15 @@
     ServerError,
 }
 
+/// Kind of the requests that crash replicas.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DeadlyKind {
+    /// Idempotent.
+    Lookup,
+    /// May run at most once.
+    Booking,
+}
+
 /// Which replicas of a service an action affects, beside the one at its position.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Scope {
@@ -81,6 +90,8 @@
     Pause(usize, Duration),
     /// An entry reloads its settings file after a change in a comment.
     ReloadSettings(usize),
+    /// Requests come that crash each replica that runs them: lookups, or bookings.
+    DeadlyRequests(DeadlyKind, Duration),
     /// A new configuration is published, with another service for the `moved` route.
     PublishConfiguration,
 }
@@ -134,6 +145,8 @@
 pub const FIRST_NOTICE_SEED: u64 = 2_000;
 /// First seed whose replicas also send streams that end with their connection.
 pub const FIRST_CONNECTION_END_SEED: u64 = 3_000;
+/// First seed with requests that crash the replicas that run them.
+pub const FIRST_DEADLY_SEED: u64 = 4_000;
 /// Longest time between the starts of two times of such streams.
 const MAX_CONNECTION_END_INTERVAL_MS: u64 = 1_500;
 /// Longest time between the starts of two series of pauses, of two times of turning away, and of
@@ -176,10 +189,22 @@
     if seed >= FIRST_CONNECTION_END_SEED {
         actions.extend(draw_connection_ends(&mut rng, size));
     }
+    if seed >= FIRST_DEADLY_SEED {
+        actions.push(draw_deadly_requests(&mut rng, size));
+    }
     actions.sort_by_key(|action| action.at);
     actions
 }
 
+/// One kind of deadly requests that come for at least half of the time.
+fn draw_deadly_requests(rng: &mut ChaCha8Rng, size: RunSize) -> ScheduledAction {
+    let kinds = [DeadlyKind::Lookup, DeadlyKind::Booking];
+    let kind = *kinds.choose(rng).expect("the list is not empty");
+    let half = size.fault_duration / 2;
+    let at = half.mul_f64(rng.random_range(0.0..1.0));
+    ScheduledAction { at, action: Action::DeadlyRequests(kind, half) }
+}
+
 fn draw_rate_limits(rng: &mut ChaCha8Rng, size: RunSize) -> Vec<ScheduledAction> {
     let mut actions = Vec::new();
     let mut at = Duration::ZERO;
--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -36,24 +36,55 @@
 /// Proxy in front of one server.
 #[derive(Debug)]
 pub struct Proxy {
-    /// Loopback address on which the proxy listens.
-    pub address: SocketAddr,
+    address: watch::Sender<SocketAddr>,
     fault: watch::Sender<LinkFault>,
+    listening: watch::Sender<bool>,
 }
 
 impl Proxy {
     /// Listens on a free loopback port and forwards connections to `server`, without a fault at
     /// first.
     pub async fn start(server: SocketAddr) -> Arc<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback has free ports");
-        let address = listener.local_addr().expect("a listener has an address");
+        let mut listener = listen().await;
+        let (address, _) = watch::channel(address_of(&listener));
         let (fault, fault_watch) = watch::channel(LinkFault::None);
+        let (listening, mut listening_watch) = watch::channel(true);
+        let new_address = address.clone();
         tokio::spawn(async move {
-            while let Ok((client, _)) = listener.accept().await {
-                tokio::spawn(forward_connection(client, server, fault_watch.clone()));
+            loop {
+                tokio::select! {
+                    biased;
+                    _ = listening_watch.wait_for(|listening| !listening) => {}
+                    accepted = listener.accept() => {
+                        let Ok((client, _)) = accepted else { return };
+                        tokio::spawn(forward_connection(client, server, fault_watch.clone()));
+                        continue;
+                    }
+                }
+                drop(listener);
+                if listening_watch.wait_for(|listening| *listening).await.is_err() {
+                    return;
+                }
+                listener = listen().await;
+                new_address.send_replace(address_of(&listener));
             }
         });
-        Arc::new(Self { address, fault })
+        Arc::new(Self { address, fault, listening })
+    }
+
+    /// Loopback address on which the proxy listens, or has listened last.
+    pub fn address(&self) -> SocketAddr {
+        *self.address.borrow()
+    }
+
+    /// Resets all connections and refuses new ones, as the host of a server does whose process has
+    /// crashed, for this long. Then listens on another port.
+    pub async fn crash(&self, duration: Duration) {
+        self.listening.send_replace(false);
+        self.set_fault(LinkFault::Reset);
+        tokio::time::sleep(duration).await;
+        self.set_fault(LinkFault::None);
+        self.listening.send_replace(true);
     }
 
     /// Sets the fault of all open and new connections. A connection that has dropped bytes in one
@@ -63,6 +94,14 @@
     }
 }
 
+async fn listen() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").await.expect("loopback has free ports")
+}
+
+fn address_of(listener: &TcpListener) -> SocketAddr {
+    listener.local_addr().expect("a listener has an address")
+}
+
 async fn forward_connection(
     mut client: TcpStream,
     server: SocketAddr,
--- a/soak/src/replica_node.rs
+++ b/soak/src/replica_node.rs
@@ -15,6 +15,8 @@
 /// Delay of a plain service before each response.
 const DESK_DELAY: Duration = Duration::from_millis(10);
 
+/// Time after which a replica that has crashed serves again.
+const CRASH_TIME: Duration = Duration::from_secs(3);
 /// Most time between the arrival of a request that is rejected and the response.
 const RESPONSE_TIME: Duration = Duration::from_millis(50);
 
@@ -69,6 +71,13 @@
         let (replica, address) = Replica::start(id, kind).await;
         replica.response_delay.set(if kind == Kind::Plain { DESK_DELAY } else { ENGINE_DELAY });
         let proxy = Proxy::start(address).await;
+        let (crashing, crashing_proxy) = (replica.clone(), proxy.clone());
+        tokio::spawn(async move {
+            loop {
+                crashing.crashed.notified().await;
+                crashing_proxy.crash(CRASH_TIME).await;
+            }
+        });
         Arc::new(Self {
             replica,
             proxy,
--- a/src/router/poison.rs
+++ b/src/router/poison.rs
@@ -14,6 +14,7 @@
 
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 pub use evidence::MAX_CRASHED_RUNS;
@@ -134,6 +135,8 @@
     outdated: HashSet<Suspect>,
     /// Time until which this entry is the one that tries poisonous suspects.
     tries_until: Duration,
+    /// Runs in the log of reports, the one first that was read first.
+    reported: VecDeque<KnownRun>,
     unreported: Vec<CrashedRun>,
     updates: Vec<SuspectUpdate>,
     changes: Vec<SuspectChange>,
@@ -159,7 +162,13 @@
         if run.is_trial {
             self.tried_at.retain(|suspect, _| !run.suspects.contains(suspect));
         }
-        self.remember(KnownRun { run: run.clone(), known_at: now, crashed_at: now, is_own: true });
+        self.remember(KnownRun {
+            run: run.clone(),
+            known_at: now,
+            crashed_at: now,
+            is_own: true,
+            cleared: Vec::new(),
+        });
         (!run.suspects.is_empty()).then_some(run)
     }
 
@@ -188,18 +197,25 @@
         }
     }
 
-    /// Records runs of all entries that were read from the log of reports.
+    /// Records runs of all entries that were read from the log of reports. They count once this
+    /// entry reports the same suspect: those that have served a suspect since say only of what is
+    /// published that it is harmless.
     pub fn record_reports(&mut self, now: Duration, runs: Vec<AgedRun>) {
         for AgedRun { run, age } in runs {
-            let crashed_at = now.saturating_sub(age);
-            self.remember(KnownRun { run, known_at: now, crashed_at, is_own: false });
+            self.reported.push_back(known_run(now, run, age));
         }
+        let excess = self.reported.len().saturating_sub(MAX_CRASHED_RUNS);
+        self.reported.drain(..excess);
+        self.reported.retain(|known| now < known.known_at + RETENTION);
     }
 
     /// Has the suspects of these runs published that crashed more than one upstream, after the
     /// log was read up to the reports of these runs.
     pub fn publish_repeated(&mut self, now: Duration, runs: &[CrashedRun]) {
         let suspects: HashSet<&Suspect> = runs.iter().flat_map(|run| &run.suspects).collect();
+        for known in self.reported.clone() {
+            self.remember_for(now, known, |suspect| suspects.contains(suspect));
+        }
         for suspect in suspects {
             let known = self.evidence.runs_with(suspect).count();
             let published = self.published.get(suspect).copied().unwrap_or(0);
@@ -237,7 +253,9 @@
         let published = runs.len();
         let went_well = |it: &AgedRun| self.sound.after(now.saturating_sub(it.age), &suspect);
         let is_harmless = runs.iter().any(went_well);
-        self.record_reports(now, runs);
+        for AgedRun { run, age } in runs {
+            self.remember_for(now, known_run(now, run, age), |other| *other == suspect);
+        }
         if is_harmless {
             // Only the entries that have served it know.
             self.update(suspect, SuspectRecord::Harmless);
@@ -381,6 +399,13 @@
         self.updates.push(SuspectUpdate { suspect, record });
     }
 
+    /// Remembers a run of any entry for the suspects that `counts` selects.
+    fn remember_for(&mut self, now: Duration, known: KnownRun, counts: impl Fn(&Suspect) -> bool) {
+        let mut known = KnownRun { known_at: now, ..known };
+        known.run.suspects.retain(counts);
+        self.remember(known);
+    }
+
     /// Remembers a run with the suspects that have not gone well since its crash.
     fn remember(&mut self, known: KnownRun) {
         let now = known.known_at;
@@ -391,9 +416,10 @@
                 && !self.sound.after(known.crashed_at, suspect)
         });
         let suspects = known.run.suspects.clone();
-        if suspects.is_empty() || !self.evidence.add(known) {
+        if suspects.is_empty() {
             return;
         }
+        self.evidence.add(known);
         for suspect in &suspects {
             if self.is_poisonous(now, suspect, &suspects) && self.poisonous.insert(suspect.clone())
             {
@@ -432,6 +458,12 @@
     runs.iter_mut().for_each(|it| it.age -= newest);
 }
 
+/// Returns a run of any entry that crashed `age` before `now`.
+fn known_run(now: Duration, run: CrashedRun, age: Duration) -> KnownRun {
+    let crashed_at = now.saturating_sub(age);
+    KnownRun { run, known_at: now, crashed_at, is_own: false, cleared: Vec::new() }
+}
+
 /// True if enough different requests are among the crashed runs of a suspect.
 fn has_enough_requests<'a>(suspect: &Suspect, runs: impl Iterator<Item = &'a KnownRun>) -> bool {
     let requests = || runs.map(|known| known.run.request).collect::<HashSet<_>>().len();
--- a/src/router/poison/evidence.rs
+++ b/src/router/poison/evidence.rs
@@ -32,6 +32,8 @@
     pub(super) crashed_at: Duration,
     /// True if the run was one of this entry.
     pub(super) is_own: bool,
+    /// Suspects that have gone well since.
+    pub(super) cleared: Vec<Suspect>,
 }
 
 /// Crashed runs that an entry knows of.
@@ -46,11 +48,11 @@
 }
 
 impl Evidence {
-    /// Adds a run. Returns false if it is known.
-    pub(super) fn add(&mut self, known: KnownRun) -> bool {
+    /// Adds a run, or if it is known its further suspects.
+    pub(super) fn add(&mut self, known: KnownRun) {
         let id = (known.run.request_id.clone(), known.run.upstream.clone());
-        if self.by_run.contains_key(&id) {
-            return false;
+        if let Some(key) = self.by_run.get(&id) {
+            return self.add_suspects(*key, known.run.suspects);
         }
         if self.runs.len() >= MAX_CRASHED_RUNS {
             self.evict();
@@ -63,7 +65,17 @@
         for suspect in suspects {
             self.by_suspect.entry(suspect).or_default().push(key);
         }
-        true
+    }
+
+    /// Adds the suspects to a run that it does not have and that have not gone well since.
+    fn add_suspects(&mut self, key: RunKey, suspects: Vec<Suspect>) {
+        let known = &mut self.runs[key];
+        for suspect in suspects {
+            if !known.run.suspects.contains(&suspect) && !known.cleared.contains(&suspect) {
+                known.run.suspects.push(suspect.clone());
+                self.by_suspect.entry(suspect).or_default().push(key);
+            }
+        }
     }
 
     /// Forgets the runs that became known at `until` or before.
@@ -80,7 +92,9 @@
     /// Takes a suspect off all runs, which stay known.
     pub(super) fn clear(&mut self, suspect: &Suspect) {
         for key in self.by_suspect.remove(suspect).unwrap_or_default() {
-            self.runs[key].run.suspects.retain(|other| other != suspect);
+            let known = &mut self.runs[key];
+            known.run.suspects.retain(|other| other != suspect);
+            known.cleared.push(suspect.clone());
         }
     }
 
--- a/standins/src/platform/replica.rs
+++ b/standins/src/platform/replica.rs
@@ -23,6 +23,8 @@
 use hyper::body::Incoming;
 use serde_json::json;
 
+use tokio::sync::Notify;
+
 use crate::faults::Delay;
 use crate::faults::Pause;
 use crate::faults::Switch;
@@ -30,6 +32,8 @@
 use crate::server;
 use crate::server::Body;
 
+/// End of the path of requests that crash the replica that runs them.
+pub const DEADLY_PATH: &str = "/deadly";
 /// Number of events in each stream of a decode engine.
 pub const EVENTS_PER_STREAM: u64 = 6;
 
@@ -110,6 +114,11 @@
     pub leaving: Switch,
     /// Rate limit that it names in all its responses, in the text of the header; `None` names none.
     pub rate_limit: Mutex<Option<String>>,
+    /// Requests that made it crash: those whose path ends with [`DEADLY_PATH`].
+    pub deadly_requests: Mutex<Vec<ReceivedRequest>>,
+    /// Signals that a request made it crash. The connection of the request is broken; the test
+    /// does the rest.
+    pub crashed: Notify,
     /// Times at which requests and calls of any kind arrived, in this order.
     pub arrivals: Mutex<Vec<Instant>>,
 }
@@ -141,6 +150,8 @@
             retry_after: Mutex::default(),
             leaving: Switch::default(),
             rate_limit: Mutex::default(),
+            deadly_requests: Mutex::default(),
+            crashed: Notify::default(),
             arrivals: Mutex::default(),
         });
         let served = replica.clone();
@@ -303,6 +314,11 @@
         self: &Arc<Self>,
         received: ReceivedRequest,
     ) -> Result<Response<Body>, std::io::Error> {
+        if received.line.ends_with(DEADLY_PATH) {
+            self.deadly_requests.lock().expect("the mutex is not poisoned").push(received);
+            self.crashed.notify_one();
+            return Err(server::broken_connection());
+        }
         self.executed_requests.lock().expect("the mutex is not poisoned").push(received.clone());
         if self.lose_next_response.take() {
             return Err(server::broken_connection());
--- a/tests/router/deadly_requests.rs
+++ b/tests/router/deadly_requests.rs
@@ -128,6 +128,21 @@
         crashes
     }
 
+    /// Has an entry read records of the suspects of these runs.
+    fn publish_runs(&mut self, index: usize, runs: Vec<AgedRun>) {
+        let entry = &mut self.entries[index];
+        let mut published: Vec<Suspect> = Vec::new();
+        for suspect in runs.iter().flat_map(|aged| &aged.run.suspects) {
+            if published.contains(suspect) {
+                continue;
+            }
+            published.push(suspect.clone());
+            let with_suspect = runs.iter().filter(|aged| aged.run.suspects.contains(suspect));
+            let record = SuspectRecord::Crashed(with_suspect.cloned().collect());
+            entry.router.record_suspect(entry.now, suspect.clone(), record, RecordAge::New);
+        }
+    }
+
     /// Has the deadly request crash upstreams until it is poisonous.
     fn make_poisonous(&mut self) {
         for arrival in 0..5 {
@@ -365,8 +380,7 @@
     let other =
         |number: usize| AgedRun { run: run(number, &format!("other {number}")), age: ms(0) };
     let others = (0..2 * MAX_CRASHED_RUNS).map(other).collect();
-    let entry = &mut fleet.entries[1];
-    entry.router.record_crash_reports(entry.now, others);
+    fleet.publish_runs(1, others);
     assert!(fleet.deadly(1, BOOKING).refused_as_poisonous);
 }
 
@@ -398,8 +412,7 @@
         at("b", "beside"),
         at("c", "deadly"),
     ];
-    let entry = &mut fleet.entries[0];
-    entry.router.record_crash_reports(entry.now, runs);
+    fleet.publish_runs(0, runs);
     assert!(fleet.serve_lookup(0, "beside"));
     assert!(!fleet.serve_lookup(0, "deadly"));
 }
@@ -411,8 +424,7 @@
     let deadly = ["a", "b", "d", "e"].map(|upstream| at(upstream, "deadly"));
     let beside = ["a", "b", "c"].map(|upstream| at(upstream, "beside"));
     let runs = deadly.into_iter().chain(beside).collect();
-    let entry = &mut fleet.entries[0];
-    entry.router.record_crash_reports(entry.now, runs);
+    fleet.publish_runs(0, runs);
     assert!(fleet.serve_lookup(0, "beside"));
 }
 
@@ -458,8 +470,7 @@
         ["a", "b", "c", "d"].map(|upstream| with_part(upstream, "deadly")).into();
     runs.push(with_part("a", "beside"));
     let mut fleet = Fleet::new(1);
-    let entry = &mut fleet.entries[0];
-    entry.router.record_crash_reports(entry.now, runs);
+    fleet.publish_runs(0, runs);
     let (request, step) = fleet.start(0, &["c0"]);
     assert!(matches!(step, Step::Reserve { .. }), "{step:?}");
     fleet.finish(request);
--- a/tests/router/poison.rs
+++ b/tests/router/poison.rs
@@ -331,6 +331,20 @@
     assert!(matches!(step, Step::Reserve { .. }), "{step:?}");
 }
 
+/// Engines crash for other reasons now and then; each time the part goes well again soon. An entry
+/// that has not served it reads of the crashes when it reports one of its own.
+#[test]
+fn an_entry_that_reports_another_crash_serves_a_part_that_went_well_after_each_crash() {
+    let mut fleet = Fleet::new(2);
+    for _ in 0..4 {
+        assert!(fleet.crash(0, &[COMMON]));
+        assert!(fleet.serve(0, &[COMMON]));
+        fleet.wait(Duration::from_secs(20));
+    }
+    assert!(fleet.crash(1, &["e0"]));
+    assert!(fleet.serve(1, &[COMMON]));
+}
+
 /// Engines crash for other reasons now and then; each time the part goes well again soon.
 #[test]
 fn an_entry_that_starts_late_serves_a_part_that_went_well_after_each_crash() {
