--- a/src/router/poisoned_requests.rs
+++ b/src/router/poisoned_requests.rs
@@ -169,9 +169,7 @@
     pub(super) fn report_crashed_runs(&mut self, key: RequestKey) {
         let Some(request) = self.requests.get_mut(key) else { return };
         let runs = std::mem::take(&mut request.crashed_runs);
-        if !request.is_complete {
-            self.poison.report(runs);
-        }
+        self.poison.report(runs);
     }
 
     /// Records that the upstream of a run has responded completely, so that the request is
@@ -180,7 +178,6 @@
         if !self.requests.contains_key(key) {
             return;
         }
-        self.requests[key].is_complete = true;
         self.requests[key].open_run = None;
         self.record_sound_run(now, key);
     }
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -139,8 +139,6 @@
     pub(super) crashed_runs: Vec<CrashedRun>,
     /// Upstream of a run that has not ended in a known way.
     pub(super) open_run: Option<Target>,
-    /// True once a response is complete.
-    pub(super) is_complete: bool,
     /// Prompt and output tokens to reserve engine memory for; 0 without a prompt.
     pub(super) reserved_tokens: u32,
     /// Configuration in force when the request arrived.
@@ -232,7 +230,6 @@
             suspects,
             crashed_runs: Vec::new(),
             open_run: None,
-            is_complete: false,
             reserved_tokens: 0,
             configuration,
             route,
--- a/tests/router/deadly_requests.rs
+++ b/tests/router/deadly_requests.rs
@@ -456,6 +456,47 @@
     assert_eq!(fleet.store_writes, 0);
 }
 
+#[test]
+fn a_record_that_is_written_again_after_a_run_went_well_revives_no_crash() {
+    let mut fleet = Fleet::new(1);
+    let runs: Vec<AgedRun> =
+        ["a", "b"].map(|upstream| AgedRun { run: run_at(upstream, "x"), age: ms(0) }).into();
+    fleet.publish_runs(0, runs.clone());
+    assert!(!fleet.serve_lookup(0, "x"));
+    let entry = &mut fleet.entries[0];
+    let suspect = Suspect::Request(content("x"));
+    entry.router.record_suspect(entry.now, suspect, SuspectRecord::Harmless, RecordAge::New);
+    fleet.wait(Duration::from_secs(20));
+    fleet.publish_runs(0, runs);
+    assert!(fleet.serve_lookup(0, "x"));
+}
+
+/// The first crash was at another entry, before the run that went well.
+#[test]
+fn a_crash_before_a_run_that_went_well_is_not_published() {
+    let mut fleet = Fleet::new(2);
+    fleet.deadly(1, BOOKING);
+    fleet.wait(Duration::from_secs(30));
+    assert!(fleet.serve_lookup(0, "deadly"));
+    fleet.wait(Duration::from_secs(30));
+    fleet.deadly(0, BOOKING);
+    assert!(fleet.suspects.is_empty());
+    assert_eq!(fleet.store_writes, 2);
+}
+
+#[test]
+fn one_of_the_entries_that_know_says_that_a_suspect_is_harmless() {
+    let mut fleet = Fleet::new(4);
+    fleet.deadly(0, BOOKING);
+    fleet.wait(Duration::from_secs(30));
+    assert!(fleet.serve_lookup(2, "deadly") && fleet.serve_lookup(3, "deadly"));
+    fleet.wait(Duration::from_secs(30));
+    fleet.deadly(1, BOOKING);
+    fleet.share_reports();
+    // Two reports, one record, and its removal.
+    assert_eq!(fleet.store_writes, 4);
+}
+
 /// A deadly request that comes again says nothing about others with the same prompt parts, also
 /// if one of them ran beside it once.
 #[test]
@@ -476,6 +517,29 @@
     fleet.finish(request);
 }
 
+/// The clock of the entry that reported is 400 s behind; the suspect went well 100 s ago.
+#[test]
+fn a_run_that_went_well_before_the_crashes_is_not_taken_for_a_later_one() {
+    let mut fleet = Fleet::new(1);
+    fleet.wait(Duration::from_secs(1_000));
+    assert!(fleet.serve_lookup(0, "deadly"));
+    fleet.wait(Duration::from_secs(100));
+    let age = Duration::from_secs(400);
+    let runs = (0..2).map(|number| AgedRun { run: run(number, "deadly"), age }).collect();
+    fleet.publish_runs(0, runs);
+    assert!(!fleet.serve_lookup(0, "deadly"));
+}
+
+#[test]
+fn a_request_is_not_tried_while_a_trial_is_in_flight() {
+    let mut fleet = Fleet::new(1);
+    fleet.make_poisonous();
+    fleet.wait(Duration::from_secs(16));
+    let (_, trial) = fleet.arrive(0, LOOKUP, "deadly");
+    assert!(matches!(trial, Step::Call { .. }), "{trial:?}");
+    assert!(!fleet.serve_lookup(0, "deadly"));
+}
+
 /// The clock of the entry that reported is 400 s behind.
 #[test]
 fn a_suspect_that_has_just_been_published_is_believed_whatever_the_clocks_say() {
--- a/tests/router/poison.rs
+++ b/tests/router/poison.rs
@@ -176,6 +176,19 @@
     assert!(fleet.serve(0, &["e0"]));
 }
 
+/// They went well too long ago for the memory of sound runs.
+#[test]
+fn parts_of_long_streams_are_harmless() {
+    let mut fleet = Fleet::new(2);
+    for number in 0..6 {
+        let request = fleet.run(number % 2, &["e0"]).expect("the request is not refused");
+        fleet.events(request, 10);
+        fleet.wait(Duration::from_secs(12));
+        fleet.end_connection(request);
+    }
+    assert!(fleet.serve(0, &["e0"]));
+}
+
 #[test]
 fn a_part_that_went_well_elsewhere_in_the_meantime_is_harmless() {
     let mut fleet = Fleet::new(3);
