--- a/src/router/poison.rs
+++ b/src/router/poison.rs
@@ -9,6 +9,7 @@
 //! well, unless another suspect explains the crashes.
 
 mod evidence;
+mod rules;
 mod soundness;
 mod suspect;
 
@@ -28,22 +29,10 @@
 use crate::router::fingerprint::Fingerprint;
 use crate::router::poison::evidence::Evidence;
 use crate::router::poison::evidence::KnownRun;
-use crate::router::poison::evidence::count_upstreams;
 use crate::router::poison::soundness::SoundTimes;
 
 /// Events after which a run shows that the parts of its prompt are harmless.
 pub const MIN_SOUND_EVENTS: u32 = 4;
-/// Crashed upstreams from which on a part of a prompt is poisonous.
-const MIN_CRASHED_BY_PART: usize = 3;
-/// Requests that must have been among the crashed runs of a part: a request that comes again
-/// says nothing about others with the same part.
-const MIN_REQUESTS_OF_PART: usize = 2;
-/// Crashed upstreams from which on a request is poisonous. A service may have no more than
-/// three.
-const MIN_CRASHED_BY_REQUEST: usize = 2;
-/// Upstreams that must have crashed under a suspect without another one that may have been the
-/// reason.
-const MIN_UNEXPLAINED: usize = 2;
 /// Crashed upstreams from which on a suspect is published.
 const MIN_CRASHED_TO_PUBLISH: usize = 2;
 /// Largest number of crashed runs of a suspect in the store.
@@ -58,12 +47,6 @@
 /// Time for which runs of this entry are reported again in a new era of the store, whose copy
 /// may lack them.
 const REPORT_AGAIN_WITHIN: Duration = Duration::from_secs(60);
-/// Time after which a poisonous suspect is tried again for the first time. It doubles with each
-/// trial.
-const FIRST_TRIAL_AFTER: Duration = Duration::from_secs(15);
-/// Largest time between two trials of a suspect.
-const MAX_TRIAL_INTERVAL: Duration = Duration::from_secs(600);
-
 /// Change of what the store is to hold about a suspect.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SuspectUpdate {
@@ -280,7 +263,8 @@
         self.forget_old_runs(now);
         let poisonous: Vec<&Suspect> =
             suspects.iter().filter(|suspect| self.is_poisonous(now, suspect, suspects)).collect();
-        let next_trials = poisonous.iter().map(|suspect| self.next_trial_at(suspect));
+        let tried_at = |suspect: &Suspect| self.tried_at.get(suspect).copied();
+        let next_trials = poisonous.iter().map(|it| self.evidence.next_trial_at(it, tried_at(it)));
         let Some(next_trial_at) = next_trials.max() else { return Verdict::Harmless };
         if now >= self.tries_until || now < next_trial_at {
             let retry_after = next_trial_at.saturating_sub(now);
@@ -324,61 +308,9 @@
         std::mem::take(&mut self.changes)
     }
 
-    /// Returns when a poisonous suspect is tried again. It depends on reports alone, but for the
-    /// trials of this entry, so that all entries that become the one that tries wait as long.
-    fn next_trial_at(&self, suspect: &Suspect) -> Duration {
-        let runs = || self.evidence.runs_with(suspect);
-        let last_crash_at = runs().map(|known| known.known_at).max().unwrap_or_default();
-        let trials = runs().filter(|known| known.run.is_trial).count();
-        let next_at = last_crash_at + trial_interval(trials);
-        let tried_at = self.tried_at.get(suspect);
-        tried_at.map_or(next_at, |tried_at| next_at.max(*tried_at + trial_interval(trials + 1)))
-    }
-
     /// True if a suspect is poisonous for a request with `own` suspects.
     fn is_poisonous(&self, now: Duration, suspect: &Suspect, own: &[Suspect]) -> bool {
-        if !self.has_crashed_enough(suspect) || self.went_well_within(SOUND_HOLD, now, suspect) {
-            return false;
-        }
-        let runs = self.evidence.runs_with(suspect);
-        let unexplained: Vec<_> =
-            runs.filter(|known| !self.is_explained(&known.run, suspect, own)).collect();
-        count_upstreams(unexplained.iter().copied()) >= MIN_UNEXPLAINED
-            && has_enough_requests(suspect, unexplained.into_iter())
-    }
-
-    /// True if the crash of a run may be due to something that a request with `own` suspects
-    /// does not have: another part of the same prompt, or a suspect of another run at the same
-    /// upstream that crashed more upstreams than this one.
-    fn is_explained(&self, run: &CrashedRun, suspect: &Suspect, own: &[Suspect]) -> bool {
-        let is_other = |other: &&Suspect| !own.contains(other);
-        let mut other_parts = run.suspects.iter().filter(is_other);
-        if other_parts.any(|it| matches!(it, Suspect::Part(_)) && self.has_crashed_enough(it)) {
-            return true;
-        }
-        let neighbors = self.evidence.runs_at(&run.upstream);
-        let neighbors = neighbors.filter(|known| known.run.request != run.request);
-        let mut others = neighbors.flat_map(|known| &known.run.suspects).filter(is_other);
-        others.any(|other| {
-            self.has_crashed_enough(other)
-                && self.evidence.crashed_upstreams(other) > self.crashed_without(suspect, other)
-        })
-    }
-
-    /// Number of upstreams that crashed under a suspect in runs that are not of `other`, if that
-    /// is a request.
-    fn crashed_without(&self, suspect: &Suspect, other: &Suspect) -> usize {
-        let is_other = |known: &&KnownRun| *other == Suspect::Request(known.run.request);
-        count_upstreams(self.evidence.runs_with(suspect).filter(|known| !is_other(known)))
-    }
-
-    fn has_crashed_enough(&self, suspect: &Suspect) -> bool {
-        let min = match suspect {
-            Suspect::Part(_) => MIN_CRASHED_BY_PART,
-            Suspect::Request(_) => MIN_CRASHED_BY_REQUEST,
-        };
-        self.evidence.crashed_upstreams(suspect) >= min
-            && has_enough_requests(suspect, self.evidence.runs_with(suspect))
+        !self.went_well_within(SOUND_HOLD, now, suspect) && self.evidence.is_poisonous(suspect, own)
     }
 
     fn went_well_within(&self, period: Duration, now: Duration, suspect: &Suspect) -> bool {
@@ -463,15 +395,3 @@
     let crashed_at = now.saturating_sub(age);
     KnownRun { run, known_at: now, crashed_at, is_own: false, cleared: Vec::new() }
 }
-
-/// True if enough different requests are among the crashed runs of a suspect.
-fn has_enough_requests<'a>(suspect: &Suspect, runs: impl Iterator<Item = &'a KnownRun>) -> bool {
-    let requests = || runs.map(|known| known.run.request).collect::<HashSet<_>>().len();
-    matches!(suspect, Suspect::Request(_)) || requests() >= MIN_REQUESTS_OF_PART
-}
-
-/// Time between the `trials`-th trial of a suspect that crashed its upstream and the next one.
-fn trial_interval(trials: usize) -> Duration {
-    let factor = 1_u32.checked_shl(trials as u32).unwrap_or(u32::MAX);
-    FIRST_TRIAL_AFTER.saturating_mul(factor).min(MAX_TRIAL_INTERVAL)
-}
