Client accounts: keys, names and priorities of a configuration

Cause: nothing read the accounts of a configuration, so that keys were passed on to upstreams, requests without a key ran, and an account's priority was ignored. Change: a configuration holds accounts by their keys; a request without the key of one is refused with 401 unless its route is public; upstreams get the account's name in place of the key; the account's priority goes before its route's. A configuration without accounts works as before.

--- a/src/edge/direct/dispatch.rs
+++ b/src/edge/direct/dispatch.rs
@@ -103,7 +103,7 @@
     pub async fn serve(
         self: &Rc<Self>,
         incoming: IncomingRequest,
-        request: ForwardedRequest,
+        mut request: ForwardedRequest,
     ) -> CallerResponse {
         self.record_notices();
         let accepted = self.router.borrow_mut().accept_request(self.now(), incoming);
@@ -111,6 +111,9 @@
             Ok(key) => key,
             Err(refusal) => return self.refuse(&request.id, refusal),
         };
+        if let Some(accepted) = self.router.borrow().request(key) {
+            request.caller = accepted.caller.clone();
+        }
         self.log_arrived_request(key);
         let (head, response) = oneshot::channel();
         let task = RequestTask {
@@ -178,6 +181,8 @@
             request_id: = request.id,
             fingerprint: = request.fingerprint,
             route: = request.route().name,
+            account: = request.caller.account().map_or("", |account| account.name.as_str()),
+            priority = request.priority(),
             patience_ms = crate::clock::as_ms(request.remaining_time(request.arrived_at)),
             prompt_tokens = request.prompt.map_or(0, |prompt| prompt.tokens),
             max_output_tokens = request.prompt.map_or(0, |prompt| prompt.max_output_tokens),
--- a/src/edge/direct/upstream_client.rs
+++ b/src/edge/direct/upstream_client.rs
@@ -15,6 +15,7 @@
 use crate::edge::direct::connections::Connection;
 use crate::router::Cleanup;
 use crate::router::Target;
+use crate::router::accounts::Caller;
 use crate::router::flow::Failure;
 use crate::router::flow::KvSource;
 use crate::router::upstream_notice::UpstreamNotice;
@@ -34,6 +35,8 @@
     pub headers: HeaderMap,
     /// The complete request body.
     pub body: Bytes,
+    /// Who sent the request. Upstreams get the name of the account, never the key.
+    pub caller: Caller,
 }
 
 /// Parameters of one call to a decode engine that generates output.
@@ -47,7 +50,7 @@
     pub reservation: Option<CompactString>,
     /// Id of the last event that the caller has received; the engine resumes after it.
     pub after_event: Option<u64>,
-    /// Priority of the route; 0 is the highest.
+    /// Priority of the request; 0 is the highest.
     pub priority: u8,
     /// Time left until the deadline of the request, within which the engine must finish.
     pub remaining_time: Duration,
--- a/src/edge/problem.rs
+++ b/src/edge/problem.rs
@@ -35,6 +35,7 @@
         | RefusalReason::InvalidField
         | RefusalReason::PromptTooLong
         | RefusalReason::KeyRequired => StatusCode::BAD_REQUEST,
+        RefusalReason::UnknownApiKey => StatusCode::UNAUTHORIZED,
         RefusalReason::UnknownAccount => StatusCode::FORBIDDEN,
         RefusalReason::UnknownModel | RefusalReason::UnknownService => StatusCode::NOT_FOUND,
         RefusalReason::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -33,6 +33,8 @@
     UnknownService,
     /// The manifest has no client account of the given name.
     UnknownAccount,
+    /// The route needs the API key of a client account, and the request has none.
+    UnknownApiKey,
     /// The prompt is longer than the model's `max_prompt_tokens`, or does not fit
     /// into the memory of an engine.
     PromptTooLong,
--- a/src/router.rs
+++ b/src/router.rs
@@ -4,6 +4,7 @@
 //! [`Event`] that results from a step leads to the next step. The core does no
 //! I/O and reads no clock: times, the random seed and events are passed in.
 
+pub mod accounts;
 pub mod budget;
 pub mod caller_retry;
 pub mod configuration;
@@ -258,8 +259,9 @@
     /// Accepts a request and returns its key.
     ///
     /// # Errors
-    /// A refusal, with no key assigned, if there is no configuration yet or no
-    /// route for the host and path.
+    /// A refusal, with no key assigned, if there is no configuration yet, no route for
+    /// the host and path, or if the route needs the API key of an account and the request
+    /// has none.
     pub fn accept_request(
         &mut self,
         now: Duration,
@@ -271,9 +273,12 @@
         let Some(route) = configuration.route(&incoming.host, &incoming.path) else {
             return Err(Refusal::not_run(RefusalReason::UnknownService, None));
         };
+        let Some(caller) = configuration.identify_caller(route, incoming.api_key.as_ref()) else {
+            return Err(Refusal::not_run(RefusalReason::UnknownApiKey, None));
+        };
         let service = configuration.routes[route].pick_destination(&mut self.rng);
         self.budget(&service).record_request(now);
-        let mut request = Request::new(now, incoming, configuration, route, service);
+        let mut request = Request::new(now, incoming, configuration, route, service, caller);
         if let Some((prompt, engine)) = request.prompt.zip(request.engine()) {
             let longest = self.caller_timeouts.entry(request.route().name.clone()).or_default();
             request.is_late = longest.record(request.remaining_time(now), CAPACITY_RETRY_AFTER);
--- a/src/router/configuration.rs
+++ b/src/router/configuration.rs
@@ -6,6 +6,10 @@
 use rand::Rng;
 use rand::RngExt;
 
+use crate::router::accounts::Accounts;
+use crate::router::accounts::ApiKey;
+use crate::router::accounts::Caller;
+
 /// One version of the configuration: the routes, the services that they name,
 /// and the limits on callers.
 #[derive(Debug, Clone, Default)]
@@ -18,6 +22,8 @@
     pub services: Vec<Service>,
     /// Limits on what callers may send.
     pub limits: CallerLimits,
+    /// Client accounts; without any, callers need no key.
+    pub accounts: Accounts,
 }
 
 /// Limits on what callers may send, and on idle connections.
@@ -68,6 +74,8 @@
     pub max_event_interval: Duration,
     /// Priority, sent to the upstream; 0 is the highest.
     pub priority: u8,
+    /// True if callers need no key for the route, whatever accounts there are.
+    pub public: bool,
     /// Services that requests are distributed over, by weight.
     pub destinations: Vec<Destination>,
     /// Largest number of runs of one request. A run is a decode or call that
@@ -122,6 +130,18 @@
         matching.max_by_key(|(_, route)| route.path_prefix.len()).map(|(index, _)| index)
     }
 
+    /// Returns who sent a request that came with this key; `None` if the route needs the key
+    /// of an account and this is none.
+    pub fn identify_caller(&self, route: usize, key: Option<&ApiKey>) -> Option<Caller> {
+        if self.accounts.is_empty() {
+            return Some(Caller::Unchecked);
+        }
+        match key.and_then(|key| self.accounts.by_key(key)) {
+            Some(account) => Some(Caller::Account(account.clone())),
+            None => self.routes[route].public.then_some(Caller::Anonymous),
+        }
+    }
+
     /// Returns the service with this name, if there is one.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.iter().find(|service| service.name == name)
--- a/src/router/flow.rs
+++ b/src/router/flow.rs
@@ -70,7 +70,7 @@
         /// Id of the last event that the caller has received, for a stream that
         /// continues.
         after_event: Option<u64>,
-        /// Priority of the route; 0 is the highest.
+        /// Priority of the request; 0 is the highest.
         priority: u8,
         /// Time left until the request's deadline, sent to the engine.
         remaining_time: Duration,
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -200,7 +200,7 @@
             source,
             reservation: Some(reservation.id),
             after_event: request.last_event,
-            priority: request.route().priority,
+            priority: request.priority(),
             remaining_time: request.remaining_time(now),
         }
     }
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -7,6 +7,8 @@
 use slotmap::new_key_type;
 
 use crate::outcome::Outcome;
+use crate::router::accounts::ApiKey;
+use crate::router::accounts::Caller;
 use crate::router::configuration::Configuration;
 use crate::router::configuration::Engine;
 use crate::router::configuration::Route;
@@ -33,6 +35,8 @@
     pub path: CompactString,
     /// Fingerprint of its content and its caller.
     pub fingerprint: Fingerprint,
+    /// Key by which the caller identifies its account, if it sent one.
+    pub api_key: Option<ApiKey>,
     /// How long the caller waits, if it sent a limit. The timeout of the route
     /// applies if it is shorter.
     pub caller_timeout: Option<Duration>,
@@ -116,6 +120,8 @@
     pub id: CompactString,
     /// Fingerprint of its content and its caller.
     pub fingerprint: Fingerprint,
+    /// Who sent the request.
+    pub caller: Caller,
     /// When the request arrived.
     pub arrived_at: Duration,
     /// Time at which the request ends at the latest: its arrival plus the
@@ -210,6 +216,7 @@
         configuration: Arc<Configuration>,
         route: usize,
         service: CompactString,
+        caller: Caller,
     ) -> Self {
         let timeout = configuration.routes[route].timeout;
         let caller_timeout = incoming.caller_timeout.unwrap_or(timeout).min(timeout);
@@ -221,6 +228,7 @@
         Self {
             id: incoming.id,
             fingerprint: incoming.fingerprint,
+            caller,
             arrived_at: now,
             deadline: now + caller_timeout,
             reservation_deadline: now,
@@ -266,6 +274,13 @@
         &self.configuration.routes[self.route]
     }
 
+    /// Priority of the request, 0 is the highest: that of its account or, without one, of
+    /// its route.
+    pub fn priority(&self) -> u8 {
+        let account = self.caller.account().and_then(|account| account.priority);
+        account.unwrap_or(self.route().priority)
+    }
+
     /// Version of the configuration in force when the request arrived.
     pub fn version(&self) -> u64 {
         self.configuration.version
--- a/tests/router/ended_tasks.rs
+++ b/tests/router/ended_tasks.rs
@@ -18,6 +18,7 @@
 use bamboodoor::outcome::Outcome;
 use bamboodoor::router::Cleanup;
 use bamboodoor::router::Target;
+use bamboodoor::router::accounts::Caller;
 use bamboodoor::router::flow::Failure;
 use bamboodoor::router::upstream_notice::UpstreamNotice;
 use bytes::Bytes;
@@ -102,6 +103,7 @@
     let dispatcher = Rc::new(Dispatcher::new("entry".into(), router, PanickingClient, clock));
     for path in ["/booking/1", "/stream/1"] {
         let request = ForwardedRequest {
+            caller: Caller::default(),
             id: "request".into(),
             method: Method::POST,
             uri: path.parse().expect("the path is valid"),
--- a/tests/router/harness.rs
+++ b/tests/router/harness.rs
@@ -210,6 +210,7 @@
         host: HOST.into(),
         path: path.into(),
         fingerprint: Fingerprint::default(),
+        api_key: None,
         caller_timeout: Some(CALLER_TIMEOUT),
         prompt: goes_to_engines(path).then_some(prompt),
         shared_parts: Vec::new(),
