An entry that is not certain that its configuration is current refuses keys

Change: router/key_certainty.rs knows the time up to which no newer configuration exists, from the reads of the feed. Past the bound, less 100 ms for clocks, requests with a key are refused at once with 503 and a retry time, and the entry is not ready. strictRevoke and revokeMs of the settings switch it on; without accounts nothing changes.

--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -12,6 +12,7 @@
 pub mod crash_log;
 mod crash_records;
 pub mod dispatch;
+mod key_report;
 pub mod lease_task;
 pub mod metrics;
 pub mod origin_log;
--- a/src/edge/direct/dispatch.rs
+++ b/src/edge/direct/dispatch.rs
@@ -132,7 +132,11 @@
     /// response.
     pub fn refuse(&self, id: &str, refusal: Refusal) -> CallerResponse {
         self.metrics.count_refusal(&refusal);
-        log_refusal(&self.name, id, &refusal, 0);
+        match refusal.reason {
+            // One line tells of all of them.
+            RefusalReason::KeysUncertain => self.report_key_certainty(),
+            _ => log_refusal(&self.name, id, &refusal, 0),
+        }
         CallerResponse::Refused(refusal)
     }
 
--- a/src/edge/direct/request_log.rs
+++ b/src/edge/direct/request_log.rs
@@ -5,6 +5,7 @@
 use crate::clock::as_ms;
 use crate::edge::direct::body_framing::BodyFraming;
 use crate::outcome::Refusal;
+use crate::outcome::RefusalReason;
 use crate::router::Event;
 use crate::router::Step;
 use crate::router::Target;
@@ -40,7 +41,9 @@
 /// Logs a refusal; `version` is that of the request's configuration, 0 if the request
 /// was refused on arrival.
 pub(super) fn log_refusal(instance: &str, id: &str, refusal: &Refusal, version: u64) {
-    spdlog::info!("refused", kv: {
+    let event =
+        if refusal.reason == RefusalReason::UnknownApiKey { "key-refused" } else { "refused" };
+    spdlog::info!("{event}", kv: {
         instance: = instance,
         request_id: = id,
         reason: = refusal.reason,
--- a/src/edge/direct/store_follower.rs
+++ b/src/edge/direct/store_follower.rs
@@ -21,6 +21,7 @@
 use crate::router::follow::ReadTiming;
 use crate::router::instance_list::InstanceRecord;
 use crate::router::instance_list::InstanceState;
+use crate::router::key_certainty::ConfigurationRead;
 use crate::router::lease::RenewalResponse;
 use crate::router::poison::RecordAge;
 use crate::router::store_era::StoreEraNotice;
@@ -54,6 +55,8 @@
     pub records: Vec<StoreRecord>,
     /// Offset from which the next read continues.
     pub next_offset: u64,
+    /// End offset of the feed, which the next record written to it gets.
+    pub end_offset: u64,
 }
 
 /// Records of a log without keys, from an offset on.
@@ -180,13 +183,20 @@
     stop: CancellationToken,
 ) {
     let timing = ReadTiming::of(feed, &bounds);
-    let mut follower =
-        Follower { store, feed, dispatcher, cursor: Cursor::default(), reachable: true };
+    let mut follower = Follower {
+        store,
+        feed,
+        dispatcher,
+        cursor: Cursor::default(),
+        last: SentRead::default(),
+        reachable: true,
+    };
     while !stop.is_cancelled() {
         let pause = match follower.read(&timing).await {
             Ok(()) => follower.handle_success(&timing),
             Err(error) => follower.handle_failure(&timing, &error),
         };
+        follower.dispatcher.report_key_certainty();
         tokio::select! {
             () = stop.cancelled() => {}
             () = tokio::time::sleep(pause) => {}
@@ -206,13 +216,24 @@
     feed: Feed,
     dispatcher: Rc<Dispatcher<U>>,
     cursor: Cursor,
+    last: SentRead,
     reachable: bool,
 }
 
+/// Read that was sent last.
+#[derive(Debug, Clone, Copy, Default)]
+struct SentRead {
+    /// When it was sent; of a full read, when that of the first page was.
+    requested_at: Duration,
+    /// How long the store may delay its response.
+    wait: Duration,
+}
+
 impl<S: Store, U: UpstreamClient> Follower<S, U> {
     /// Performs the next read of the feed and applies its records. If the store is in a new
     /// era, the next read is a full one instead.
     async fn read(&mut self, timing: &ReadTiming) -> Result<(), StoreError> {
+        self.prepare_read(timing);
         let response = tokio::select! {
             response = self.send_read(timing) => response,
             // The rest of a long poll would only delay the full read.
@@ -231,6 +252,34 @@
         Ok(())
     }
 
+    /// Sets when the next read is sent, and how long the store may delay its response.
+    fn prepare_read(&mut self, timing: &ReadTiming) {
+        let now = self.dispatcher.now();
+        match self.cursor.next() {
+            Read::Newest { after: Some(_) } => {}
+            Read::Newest { after: None } => {
+                self.last = SentRead { requested_at: now, wait: Duration::ZERO };
+            }
+            Read::Changes { .. } => {
+                self.last = SentRead { requested_at: now, wait: self.long_poll(now, timing) };
+            }
+        }
+    }
+
+    /// How long the store may delay the response to a read of changes.
+    fn long_poll(&self, now: Duration, timing: &ReadTiming) -> Duration {
+        if !self.reachable {
+            // After a failure the first response shows that the store is back.
+            return Duration::ZERO;
+        }
+        match self.feed {
+            Feed::Configuration => {
+                self.dispatcher.router.borrow().configuration_poll(now, timing.long_poll)
+            }
+            Feed::Upstreams | Feed::Suspects => timing.long_poll,
+        }
+    }
+
     async fn send_read(&self, timing: &ReadTiming) -> Result<ReadResponse, StoreError> {
         match self.cursor.next() {
             Read::Newest { after } => {
@@ -239,8 +288,7 @@
                 page.await.map(ReadResponse::Page)
             }
             Read::Changes { from } => {
-                // After a failure the first response shows that the store is back.
-                let wait = if self.reachable { timing.long_poll } else { Duration::ZERO };
+                let wait = self.last.wait;
                 let timeout = wait + timing.response_timeout;
                 let changes = self.store.changes_since(self.feed, *from, wait, timeout);
                 changes.await.map(ReadResponse::Changes)
@@ -257,15 +305,33 @@
                     self.cursor.record_page(keys, page.has_more, page.end_offset)
                 {
                     self.apply_full_list(&keys, end_offset);
+                    self.record_complete_read(Duration::ZERO);
                 }
             }
             ReadResponse::Changes(changes) => {
+                let was_fruitless = changes.records.is_empty();
                 self.apply_records(changes.records, RecordAge::New);
                 self.cursor.record_changes(changes.next_offset);
+                if changes.next_offset >= changes.end_offset {
+                    let fruitless_wait =
+                        if was_fruitless { self.last.wait } else { Duration::ZERO };
+                    self.record_complete_read(fruitless_wait);
+                }
             }
         }
     }
 
+    /// Records that the last read left nothing newer unread.
+    fn record_complete_read(&self, fruitless_wait: Duration) {
+        if self.feed != Feed::Configuration {
+            return;
+        }
+        let requested_at = self.last.requested_at;
+        let received_at = self.dispatcher.now();
+        let read = ConfigurationRead { requested_at, received_at, fruitless_wait };
+        self.dispatcher.router.borrow_mut().key_certainty().record_read(&read);
+    }
+
     fn record_reachable(&mut self) {
         self.dispatcher.metrics.count_store_read(self.feed, true);
         let now = self.dispatcher.now();
@@ -336,6 +402,7 @@
     fn apply_configuration(&self, record: &StoreRecord) {
         match self.store.decode_configuration(record) {
             Some(Ok(configuration)) => {
+                self.dispatcher.router.borrow_mut().key_certainty().record_readable(true);
                 let version = configuration.version;
                 let routes = configuration.routes.len();
                 let accepted = self.dispatcher.configure(configuration);
@@ -347,6 +414,7 @@
                 });
             }
             Some(Err(error)) => {
+                self.dispatcher.router.borrow_mut().key_certainty().record_readable(false);
                 let offset = record.offset;
                 spdlog::warn!("configuration-unreadable", kv: { offset = offset, detail: = error });
             }
--- a/src/edge/problem.rs
+++ b/src/edge/problem.rs
@@ -53,6 +53,7 @@
         | RefusalReason::PoisonousPrompt
         | RefusalReason::PoisonousRequest
         | RefusalReason::RetryBudget
+        | RefusalReason::KeysUncertain
         | RefusalReason::ShuttingDown
         | RefusalReason::NotReady => StatusCode::SERVICE_UNAVAILABLE,
         RefusalReason::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -35,6 +35,9 @@
     UnknownAccount,
     /// The route needs the API key of a client account, and the request has none.
     UnknownApiKey,
+    /// The route needs the API key of a client account, and the entry cannot tell whether keys
+    /// were withdrawn since it last read a configuration.
+    KeysUncertain,
     /// The prompt is longer than the model's `max_prompt_tokens`, or does not fit
     /// into the memory of an engine.
     PromptTooLong,
--- a/src/router.rs
+++ b/src/router.rs
@@ -15,6 +15,7 @@
 pub mod follow;
 mod generate;
 pub mod instance_list;
+pub mod key_certainty;
 pub mod lease;
 pub mod output_margin;
 pub mod pauses;
@@ -57,6 +58,7 @@
 use crate::router::engine_time::EngineTimeStats;
 use crate::router::engine_time::PrefillTimeEstimate;
 use crate::router::instance_list::InstanceList;
+use crate::router::key_certainty::KeyCertainty;
 use crate::router::output_margin::OutputMargin;
 use crate::router::poison::PoisonDetector;
 use crate::router::poisoned_requests::UncheckedRun;
@@ -90,6 +92,10 @@
     /// starts when the list can be read again; an upstream whose record is then
     /// found to have vanished stays usable until its end.
     pub outage_grace: Duration,
+    /// Time from the withdrawal of a key of a client account within which it must be refused,
+    /// also by an entry that cannot read configurations; `None` if such an entry may accept it
+    /// for longer.
+    pub key_withdrawal: Option<Duration>,
 }
 
 impl Default for RouterSettings {
@@ -100,6 +106,7 @@
             budget: BudgetLimits::default(),
             roles: RoleSettings::default(),
             outage_grace: Duration::from_secs(2),
+            key_withdrawal: None,
         }
     }
 }
@@ -112,6 +119,8 @@
     configuration: Option<Arc<Configuration>>,
     /// Highest era that the store has named; `None` before the first one.
     store_era: Option<StoreEra>,
+    /// Whether the configuration in force is current, for the keys of accounts.
+    key_certainty: KeyCertainty,
     upstreams: Upstreams,
     instance_list: InstanceList,
     requests: SlotMap<RequestKey, Request>,
@@ -152,7 +161,7 @@
 }
 
 /// `Retry-After` of a request that is refused because this entry has no
-/// configuration yet; another entry may be able to serve it.
+/// configuration yet, or none that is certainly current; another entry may be able to serve it.
 const OTHER_ENTRY_RETRY_AFTER: Duration = Duration::from_millis(300);
 
 /// Calls that a role order takes: the query of the engine's state and the order.
@@ -167,6 +176,7 @@
         Self {
             configuration: None,
             store_era: None,
+            key_certainty: KeyCertainty::new(settings.key_withdrawal),
             upstreams: Upstreams::default(),
             instance_list: InstanceList::new(settings.outage_grace),
             requests: SlotMap::with_key(),
@@ -223,10 +233,10 @@
         (&mut self.instance_list, &mut self.upstreams)
     }
 
-    /// True if the entry may receive requests: it has a configuration and is
-    /// not leaving.
-    pub fn is_ready(&self) -> bool {
-        self.configuration.is_some() && !self.leaving
+    /// True if the entry may receive requests: it has a configuration, is not leaving and, if
+    /// callers need keys, can accept them.
+    pub fn is_ready(&self, now: Duration) -> bool {
+        self.configuration.is_some() && !self.leaving && !self.refuses_keys(now)
     }
 
     /// True once the graceful shutdown has started.
@@ -261,7 +271,7 @@
     /// # Errors
     /// A refusal, with no key assigned, if there is no configuration yet, no route for
     /// the host and path, or if the route needs the API key of an account and the request
-    /// has none.
+    /// has none, or one that may have been withdrawn since.
     pub fn accept_request(
         &mut self,
         now: Duration,
@@ -273,9 +283,8 @@
         let Some(route) = configuration.route(&incoming.host, &incoming.path) else {
             return Err(Refusal::not_run(RefusalReason::UnknownService, None));
         };
-        let Some(caller) = configuration.identify_caller(route, incoming.api_key.as_ref()) else {
-            return Err(Refusal::not_run(RefusalReason::UnknownApiKey, None));
-        };
+        let key = incoming.api_key.as_ref();
+        let caller = self.identify_caller(now, &configuration, route, key)?;
         let service = configuration.routes[route].pick_destination(&mut self.rng);
         self.budget(&service).record_request(now);
         let mut request = Request::new(now, incoming, configuration, route, service, caller);
--- a/src/router/store_era.rs
+++ b/src/router/store_era.rs
@@ -67,6 +67,7 @@
             self.store_era = Some(named);
             return StoreEraChange::None;
         };
+        self.key_certainty.record_era(now, named < known);
         if named < known {
             return StoreEraChange::Fell { known, named };
         }
--- a/tests/core/simulation.rs
+++ b/tests/core/simulation.rs
@@ -135,8 +135,10 @@
 ];
 
 /// Reasons of an entry that connects to upstreams directly; `tests/router` reaches them
-/// (`rate_limited_engines`, `upstream_notice`, `software_versions`, `poison`, `deadly_requests`).
-const ROUTER_REASONS: [RefusalReason; 4] = [
+/// (`accounts`, `key_certainty`, `rate_limited_engines`, `upstream_notice`, `software_versions`, `poison`, `deadly_requests`).
+const ROUTER_REASONS: [RefusalReason; 6] = [
+    RefusalReason::UnknownApiKey,
+    RefusalReason::KeysUncertain,
     RefusalReason::RateLimited,
     RefusalReason::VersionUnavailable,
     RefusalReason::PoisonousPrompt,
--- a/tests/router/configuration.rs
+++ b/tests/router/configuration.rs
@@ -55,7 +55,7 @@
 #[test]
 fn without_a_configuration_requests_are_refused_as_not_ready() {
     let mut router = Router::new(RouterSettings::default());
-    assert!(!router.is_ready());
+    assert!(!router.is_ready(ms(0)));
     let refusal = router
         .accept_request(ms(0), IncomingRequest::default())
         .expect_err("a router without a configuration refuses requests");
@@ -66,7 +66,7 @@
 fn a_leaving_entry_is_not_ready() {
     let mut router = Router::new(RouterSettings::default());
     router.configure(overlapping_routes());
-    assert!(router.is_ready());
+    assert!(router.is_ready(ms(0)));
     router.start_leaving();
-    assert!(!router.is_ready());
+    assert!(!router.is_ready(ms(0)));
 }
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the router's decisions, without sockets and in virtual time.
 
+mod accounts;
 mod budget;
 mod caller_retry;
 mod configuration;
@@ -13,6 +14,7 @@
 mod generate;
 mod harness;
 mod instance_list;
+mod key_certainty;
 mod lease;
 mod output_margin;
 mod pauses;
