--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -95,6 +95,8 @@
     pub down: Switch,
     /// Delay before each request is processed.
     pub request_delay: Delay,
+    /// Topic whose requests get no response; `None` for none.
+    silent_topic: Mutex<Option<String>>,
 }
 
 impl Default for Store {
@@ -107,6 +109,7 @@
             appended: Notify::default(),
             down: Switch::default(),
             request_delay: Delay::default(),
+            silent_topic: Mutex::default(),
         }
     }
 }
@@ -171,6 +174,16 @@
         *self.era_text.lock().expect("the mutex is not poisoned") = text.map(str::to_string);
     }
 
+    /// Sends no response to requests for a topic from now on, also to those that wait for a
+    /// record; `None` ends that.
+    pub fn set_silent_topic(&self, topic: Option<&str>) {
+        *self.silent_topic.lock().expect("the mutex is not poisoned") = topic.map(str::to_string);
+    }
+
+    fn is_silent(&self, topic: &str) -> bool {
+        self.silent_topic.lock().expect("the mutex is not poisoned").as_deref() == Some(topic)
+    }
+
     /// Processes a request; all responses name the era. A return from a copy meanwhile breaks
     /// the connection.
     async fn handle(
@@ -178,7 +191,11 @@
         request: Request<Incoming>,
     ) -> Result<Response<Body>, std::io::Error> {
         let era = self.era();
+        let topic = query_text(&request, "topic");
         let mut response = self.clone().respond(request).await?;
+        while self.is_silent(&topic) {
+            tokio::time::sleep(READ_POLL_INTERVAL).await;
+        }
         if era != self.era() {
             return Err(std::io::Error::other("the store came back from a copy meanwhile"));
         }
