Soak: client accounts, keys that are withdrawn, a forged account header

Checked from outside: upstreams get the account of the key and no key, and no request that was sent later than the bound after its key was withdrawn.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -24,6 +24,8 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::accounts::ACCOUNT_HEADER;
+use crate::accounts::CallerKey;
 use crate::fleet::Fleet;
 use crate::plan::DeadlyKind;
 
@@ -73,6 +75,8 @@
     pub sent_at: Instant,
     /// Time at which its outcome was known.
     pub ended_at: Instant,
+    /// Key that it carried, if the configurations have accounts.
+    pub key: Option<CallerKey>,
     /// Stream that it takes up, if it does.
     pub resumed: Option<ResumedStream>,
     /// Outcome that the caller saw.
@@ -189,7 +193,7 @@
         let record = self.exchange(&mut connection, route, disconnect_after, None).await;
         let complete = matches!(record.outcome, RequestOutcome::Complete { .. });
         let broke_off = matches!(record.outcome, RequestOutcome::Incomplete { .. });
-        if self.fleet.several_versions && route == "resumable" && broke_off {
+        if self.fleet.features.several_versions && route == "resumable" && broke_off {
             self.take_up(&record).await;
         }
         self.requests.lock().expect("the mutex is not poisoned").push(record);
@@ -217,17 +221,17 @@
         disconnect_after: Option<Duration>,
         resumed: Option<ResumedStream>,
     ) -> CallerRequest {
-        let id = format!("r{}", self.next_id.fetch_add(1, Ordering::SeqCst));
+        let (id, key) = self.next_id_and_key();
         let (sent_at, entry) = (Instant::now(), connection.entry);
         let path = format!("/{route}/{id}");
-        let request = build_request(&id, route, &path, &id, resumed.as_ref());
+        let request = build_request(&id, route, &path, &id, key, resumed.as_ref());
         let exchange = exchange(&mut connection.sender, request);
         let outcome = match timeout(disconnect_after.unwrap_or(RESPONSE_TIMEOUT), exchange).await {
             Ok(outcome) => outcome,
             Err(_) if disconnect_after.is_some() => RequestOutcome::Disconnected,
             Err(_) => RequestOutcome::Incomplete { body: Bytes::new() },
         };
-        CallerRequest { id, route, entry, sent_at, ended_at: Instant::now(), resumed, outcome }
+        CallerRequest { id, route, entry, sent_at, ended_at: Instant::now(), key, resumed, outcome }
     }
 
     /// Sends requests of the same content, which crash replicas, to the entries by turns.
@@ -243,19 +247,27 @@
             }
             tokio::time::sleep(DEADLY_INTERVAL).await;
             let Some(mut connection) = self.connect(entry).await else { continue };
-            let id = format!("r{}", self.next_id.fetch_add(1, Ordering::SeqCst));
+            let (id, key) = self.next_id_and_key();
             let (path, sent_at) = (format!("/{route}{DEADLY_PATH}"), Instant::now());
-            let request = build_request(&id, route, &path, "deadly", None);
+            let request = build_request(&id, route, &path, "deadly", key, None);
             let exchange = exchange(&mut connection.sender, request);
             let outcome = timeout(RESPONSE_TIMEOUT, exchange).await;
             let outcome = outcome.unwrap_or(RequestOutcome::Incomplete { body: Bytes::new() });
             let ended_at = Instant::now();
             let request =
-                CallerRequest { id, route, entry, sent_at, ended_at, resumed: None, outcome };
+                CallerRequest { id, route, entry, sent_at, ended_at, key, resumed: None, outcome };
             self.deadly_requests.lock().expect("the mutex is not poisoned").push(request);
         }
     }
 
+    /// Issues a request id, with the key of the request if the configurations have accounts.
+    fn next_id_and_key(&self) -> (String, Option<CallerKey>) {
+        let number = self.next_id.fetch_add(1, Ordering::SeqCst);
+        let published = self.fleet.published.lock().expect("the mutex is not poisoned");
+        let key = CallerKey::of_request(number, &published);
+        (format!("r{number}"), self.fleet.features.accounts.then_some(key))
+    }
+
     async fn connect(&self, entry: usize) -> Option<Connection> {
         let address = self.fleet.entries[entry].caller_proxy.address();
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await.ok()?.ok()?;
@@ -308,6 +320,7 @@
     route: &str,
     path: &str,
     body: &str,
+    key: Option<CallerKey>,
     resumed: Option<&ResumedStream>,
 ) -> Request<Full<Bytes>> {
     let mut request = Request::builder()
@@ -319,6 +332,12 @@
         .header("bamboodoor-model", "m")
         .header("bamboodoor-token-count", "100,700")
         .header("bamboodoor-prompt-prefix", "5c1e07a2:100");
+    if let Some(key) = key {
+        // The caller claims to be another account.
+        request = request
+            .header("authorization", format!("Bearer {}", key.text()))
+            .header(ACCOUNT_HEADER, "forged");
+    }
     if let Some(resumed) = resumed {
         request = request
             .header("last-event-id", resumed.after_event.to_string())
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -12,6 +12,7 @@
 use standins::platform::replica::ReceivedRequest;
 use standins::platform::replica::event;
 
+use crate::accounts::check_account;
 use crate::callers::CallerRequest;
 use crate::callers::RequestOutcome;
 use crate::deadly::check_deadly;
@@ -98,6 +99,7 @@
 /// Checks all guarantees but the recovery, and returns the violations.
 pub fn check_run(record: &RunRecord) -> Vec<Violation> {
     let nodes = record.fleet.nodes.lock().expect("the mutex is not poisoned").clone();
+    let published = record.fleet.published.lock().expect("the mutex is not poisoned").clone();
     let arrivals = collect_arrivals(&nodes);
     let by_id: HashMap<&str, &CallerRequest> =
         record.requests.iter().map(|request| (request.id.as_str(), request)).collect();
@@ -115,6 +117,7 @@
         match by_id.get(arrival.request.id.as_str()) {
             Some(request) => {
                 violations.extend(record.check_arrival(request, arrival, &nodes[arrival.node]));
+                violations.extend(check_account(request, arrival, &published));
             }
             // Sent as a probe before the load started, or by a caller that was stopped at the
             // end of the run: its outcome is not in the record.
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -21,6 +21,9 @@
 use standins::platform::store::REPLICAS_TOPIC;
 use standins::platform::store::Store;
 
+use crate::accounts::Published;
+use crate::accounts::REVOKE_BOUND;
+use crate::accounts::accounts;
 use crate::proxy::LinkFault;
 use crate::proxy::Proxy;
 use crate::replica_node::ReplicaNode;
@@ -163,8 +166,19 @@
     pub nodes: Mutex<Vec<Arc<ReplicaNode>>>,
     /// Replicas that serve now, by position; a replacement takes the position of the old one.
     current: Mutex<Vec<Arc<ReplicaNode>>>,
+    /// What the run has beside the rest.
+    pub features: Features,
+    /// Configurations that were published so far.
+    pub published: Mutex<Vec<Published>>,
+}
+
+/// What a run has only with some seeds.
+#[derive(Debug, Clone, Copy)]
+pub struct Features {
     /// True if the replicas have two software versions, and callers take up broken streams.
     pub several_versions: bool,
+    /// True if the configurations have client accounts.
+    pub accounts: bool,
 }
 
 /// Software versions of the replicas, if there are several.
@@ -178,14 +192,13 @@
         program: &Path,
         dir: &Path,
         entries: usize,
-        several_versions: bool,
+        features: Features,
     ) -> Arc<Self> {
         let (store, address) = Store::start().await;
-        store.put_json(OPERATOR_TOPIC, "config", &configuration(1));
         let mut nodes = Vec::new();
         for (number, (service, kind)) in INITIAL_REPLICAS.into_iter().enumerate() {
             let node = ReplicaNode::start(&format!("replica-{number}"), service, kind).await;
-            if several_versions {
+            if features.several_versions {
                 node.replica.set_version(VERSIONS[number % VERSIONS.len()]);
             }
             nodes.push(node);
@@ -199,8 +212,10 @@
             entries: started,
             current: Mutex::new(nodes.clone()),
             nodes: Mutex::new(nodes),
-            several_versions,
+            features,
+            published: Mutex::default(),
         });
+        fleet.publish_configuration(1);
         fleet.publish_replicas();
         fleet
     }
@@ -250,7 +265,7 @@
         let number = self.nodes.lock().expect("the mutex is not poisoned").len();
         let id = format!("replica-{number}");
         let new = ReplicaNode::start(&id, old.service, old.replica.kind).await;
-        if self.several_versions {
+        if self.features.several_versions {
             new.replica.set_version(VERSIONS[number % VERSIONS.len()]);
         }
         self.nodes.lock().expect("the mutex is not poisoned").push(new.clone());
@@ -266,7 +281,13 @@
 
     /// Publishes the configuration of a version.
     pub fn publish_configuration(&self, version: u64) {
-        self.store.put_json(OPERATOR_TOPIC, "config", &configuration(version));
+        let mut configuration = configuration(version);
+        if self.features.accounts {
+            configuration["tenants"] = accounts(version);
+        }
+        self.store.put_json(OPERATOR_TOPIC, "config", &configuration);
+        let published = Published { version, at: Instant::now() };
+        self.published.lock().expect("the mutex is not poisoned").push(published);
     }
 }
 
@@ -313,10 +334,11 @@
          [listen]\nfront = \"{address}\"\nready = \"{ready}\"\n\
          [platform]\naddress = \"{store}\"\n\
          [bounds]\nretryRatio = {RETRY_RATIO}\nretrySlack = {RETRY_SLACK}\n\
-         graceS = {}\napplyMs = {}\ndrainMs = {}\n",
+         graceS = {}\napplyMs = {}\ndrainMs = {}\nstrictRevoke = true\nrevokeMs = {}\n",
         STOP_GRACE.as_secs(),
         APPLY_BOUND.as_millis(),
-        DRAIN_BOUND.as_millis()
+        DRAIN_BOUND.as_millis(),
+        REVOKE_BOUND.as_millis()
     )
 }
 
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -4,6 +4,7 @@
 //! A seed fixes which faults are injected when. Their effects still depend on the timing of the
 //! machine, so the checks must allow for any timing.
 
+pub mod accounts;
 pub mod callers;
 pub mod checks;
 mod deadly;
@@ -25,6 +26,7 @@
 use crate::callers::Callers;
 use crate::checks::RunRecord;
 use crate::checks::Violation;
+use crate::fleet::Features;
 use crate::fleet::Fleet;
 use crate::inject::Injector;
 use crate::plan::RunSize;
@@ -74,8 +76,11 @@
 /// `seed` plans, and checks the guarantees. The settings files and logs of the entries go to `dir`,
 /// which must exist.
 pub async fn run(seed: u64, program: &Path, dir: &Path, settings: RunSettings) -> Report {
-    let several_versions = seed >= plan::FIRST_EXTENDED_SEED;
-    let fleet = Fleet::start(program, dir, settings.entries, several_versions).await;
+    let features = Features {
+        several_versions: seed >= plan::FIRST_EXTENDED_SEED,
+        accounts: seed >= plan::FIRST_ACCOUNT_SEED,
+    };
+    let fleet = Fleet::start(program, dir, settings.entries, features).await;
     let publisher = fleet.clone();
     let heartbeat = tokio::spawn(async move {
         loop {
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -10,6 +10,7 @@
 use rand::seq::IndexedRandom;
 use rand_chacha::ChaCha8Rng;
 
+use crate::accounts::REVOKE_BOUND;
 use crate::proxy::LinkFault;
 
 /// Fault that a replica shows once.
@@ -147,7 +148,11 @@
 pub const FIRST_CONNECTION_END_SEED: u64 = 3_000;
 /// First seed with requests that crash the replicas that run them.
 pub const FIRST_DEADLY_SEED: u64 = 4_000;
-/// Longest time between the starts of two times of such streams.
+/// First seed whose configurations have client accounts.
+pub const FIRST_ACCOUNT_SEED: u64 = 5_000;
+/// Longest time between two configurations that withdraw a key.
+const MAX_WITHDRAWAL_INTERVAL_MS: u64 = 3_000;
+/// Longest time between the starts of two times of streams that end with their connection.
 const MAX_CONNECTION_END_INTERVAL_MS: u64 = 1_500;
 /// Longest time between the starts of two series of pauses, of two times of turning away, and of
 /// two leaving replicas.
@@ -192,10 +197,33 @@
     if seed >= FIRST_DEADLY_SEED {
         actions.push(draw_deadly_requests(&mut rng, size));
     }
+    if seed >= FIRST_ACCOUNT_SEED {
+        actions.extend(draw_withdrawals(&mut rng, size));
+    }
     actions.sort_by_key(|action| action.at);
     actions
 }
 
+/// Configurations that withdraw a key, each while one entry does not reach the store, and for longer
+/// than it may accept the key.
+fn draw_withdrawals(rng: &mut ChaCha8Rng, size: RunSize) -> Vec<ScheduledAction> {
+    let mut actions = Vec::new();
+    let mut at = Duration::from_millis(500);
+    while at < size.fault_duration {
+        let entry = rng.random_range(0..size.entries);
+        let faults = [LinkFault::Reset, LinkFault::DropBoth];
+        let fault = *faults.choose(rng).expect("the list is not empty");
+        let duration = REVOKE_BOUND + Duration::from_millis(rng.random_range(0..2_000));
+        let cut = Action::StoreLink(entry, fault, duration);
+        actions.push(ScheduledAction { at, action: cut });
+        let at_withdrawal = at + Duration::from_millis(100);
+        let action = Action::PublishConfiguration;
+        actions.push(ScheduledAction { at: at_withdrawal, action });
+        at += Duration::from_millis(rng.random_range(1_000..MAX_WITHDRAWAL_INTERVAL_MS));
+    }
+    actions
+}
+
 /// One kind of deadly requests that come for at least half of the time.
 fn draw_deadly_requests(rng: &mut ChaCha8Rng, size: RunSize) -> ScheduledAction {
     let kinds = [DeadlyKind::Lookup, DeadlyKind::Booking];
