Take-ups of streams whose origin is not known are refused unless one version alone can have begun them

Cause: after all entries were killed, each knew only the versions that it had listed itself since its start. A stream that was not in the log of origins then went on at the only listed version, also if engines of another one had begun it and left. A surviving entry guessed too: its list may lag behind that of the entry that began the stream, and another version may be listed while a request that takes up a stream waits for room.

Change: the store holds the versions that may have begun streams, per service; the holder of the lease writes it on changes, every entry reads it once. A take-up reads the log and the instance list up to now. It goes on only if its origin is known or if one version alone is possible, and is bound to that one from then on. An entry that goes on with a stream appends its origin again. Entries append origins also if the record tells of several versions.

Tests that asserted the guess are replaced: a new entry refuses until it has followed the list for as long as streams last, and each take-up reads the store.

--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -25,3 +25,4 @@
 mod store_eras;
 pub mod store_follower;
 pub mod upstream_client;
+pub mod version_records;
--- a/src/edge/direct/crash_log.rs
+++ b/src/edge/direct/crash_log.rs
@@ -12,6 +12,7 @@
 use crate::edge::direct::crash_records::encode_reports;
 use crate::edge::direct::dispatch::Dispatcher;
 use crate::edge::direct::store_follower::EntryLog;
+use crate::edge::direct::store_follower::EntryTopic;
 use crate::edge::direct::store_follower::Store;
 use crate::edge::direct::store_follower::StoreError;
 use crate::edge::direct::upstream_client::UpstreamClient;
@@ -150,7 +151,10 @@
         let mut retry_delay = RETRY_DELAY;
         loop {
             let key = suspect.to_string();
-            let written = self.store.put_suspect(&key, value.clone(), STORE_TIMEOUT).await;
+            let written = self
+                .store
+                .put_record(EntryTopic::Suspects, &key, value.clone(), STORE_TIMEOUT)
+                .await;
             self.dispatcher.record_store_eras(&*self.store);
             let Err(error) = written else {
                 let harmless = value.is_none();
--- a/src/edge/direct/dispatch.rs
+++ b/src/edge/direct/dispatch.rs
@@ -22,6 +22,7 @@
 use crate::edge::direct::response_memory::ResponseMemory;
 use crate::edge::direct::upstream_client::ForwardedRequest;
 use crate::edge::direct::upstream_client::UpstreamClient;
+use crate::edge::direct::version_records::VersionRecords;
 use crate::outcome::Refusal;
 use crate::outcome::RefusalReason;
 use crate::router::Router;
@@ -47,6 +48,8 @@
     pub metrics: Metrics,
     /// Access of requests to the origins of streams in the store.
     pub(super) origin_log: OriginLog,
+    /// Access to the record of software versions in the store.
+    pub(super) version_records: VersionRecords,
     /// Access to the reports of crashed runs in the store.
     pub(super) crash_log: CrashLog,
     /// Memory of the responses that are buffered.
@@ -74,6 +77,7 @@
             connection_limits: Rc::default(),
             metrics: Metrics::default(),
             origin_log: OriginLog::default(),
+            version_records: VersionRecords::default(),
             crash_log: CrashLog::default(),
             response_memory: ResponseMemory::default(),
             era_risen: Notify::new(),
--- a/src/edge/direct/lease_task.rs
+++ b/src/edge/direct/lease_task.rs
@@ -72,6 +72,7 @@
         router.set_tries_poisonous_until(now, tries_until);
         router.set_budget_share(budget_share.max(FALLBACK_SHARE));
         router.set_rate_limit_share(now, rate_limit_share);
+        self.dispatcher.version_records.wake(&router, now, tries_until);
     }
 
     /// Sends a renewal and records the response. Returns false if the store is in a new era
--- a/src/edge/direct/origin_log.rs
+++ b/src/edge/direct/origin_log.rs
@@ -16,8 +16,10 @@
 use crate::edge::direct::store_follower::Store;
 use crate::edge::direct::store_follower::StoreError;
 use crate::edge::direct::upstream_client::UpstreamClient;
+use crate::edge::direct::version_records::read_if_needed;
 use crate::router::Router;
 use crate::router::follow::LogPosition;
+use crate::router::stream_origins::OriginLookup;
 use crate::router::stream_origins::StreamOrigin;
 use crate::schema::record;
 
@@ -37,9 +39,16 @@
     unsent: Notify,
     requested: Notify,
     /// Requests that wait until the log has been read.
-    readers: RefCell<Vec<oneshot::Sender<()>>>,
+    readers: RefCell<Vec<Reader>>,
+    /// Wakes the task that follows the instance list.
+    pub(super) list_requested: Notify,
+    /// Requests that wait until the instance list has been read.
+    list_readers: RefCell<Vec<Reader>>,
 }
 
+/// Tells a request that a read has succeeded; dropped if the read failed.
+pub(super) type Reader = oneshot::Sender<()>;
+
 impl OriginLog {
     /// Wakes the task that appends, if the router has origins for it.
     pub(super) fn wake_appender(&self, router: &Router) {
@@ -48,14 +57,23 @@
         }
     }
 
-    /// Waits until the log has been read up to its present end, at most for `limit`. The
-    /// router then knows what it says.
-    pub(super) async fn read(&self, limit: Duration) {
-        let (done, read) = oneshot::channel();
-        self.readers.borrow_mut().push(done);
+    /// Waits until the log and the instance list have been read up to their present ends, at
+    /// most for `limit`. The router then knows what they say. Returns which reads succeeded.
+    pub(super) async fn read(&self, limit: Duration) -> OriginLookup {
+        let (log_done, log_read) = oneshot::channel();
+        self.readers.borrow_mut().push(log_done);
         self.requested.notify_one();
-        // After a failed read or the timeout the router goes on with what it knows.
-        let _ = timeout(limit, read).await;
+        let (list_done, list_read) = oneshot::channel();
+        self.list_readers.borrow_mut().push(list_done);
+        self.list_requested.notify_one();
+        let (log, list) = tokio::join!(timeout(limit, log_read), timeout(limit, list_read));
+        OriginLookup { log_read: matches!(log, Ok(Ok(()))), list_read: matches!(list, Ok(Ok(()))) }
+    }
+
+    /// Returns the requests that wait for a read of the instance list: one that starts now
+    /// serves them.
+    pub(super) fn take_list_readers(&self) -> Vec<Reader> {
+        std::mem::take(&mut self.list_readers.borrow_mut())
     }
 }
 
@@ -104,8 +122,10 @@
     loop {
         dispatcher.origin_log.requested.notified().await;
         let readers = std::mem::take(&mut *dispatcher.origin_log.readers.borrow_mut());
+        read_if_needed(&*store, &dispatcher).await;
         if let Err(error) = read_to_end(&*store, &dispatcher, &mut position).await {
             spdlog::warn!("origins-not-read", kv: { detail: = error });
+            continue;
         }
         for reader in readers {
             // A reader whose caller has disconnected is gone.
--- a/src/edge/direct/request_task.rs
+++ b/src/edge/direct/request_task.rs
@@ -38,6 +38,7 @@
 use crate::router::flow::Failure;
 use crate::router::pauses::MAX_RUN_OVERLAP;
 use crate::router::request::RequestKey;
+use crate::router::stream_origins::OriginLookup;
 
 /// Responses with a `Content-Length` up to this are read completely before they are passed
 /// on, so that the request can be retried if the upstream fails in the middle of one.
@@ -159,14 +160,16 @@
     }
 
     /// Logs what is known of the origin of a stream that the caller takes up.
-    fn log_origin(&self, begun_by: &str) {
+    fn log_origin(&self, begun_by: &str, lookup: OriginLookup) {
         let router = self.dispatcher.router.borrow();
         let version = router.stream_origins().version(begun_by);
         spdlog::info!("stream-origin", kv: {
             instance: = self.dispatcher.name,
             request_id: = self.request.id,
             resumes: = begun_by,
-            version: = version.map_or("unknown", CompactString::as_str)
+            version: = version.map_or("unknown", CompactString::as_str),
+            log_read = lookup.log_read,
+            list_read = lookup.list_read
         });
     }
 
@@ -277,9 +280,9 @@
                 }
             }
             Step::LookUpOrigin { request_id, timeout: limit } => {
-                self.dispatcher.origin_log.read(limit).await;
-                self.log_origin(&request_id);
-                Event::OriginsRead
+                let lookup = self.dispatcher.origin_log.read(limit).await;
+                self.log_origin(request_id.as_deref().unwrap_or_default(), lookup);
+                Event::OriginsRead(lookup)
             }
             Step::Wait { until } => {
                 self.wait_until_runnable(until).await;
--- a/src/edge/direct/store_follower.rs
+++ b/src/edge/direct/store_follower.rs
@@ -12,6 +12,7 @@
 
 use crate::edge::direct::crash_records::decode_record;
 use crate::edge::direct::dispatch::Dispatcher;
+use crate::edge::direct::origin_log::Reader;
 use crate::edge::direct::upstream_client::UpstreamClient;
 use crate::router::configuration::Configuration;
 use crate::router::follow::Cursor;
@@ -76,6 +77,15 @@
     CrashReports,
 }
 
+/// Topic with keys of the store that the entries themselves write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EntryTopic {
+    /// What crashes upstreams; the topic of [`Feed::Suspects`].
+    Suspects,
+    /// Software versions that may have begun streams, by service.
+    Versions,
+}
+
 /// Why a call to the store failed.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum StoreError {
@@ -148,14 +158,23 @@
         timeout: Duration,
     ) -> Result<LogPage, StoreError>;
 
-    /// Writes the record of a suspect to [`Feed::Suspects`]; without a value, removes it.
-    async fn put_suspect(
+    /// Writes a record to a topic with keys that the entries write themselves; without a
+    /// value, removes it.
+    async fn put_record(
         &self,
+        topic: EntryTopic,
         key: &str,
         value: Option<Bytes>,
         timeout: Duration,
     ) -> Result<(), StoreError>;
 
+    /// Reads the newest record of each key of such a topic, the first page of them.
+    async fn read_records(
+        &self,
+        topic: EntryTopic,
+        timeout: Duration,
+    ) -> Result<NewestPage, StoreError>;
+
     /// Returns what responses, also those of failed calls, have said about the era of the
     /// store since the last call of this function, in the order of arrival. A response that
     /// says the same as the one before it need not be included.
@@ -180,8 +199,14 @@
     stop: CancellationToken,
 ) {
     let timing = ReadTiming::of(feed, &bounds);
-    let mut follower =
-        Follower { store, feed, dispatcher, cursor: Cursor::default(), reachable: true };
+    let mut follower = Follower {
+        store,
+        feed,
+        dispatcher,
+        cursor: Cursor::default(),
+        reachable: true,
+        readers: Vec::new(),
+    };
     while !stop.is_cancelled() {
         let pause = match follower.read(&timing).await {
             Ok(()) => follower.handle_success(&timing),
@@ -189,6 +214,7 @@
         };
         tokio::select! {
             () = stop.cancelled() => {}
+            () = follower.list_requested() => {}
             () = tokio::time::sleep(pause) => {}
         }
     }
@@ -207,12 +233,17 @@
     dispatcher: Rc<Dispatcher<U>>,
     cursor: Cursor,
     reachable: bool,
+    /// Requests that wait for the instance list.
+    readers: Vec<Reader>,
 }
 
 impl<S: Store, U: UpstreamClient> Follower<S, U> {
     /// Performs the next read of the feed and applies its records. If the store is in a new
     /// era, the next read is a full one instead.
     async fn read(&mut self, timing: &ReadTiming) -> Result<(), StoreError> {
+        if self.feed == Feed::Upstreams {
+            self.readers.extend(self.dispatcher.origin_log.take_list_readers());
+        }
         let response = tokio::select! {
             response = self.send_read(timing) => response,
             // The rest of a long poll would only delay the full read.
@@ -266,6 +297,14 @@
         }
     }
 
+    /// Completes when a request needs the instance list up to now; never for another feed.
+    async fn list_requested(&self) {
+        match self.feed {
+            Feed::Upstreams => self.dispatcher.origin_log.list_requested.notified().await,
+            _ => std::future::pending().await,
+        }
+    }
+
     fn record_reachable(&mut self) {
         self.dispatcher.metrics.count_store_read(self.feed, true);
         let now = self.dispatcher.now();
@@ -296,7 +335,13 @@
         }
         match self.cursor.next() {
             Read::Newest { .. } => Duration::ZERO,
-            Read::Changes { .. } => timing.interval,
+            Read::Changes { .. } => {
+                for reader in self.readers.drain(..) {
+                    // A reader whose caller has disconnected is gone.
+                    let _ = reader.send(());
+                }
+                timing.interval
+            }
         }
     }
 
@@ -306,8 +351,12 @@
         if matches!(error, StoreError::HistoryLost { .. }) {
             spdlog::info!("history-lost", kv: { feed: = self.feed });
             self.cursor.restart();
+            if self.feed == Feed::Upstreams {
+                self.dispatcher.router.borrow_mut().record_list_gap();
+            }
             return Duration::ZERO;
         }
+        self.readers.clear();
         self.dispatcher.metrics.count_store_read(self.feed, false);
         if self.feed == Feed::Upstreams {
             self.dispatcher.router.borrow_mut().instance_list().0.mark_unavailable();
--- a/src/router.rs
+++ b/src/router.rs
@@ -31,6 +31,7 @@
 pub mod stream_origins;
 pub mod upstream_notice;
 pub mod upstreams;
+pub mod version_history;
 
 pub use flow::Cleanup;
 pub use flow::Event;
@@ -71,8 +72,9 @@
 use crate::router::roles::RoleSettings;
 use crate::router::store_era::StoreEra;
 use crate::router::stream_origins::StreamOrigins;
-use crate::router::stream_origins::VersionHistory;
 use crate::router::upstreams::Upstreams;
+use crate::router::version_history::RecordedVersions;
+use crate::router::version_history::VersionHistory;
 
 /// Settings of the decision core, fixed when the entry starts.
 #[derive(Debug, Clone)]
@@ -135,6 +137,8 @@
     output_margins: HashMap<CompactString, OutputMargin>,
     /// Software versions of the engines of each service.
     version_histories: HashMap<CompactString, VersionHistory>,
+    /// What the store holds of the versions of each service.
+    recorded_versions: RecordedVersions,
     /// Requests and parts of prompts that crash upstreams.
     poison: PoisonDetector,
     /// Runs to check; see [`Router::take_unchecked_runs`].
@@ -180,6 +184,7 @@
             caller_timeouts: HashMap::new(),
             output_margins: HashMap::new(),
             version_histories: HashMap::new(),
+            recorded_versions: RecordedVersions::default(),
             poison: PoisonDetector::default(),
             unchecked_runs: Vec::new(),
             stream_origins: StreamOrigins::default(),
--- a/src/router/flow.rs
+++ b/src/router/flow.rs
@@ -7,6 +7,7 @@
 
 use crate::outcome::Refusal;
 use crate::router::request::HeldResource;
+use crate::router::stream_origins::OriginLookup;
 use crate::router::upstreams::UpstreamKey;
 
 /// Upstream that a step addresses.
@@ -93,8 +94,9 @@
     /// Read from the store at which software version a stream began that the caller takes
     /// up.
     LookUpOrigin {
-        /// Id of the request that brought the first event of the stream.
-        request_id: CompactString,
+        /// Id of the request that brought the first event of the stream, if the caller has
+        /// named it.
+        request_id: Option<CompactString>,
         /// Longest wait for the store.
         timeout: Duration,
     },
@@ -150,7 +152,7 @@
     /// The request has arrived; no step was carried out yet.
     Started,
     /// The origins of streams were read from the store, as far as that was possible.
-    OriginsRead,
+    OriginsRead(OriginLookup),
     /// The engine has made a reservation.
     Reserved {
         /// Identifier of the reservation at the engine.
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -52,7 +52,7 @@
                 self.take_up_stream(now, key)
             }
             Event::Started => self.queue_for_reservation(now, key),
-            Event::OriginsRead => self.origins_read(now, key),
+            Event::OriginsRead(lookup) => self.origin_looked_up(now, key, lookup),
             Event::WaitEnded => self.try_reserve(now, key),
             Event::Reserved { reservation } => self.reservation_granted(now, key, reservation),
             Event::ReservationRejected => self.reservation_rejected(now, key),
@@ -320,8 +320,11 @@
         }
         self.record_run_event(now, key);
         let request = &mut self.requests[key];
+        let is_first = request.last_event_at.is_none();
         if request.begun_version.is_none() {
             request.begun_version = request.current.as_ref().map(|engine| engine.version.clone());
+        }
+        if is_first {
             self.record_origin(now, key);
         }
         let request = self.requests.get_mut(key)?;
--- a/src/router/store_era.rs
+++ b/src/router/store_era.rs
@@ -75,6 +75,7 @@
         }
         self.store_era = Some(named);
         self.instance_list.start_over(now, &mut self.upstreams);
+        self.record_list_gap();
         self.reduce_shares(now);
         self.poison.report_again(now);
         let origins = self.stream_origins.resend_own(now);
--- a/src/router/stream_origins.rs
+++ b/src/router/stream_origins.rs
@@ -3,11 +3,12 @@
 //!
 //! Such a request names only the one that brought the first event. While engines of
 //! several versions are listed, entries therefore append the version of each resumable
-//! stream to a log of the store when its first event arrives, and an entry that does
-//! not know the version reads that log. With one version nothing is written or read.
+//! stream to a log of the store when its first event arrives. An entry that does not know
+//! the version reads that log, and the instance list up to now. A stream that is not in the
+//! log goes on only if no more than one version can have begun it; the rest is refused.
+//! With one version nothing is written for a stream.
 
 use std::collections::HashMap;
-use std::collections::HashSet;
 use std::time::Duration;
 
 use compact_str::CompactString;
@@ -18,7 +19,6 @@
 use crate::router::flow::Step;
 use crate::router::request::Request;
 use crate::router::request::RequestKey;
-use crate::router::upstreams::PoolRole;
 
 /// Time for which an origin is kept in memory; streams do not last as long.
 const ORIGIN_RETENTION: Duration = Duration::from_secs(60);
@@ -34,6 +34,23 @@
     pub version: CompactString,
 }
 
+/// What an entry has read from the store for a caller that takes up a stream.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct OriginLookup {
+    /// True if the log of origins was read up to its end.
+    pub log_read: bool,
+    /// True if the instance list was read up to its end, with all changes since the last read.
+    pub list_read: bool,
+}
+
+impl OriginLookup {
+    /// True if everything was read: a stream that is not in the log then began while there
+    /// was one version, or its entry could not append it.
+    pub fn is_complete(self) -> bool {
+        self.log_read && self.list_read
+    }
+}
+
 /// Origin of a stream that this entry knows.
 #[derive(Debug, Clone)]
 struct KnownOrigin {
@@ -84,9 +101,10 @@
         self.unsent.len()
     }
 
-    /// Records the origin of an own stream, unless it is known already.
+    /// Records the origin of an own stream, unless that was done already. One that another
+    /// entry has appended is appended again, as its record may expire before the stream ends.
     fn record_own(&mut self, now: Duration, origin: StreamOrigin) {
-        if !self.known.contains_key(&origin.request_id) {
+        if !self.known.get(&origin.request_id).is_some_and(|known| known.own) {
             self.unsent.push(origin.clone());
             self.remove_expired(now);
             self.insert(now, origin, true);
@@ -99,67 +117,7 @@
     }
 }
 
-/// Software versions of the engines of one service that were listed at some time.
-#[derive(Debug, Default)]
-pub struct VersionHistory {
-    /// When the list first showed an engine; `None` before.
-    since: Option<Duration>,
-    /// When each version was no longer listed; `None` while it is.
-    gone_at: HashMap<CompactString, Option<Duration>>,
-}
-
-impl VersionHistory {
-    /// Records the versions that are listed now.
-    pub fn record(&mut self, now: Duration, listed: &HashSet<&CompactString>) {
-        if !listed.is_empty() {
-            self.since.get_or_insert(now);
-        }
-        for (version, gone_at) in &mut self.gone_at {
-            if listed.contains(version) {
-                *gone_at = None;
-            } else {
-                gone_at.get_or_insert(now);
-            }
-        }
-        for version in listed {
-            self.gone_at.entry((*version).clone()).or_insert(None);
-        }
-    }
-
-    /// True if several versions were listed within the last `period`.
-    pub fn is_mixed(&self, now: Duration, period: Duration) -> bool {
-        let recent = self
-            .gone_at
-            .values()
-            .filter(|gone_at| gone_at.is_none_or(|gone_at| now < gone_at + period));
-        recent.count() > 1
-    }
-
-    /// True if the versions of the whole last `period` are known.
-    pub fn covers(&self, now: Duration, period: Duration) -> bool {
-        self.since.is_some_and(|since| since + period <= now)
-    }
-}
-
 impl Router {
-    /// Records the software versions in the instance list. To be called after each
-    /// change of the list. Records the origins of the streams in flight once there are
-    /// several versions.
-    pub fn record_versions(&mut self, now: Duration) {
-        let Some(configuration) = self.configuration.clone() else { return };
-        for service in configuration.services.iter().filter(|service| service.engine.is_some()) {
-            let engines = self.upstreams.service_upstreams(&service.name);
-            let engines = engines.filter(|(_, engine)| engine.listed.role != PoolRole::Service);
-            let listed = engines.map(|(_, engine)| &engine.listed.version).collect();
-            let history = self.version_histories.entry(service.name.clone()).or_default();
-            history.record(now, &listed);
-        }
-        let in_flight: Vec<RequestKey> = self.requests.keys().collect();
-        for key in in_flight {
-            self.record_origin(now, key);
-        }
-    }
-
     /// Records where a resumable stream began, if its caller may need that later: it has
     /// had its first event, and engines of several versions are or were listed.
     pub(super) fn record_origin(&mut self, now: Duration, key: RequestKey) {
@@ -194,30 +152,36 @@
     }
 
     /// Starts a request whose caller takes up a stream: finds out at which version the
-    /// stream began, if that matters.
+    /// stream began.
     pub(super) fn take_up_stream(&mut self, now: Duration, key: RequestKey) -> Step {
         if self.set_known_origin(key) {
             return self.queue_for_reservation(now, key);
         }
         let request = &self.requests[key];
-        let period = request.route().timeout;
-        let history = self.version_histories.get(&request.service);
-        let single = history
-            .is_some_and(|history| history.covers(now, period) && !history.is_mixed(now, period));
-        match request.resumes.clone() {
-            Some(request_id) if !single => {
-                Step::LookUpOrigin { request_id, timeout: LOOKUP_TIMEOUT }
-            }
-            _ => self.take_up_without_origin(now, key),
+        let request_id = request.resumes.clone();
+        if request_id.is_none() && self.is_mixed(now, request) {
+            return self.refuse_unknown_origin(key);
         }
+        Step::LookUpOrigin { request_id, timeout: LOOKUP_TIMEOUT }
     }
 
-    /// Continues after the log of the store was read, as far as that was possible.
-    pub(super) fn origins_read(&mut self, now: Duration, key: RequestKey) -> Step {
+    /// Continues after the store was read, as far as that was possible.
+    pub(super) fn origin_looked_up(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        lookup: OriginLookup,
+    ) -> Step {
         if self.set_known_origin(key) {
             return self.queue_for_reservation(now, key);
         }
-        self.take_up_without_origin(now, key)
+        let only = self.only_version(now, key).filter(|_| lookup.is_complete());
+        if only.is_none() {
+            return self.refuse_unknown_origin(key);
+        }
+        // Another version may be listed before there is room for the request.
+        self.requests[key].begun_version = only;
+        self.queue_for_reservation(now, key)
     }
 
     /// Sets the version at which the stream began, if it is known. Returns true if so.
@@ -229,19 +193,28 @@
         request.begun_version.is_some()
     }
 
-    /// Handles a request that takes up a stream whose version is not known: with several
-    /// versions it could continue at the wrong one, so it is refused.
-    fn take_up_without_origin(&mut self, now: Duration, key: RequestKey) -> Step {
-        if self.is_mixed(now, &self.requests[key]) {
-            let outcome = self.requests[key].outcome();
-            return Step::Refuse(Refusal::with_outcome(RefusalReason::VersionUnavailable, outcome));
-        }
-        self.queue_for_reservation(now, key)
+    /// Refuses a request that takes up a stream whose version is not known: it could continue
+    /// at another one.
+    fn refuse_unknown_origin(&self, key: RequestKey) -> Step {
+        let outcome = self.requests[key].outcome();
+        Step::Refuse(Refusal::with_outcome(RefusalReason::VersionUnavailable, outcome))
+    }
+
+    /// The version that alone can have begun the stream of a request, if that is certain. The
+    /// instance list must have been read just now.
+    fn only_version(&self, now: Duration, key: RequestKey) -> Option<CompactString> {
+        let request = &self.requests[key];
+        let versions = self.versions_that_served(now, &request.service, request.route().timeout);
+        let mut versions = versions?.into_iter();
+        versions.next().filter(|_| versions.next().is_none()).cloned()
     }
 
     /// True if engines of several versions may have sent events of streams in flight.
     fn is_mixed(&self, now: Duration, request: &Request) -> bool {
+        let period = request.route().timeout;
+        let known = self.versions_that_served(now, &request.service, period);
         let history = self.version_histories.get(&request.service);
-        history.is_some_and(|history| history.is_mixed(now, request.route().timeout))
+        let listed = history.is_some_and(|history| history.is_mixed(now, period));
+        listed || known.is_some_and(|versions| versions.len() > 1)
     }
 }
--- a/src/schema/bamboodoor.record.rs
+++ b/src/schema/bamboodoor.record.rs
@@ -178,3 +178,11 @@
     #[prost(message, repeated, tag = "1")]
     pub runs: ::prost::alloc::vec::Vec<CrashedRun>,
 }
+/// Software versions of the engines of one service that may have begun streams whose callers
+/// can take them up; the key of the record is the name of the service.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ServiceVersions {
+    /// The versions, in ascending order.
+    #[prost(string, repeated, tag = "1")]
+    pub versions: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+}
--- a/src/schema/bamboodoor.record.serde.rs
+++ b/src/schema/bamboodoor.record.serde.rs
@@ -1308,6 +1308,97 @@
         deserializer.deserialize_struct("bamboodoor.record.Publish", FIELDS, GeneratedVisitor)
     }
 }
+impl serde::Serialize for ServiceVersions {
+    #[allow(deprecated)]
+    fn serialize<S>(&self, serializer: S) -> std::result::Result<S::Ok, S::Error>
+    where
+        S: serde::Serializer,
+    {
+        use serde::ser::SerializeStruct;
+        let mut len = 0;
+        if !self.versions.is_empty() {
+            len += 1;
+        }
+        let mut struct_ser = serializer.serialize_struct("bamboodoor.record.ServiceVersions", len)?;
+        if !self.versions.is_empty() {
+            struct_ser.serialize_field("versions", &self.versions)?;
+        }
+        struct_ser.end()
+    }
+}
+impl<'de> serde::Deserialize<'de> for ServiceVersions {
+    #[allow(deprecated)]
+    fn deserialize<D>(deserializer: D) -> std::result::Result<Self, D::Error>
+    where
+        D: serde::Deserializer<'de>,
+    {
+        const FIELDS: &[&str] = &[
+            "versions",
+        ];
+
+        #[allow(clippy::enum_variant_names)]
+        enum GeneratedField {
+            Versions,
+        }
+        impl<'de> serde::Deserialize<'de> for GeneratedField {
+            fn deserialize<D>(deserializer: D) -> std::result::Result<GeneratedField, D::Error>
+            where
+                D: serde::Deserializer<'de>,
+            {
+                struct GeneratedVisitor;
+
+                impl serde::de::Visitor<'_> for GeneratedVisitor {
+                    type Value = GeneratedField;
+
+                    fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                        write!(formatter, "expected one of: {:?}", &FIELDS)
+                    }
+
+                    #[allow(unused_variables)]
+                    fn visit_str<E>(self, value: &str) -> std::result::Result<GeneratedField, E>
+                    where
+                        E: serde::de::Error,
+                    {
+                        match value {
+                            "versions" => Ok(GeneratedField::Versions),
+                            _ => Err(serde::de::Error::unknown_field(value, FIELDS)),
+                        }
+                    }
+                }
+                deserializer.deserialize_identifier(GeneratedVisitor)
+            }
+        }
+        struct GeneratedVisitor;
+        impl<'de> serde::de::Visitor<'de> for GeneratedVisitor {
+            type Value = ServiceVersions;
+
+            fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                formatter.write_str("struct bamboodoor.record.ServiceVersions")
+            }
+
+            fn visit_map<V>(self, mut map_: V) -> std::result::Result<ServiceVersions, V::Error>
+                where
+                    V: serde::de::MapAccess<'de>,
+            {
+                let mut versions__ = None;
+                while let Some(k) = map_.next_key()? {
+                    match k {
+                        GeneratedField::Versions => {
+                            if versions__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("versions"));
+                            }
+                            versions__ = Some(map_.next_value()?);
+                        }
+                    }
+                }
+                Ok(ServiceVersions {
+                    versions: versions__.unwrap_or_default(),
+                })
+            }
+        }
+        deserializer.deserialize_struct("bamboodoor.record.ServiceVersions", FIELDS, GeneratedVisitor)
+    }
+}
 impl serde::Serialize for StreamOrigin {
     #[allow(deprecated)]
     fn serialize<S>(&self, serializer: S) -> std::result::Result<S::Ok, S::Error>
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -20,6 +20,7 @@
 mod poison;
 mod rate_limit;
 mod rate_limited_engines;
+mod rejoined_streams;
 mod roles;
 mod software_versions;
 mod store_era;
--- a/tests/router/software_versions.rs
+++ b/tests/router/software_versions.rs
@@ -11,6 +11,7 @@
 use bamboodoor::router::instance_list::InstanceState;
 use bamboodoor::router::request::IncomingRequest;
 use bamboodoor::router::request::RequestKey;
+use bamboodoor::router::stream_origins::OriginLookup;
 use bamboodoor::router::stream_origins::StreamOrigin;
 use bamboodoor::router::upstreams::ListedUpstream;
 use bamboodoor::router::upstreams::PoolRole;
@@ -85,6 +86,9 @@
 /// Longer than any stream lasts, so that an entry knows all versions of that time.
 const LONGEST_STREAM: Duration = Duration::from_secs(14);
 
+/// The store has answered all reads.
+const COMPLETE: OriginLookup = OriginLookup { log_read: true, list_read: true };
+
 /// Has a caller take up a stream after event 5 and returns the first step.
 fn take_up(harness: &mut Harness, resumes: Option<&str>) -> (RequestKey, Step) {
     let resumes = resumes.map(Into::into);
@@ -108,9 +112,11 @@
     for seed in 0..20 {
         let mut harness = harness(&["v1", "v2", "v2", "v1"], seed);
         let (key, step) = take_up(&mut harness, Some("first"));
-        assert!(matches!(&step, Step::LookUpOrigin { request_id, .. } if request_id == "first"));
+        assert!(
+            matches!(&step, Step::LookUpOrigin { request_id, .. } if request_id.as_deref() == Some("first"))
+        );
         harness.router.record_origins(harness.now, vec![origin("first", "v2")]);
-        let step = harness.report(key, Event::OriginsRead);
+        let step = harness.report(key, Event::OriginsRead(COMPLETE));
         assert_eq!(target(&step).version, "v2", "seed {seed}");
     }
 }
@@ -128,7 +134,7 @@
 fn a_stream_whose_version_is_not_known_is_refused_while_there_are_several() {
     let mut harness = harness(&["v1", "v2"], 0);
     let (key, _) = take_up(&mut harness, Some("first"));
-    let step = harness.report(key, Event::OriginsRead);
+    let step = harness.report(key, Event::OriginsRead(COMPLETE));
     assert_refused(step);
     let (_, step) = take_up(&mut harness, None);
     assert_refused(step);
@@ -144,26 +150,27 @@
     let (key, step) = take_up(&mut harness, Some("first"));
     assert!(matches!(step, Step::LookUpOrigin { .. }), "{step:?}");
     harness.router.record_origins(harness.now, vec![origin("first", "v1")]);
-    assert_refused(harness.report(key, Event::OriginsRead));
+    assert_refused(harness.report(key, Event::OriginsRead(COMPLETE)));
     harness.now += ms(200);
-    let (_, step) = take_up(&mut harness, Some("second"));
+    let (key, _) = take_up(&mut harness, Some("second"));
+    let step = harness.report(key, Event::OriginsRead(COMPLETE));
     assert_eq!(target(&step).version, "v2");
 }
 
-/// A new entry does not know which versions there were; the store does if there were several.
+/// A new entry does not know which versions there were.
 #[test]
-fn a_new_entry_asks_the_store_and_goes_on_with_the_only_version() {
+fn a_new_entry_goes_on_with_the_only_version_once_no_other_can_have_begun_the_stream() {
     let mut harness = Harness::new(vec![
         engine("p1", PoolRole::Prefill, "v1"),
         engine("d1", PoolRole::Decode, "v1"),
     ]);
     let (key, step) = take_up(&mut harness, Some("first"));
     assert!(matches!(step, Step::LookUpOrigin { .. }), "{step:?}");
-    let step = harness.report(key, Event::OriginsRead);
-    assert_eq!(target(&step).version, "v1");
+    assert_refused(harness.report(key, Event::OriginsRead(COMPLETE)));
     harness.now += LONGEST_STREAM;
-    let (_, step) = take_up(&mut harness, Some("second"));
-    assert!(!matches!(step, Step::LookUpOrigin { .. }), "{step:?}");
+    let (key, _) = take_up(&mut harness, Some("second"));
+    let step = harness.report(key, Event::OriginsRead(COMPLETE));
+    assert_eq!(target(&step).version, "v1");
 }
 
 #[test]
@@ -190,7 +197,8 @@
         engine("d2", PoolRole::Decode, "v1"),
     ]);
     harness.now += LONGEST_STREAM;
-    let (key, step) = take_up(&mut harness, Some("first"));
+    let (key, _) = take_up(&mut harness, Some("first"));
+    let step = harness.report(key, Event::OriginsRead(COMPLETE));
     let begun_at = target(&step);
     harness.report(key, reserved());
     harness.report(key, Event::Prefilled { handle: "handle".into() });
