--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -35,6 +35,8 @@
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time between two requests that crash replicas.
 const DEADLY_INTERVAL: Duration = Duration::from_millis(300);
+/// Pause of a caller after a refusal.
+const REFUSED_PAUSE: Duration = Duration::from_millis(300);
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Routes of the configuration, by name; each has its own kind of request.
 pub const ROUTES: [&str; 5] = ["stream", "resumable", "lookup", "booking", "moved"];
@@ -196,7 +198,12 @@
         if self.fleet.features.several_versions && route == "resumable" && broke_off {
             self.take_up(&record).await;
         }
+        let refused = matches!(record.outcome, RequestOutcome::Complete { status: 503, .. });
         self.requests.lock().expect("the mutex is not poisoned").push(record);
+        if refused && self.fleet.features.accounts {
+            // An entry that is not certain of its keys asks for this pause.
+            tokio::time::sleep(REFUSED_PAUSE).await;
+        }
         complete.then_some(connection)
     }
 
