--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -15,6 +15,7 @@
 pub mod lease_task;
 pub mod metrics;
 pub mod origin_log;
+pub mod quota_log;
 mod relay;
 mod request_log;
 mod request_task;
--- a/src/edge/direct/dispatch.rs
+++ b/src/edge/direct/dispatch.rs
@@ -107,6 +107,7 @@
     ) -> CallerResponse {
         self.record_notices();
         let accepted = self.router.borrow_mut().accept_request(self.now(), incoming);
+        self.log_quota_notices();
         let key = match accepted {
             Ok(key) => key,
             Err(refusal) => return self.refuse(&request.id, refusal),
--- a/src/edge/direct/metrics.rs
+++ b/src/edge/direct/metrics.rs
@@ -72,6 +72,21 @@
     Invalid,
 }
 
+/// What became of a report of the demand of accounts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum QuotaReportResult {
+    /// It was appended to the log.
+    Appended,
+    /// The call failed; the report may be in the log.
+    Failed,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct QuotaReportLabels {
+    result: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct VersionLabels {
     version: &'static str,
@@ -93,6 +108,7 @@
     steps: Family<KindLabels, Counter>,
     store_reads: Family<StoreReadLabels, Counter>,
     store_eras: Family<EraLabels, Counter>,
+    quota_reports: Family<QuotaReportLabels, Counter>,
     rate_limit_notices: Family<RateLimitLabels, Counter>,
     continued_streams: Family<VersionLabels, Counter>,
     leaving_upstreams: Counter,
@@ -118,6 +134,7 @@
             steps: Family::default(),
             store_reads: Family::default(),
             store_eras: Family::default(),
+            quota_reports: Family::default(),
             rate_limit_notices: Family::default(),
             continued_streams: Family::default(),
             leaving_upstreams: Counter::default(),
@@ -152,6 +169,8 @@
         registry.register("store_reads", "Reads of the platform's store", self.store_reads.clone());
         let help = "Changes of the era that the platform's store names";
         registry.register("store_eras", help, self.store_eras.clone());
+        let help = "Reports to the other entries about accounts near their quotas";
+        registry.register("quota_reports", help, self.quota_reports.clone());
         let help = "Responses of upstreams, by what they say of a rate limit";
         registry.register("rate_limit_notices", help, self.rate_limit_notices.clone());
         let help = "Interrupted streams that continued, by the version of the new engine";
@@ -180,6 +199,11 @@
         self.refused.get_or_create(&labels).inc();
     }
 
+    /// Counts a report of the demand of accounts.
+    pub fn count_quota_report(&self, result: QuotaReportResult) {
+        self.quota_reports.get_or_create(&QuotaReportLabels { result: result.into() }).inc();
+    }
+
     /// Counts a failed step after which the request continues with another step.
     pub fn count_retry(&self, reason: impl ToString) {
         self.retried.get_or_create(&ReasonLabels { reason: reason.to_string() }).inc();
--- a/src/edge/direct/store_follower.rs
+++ b/src/edge/direct/store_follower.rs
@@ -74,6 +74,8 @@
     StreamOrigins,
     /// Runs under which upstreams crashed.
     CrashReports,
+    /// Demand of accounts that are near their quotas.
+    QuotaReports,
 }
 
 /// Why a call to the store failed.
--- a/src/edge/problem.rs
+++ b/src/edge/problem.rs
@@ -43,7 +43,7 @@
         RefusalReason::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
         RefusalReason::KeyInProgress | RefusalReason::KeyCompleted => StatusCode::CONFLICT,
         RefusalReason::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
-        RefusalReason::FairShare => StatusCode::TOO_MANY_REQUESTS,
+        RefusalReason::FairShare | RefusalReason::QuotaExceeded => StatusCode::TOO_MANY_REQUESTS,
         RefusalReason::TooManyConnections
         | RefusalReason::LogUnavailable
         | RefusalReason::Overloaded
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -66,6 +66,8 @@
     Overloaded,
     /// All upstreams that could serve the request are at the rate limits that they name.
     RateLimited,
+    /// The client account exceeds its quota.
+    QuotaExceeded,
     /// The client account exceeds its fair share of a busy pool.
     FairShare,
     /// No upstream of the pool accepts requests, or none could be reached.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -11,6 +11,7 @@
 pub mod fair;
 pub mod placement;
 pub mod prefix;
+pub mod quota;
 pub mod retry;
 pub mod slot_wait;
 pub mod subset;
--- a/src/router.rs
+++ b/src/router.rs
@@ -21,6 +21,9 @@
 mod plain;
 pub mod poison;
 pub mod poisoned_requests;
+mod quota_admission;
+pub mod quota_reports;
+pub mod quotas;
 pub mod rate_limit;
 pub mod request;
 pub mod reservation_queue;
@@ -60,6 +63,9 @@
 use crate::router::output_margin::OutputMargin;
 use crate::router::poison::PoisonDetector;
 use crate::router::poisoned_requests::UncheckedRun;
+use crate::router::quota_reports::EntryIncarnation;
+use crate::router::quotas::QuotaSettings;
+use crate::router::quotas::Quotas;
 use crate::router::request::IncomingRequest;
 use crate::router::request::Request;
 use crate::router::request::RequestKey;
@@ -90,6 +96,9 @@
     /// starts when the list can be read again; an upstream whose record is then
     /// found to have vanished stays usable until its end.
     pub outage_grace: Duration,
+    /// What all entries together may admit beyond the quotas of accounts; `None` if quotas
+    /// are not enforced.
+    pub quotas: Option<QuotaSettings>,
 }
 
 impl Default for RouterSettings {
@@ -100,6 +109,7 @@
             budget: BudgetLimits::default(),
             roles: RoleSettings::default(),
             outage_grace: Duration::from_secs(2),
+            quotas: None,
         }
     }
 }
@@ -112,6 +122,8 @@
     configuration: Option<Arc<Configuration>>,
     /// Highest era that the store has named; `None` before the first one.
     store_era: Option<StoreEra>,
+    /// Quotas of client accounts.
+    quotas: Quotas,
     upstreams: Upstreams,
     instance_list: InstanceList,
     requests: SlotMap<RequestKey, Request>,
@@ -167,6 +179,7 @@
         Self {
             configuration: None,
             store_era: None,
+            quotas: Quotas::new(settings.quotas, EntryIncarnation(settings.random_seed)),
             upstreams: Upstreams::default(),
             instance_list: InstanceList::new(settings.outage_grace),
             requests: SlotMap::with_key(),
@@ -260,8 +273,8 @@
     ///
     /// # Errors
     /// A refusal, with no key assigned, if there is no configuration yet, no route for
-    /// the host and path, or if the route needs the API key of an account and the request
-    /// has none.
+    /// the host and path, if the route needs the API key of an account and the request
+    /// has none, or if the request is beyond the quota of its account.
     pub fn accept_request(
         &mut self,
         now: Duration,
@@ -276,9 +289,11 @@
         let Some(caller) = configuration.identify_caller(route, incoming.api_key.as_ref()) else {
             return Err(Refusal::not_run(RefusalReason::UnknownApiKey, None));
         };
+        let quota_units = self.admit_to_quota(now, &caller, incoming.prompt.as_ref())?;
         let service = configuration.routes[route].pick_destination(&mut self.rng);
         self.budget(&service).record_request(now);
         let mut request = Request::new(now, incoming, configuration, route, service, caller);
+        request.quota_units = quota_units;
         if let Some((prompt, engine)) = request.prompt.zip(request.engine()) {
             let longest = self.caller_timeouts.entry(request.route().name.clone()).or_default();
             request.is_late = longest.record(request.remaining_time(now), CAPACITY_RETRY_AFTER);
@@ -385,6 +400,7 @@
         self.leave_reservation_queue(key);
         self.uncount_open(key);
         self.uncount_prefill(key);
+        self.return_quota(key);
         self.requests.remove(key);
     }
 
--- /dev/null
+++ b/src/router/quota_admission.rs
@@ -0,0 +1,70 @@
+//! Decides whether requests are within the quotas of their accounts.
+
+use std::time::Duration;
+
+use crate::outcome::Outcome;
+use crate::outcome::Refusal;
+use crate::outcome::RefusalReason;
+use crate::policy::retry::with_jitter;
+use crate::router::Router;
+use crate::router::accounts::Caller;
+use crate::router::quota_reports::QuotaReport;
+use crate::router::quotas::Quotas;
+use crate::router::request::Prompt;
+use crate::router::request::RequestKey;
+
+impl Router {
+    /// Quotas of client accounts, to pass on what others tell of them.
+    pub fn quotas(&mut self) -> &mut Quotas {
+        &mut self.quotas
+    }
+
+    /// Returns what to tell the other entries of quotas now, if anything.
+    pub fn take_due_quota_report(&mut self, now: Duration) -> Option<QuotaReport> {
+        self.configure_quotas(now);
+        self.quotas.take_due_report(now)
+    }
+
+    /// True if the configuration has quotas to enforce.
+    pub fn enforces_quotas(&mut self, now: Duration) -> bool {
+        self.configure_quotas(now);
+        self.quotas.are_enforced()
+    }
+
+    fn configure_quotas(&mut self, now: Duration) {
+        if let Some(configuration) = &self.configuration {
+            self.quotas.configure(now, configuration.version, &configuration.accounts);
+        }
+    }
+
+    /// Takes the units of a request out of the quota of its account. Returns the units, 0 if
+    /// the account has no quota.
+    ///
+    /// # Errors
+    /// The refusal of a request that is beyond the quota.
+    pub(super) fn admit_to_quota(
+        &mut self,
+        now: Duration,
+        caller: &Caller,
+        prompt: Option<&Prompt>,
+    ) -> Result<f64, Refusal> {
+        self.configure_quotas(now);
+        let Some(account) = caller.account() else { return Ok(0.0) };
+        let Some(quota) = account.quota else { return Ok(0.0) };
+        let units = quota.units(prompt);
+        self.quotas.admit(now, &account.name, units).map_err(|wait| {
+            let retry_after = with_jitter(wait, &mut self.rng);
+            Refusal::not_run(RefusalReason::QuotaExceeded, Some(retry_after))
+        })?;
+        Ok(units)
+    }
+
+    /// Returns the units of a request that ends without having run.
+    pub(super) fn return_quota(&mut self, key: RequestKey) {
+        let request = &self.requests[key];
+        let Some(account) = request.caller.account() else { return };
+        if request.outcome() == Outcome::NotRun {
+            self.quotas.give_back(&account.name, request.arrived_at, request.quota_units);
+        }
+    }
+}
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -147,6 +147,8 @@
     pub(super) open_run: Option<Target>,
     /// Prompt and output tokens to reserve engine memory for; 0 without a prompt.
     pub(super) reserved_tokens: u32,
+    /// Units taken out of the quota of its account; 0 if it has none.
+    pub(super) quota_units: f64,
     /// Configuration in force when the request arrived.
     pub(super) configuration: Arc<Configuration>,
     /// Index of the route in `configuration`.
@@ -239,6 +241,7 @@
             crashed_runs: Vec::new(),
             open_run: None,
             reserved_tokens: 0,
+            quota_units: 0.0,
             configuration,
             route,
             phase: Phase::default(),
--- a/src/schema/bamboodoor.record.rs
+++ b/src/schema/bamboodoor.record.rs
@@ -178,3 +178,29 @@
     #[prost(message, repeated, tag = "1")]
     pub runs: ::prost::alloc::vec::Vec<CrashedRun>,
 }
+/// A record of the log of quota reports.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct QuotaReport {
+    /// Incarnation of the entry that tells it.
+    #[prost(uint64, tag = "1")]
+    pub entry: u64,
+    /// Its equal part of all quotas, from 0 to 1.
+    #[prost(double, tag = "2")]
+    pub equal_share: f64,
+    /// Accounts of which an entry runs short.
+    #[prost(message, repeated, tag = "3")]
+    pub accounts: ::prost::alloc::vec::Vec<AccountDemand>,
+}
+/// What a client account sends through one entry.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct AccountDemand {
+    /// Name of the account.
+    #[prost(string, tag = "1")]
+    pub account: ::prost::alloc::string::String,
+    /// Units of the account's quota that arrive a second, the refused ones included.
+    #[prost(double, tag = "2")]
+    pub units_per_s: f64,
+    /// True if the entry runs short, so that all others are to tell their demand.
+    #[prost(bool, tag = "3")]
+    pub is_short: bool,
+}
