--- a/src/policy/quota.rs
+++ b/src/policy/quota.rs
@@ -10,6 +10,9 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+/// What is as old as the window still counts.
+const FIRST_AFTER: Duration = Duration::from_nanos(1);
+
 /// Units that were admitted within a sliding window.
 #[derive(Debug, Clone, PartialEq)]
 pub struct WindowedUse {
@@ -56,7 +59,7 @@
             }
             left -= admitted;
             if left <= units {
-                return (*at + self.window).saturating_sub(now);
+                return (*at + self.window).saturating_sub(now) + FIRST_AFTER;
             }
         }
         Duration::ZERO
--- a/src/router/quotas.rs
+++ b/src/router/quotas.rs
@@ -1,16 +1,18 @@
 //! Quotas of client accounts, which hold over all entries together, without a coordinator.
 //!
-//! Each entry has a part of what all may admit in any window. While no entry runs short, the
-//! parts are equal, and nothing is told. An entry that runs short tells the others through a
-//! log of the store how much the account sends through it; all answer with what it sends
-//! through them. The entries that have told distribute their equal parts among themselves by
-//! what they have told; those that have not keep theirs. All of them compute their parts from
-//! the same reports, an entry from its own one as well, as it reads it back: so an entry that
-//! does not reach the store is one that has not told, for itself as for the others, once its
-//! last report has expired. A part that has grown counts after a window only.
+//! Each entry admits in any window at most its equal part of what all entries may admit: that
+//! holds whatever it knows of the others. A part that grows, as other entries leave, counts
+//! after a window only.
 //!
-//! If the account sends more than its quota through all entries, each one also paces what it
-//! admits, so that the account does not use up a window at its start.
+//! If an account sends more than its quota, each entry also paces what it admits, so that the
+//! account does not use up a window at its start. To know that, an entry that runs short tells
+//! the others through a log of the store how much the account sends through it, and all answer
+//! with what it sends through them. The pace of an entry is its part of the rate by what was
+//! told. All of them compute it from the same reports, an entry from its own one as well, as it
+//! reads it back: so one that does not reach the store has its equal part again.
+//!
+//! An entry that was started lately does not know what its predecessor has admitted. If the log
+//! says that an account runs short, it admits nothing of it for a window.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -54,9 +56,6 @@
     }
 }
 
-/// Part of what may be admitted that entries distribute. The rest covers requests that are
-/// larger than the part of an entry, and different views of the reports.
-const USED_PART: f64 = 0.95;
 /// Time over which the demand of an account at this entry is averaged.
 const DEMAND_TIME_CONSTANT: Duration = Duration::from_secs(4);
 /// Shortest time between two reports of an entry.
@@ -70,11 +69,11 @@
 const CALM_BELOW: f64 = 0.7;
 /// Sum of the equal parts of the entries that tell, from which their demand tells the whole.
 const MIN_TOLD_SHARES: f64 = 0.6;
-/// Share of its equal part that an entry keeps whatever the others tell, for requests that
-/// arrive there next.
+/// Share of the pace that does not depend on what was told, for requests that arrive next at an
+/// entry that had few.
 const KEPT_PART: f64 = 0.2;
 /// Units admitted in a window, as a share of what may be, from which an entry runs short.
-const SHORT_FROM: f64 = 0.7;
+const SHORT_FROM: f64 = 0.75;
 /// Longest `Retry-After`; parts may have moved by then.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(4);
 /// Shortest `Retry-After`.
@@ -93,7 +92,7 @@
     pub used_units: f64,
     /// Units that it may admit in a window.
     pub allowed_units: f64,
-    /// Part of the quota that this entry has, from 0 to 1.
+    /// Equal part of the quota that this entry has, from 0 to 1.
     pub share: f64,
     /// Number of entries whose demand is known.
     pub told_by: usize,
@@ -235,7 +234,9 @@
     pub fn set_equal_share(&mut self, now: Duration, share: Option<f64>) {
         self.equal_share = share.unwrap_or(FALLBACK_SHARE);
         self.has_share |= share.is_some();
-        self.update_shares(now);
+        for state in self.accounts.values_mut() {
+            state.shares.record(now, self.equal_share);
+        }
         self.start_new_accounts(now);
     }
 
@@ -259,7 +260,6 @@
     /// Records reports that were read from the log, the oldest first.
     pub fn record_reports(&mut self, now: Duration, reports: Vec<QuotaReport>) {
         self.heard.record(now, reports);
-        self.update_shares(now);
     }
 
     /// Records that the log was read up to its end.
@@ -272,28 +272,12 @@
         self.heard.told_demand(now, name, self.entry)
     }
 
-    /// Computes this entry's part of each quota anew.
-    fn update_shares(&mut self, now: Duration) {
-        let names: Vec<CompactString> = self.accounts.keys().cloned().collect();
-        for name in names {
-            self.update_share(now, &name);
-        }
-    }
-
-    fn update_share(&mut self, now: Duration, name: &str) {
-        let share = share_of(self.equal_share, &self.told_demand(now, name));
-        if let Some(state) = self.accounts.get_mut(name) {
-            state.shares.record(now, share);
-        }
-    }
-
     /// Decides whether a request of an account is within its quota, and takes its units then.
     ///
     /// # Errors
     /// The time after which there is probably room.
     pub fn admit(&mut self, now: Duration, account: &str, units: f64) -> Result<(), Duration> {
         let Some(settings) = self.settings else { return Ok(()) };
-        self.update_share(now, account);
         let told = self.told_demand(now, account);
         let Some(state) = self.accounts.get_mut(account) else { return Ok(()) };
         state.demand.record(now, units);
@@ -352,7 +336,6 @@
             return None;
         }
         let settings = self.settings?;
-        self.update_shares(now);
         let mut accounts = Vec::new();
         for (name, state) in &mut self.accounts {
             state.update_short(now, &settings);
@@ -377,7 +360,7 @@
 impl AccountState {
     /// Units that this entry may admit in a window.
     fn allowed_units(&mut self, now: Duration, settings: &QuotaSettings) -> f64 {
-        settings.allowed_units(&self.quota) * USED_PART * self.shares.smallest(now)
+        settings.allowed_units(&self.quota) * self.shares.smallest(now)
     }
 
     /// Time until there is room in the window for a request; zero if there is. A request that
@@ -393,7 +376,7 @@
     /// Time until the pace allows a request; zero if it does, or if the account sends no more
     /// than its quota through all entries.
     fn wait_for_pace(&mut self, now: Duration, told: &ToldDemand, units: f64) -> Duration {
-        let share = self.shares.current();
+        let share = pace_share(self.shares.current(), told);
         let (rate_per_s, capacity) = (self.quota.rate_per_s * share, self.quota.burst * share);
         let credit = self.pace.refill(now, rate_per_s, capacity);
         let is_paced = told.units_per_s >= self.quota.rate_per_s * PACED_FROM;
@@ -417,13 +400,12 @@
     !told.any_short || (tells_whole && is_low)
 }
 
-/// Part of a quota that an entry has, from 0 to 1. Over all entries, the parts add up to the
-/// sum of the equal ones.
-fn share_of(equal_share: f64, told: &ToldDemand) -> f64 {
+/// Part of the rate at which an entry admits while the account is paced, from 0 to 1. Over all
+/// entries that tell, the parts add up to the sum of their equal ones.
+fn pace_share(equal_share: f64, told: &ToldDemand) -> f64 {
     let Some(own) = told.own_units_per_s.filter(|_| told.units_per_s > 0.0) else {
         return equal_share;
     };
-    let pool = told.equal_shares.min(1.0);
-    let by_demand = pool * own / told.units_per_s;
+    let by_demand = told.equal_shares.min(1.0) * own / told.units_per_s;
     KEPT_PART * equal_share + (1.0 - KEPT_PART) * by_demand
 }
