--- a/src/edge/direct/dispatch.rs
+++ b/src/edge/direct/dispatch.rs
@@ -15,6 +15,7 @@
 use crate::edge::direct::crash_log::CrashLog;
 use crate::edge::direct::metrics::Metrics;
 use crate::edge::direct::origin_log::OriginLog;
+use crate::edge::direct::quota_log::QuotaLog;
 use crate::edge::direct::request_log::log_refusal;
 use crate::edge::direct::request_task::CallerChannel;
 use crate::edge::direct::request_task::RequestTask;
@@ -49,6 +50,8 @@
     pub(super) origin_log: OriginLog,
     /// Access to the reports of crashed runs in the store.
     pub(super) crash_log: CrashLog,
+    /// Access to the claims on quotas in the store.
+    pub(super) quota_log: QuotaLog,
     /// Memory of the responses that are buffered.
     pub(super) response_memory: ResponseMemory,
     /// Signal that the store came back from an older copy.
@@ -75,6 +78,7 @@
             metrics: Metrics::default(),
             origin_log: OriginLog::default(),
             crash_log: CrashLog::default(),
+            quota_log: QuotaLog::default(),
             response_memory: ResponseMemory::default(),
             era_risen: Notify::new(),
             waiting: RefCell::default(),
@@ -92,6 +96,7 @@
         let limits = configuration.limits;
         let applied = self.router.borrow_mut().configure(configuration);
         if applied {
+            self.quota_log.wake_for_first_read();
             self.connection_limits.borrow_mut().change(self.now(), limits);
         }
         applied
@@ -108,6 +113,7 @@
         self.record_notices();
         let accepted = self.router.borrow_mut().accept_request(self.now(), incoming);
         self.log_quota_notices();
+        self.quota_log.wake(&mut self.router.borrow_mut());
         let key = match accepted {
             Ok(key) => key,
             Err(refusal) => return self.refuse(&request.id, refusal),
--- a/src/edge/direct/metrics.rs
+++ b/src/edge/direct/metrics.rs
@@ -72,18 +72,18 @@
     Invalid,
 }
 
-/// What became of a report of the demand of accounts.
+/// What became of a batch of claims on quotas.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
-pub enum QuotaReportResult {
+pub enum QuotaClaimResult {
     /// It was appended to the log.
     Appended,
-    /// The call failed; the report may be in the log.
+    /// The call failed; the batch may be in the log.
     Failed,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct QuotaReportLabels {
+struct QuotaClaimLabels {
     result: &'static str,
 }
 
@@ -108,7 +108,7 @@
     steps: Family<KindLabels, Counter>,
     store_reads: Family<StoreReadLabels, Counter>,
     store_eras: Family<EraLabels, Counter>,
-    quota_reports: Family<QuotaReportLabels, Counter>,
+    quota_claims: Family<QuotaClaimLabels, Counter>,
     rate_limit_notices: Family<RateLimitLabels, Counter>,
     continued_streams: Family<VersionLabels, Counter>,
     leaving_upstreams: Counter,
@@ -134,7 +134,7 @@
             steps: Family::default(),
             store_reads: Family::default(),
             store_eras: Family::default(),
-            quota_reports: Family::default(),
+            quota_claims: Family::default(),
             rate_limit_notices: Family::default(),
             continued_streams: Family::default(),
             leaving_upstreams: Counter::default(),
@@ -169,8 +169,8 @@
         registry.register("store_reads", "Reads of the platform's store", self.store_reads.clone());
         let help = "Changes of the era that the platform's store names";
         registry.register("store_eras", help, self.store_eras.clone());
-        let help = "Reports to the other entries about accounts near their quotas";
-        registry.register("quota_reports", help, self.quota_reports.clone());
+        let help = "Batches of claims on the pools of quotas";
+        registry.register("quota_claims", help, self.quota_claims.clone());
         let help = "Responses of upstreams, by what they say of a rate limit";
         registry.register("rate_limit_notices", help, self.rate_limit_notices.clone());
         let help = "Interrupted streams that continued, by the version of the new engine";
@@ -199,9 +199,9 @@
         self.refused.get_or_create(&labels).inc();
     }
 
-    /// Counts a report of the demand of accounts.
-    pub fn count_quota_report(&self, result: QuotaReportResult) {
-        self.quota_reports.get_or_create(&QuotaReportLabels { result: result.into() }).inc();
+    /// Counts a batch of claims on quotas.
+    pub fn count_quota_claim(&self, result: QuotaClaimResult) {
+        self.quota_claims.get_or_create(&QuotaClaimLabels { result: result.into() }).inc();
     }
 
     /// Counts a failed step after which the request continues with another step.
--- a/src/edge/direct/quota_log.rs
+++ b/src/edge/direct/quota_log.rs
@@ -1,173 +1,168 @@
-//! Tells the other entries what accounts near their quotas send through this one, and reads
-//! what the others tell, through a log of the platform's store. Without quotas in the
-//! configuration nothing is read or written.
+//! Claims units of the pools of quotas in a log of the platform's store, and reads there which
+//! claims were granted. While no account runs short, nothing is written or read, but for one
+//! read after the start of an entry.
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use prost::Message;
+use tokio::sync::Notify;
 
 use crate::clock::as_ms;
 use crate::edge::direct::dispatch::Dispatcher;
-use crate::edge::direct::metrics::QuotaReportResult;
+use crate::edge::direct::metrics::QuotaClaimResult;
 use crate::edge::direct::store_follower::EntryLog;
-use crate::edge::direct::store_follower::LogPage;
 use crate::edge::direct::store_follower::Store;
 use crate::edge::direct::store_follower::StoreError;
 use crate::edge::direct::upstream_client::UpstreamClient;
+use crate::router::Router;
 use crate::router::follow::LogPosition;
-use crate::router::quota_reports::AccountDemand;
-use crate::router::quota_reports::EntryIncarnation;
-use crate::router::quota_reports::QuotaReport;
+use crate::router::quota_claims::ClaimBatch;
+use crate::router::quota_claims::ClaimId;
+use crate::router::quota_claims::EntryIncarnation;
+use crate::router::quota_claims::QuotaClaim;
 use crate::schema::record;
 
-/// Interval of the checks whether a report is due, or whether there are quotas.
-const CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// Longest time for which the store may delay its response until there is a report.
-const LONG_POLL: Duration = Duration::from_secs(20);
-/// Pause between two reads: while reports come in, one read returns those of many entries.
-const READ_INTERVAL: Duration = Duration::from_millis(700);
+/// Time for which claims are collected before they are appended in one record.
+const BATCH_DELAY: Duration = Duration::from_millis(30);
 /// Pause after a call that failed.
-const RETRY_DELAY: Duration = Duration::from_secs(1);
-/// Time limit of a call to the store, beyond the delay that it may make.
+const RETRY_DELAY: Duration = Duration::from_millis(700);
+/// Time limit of a call to the store. A claim that is read back later than the router waits for
+/// it is lost.
 const STORE_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time without a claim that is logged as such.
+const NOT_READ: i64 = -1;
 
-/// Tells the others what is due, until the process ends.
-pub async fn report<S: Store, U: UpstreamClient>(store: Rc<S>, dispatcher: Rc<Dispatcher<U>>) {
+/// Signal from requests to the task that calls the store.
+#[derive(Debug, Default)]
+pub struct QuotaLog {
+    unsent: Notify,
+}
+
+impl QuotaLog {
+    /// Wakes the task that calls the store, if the router has claims for it.
+    pub(super) fn wake(&self, router: &mut Router) {
+        if router.quotas().has_unsent_claims() {
+            self.unsent.notify_one();
+        }
+    }
+
+    /// Wakes the task to read the log, if that is due.
+    pub(super) fn wake_for_first_read(&self) {
+        self.unsent.notify_one();
+    }
+}
+
+/// Claims what the router asks for, until the process ends.
+pub async fn claim<S: Store, U: UpstreamClient>(store: Rc<S>, dispatcher: Rc<Dispatcher<U>>) {
+    let mut position = LogPosition::default();
     loop {
-        tokio::time::sleep(CHECK_INTERVAL).await;
+        dispatcher.quota_log.unsent.notified().await;
+        tokio::time::sleep(BATCH_DELAY).await;
         let now = dispatcher.now();
-        let due = dispatcher.router.borrow_mut().take_due_quota_report(now);
-        if let Some(report) = due {
-            append(&*store, &dispatcher, &report).await;
+        let is_first = dispatcher.router.borrow_mut().needs_first_read_of_claims(now);
+        let claims = dispatcher.router.borrow_mut().quotas().take_claims();
+        if let Some(batch) = &claims {
+            append(&*store, &dispatcher, batch).await;
+        }
+        if (claims.is_some() || is_first)
+            && let Err(error) = read_to_end(&*store, &dispatcher, &mut position).await
+        {
+            spdlog::warn!("quota-claims-not-read", kv: { detail: = error });
+            tokio::time::sleep(RETRY_DELAY).await;
+            dispatcher.quota_log.unsent.notify_one();
         }
     }
 }
 
-/// Appends a report once: the next one replaces it soon.
+/// Appends claims once. A lost response may mean that they were appended: reading them back
+/// tells.
 async fn append<S: Store, U: UpstreamClient>(
     store: &S,
     dispatcher: &Dispatcher<U>,
-    report: &QuotaReport,
+    batch: &ClaimBatch,
 ) {
-    let log = EntryLog::QuotaReports;
-    let appended = store.append_record(log, encode(report), STORE_TIMEOUT).await;
+    let log = EntryLog::QuotaClaims;
+    let appended = store.append_record(log, encode(batch), STORE_TIMEOUT).await;
     dispatcher.record_store_eras(store);
-    let accounts = report.accounts.len();
+    let accounts = batch.claims.len();
     match appended {
         Ok(()) => {
-            dispatcher.metrics.count_quota_report(QuotaReportResult::Appended);
-            spdlog::debug!("quota-reported", kv: { accounts = accounts });
+            dispatcher.metrics.count_quota_claim(QuotaClaimResult::Appended);
+            spdlog::info!("quota-claimed", kv: {
+                instance: = dispatcher.name,
+                accounts = accounts
+            });
         }
         Err(error) => {
-            dispatcher.metrics.count_quota_report(QuotaReportResult::Failed);
-            spdlog::warn!("quota-not-reported", kv: { accounts = accounts, detail: = error });
-        }
-    }
-}
-
-/// Reads what entries tell while there are quotas, until the process ends.
-pub async fn read<S: Store, U: UpstreamClient>(store: Rc<S>, dispatcher: Rc<Dispatcher<U>>) {
-    let mut position = LogPosition::default();
-    // The first read shows whether the log holds reports from before this entry was started.
-    let mut wait = Duration::ZERO;
-    loop {
-        let now = dispatcher.now();
-        if !dispatcher.router.borrow_mut().enforces_quotas(now) {
-            tokio::time::sleep(CHECK_INTERVAL).await;
-            continue;
+            dispatcher.metrics.count_quota_claim(QuotaClaimResult::Failed);
+            spdlog::warn!("quota-not-claimed", kv: { accounts = accounts, detail: = error });
         }
-        let pause = match read_page(&*store, &dispatcher, &mut position, wait).await {
-            Ok(true) => {
-                wait = LONG_POLL;
-                READ_INTERVAL
-            }
-            Ok(false) => Duration::ZERO,
-            Err(error) => {
-                spdlog::warn!("quota-reports-not-read", kv: { detail: = error });
-                wait = Duration::ZERO;
-                RETRY_DELAY
-            }
-        };
-        tokio::time::sleep(pause).await;
     }
 }
 
-/// Reads the next page of the log. Returns true if it reached the end.
-async fn read_page<S: Store, U: UpstreamClient>(
+/// Reads the log up to its present end.
+async fn read_to_end<S: Store, U: UpstreamClient>(
     store: &S,
     dispatcher: &Dispatcher<U>,
     position: &mut LogPosition,
-    wait: Duration,
-) -> Result<bool, StoreError> {
-    position.enter_era(dispatcher.router.borrow().store_era());
-    let (log, from) = (EntryLog::QuotaReports, position.next_offset);
-    let page = store.read_log(log, from, wait, wait + STORE_TIMEOUT).await;
-    dispatcher.record_store_eras(store);
-    if position.enter_era(dispatcher.router.borrow().store_era()) {
-        return Ok(false);
-    }
-    match page {
-        Err(StoreError::HistoryLost { first_offset }) => {
+) -> Result<(), StoreError> {
+    loop {
+        position.enter_era(dispatcher.router.borrow().store_era());
+        let (log, from) = (EntryLog::QuotaClaims, position.next_offset);
+        let page = store.read_log(log, from, Duration::ZERO, STORE_TIMEOUT).await;
+        dispatcher.record_store_eras(store);
+        if position.enter_era(dispatcher.router.borrow().store_era()) {
+            continue;
+        }
+        if let Err(StoreError::HistoryLost { first_offset }) = page {
             position.next_offset = first_offset;
-            Ok(false)
+            continue;
+        }
+        let page = page?;
+        let now = dispatcher.now();
+        let batches = page.records.into_iter().filter_map(decode).collect();
+        position.next_offset = page.next_offset;
+        let mut router = dispatcher.router.borrow_mut();
+        router.quotas().record_claims(now, batches);
+        if page.next_offset >= page.end_offset {
+            router.quotas().record_log_read(now);
+            return Ok(());
         }
-        page => Ok(apply(dispatcher, position, page?)),
-    }
-}
-
-/// Passes the reports of a page to the router. Returns true if the page reaches the end.
-fn apply<U: UpstreamClient>(
-    dispatcher: &Dispatcher<U>,
-    position: &mut LogPosition,
-    page: LogPage,
-) -> bool {
-    let now = dispatcher.now();
-    let reports = page.records.into_iter().filter_map(decode).collect();
-    position.next_offset = page.next_offset;
-    let at_end = page.next_offset >= page.end_offset;
-    let mut router = dispatcher.router.borrow_mut();
-    router.quotas().record_reports(now, reports);
-    if at_end {
-        router.quotas().record_log_read(now);
     }
-    at_end
 }
 
-fn encode(report: &QuotaReport) -> Bytes {
-    let accounts = report.accounts.iter().map(|demand| record::AccountDemand {
-        account: demand.account.to_string(),
-        units_per_s: demand.units_per_s,
-        is_short: demand.is_short,
-    });
-    let report = record::QuotaReport {
-        entry: report.entry.0,
-        equal_share: report.equal_share,
-        accounts: accounts.collect(),
+fn encode(batch: &ClaimBatch) -> Bytes {
+    let claims = batch
+        .claims
+        .iter()
+        .map(|claim| record::QuotaClaim { account: claim.account.to_string(), units: claim.units });
+    let batch = record::QuotaClaimBatch {
+        entry: batch.id.entry.0,
+        number: batch.id.number,
+        claims: claims.collect(),
     };
-    report.encode_to_vec().into()
+    batch.encode_to_vec().into()
 }
 
 /// Decodes a record; `None` if it is not valid.
-fn decode(record: Bytes) -> Option<QuotaReport> {
-    let report = match record::QuotaReport::decode(record) {
-        Ok(report) => report,
+fn decode(record: Bytes) -> Option<ClaimBatch> {
+    let batch = match record::QuotaClaimBatch::decode(record) {
+        Ok(batch) => batch,
         Err(error) => {
-            spdlog::warn!("quota-report-unreadable", kv: { detail: = error });
+            spdlog::warn!("quota-claims-unreadable", kv: { detail: = error });
             return None;
         }
     };
-    let accounts = report.accounts.into_iter().map(|demand| AccountDemand {
-        account: demand.account.into(),
-        units_per_s: demand.units_per_s,
-        is_short: demand.is_short,
-    });
-    Some(QuotaReport {
-        entry: EntryIncarnation(report.entry),
-        equal_share: report.equal_share,
-        accounts: accounts.collect(),
-    })
+    let claims = batch.claims.into_iter();
+    // A negative number or none would let others claim more than there is.
+    let claims = claims.filter(|claim| claim.units >= 0.0);
+    let claims =
+        claims.map(|claim| QuotaClaim { account: claim.account.into(), units: claim.units });
+    let entry = EntryIncarnation(batch.entry);
+    let id = ClaimId { entry, number: batch.number };
+    Some(ClaimBatch { id, claims: claims.collect() })
 }
 
 impl<U: UpstreamClient> Dispatcher<U> {
@@ -179,11 +174,10 @@
                 account: = notice.account,
                 units = notice.units,
                 used_units = notice.used_units,
-                allowed_units = notice.allowed_units,
-                share = notice.share,
-                told_by = notice.told_by,
-                told_units_per_s = notice.told_units_per_s,
-                told_age_ms = as_ms(notice.told_age),
+                part_units = notice.part_units,
+                granted_units = notice.granted_units,
+                claimed_units = notice.claimed_units,
+                claims_age_ms = notice.claims_age.map_or(NOT_READ, |age| as_ms(age) as i64),
                 refusals = notice.refusals
             });
         }
--- a/src/edge/direct/store_follower.rs
+++ b/src/edge/direct/store_follower.rs
@@ -74,8 +74,8 @@
     StreamOrigins,
     /// Runs under which upstreams crashed.
     CrashReports,
-    /// Demand of accounts that are near their quotas.
-    QuotaReports,
+    /// Claims on the pools of quotas.
+    QuotaClaims,
 }
 
 /// Why a call to the store failed.
--- a/src/policy/quota.rs
+++ b/src/policy/quota.rs
@@ -1,6 +1,5 @@
 //! Arithmetic of quotas that hold over all entries together: what one entry has admitted in
-//! the sliding window, its part of the quota over that window, and the pace of an entry while
-//! more arrives than the quota.
+//! the sliding window, and its part of the whole over that window.
 //!
 //! If each entry admits in any window at most the smallest part that it had within the last
 //! window, all entries together admit at most the whole, however the parts move: the windows
@@ -41,13 +40,16 @@
         self.units += units;
     }
 
-    /// Removes units that were admitted at `admitted_at` for a request that did not run.
-    pub fn give_back(&mut self, admitted_at: Duration, units: f64) {
-        let same = |(at, admitted): &&mut (Duration, f64)| *at == admitted_at && *admitted == units;
-        if let Some((_, admitted)) = self.admitted.iter_mut().find(same) {
-            *admitted = 0.0;
-            self.units -= units;
-        }
+    /// Removes at most `units` that were admitted at `admitted_at` for a request that did not
+    /// run. Returns how many were removed.
+    pub fn give_back(&mut self, admitted_at: Duration, units: f64) -> f64 {
+        let same = |(at, admitted): &&mut (Duration, f64)| {
+            *at == admitted_at && (0.0..=units).contains(admitted)
+        };
+        let Some((_, admitted)) = self.admitted.iter_mut().rev().find(same) else { return 0.0 };
+        let removed = std::mem::take(admitted);
+        self.units -= removed;
+        removed
     }
 
     /// Time until at most `units` are left in the window, if nothing else is admitted.
@@ -117,69 +119,3 @@
         self.shares.iter().map(|(_, share)| *share).fold(f64::INFINITY, f64::min)
     }
 }
-
-/// Pace of an entry while more arrives than the quota: a token bucket.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Pace {
-    credit: f64,
-    as_of: Duration,
-}
-
-impl Pace {
-    /// Creates a pace with a full bucket of `capacity` units.
-    pub fn new(now: Duration, capacity: f64) -> Self {
-        Self { credit: capacity, as_of: now }
-    }
-
-    /// Adds what has become free since the last call: `rate_per_s` units a second, up to a
-    /// credit of `capacity` units. Returns the credit.
-    pub fn refill(&mut self, now: Duration, rate_per_s: f64, capacity: f64) -> f64 {
-        let elapsed = now.saturating_sub(self.as_of).as_secs_f64();
-        self.credit = (self.credit + elapsed * rate_per_s).min(capacity);
-        self.as_of = self.as_of.max(now);
-        self.credit
-    }
-
-    /// Takes units out of the bucket, which may be left in a debt of as many.
-    pub fn take(&mut self, units: f64) {
-        self.credit = (self.credit - units).max(-units);
-    }
-
-    /// Returns units that were taken for a request that did not run.
-    pub fn give_back(&mut self, units: f64) {
-        self.credit += units;
-    }
-}
-
-/// Units a second of a stream of requests, averaged over the last seconds with weights that
-/// decay exponentially.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct DecayingRate {
-    time_constant: Duration,
-    /// Decayed sum at `as_of`, in units.
-    sum: f64,
-    as_of: Duration,
-}
-
-impl DecayingRate {
-    /// Creates a rate of 0 that decays with this time constant.
-    pub fn new(time_constant: Duration) -> Self {
-        Self { time_constant, sum: 0.0, as_of: Duration::ZERO }
-    }
-
-    /// Records a request of so many units.
-    pub fn record(&mut self, now: Duration, units: f64) {
-        self.sum = self.decayed_sum(now) + units;
-        self.as_of = self.as_of.max(now);
-    }
-
-    /// Units a second now.
-    pub fn per_s(&self, now: Duration) -> f64 {
-        self.decayed_sum(now) / self.time_constant.as_secs_f64()
-    }
-
-    fn decayed_sum(&self, now: Duration) -> f64 {
-        let elapsed = now.saturating_sub(self.as_of).as_secs_f64();
-        self.sum * (-elapsed / self.time_constant.as_secs_f64()).exp()
-    }
-}
--- a/src/router/quota_admission.rs
+++ b/src/router/quota_admission.rs
@@ -8,27 +8,20 @@
 use crate::policy::retry::with_jitter;
 use crate::router::Router;
 use crate::router::accounts::Caller;
-use crate::router::quota_reports::QuotaReport;
 use crate::router::quotas::Quotas;
 use crate::router::request::Prompt;
 use crate::router::request::RequestKey;
 
 impl Router {
-    /// Quotas of client accounts, to pass on what others tell of them.
+    /// Quotas of client accounts, to pass on the claims of other entries.
     pub fn quotas(&mut self) -> &mut Quotas {
         &mut self.quotas
     }
 
-    /// Returns what to tell the other entries of quotas now, if anything.
-    pub fn take_due_quota_report(&mut self, now: Duration) -> Option<QuotaReport> {
+    /// True if the log of claims on quotas is to be read although this entry makes none.
+    pub fn needs_first_read_of_claims(&mut self, now: Duration) -> bool {
         self.configure_quotas(now);
-        self.quotas.take_due_report(now)
-    }
-
-    /// True if the configuration has quotas to enforce.
-    pub fn enforces_quotas(&mut self, now: Duration) -> bool {
-        self.configure_quotas(now);
-        self.quotas.are_enforced()
+        self.quotas.needs_first_read()
     }
 
     fn configure_quotas(&mut self, now: Duration) {
--- a/src/router/store_era.rs
+++ b/src/router/store_era.rs
@@ -76,6 +76,7 @@
         self.store_era = Some(named);
         self.instance_list.start_over(now, &mut self.upstreams);
         self.reduce_shares(now);
+        self.quotas.pause_claims(now);
         self.poison.report_again(now);
         let origins = self.stream_origins.resend_own(now);
         StoreEraChange::Risen { before: known, after: named, origins }
--- a/src/schema/bamboodoor.record.rs
+++ b/src/schema/bamboodoor.record.rs
@@ -178,29 +178,26 @@
     #[prost(message, repeated, tag = "1")]
     pub runs: ::prost::alloc::vec::Vec<CrashedRun>,
 }
-/// A record of the log of quota reports.
+/// A record of the log of claims on the pools of quotas.
 #[derive(Clone, PartialEq, ::prost::Message)]
-pub struct QuotaReport {
-    /// Incarnation of the entry that tells it.
+pub struct QuotaClaimBatch {
+    /// Incarnation of the entry that claims.
     #[prost(uint64, tag = "1")]
     pub entry: u64,
-    /// Its equal part of all quotas, from 0 to 1.
-    #[prost(double, tag = "2")]
-    pub equal_share: f64,
-    /// Accounts of which an entry runs short.
+    /// Number of the batch at this entry.
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+    /// Claims, each on the pool of another account.
     #[prost(message, repeated, tag = "3")]
-    pub accounts: ::prost::alloc::vec::Vec<AccountDemand>,
+    pub claims: ::prost::alloc::vec::Vec<QuotaClaim>,
 }
-/// What a client account sends through one entry.
+/// Claim on the pool of one client account.
 #[derive(Clone, PartialEq, ::prost::Message)]
-pub struct AccountDemand {
+pub struct QuotaClaim {
     /// Name of the account.
     #[prost(string, tag = "1")]
     pub account: ::prost::alloc::string::String,
-    /// Units of the account's quota that arrive a second, the refused ones included.
+    /// Units of the account's quota that are claimed.
     #[prost(double, tag = "2")]
-    pub units_per_s: f64,
-    /// True if the entry runs short, so that all others are to tell their demand.
-    #[prost(bool, tag = "3")]
-    pub is_short: bool,
+    pub units: f64,
 }
--- a/src/schema/bamboodoor.record.serde.rs
+++ b/src/schema/bamboodoor.record.serde.rs
@@ -1,132 +1,3 @@
-impl serde::Serialize for AccountDemand {
-    #[allow(deprecated)]
-    fn serialize<S>(&self, serializer: S) -> std::result::Result<S::Ok, S::Error>
-    where
-        S: serde::Serializer,
-    {
-        use serde::ser::SerializeStruct;
-        let mut len = 0;
-        if !self.account.is_empty() {
-            len += 1;
-        }
-        if self.units_per_s != 0. {
-            len += 1;
-        }
-        if self.is_short {
-            len += 1;
-        }
-        let mut struct_ser = serializer.serialize_struct("bamboodoor.record.AccountDemand", len)?;
-        if !self.account.is_empty() {
-            struct_ser.serialize_field("account", &self.account)?;
-        }
-        if self.units_per_s != 0. {
-            struct_ser.serialize_field("units_per_s", &self.units_per_s)?;
-        }
-        if self.is_short {
-            struct_ser.serialize_field("is_short", &self.is_short)?;
-        }
-        struct_ser.end()
-    }
-}
-impl<'de> serde::Deserialize<'de> for AccountDemand {
-    #[allow(deprecated)]
-    fn deserialize<D>(deserializer: D) -> std::result::Result<Self, D::Error>
-    where
-        D: serde::Deserializer<'de>,
-    {
-        const FIELDS: &[&str] = &[
-            "account",
-            "units_per_s",
-            "unitsPerS",
-            "is_short",
-            "isShort",
-        ];
-
-        #[allow(clippy::enum_variant_names)]
-        enum GeneratedField {
-            Account,
-            UnitsPerS,
-            IsShort,
-        }
-        impl<'de> serde::Deserialize<'de> for GeneratedField {
-            fn deserialize<D>(deserializer: D) -> std::result::Result<GeneratedField, D::Error>
-            where
-                D: serde::Deserializer<'de>,
-            {
-                struct GeneratedVisitor;
-
-                impl serde::de::Visitor<'_> for GeneratedVisitor {
-                    type Value = GeneratedField;
-
-                    fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-                        write!(formatter, "expected one of: {:?}", &FIELDS)
-                    }
-
-                    #[allow(unused_variables)]
-                    fn visit_str<E>(self, value: &str) -> std::result::Result<GeneratedField, E>
-                    where
-                        E: serde::de::Error,
-                    {
-                        match value {
-                            "account" => Ok(GeneratedField::Account),
-                            "unitsPerS" | "units_per_s" => Ok(GeneratedField::UnitsPerS),
-                            "isShort" | "is_short" => Ok(GeneratedField::IsShort),
-                            _ => Err(serde::de::Error::unknown_field(value, FIELDS)),
-                        }
-                    }
-                }
-                deserializer.deserialize_identifier(GeneratedVisitor)
-            }
-        }
-        struct GeneratedVisitor;
-        impl<'de> serde::de::Visitor<'de> for GeneratedVisitor {
-            type Value = AccountDemand;
-
-            fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-                formatter.write_str("struct bamboodoor.record.AccountDemand")
-            }
-
-            fn visit_map<V>(self, mut map_: V) -> std::result::Result<AccountDemand, V::Error>
-                where
-                    V: serde::de::MapAccess<'de>,
-            {
-                let mut account__ = None;
-                let mut units_per_s__ = None;
-                let mut is_short__ = None;
-                while let Some(k) = map_.next_key()? {
-                    match k {
-                        GeneratedField::Account => {
-                            if account__.is_some() {
-                                return Err(serde::de::Error::duplicate_field("account"));
-                            }
-                            account__ = Some(map_.next_value()?);
-                        }
-                        GeneratedField::UnitsPerS => {
-                            if units_per_s__.is_some() {
-                                return Err(serde::de::Error::duplicate_field("unitsPerS"));
-                            }
-                            units_per_s__ = 
-                                Some(map_.next_value::<::pbjson::private::NumberDeserialize<_>>()?.0)
-                            ;
-                        }
-                        GeneratedField::IsShort => {
-                            if is_short__.is_some() {
-                                return Err(serde::de::Error::duplicate_field("isShort"));
-                            }
-                            is_short__ = Some(map_.next_value()?);
-                        }
-                    }
-                }
-                Ok(AccountDemand {
-                    account: account__.unwrap_or_default(),
-                    units_per_s: units_per_s__.unwrap_or_default(),
-                    is_short: is_short__.unwrap_or_default(),
-                })
-            }
-        }
-        deserializer.deserialize_struct("bamboodoor.record.AccountDemand", FIELDS, GeneratedVisitor)
-    }
-}
 impl serde::Serialize for Carry {
     #[allow(deprecated)]
     fn serialize<S>(&self, serializer: S) -> std::result::Result<S::Ok, S::Error>
@@ -1437,7 +1308,117 @@
         deserializer.deserialize_struct("bamboodoor.record.Publish", FIELDS, GeneratedVisitor)
     }
 }
-impl serde::Serialize for QuotaReport {
+impl serde::Serialize for QuotaClaim {
+    #[allow(deprecated)]
+    fn serialize<S>(&self, serializer: S) -> std::result::Result<S::Ok, S::Error>
+    where
+        S: serde::Serializer,
+    {
+        use serde::ser::SerializeStruct;
+        let mut len = 0;
+        if !self.account.is_empty() {
+            len += 1;
+        }
+        if self.units != 0. {
+            len += 1;
+        }
+        let mut struct_ser = serializer.serialize_struct("bamboodoor.record.QuotaClaim", len)?;
+        if !self.account.is_empty() {
+            struct_ser.serialize_field("account", &self.account)?;
+        }
+        if self.units != 0. {
+            struct_ser.serialize_field("units", &self.units)?;
+        }
+        struct_ser.end()
+    }
+}
+impl<'de> serde::Deserialize<'de> for QuotaClaim {
+    #[allow(deprecated)]
+    fn deserialize<D>(deserializer: D) -> std::result::Result<Self, D::Error>
+    where
+        D: serde::Deserializer<'de>,
+    {
+        const FIELDS: &[&str] = &[
+            "account",
+            "units",
+        ];
+
+        #[allow(clippy::enum_variant_names)]
+        enum GeneratedField {
+            Account,
+            Units,
+        }
+        impl<'de> serde::Deserialize<'de> for GeneratedField {
+            fn deserialize<D>(deserializer: D) -> std::result::Result<GeneratedField, D::Error>
+            where
+                D: serde::Deserializer<'de>,
+            {
+                struct GeneratedVisitor;
+
+                impl serde::de::Visitor<'_> for GeneratedVisitor {
+                    type Value = GeneratedField;
+
+                    fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                        write!(formatter, "expected one of: {:?}", &FIELDS)
+                    }
+
+                    #[allow(unused_variables)]
+                    fn visit_str<E>(self, value: &str) -> std::result::Result<GeneratedField, E>
+                    where
+                        E: serde::de::Error,
+                    {
+                        match value {
+                            "account" => Ok(GeneratedField::Account),
+                            "units" => Ok(GeneratedField::Units),
+                            _ => Err(serde::de::Error::unknown_field(value, FIELDS)),
+                        }
+                    }
+                }
+                deserializer.deserialize_identifier(GeneratedVisitor)
+            }
+        }
+        struct GeneratedVisitor;
+        impl<'de> serde::de::Visitor<'de> for GeneratedVisitor {
+            type Value = QuotaClaim;
+
+            fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                formatter.write_str("struct bamboodoor.record.QuotaClaim")
+            }
+
+            fn visit_map<V>(self, mut map_: V) -> std::result::Result<QuotaClaim, V::Error>
+                where
+                    V: serde::de::MapAccess<'de>,
+            {
+                let mut account__ = None;
+                let mut units__ = None;
+                while let Some(k) = map_.next_key()? {
+                    match k {
+                        GeneratedField::Account => {
+                            if account__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("account"));
+                            }
+                            account__ = Some(map_.next_value()?);
+                        }
+                        GeneratedField::Units => {
+                            if units__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("units"));
+                            }
+                            units__ = 
+                                Some(map_.next_value::<::pbjson::private::NumberDeserialize<_>>()?.0)
+                            ;
+                        }
+                    }
+                }
+                Ok(QuotaClaim {
+                    account: account__.unwrap_or_default(),
+                    units: units__.unwrap_or_default(),
+                })
+            }
+        }
+        deserializer.deserialize_struct("bamboodoor.record.QuotaClaim", FIELDS, GeneratedVisitor)
+    }
+}
+impl serde::Serialize for QuotaClaimBatch {
     #[allow(deprecated)]
     fn serialize<S>(&self, serializer: S) -> std::result::Result<S::Ok, S::Error>
     where
@@ -1448,28 +1429,30 @@
         if self.entry != 0 {
             len += 1;
         }
-        if self.equal_share != 0. {
+        if self.number != 0 {
             len += 1;
         }
-        if !self.accounts.is_empty() {
+        if !self.claims.is_empty() {
             len += 1;
         }
-        let mut struct_ser = serializer.serialize_struct("bamboodoor.record.QuotaReport", len)?;
+        let mut struct_ser = serializer.serialize_struct("bamboodoor.record.QuotaClaimBatch", len)?;
         if self.entry != 0 {
             #[allow(clippy::needless_borrow)]
             #[allow(clippy::needless_borrows_for_generic_args)]
             struct_ser.serialize_field("entry", ToString::to_string(&self.entry).as_str())?;
         }
-        if self.equal_share != 0. {
-            struct_ser.serialize_field("equal_share", &self.equal_share)?;
+        if self.number != 0 {
+            #[allow(clippy::needless_borrow)]
+            #[allow(clippy::needless_borrows_for_generic_args)]
+            struct_ser.serialize_field("number", ToString::to_string(&self.number).as_str())?;
         }
-        if !self.accounts.is_empty() {
-            struct_ser.serialize_field("accounts", &self.accounts)?;
+        if !self.claims.is_empty() {
+            struct_ser.serialize_field("claims", &self.claims)?;
         }
         struct_ser.end()
     }
 }
-impl<'de> serde::Deserialize<'de> for QuotaReport {
+impl<'de> serde::Deserialize<'de> for QuotaClaimBatch {
     #[allow(deprecated)]
     fn deserialize<D>(deserializer: D) -> std::result::Result<Self, D::Error>
     where
@@ -1477,16 +1460,15 @@
     {
         const FIELDS: &[&str] = &[
             "entry",
-            "equal_share",
-            "equalShare",
-            "accounts",
+            "number",
+            "claims",
         ];
 
         #[allow(clippy::enum_variant_names)]
         enum GeneratedField {
             Entry,
-            EqualShare,
-            Accounts,
+            Number,
+            Claims,
         }
         impl<'de> serde::Deserialize<'de> for GeneratedField {
             fn deserialize<D>(deserializer: D) -> std::result::Result<GeneratedField, D::Error>
@@ -1509,8 +1491,8 @@
                     {
                         match value {
                             "entry" => Ok(GeneratedField::Entry),
-                            "equalShare" | "equal_share" => Ok(GeneratedField::EqualShare),
-                            "accounts" => Ok(GeneratedField::Accounts),
+                            "number" => Ok(GeneratedField::Number),
+                            "claims" => Ok(GeneratedField::Claims),
                             _ => Err(serde::de::Error::unknown_field(value, FIELDS)),
                         }
                     }
@@ -1520,19 +1502,19 @@
         }
         struct GeneratedVisitor;
         impl<'de> serde::de::Visitor<'de> for GeneratedVisitor {
-            type Value = QuotaReport;
+            type Value = QuotaClaimBatch;
 
             fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-                formatter.write_str("struct bamboodoor.record.QuotaReport")
+                formatter.write_str("struct bamboodoor.record.QuotaClaimBatch")
             }
 
-            fn visit_map<V>(self, mut map_: V) -> std::result::Result<QuotaReport, V::Error>
+            fn visit_map<V>(self, mut map_: V) -> std::result::Result<QuotaClaimBatch, V::Error>
                 where
                     V: serde::de::MapAccess<'de>,
             {
                 let mut entry__ = None;
-                let mut equal_share__ = None;
-                let mut accounts__ = None;
+                let mut number__ = None;
+                let mut claims__ = None;
                 while let Some(k) = map_.next_key()? {
                     match k {
                         GeneratedField::Entry => {
@@ -1543,30 +1525,30 @@
                                 Some(map_.next_value::<::pbjson::private::NumberDeserialize<_>>()?.0)
                             ;
                         }
-                        GeneratedField::EqualShare => {
-                            if equal_share__.is_some() {
-                                return Err(serde::de::Error::duplicate_field("equalShare"));
+                        GeneratedField::Number => {
+                            if number__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("number"));
                             }
-                            equal_share__ = 
+                            number__ = 
                                 Some(map_.next_value::<::pbjson::private::NumberDeserialize<_>>()?.0)
                             ;
                         }
-                        GeneratedField::Accounts => {
-                            if accounts__.is_some() {
-                                return Err(serde::de::Error::duplicate_field("accounts"));
+                        GeneratedField::Claims => {
+                            if claims__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("claims"));
                             }
-                            accounts__ = Some(map_.next_value()?);
+                            claims__ = Some(map_.next_value()?);
                         }
                     }
                 }
-                Ok(QuotaReport {
+                Ok(QuotaClaimBatch {
                     entry: entry__.unwrap_or_default(),
-                    equal_share: equal_share__.unwrap_or_default(),
-                    accounts: accounts__.unwrap_or_default(),
+                    number: number__.unwrap_or_default(),
+                    claims: claims__.unwrap_or_default(),
                 })
             }
         }
-        deserializer.deserialize_struct("bamboodoor.record.QuotaReport", FIELDS, GeneratedVisitor)
+        deserializer.deserialize_struct("bamboodoor.record.QuotaClaimBatch", FIELDS, GeneratedVisitor)
     }
 }
 impl serde::Serialize for StreamOrigin {
--- a/tests/router/quota_fleet.rs
+++ b/tests/router/quota_fleet.rs
@@ -1,5 +1,5 @@
 //! Several entries that enforce the quota of one account, in virtual time: requests arrive at
-//! random, entries tell each other their demand through a log, and the fleet counts what is
+//! random, entries claim units in a log, and the fleet counts what is
 //! admitted in each window.
 
 use std::collections::VecDeque;
@@ -13,8 +13,8 @@
 use bamboodoor::router::lease::Lease;
 use bamboodoor::router::lease::LeaseSettings;
 use bamboodoor::router::lease::RenewalResponse;
-use bamboodoor::router::quota_reports::EntryIncarnation;
-use bamboodoor::router::quota_reports::QuotaReport;
+use bamboodoor::router::quota_claims::ClaimBatch;
+use bamboodoor::router::quota_claims::EntryIncarnation;
 use bamboodoor::router::quotas::QuotaSettings;
 use bamboodoor::router::quotas::Quotas;
 use rand::RngExt;
@@ -32,10 +32,8 @@
 const STEP: Duration = Duration::from_millis(10);
 /// Time from an append to the moment from which reads return it.
 const APPEND_TIME: Duration = Duration::from_millis(20);
-/// Interval of the checks whether a report is due.
-const CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// Pause between two reads of the log.
-const READ_INTERVAL: Duration = Duration::from_millis(700);
+/// Time from a claim to the moment at which it is read back.
+const READ_TIME: Duration = Duration::from_millis(60);
 /// Interval of the renewals of the membership.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
 /// Time after which the store drops a member.
@@ -88,6 +86,8 @@
     quotas: Quotas,
     lease: Lease,
     next_offset: usize,
+    /// When it reads the log next; `None` if it has no cause to.
+    read_at: Option<Duration>,
     /// Time after which the phases of its tasks begin.
     phase: Duration,
     is_running: bool,
@@ -110,7 +110,7 @@
 pub struct QuotaFleet {
     settings: QuotaFleetSettings,
     members: Vec<Member>,
-    log: Vec<(Duration, QuotaReport)>,
+    log: Vec<(Duration, ClaimBatch)>,
     version: u64,
     accounts: Accounts,
     rng: ChaCha8Rng,
@@ -169,13 +169,14 @@
 
     fn new_member(&mut self) -> Member {
         self.next_entry += 1;
-        let phase = self.rng.random_range(Duration::ZERO..READ_INTERVAL);
+        let phase = self.rng.random_range(Duration::ZERO..RENEWAL_INTERVAL);
         let mut quotas = Quotas::new(Some(SETTINGS), EntryIncarnation(self.next_entry));
         quotas.configure(self.now, self.version, &self.accounts);
         Member {
             quotas,
             lease: Lease::new(LeaseSettings::default()),
             next_offset: 0,
+            read_at: None,
             phase: if self.settings.same_phases { Duration::ZERO } else { phase },
             is_running: true,
             is_frozen: false,
@@ -273,14 +274,19 @@
         if is_due(since, RENEWAL_INTERVAL) {
             self.renew(entry);
         }
-        if is_due(since, CHECK_INTERVAL) {
-            let due = self.members[entry].quotas.take_due_report(self.now);
-            if let Some(report) = due.filter(|_| self.members[entry].reaches_store) {
-                self.store_calls += 1;
-                self.log.push((self.now + APPEND_TIME, report));
-            }
+        if self.members[entry].quotas.needs_first_read() {
+            self.members[entry].read_at.get_or_insert(self.now);
+        }
+        if let Some(claims) = self.members[entry].quotas.take_claims()
+            && self.members[entry].reaches_store
+        {
+            self.store_calls += 1;
+            self.log.push((self.now + APPEND_TIME, claims));
+            self.members[entry].read_at.get_or_insert(self.now + READ_TIME);
         }
-        if is_due(since, READ_INTERVAL) && self.members[entry].reaches_store {
+        let is_due = self.members[entry].read_at.is_some_and(|at| at <= self.now);
+        if is_due && self.members[entry].reaches_store {
+            self.members[entry].read_at = None;
             self.read_log(entry);
         }
     }
@@ -307,13 +313,11 @@
         let written = self.log.iter().skip(member.next_offset);
         let written = written.take_while(|(at, _)| *at <= now);
         let read = written.clone().count();
-        let reports = written.filter(|(at, _)| now < *at + RETENTION);
-        let reports: Vec<QuotaReport> = reports.map(|(_, report)| report.clone()).collect();
+        let claims = written.filter(|(at, _)| now < *at + RETENTION);
+        let claims: Vec<ClaimBatch> = claims.map(|(_, claims)| claims.clone()).collect();
         member.next_offset += read;
-        if read > 0 {
-            self.store_calls += 1;
-        }
-        member.quotas.record_reports(now, reports);
+        self.store_calls += 1;
+        member.quotas.record_claims(now, claims);
         member.quotas.record_log_read(now);
     }
 
