--- a/src/edge/direct/dispatch.rs
+++ b/src/edge/direct/dispatch.rs
@@ -111,9 +111,9 @@
         mut request: ForwardedRequest,
     ) -> CallerResponse {
         self.record_notices();
+        self.wait_for_quota(&incoming).await;
         let accepted = self.router.borrow_mut().accept_request(self.now(), incoming);
         self.log_quota_notices();
-        self.quota_log.wake(&mut self.router.borrow_mut());
         let key = match accepted {
             Ok(key) => key,
             Err(refusal) => return self.refuse(&request.id, refusal),
--- a/src/edge/direct/quota_log.rs
+++ b/src/edge/direct/quota_log.rs
@@ -16,12 +16,12 @@
 use crate::edge::direct::store_follower::Store;
 use crate::edge::direct::store_follower::StoreError;
 use crate::edge::direct::upstream_client::UpstreamClient;
-use crate::router::Router;
 use crate::router::follow::LogPosition;
 use crate::router::quota_claims::ClaimBatch;
 use crate::router::quota_claims::ClaimId;
 use crate::router::quota_claims::EntryIncarnation;
 use crate::router::quota_claims::QuotaClaim;
+use crate::router::request::IncomingRequest;
 use crate::schema::record;
 
 /// Time for which claims are collected before they are appended in one record.
@@ -33,21 +33,18 @@
 const STORE_TIMEOUT: Duration = Duration::from_millis(700);
 /// Time without a claim that is logged as such.
 const NOT_READ: i64 = -1;
+/// Longest time for which a request waits for its claim.
+const MAX_CLAIM_WAIT: Duration = Duration::from_millis(500);
 
 /// Signal from requests to the task that calls the store.
 #[derive(Debug, Default)]
 pub struct QuotaLog {
     unsent: Notify,
+    /// Wakes the requests that wait for claims.
+    answered: Notify,
 }
 
 impl QuotaLog {
-    /// Wakes the task that calls the store, if the router has claims for it.
-    pub(super) fn wake(&self, router: &mut Router) {
-        if router.quotas().has_unsent_claims() {
-            self.unsent.notify_one();
-        }
-    }
-
     /// Wakes the task to read the log, if that is due.
     pub(super) fn wake_for_first_read(&self) {
         self.unsent.notify_one();
@@ -70,6 +67,7 @@
             && let Err(error) = read_to_end(&*store, &dispatcher, &mut position).await
         {
             spdlog::warn!("quota-claims-not-read", kv: { detail: = error });
+            dispatcher.quota_log.answered.notify_waiters();
             tokio::time::sleep(RETRY_DELAY).await;
             dispatcher.quota_log.unsent.notify_one();
         }
@@ -128,6 +126,7 @@
         router.quotas().record_claims(now, batches);
         if page.next_offset >= page.end_offset {
             router.quotas().record_log_read(now);
+            dispatcher.quota_log.answered.notify_waiters();
             return Ok(());
         }
     }
@@ -166,6 +165,18 @@
 }
 
 impl<U: UpstreamClient> Dispatcher<U> {
+    /// Waits while a request has no room in the quota of its account but for a claim that is
+    /// not answered yet.
+    pub(super) async fn wait_for_quota(&self, incoming: &IncomingRequest) {
+        let until = self.now() + MAX_CLAIM_WAIT;
+        while self.now() < until && self.router.borrow_mut().awaits_quota(self.now(), incoming) {
+            self.quota_log.unsent.notify_one();
+            let remaining = until.saturating_sub(self.now());
+            // The router decides with what it knows then.
+            let _ = tokio::time::timeout(remaining, self.quota_log.answered.notified()).await;
+        }
+    }
+
     /// Logs refusals for quotas, with what they were decided on.
     pub(super) fn log_quota_notices(&self) {
         for notice in self.router.borrow_mut().quotas().take_notices() {
--- a/src/router/quota_admission.rs
+++ b/src/router/quota_admission.rs
@@ -9,6 +9,7 @@
 use crate::router::Router;
 use crate::router::accounts::Caller;
 use crate::router::quotas::Quotas;
+use crate::router::request::IncomingRequest;
 use crate::router::request::Prompt;
 use crate::router::request::RequestKey;
 
@@ -24,6 +25,19 @@
         self.quotas.needs_first_read()
     }
 
+    /// True if a request has to wait until a claim on the quota of its account is answered.
+    pub fn awaits_quota(&mut self, now: Duration, incoming: &IncomingRequest) -> bool {
+        self.configure_quotas(now);
+        let Some(configuration) = self.configuration.clone() else { return false };
+        let account = incoming.api_key.as_ref().and_then(|key| configuration.accounts.by_key(key));
+        let Some((account, quota)) = account.and_then(|it| Some((it, it.quota?))) else {
+            return false;
+        };
+        let is_routed = configuration.route(&incoming.host, &incoming.path).is_some();
+        let units = quota.units(incoming.prompt.as_ref());
+        is_routed && self.quotas.awaits_claim(now, &account.name, units)
+    }
+
     fn configure_quotas(&mut self, now: Duration) {
         if let Some(configuration) = &self.configuration {
             self.quotas.configure(now, configuration.version, &configuration.accounts);
--- a/src/router/quotas.rs
+++ b/src/router/quotas.rs
@@ -54,12 +54,8 @@
 
 /// Part of what may be admitted that is in the pool.
 const POOL_PART: f64 = 0.4;
-/// Units that an entry keeps at hand, as a multiple of the last request.
-const UNITS_AT_HAND: f64 = 1.5;
-/// Units of a claim, as a multiple of the last request, if the equal part of the pool is less.
-const CLAIMED_REQUESTS: f64 = 2.0;
 /// Time after which a claim that was not read back is given up.
-const CLAIM_TIMEOUT: Duration = Duration::from_secs(2);
+const CLAIM_TIMEOUT: Duration = Duration::from_secs(1);
 /// Shortest time between a claim that failed and the next one.
 const CLAIM_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Largest part of a new entry, until it was assigned one for a window: members that join a
@@ -250,6 +246,15 @@
         }
     }
 
+    /// True if a request of an account has to wait for units of the pool, which this entry
+    /// claims then: there is no room for it until the claim is answered.
+    pub fn awaits_claim(&mut self, now: Duration, account: &str, units: f64) -> bool {
+        let Some(settings) = self.settings else { return false };
+        let Some(state) = self.accounts.get_mut(account) else { return false };
+        let missing = units - state.room(now, &settings) - state.grants.units(now);
+        missing > 0.0 && state.claim(now, &settings, missing)
+    }
+
     /// Decides whether a request of an account is within its quota, and takes its units then.
     ///
     /// # Errors
@@ -257,23 +262,15 @@
     pub fn admit(&mut self, now: Duration, account: &str, units: f64) -> Result<(), Duration> {
         let Some(settings) = self.settings else { return Ok(()) };
         let Some(state) = self.accounts.get_mut(account) else { return Ok(()) };
-        let part = state.part_units(now, &settings);
-        let room = (part - state.admitted.units(now)).max(0.0);
-        let granted = state.grants.units(now);
-        let is_admitted = units <= room + granted;
-        if is_admitted {
+        let room = state.room(now, &settings);
+        if units <= room + state.grants.units(now) {
             let of_part = units.min(room);
             state.admitted.record(now, of_part);
             state.grants.take(units - of_part);
-        }
-        let left = room + granted - if is_admitted { units } else { 0.0 };
-        if left < units * UNITS_AT_HAND {
-            state.claim(now, &settings, self.equal_share, units);
-        }
-        if is_admitted {
             return Ok(());
         }
-        let wait = state.admitted.time_until(now, (part - units).max(0.0));
+        let left = (state.part_units(now, &settings) - units).max(0.0);
+        let wait = state.admitted.time_until(now, left);
         self.record_refusal(now, account, units);
         Err(wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER))
     }
@@ -373,28 +370,36 @@
         self.pending.is_some_and(|pending| pending.id.is_none())
     }
 
-    /// Claims units of the pool after a request of `units`, unless a claim is pending or the
-    /// pool is known to have no room.
-    fn claim(&mut self, now: Duration, settings: &QuotaSettings, equal_share: f64, units: f64) {
-        if let Some(pending) = self.pending {
-            if now < pending.made_at + CLAIM_TIMEOUT {
-                return;
-            }
+    /// Units of the entry's part that are left.
+    fn room(&mut self, now: Duration, settings: &QuotaSettings) -> f64 {
+        (self.part_units(now, settings) - self.admitted.units(now)).max(0.0)
+    }
+
+    /// Claims units of the pool, unless it is known to have no room. Returns true if a claim is
+    /// pending.
+    fn claim(&mut self, now: Duration, settings: &QuotaSettings, units: f64) -> bool {
+        let lost = self.pending.filter(|pending| pending.made_at + CLAIM_TIMEOUT <= now);
+        if lost.is_some() {
             self.pending = None;
             self.next_claim_at = now + CLAIM_RETRY_DELAY;
         }
+        if self.pending.is_some_and(|pending| pending.id.is_some()) {
+            return true;
+        }
         if now < self.next_claim_at {
-            return;
+            return self.pending.is_some();
         }
-        let pool = settings.allowed_units(&self.quota) * POOL_PART;
-        let claimed = (units * CLAIMED_REQUESTS).max(pool * equal_share).min(pool);
         let lifetime = settings.claim_lifetime();
+        let pool = settings.allowed_units(&self.quota) * POOL_PART;
         self.claims.expire(now, lifetime);
-        if self.claims.units() + claimed <= pool {
-            self.pending = Some(PendingClaim { units: claimed, made_at: now, id: None });
-        } else {
-            self.wait_for_pool(now, lifetime, pool - claimed);
+        let unsent = self.pending.map_or(0.0, |pending| pending.units);
+        if self.claims.units() + unsent + units > pool {
+            self.wait_for_pool(now, lifetime, pool - units);
+            return self.pending.is_some();
         }
+        let made_at = self.pending.map_or(now, |pending| pending.made_at);
+        self.pending = Some(PendingClaim { units: unsent + units, made_at, id: None });
+        true
     }
 
     /// Makes no claim until the others have at most `units`.
--- a/tests/router/quota_fleet.rs
+++ b/tests/router/quota_fleet.rs
@@ -32,6 +32,8 @@
 const STEP: Duration = Duration::from_millis(10);
 /// Time from an append to the moment from which reads return it.
 const APPEND_TIME: Duration = Duration::from_millis(20);
+/// Longest time for which a request waits for its claim.
+const MAX_CLAIM_WAIT: Duration = Duration::from_millis(500);
 /// Time from a claim to the moment at which it is read back.
 const READ_TIME: Duration = Duration::from_millis(60);
 /// Interval of the renewals of the membership.
@@ -95,6 +97,8 @@
     reaches_store: bool,
     /// When the store last heard of it; `None` before.
     renewed_at: Option<Duration>,
+    /// Requests that wait for a claim.
+    waiting: Vec<Waiting>,
     /// Units that have arrived towards the next request, with equal phases.
     accumulated: f64,
 }
@@ -106,6 +110,14 @@
     units: f64,
 }
 
+/// Request that waits for a claim.
+#[derive(Debug, Clone, Copy)]
+struct Waiting {
+    units: f64,
+    is_owed: bool,
+    until: Duration,
+}
+
 /// Entries, log and group in virtual time.
 pub struct QuotaFleet {
     settings: QuotaFleetSettings,
@@ -182,6 +194,7 @@
             is_frozen: false,
             reaches_store: true,
             renewed_at: None,
+            waiting: Vec::new(),
             accumulated: 0.0,
         }
     }
@@ -277,7 +290,9 @@
         if self.members[entry].quotas.needs_first_read() {
             self.members[entry].read_at.get_or_insert(self.now);
         }
-        if let Some(claims) = self.members[entry].quotas.take_claims()
+        let may_claim = self.members[entry].read_at.is_none();
+        let claims = may_claim.then(|| self.members[entry].quotas.take_claims()).flatten();
+        if let Some(claims) = claims
             && self.members[entry].reaches_store
         {
             self.store_calls += 1;
@@ -288,6 +303,9 @@
         if is_due && self.members[entry].reaches_store {
             self.members[entry].read_at = None;
             self.read_log(entry);
+            self.decide_waiting(entry, true);
+        } else {
+            self.decide_waiting(entry, false);
         }
     }
 
@@ -361,6 +379,34 @@
             self.owed_credit -= units;
             self.owed_units += units;
         }
+        if member.quotas.awaits_claim(self.now, ACCOUNT, units) {
+            let until = self.now + MAX_CLAIM_WAIT;
+            member.waiting.push(Waiting { units, is_owed, until });
+            return;
+        }
+        self.admit(entry, units, is_owed);
+    }
+
+    /// Decides the waiting requests of an entry whose wait is over: all of them after a read
+    /// of the log.
+    fn decide_waiting(&mut self, entry: usize, has_read: bool) {
+        for waiting in std::mem::take(&mut self.members[entry].waiting) {
+            let is_over = waiting.until <= self.now;
+            if !has_read && !is_over {
+                self.members[entry].waiting.push(waiting);
+                continue;
+            }
+            let quotas = &mut self.members[entry].quotas;
+            if !is_over && quotas.awaits_claim(self.now, ACCOUNT, waiting.units) {
+                self.members[entry].waiting.push(waiting);
+            } else {
+                self.admit(entry, waiting.units, waiting.is_owed);
+            }
+        }
+    }
+
+    fn admit(&mut self, entry: usize, units: f64, is_owed: bool) {
+        let member = &mut self.members[entry];
         if member.quotas.admit(self.now, ACCOUNT, units).is_ok() {
             self.admitted_units += units;
             self.admitted.push_back(Decided { at: self.now, units });
