--- a/src/edge/direct/lease_task.rs
+++ b/src/edge/direct/lease_task.rs
@@ -72,7 +72,7 @@
         router.set_tries_poisonous_until(now, tries_until);
         router.set_budget_share(budget_share.max(FALLBACK_SHARE));
         router.set_rate_limit_share(now, rate_limit_share);
-        router.quotas().set_equal_share(now, self.lease.rate_limit_share(now));
+        router.quotas().set_equal_share(now, self.lease.share(now));
     }
 
     /// Sends a renewal and records the response. Returns false if the store is in a new era
--- a/src/router/quota_claims.rs
+++ b/src/router/quota_claims.rs
@@ -12,7 +12,7 @@
 use compact_str::CompactString;
 
 /// Time after a claim in which its units may be admitted.
-pub(super) const USE_TIME: Duration = Duration::from_millis(1_500);
+pub(super) const USE_TIME: Duration = Duration::from_millis(2_000);
 
 /// Identifies one incarnation of an entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
--- a/src/router/quotas.rs
+++ b/src/router/quotas.rs
@@ -2,7 +2,7 @@
 //!
 //! Of what all entries may admit of an account in a window, each one has an equal part, by which
 //! it decides alone: that holds whatever it knows of the others. A part that grows, as other
-//! entries leave, counts after a window only. The rest is a pool, for requests that arrive
+//! entries leave, counts only once one that is cut off from the store has given up its part. The rest is a pool, for requests that arrive
 //! unevenly: an entry that runs short of its part claims units of the pool in a log of the store
 //! ([`crate::router::quota_claims`]). While no entry runs short, nothing is written or read.
 //!
@@ -45,6 +45,11 @@
         window_units * (1.0 + self.tolerance) + self.allowance
     }
 
+    /// Time after which a part that has grown counts.
+    fn share_memory(&self) -> Duration {
+        UNRENEWED_LIMIT + self.window
+    }
+
     /// Time for which a claim occupies the pool: its units may be admitted for a while, and
     /// count for a window after that.
     fn claim_lifetime(&self) -> Duration {
@@ -53,14 +58,22 @@
 }
 
 /// Part of what may be admitted that is in the pool.
-const POOL_PART: f64 = 0.4;
+const POOL_PART: f64 = 0.25;
 /// Time after which a claim that was not read back is given up.
 const CLAIM_TIMEOUT: Duration = Duration::from_secs(1);
 /// Shortest time between a claim that failed and the next one.
 const CLAIM_RETRY_DELAY: Duration = Duration::from_secs(1);
-/// Largest part of a new entry, until it was assigned one for a window: members that join a
-/// group one after the other get too much at first.
-const MAX_NEW_SHARE: f64 = 1.0 / 32.0;
+/// Largest part of an entry that has just joined: members that join a group one after the
+/// other get too much at first.
+const MAX_NEW_SHARE: f64 = 1.0 / 4.0;
+/// Time for which an entry keeps its part without a renewal. The store assigns the part to
+/// others earlier, so a part that has grown counts only after this time.
+const UNRENEWED_LIMIT: Duration = Duration::from_secs(60);
+/// Share of its part that an entry keeps after that.
+const LAPSED_PART: f64 = 0.5;
+/// Units of a claim at least, as a share of the entry's equal part of the pool: many small
+/// requests need few claims.
+const MIN_CLAIM_PART: f64 = 0.5;
 /// Shortest `Retry-After`.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(200);
 /// Longest `Retry-After`: other entries may have room earlier.
@@ -105,6 +118,8 @@
     /// What was admitted of the entry's own part.
     admitted: WindowedUse,
     shares: ShareHistory,
+    /// Time until which the entry has no part of its own.
+    closed_until: Duration,
     grants: Grants,
     claims: PoolClaims,
     pending: Option<PendingClaim>,
@@ -125,8 +140,8 @@
     settings: Option<QuotaSettings>,
     entry: EntryIncarnation,
     equal_share: f64,
-    /// True once the store has assigned a part.
-    has_share: bool,
+    /// When the store last assigned a part; `None` before.
+    renewed_at: Option<Duration>,
     /// Version of the configuration whose accounts were applied; `None` before the first.
     version: Option<u64>,
     /// When the first configuration with quotas was applied.
@@ -145,7 +160,7 @@
             settings,
             entry,
             equal_share: FALLBACK_SHARE,
-            has_share: false,
+            renewed_at: None,
             version: None,
             started_at: None,
             log_read_at: None,
@@ -202,7 +217,8 @@
         AccountState {
             quota,
             admitted: WindowedUse::new(settings.window),
-            shares: ShareHistory::new(settings.window, share),
+            shares: ShareHistory::new(settings.share_memory(), share),
+            closed_until: Duration::ZERO,
             grants: Grants::default(),
             claims: PoolClaims::default(),
             pending: None,
@@ -219,29 +235,37 @@
         !self.accounts.is_empty() && self.log_read_at.is_none()
     }
 
-    /// Sets this entry's equal part of all quotas, from 0 to 1; `None` before the store has
-    /// assigned one.
+    /// Records this entry's equal part of all quotas, from 0 to 1, after a renewal; `None` if it
+    /// was not renewed in time.
     pub fn set_equal_share(&mut self, now: Duration, share: Option<f64>) {
-        self.equal_share = share.unwrap_or(FALLBACK_SHARE);
-        self.has_share |= share.is_some();
+        if let Some(share) = share {
+            self.renewed_at = Some(now);
+            self.equal_share = share;
+        }
+        let is_lapsed = self.renewed_at.is_some_and(|at| at + UNRENEWED_LIMIT <= now);
+        let lapsed_part = if is_lapsed { LAPSED_PART } else { 1.0 };
         for state in self.accounts.values_mut() {
-            state.shares.record(now, self.equal_share);
+            state.shares.record(now, self.equal_share * lapsed_part);
         }
         self.start_new_accounts(now);
     }
 
-    /// Gives an entry that was started lately its part, once it knows that nothing was claimed
-    /// of the pool: otherwise its predecessor may have used the part.
+    /// Gives an entry that was started lately its part: at once if it knows that nothing was
+    /// claimed of the pool, else after a window, since its predecessor may have used the part.
     fn start_new_accounts(&mut self, now: Duration) {
         let Some(settings) = self.settings else { return };
-        if self.log_read_at.is_none() || !self.has_share {
+        if self.log_read_at.is_none() || self.renewed_at.is_none() {
             return;
         }
         for state in self.accounts.values_mut() {
-            if std::mem::take(&mut state.is_new) && state.claims.is_empty() {
-                let share = self.equal_share.min(MAX_NEW_SHARE);
-                state.shares = ShareHistory::new(settings.window, share);
-                state.shares.record(now, self.equal_share);
+            if !std::mem::take(&mut state.is_new) {
+                continue;
+            }
+            let share = self.equal_share.min(MAX_NEW_SHARE);
+            state.shares = ShareHistory::new(settings.share_memory(), share);
+            state.shares.record(now, self.equal_share);
+            if !state.claims.is_empty() {
+                state.closed_until = now + settings.window;
             }
         }
     }
@@ -362,6 +386,9 @@
 impl AccountState {
     /// Units of which this entry decides alone in a window.
     fn part_units(&mut self, now: Duration, settings: &QuotaSettings) -> f64 {
+        if now < self.closed_until {
+            return 0.0;
+        }
         let allowed = settings.allowed_units(&self.quota);
         allowed * (1.0 - POOL_PART) * self.shares.smallest(now)
     }
@@ -392,6 +419,7 @@
         let lifetime = settings.claim_lifetime();
         let pool = settings.allowed_units(&self.quota) * POOL_PART;
         self.claims.expire(now, lifetime);
+        let units = units.max(pool * self.shares.current() * MIN_CLAIM_PART);
         let unsent = self.pending.map_or(0.0, |pending| pending.units);
         if self.claims.units() + unsent + units > pool {
             self.wait_for_pool(now, lifetime, pool - units);
--- a/src/router/store_era.rs
+++ b/src/router/store_era.rs
@@ -86,6 +86,5 @@
     fn reduce_shares(&mut self, now: Duration) {
         self.set_budget_share(self.budget_share.min(FALLBACK_SHARE));
         self.set_rate_limit_share(now, lapsed_share(self.rate_limit_share));
-        self.quotas.set_equal_share(now, Some(self.rate_limit_share));
     }
 }
--- a/tests/router/quota_fleet.rs
+++ b/tests/router/quota_fleet.rs
@@ -321,7 +321,7 @@
             self.members[entry].lease.record_renewal(now, now, response);
         }
         let member = &mut self.members[entry];
-        let share = member.lease.rate_limit_share(now);
+        let share = member.lease.share(now);
         member.quotas.set_equal_share(now, share);
     }
 
--- a/tests/router/quotas.rs
+++ b/tests/router/quotas.rs
@@ -130,6 +130,12 @@
         (20..24).for_each(|entry| fleet.set_reaches_store(entry, true));
         fleet.run(s(10), HOT);
     };
+    many_entries_cut_off_for_long: default(), |fleet| {
+        (16..26).for_each(|entry| fleet.set_reaches_store(entry, false));
+        fleet.run(s(80), HOT);
+        (16..26).for_each(|entry| fleet.set_reaches_store(entry, true));
+        fleet.run(s(10), HOT);
+    };
     all_entries_cut_off: default(), |fleet| {
         all(fleet, |fleet, entry| fleet.set_reaches_store(entry, false));
         burst(fleet);
