--- a/tests/router/quotas.rs
+++ b/tests/router/quotas.rs
@@ -3,8 +3,32 @@
 
 use std::time::Duration;
 
+use bamboodoor::outcome::RefusalReason;
+use bamboodoor::router::Router;
+use bamboodoor::router::RouterSettings;
+use bamboodoor::router::Step;
+use bamboodoor::router::accounts::Account;
+use bamboodoor::router::accounts::AccountEntry;
+use bamboodoor::router::accounts::Accounts;
+use bamboodoor::router::accounts::ApiKey;
+use bamboodoor::router::accounts::Quota;
+use bamboodoor::router::accounts::QuotaUnit;
+use bamboodoor::router::configuration::Configuration;
+use bamboodoor::router::quota_claims::ClaimBatch;
+use bamboodoor::router::quota_claims::ClaimId;
+use bamboodoor::router::quota_claims::EntryIncarnation;
+use bamboodoor::router::quota_claims::QuotaClaim;
+use bamboodoor::router::quotas::QuotaSettings;
+use bamboodoor::router::quotas::Quotas;
+use bamboodoor::router::request::IncomingRequest;
+use bamboodoor::router::store_era::StoreEra;
+
+use crate::harness::default_configuration;
+use crate::harness::incoming;
+use crate::quota_fleet::ACCOUNT;
 use crate::quota_fleet::QuotaFleet;
 use crate::quota_fleet::QuotaFleetSettings;
+use crate::quota_fleet::accounts;
 use crate::quota_fleet::uneven;
 
 const SEEDS: std::ops::RangeInclusive<u64> = 1..=5;
@@ -199,3 +223,132 @@
     an_account_at_its_usual_load_at_68_entries: with_entries(68), USUAL;
     an_account_at_its_whole_rate: default(), 0.95;
 }
+
+/// Entry with one account, whose quota lets a window have 1,000 units: 750 for entries to decide
+/// alone.
+fn quotas(entry: u64) -> Quotas {
+    let settings = QuotaSettings { window: s(8), tolerance: 0.0, allowance: 100.0 };
+    let mut quotas = Quotas::new(Some(settings), EntryIncarnation(entry));
+    quotas.configure(s(1), 1, &accounts(100.0));
+    quotas.set_equal_share(s(1), Some(0.25));
+    quotas.record_log_read(s(1));
+    quotas
+}
+
+/// Has the entry use up its part and claim `units`, and returns the claim.
+fn claim(quotas: &mut Quotas, now: Duration, units: f64) -> ClaimBatch {
+    assert!(quotas.admit(now, ACCOUNT, 187.5).is_ok());
+    assert!(quotas.awaits_claim(now, ACCOUNT, units));
+    quotas.take_claims().expect("there is a claim")
+}
+
+#[test]
+fn the_order_of_the_log_decides_on_claims() {
+    let (mut first, mut second) = (quotas(1), quotas(2));
+    let claims = vec![claim(&mut first, s(2), 150.0), claim(&mut second, s(2), 150.0)];
+    for quotas in [&mut first, &mut second] {
+        quotas.record_claims(s(2), claims.clone());
+    }
+    assert!(first.admit(s(2), ACCOUNT, 150.0).is_ok());
+    assert!(second.admit(s(2), ACCOUNT, 150.0).is_err());
+    assert!(!second.awaits_claim(s(9), ACCOUNT, 150.0), "the pool is in use");
+    assert!(second.awaits_claim(s(12), ACCOUNT, 200.0), "the claims have expired");
+}
+
+#[test]
+fn granted_units_expire() {
+    let mut quotas = quotas(1);
+    let claims = vec![claim(&mut quotas, s(2), 150.0)];
+    quotas.record_claims(s(2), claims);
+    assert!(quotas.admit(s(4), ACCOUNT, 150.0).is_err());
+}
+
+#[test]
+fn a_claim_that_is_read_back_too_late_is_not_granted() {
+    let mut quotas = quotas(1);
+    let claims = vec![claim(&mut quotas, s(2), 150.0)];
+    assert!(!quotas.awaits_claim(s(3), ACCOUNT, 150.0), "the claim is given up");
+    quotas.record_claims(s(3), claims);
+    assert!(quotas.admit(s(3), ACCOUNT, 150.0).is_err());
+}
+
+#[test]
+fn a_request_that_does_not_run_gives_its_units_back() {
+    let mut quotas = quotas(1);
+    assert!(quotas.admit(s(2), ACCOUNT, 150.0).is_ok());
+    assert_eq!(quotas.admit(s(3), ACCOUNT, 150.0), Err(s(4)));
+    quotas.give_back(ACCOUNT, s(2), 150.0);
+    assert!(quotas.admit(s(3), ACCOUNT, 150.0).is_ok());
+}
+
+#[test]
+fn an_entry_that_starts_while_the_pool_is_in_use_has_no_part_for_a_window() {
+    let settings = QuotaSettings { window: s(8), tolerance: 0.0, allowance: 100.0 };
+    let mut quotas = Quotas::new(Some(settings), EntryIncarnation(3));
+    quotas.configure(s(1), 1, &accounts(100.0));
+    quotas.set_equal_share(s(1), Some(0.25));
+    let account = ACCOUNT.into();
+    let id = ClaimId { entry: EntryIncarnation(1), number: 1 };
+    let claims = vec![QuotaClaim { account, units: 10.0 }];
+    quotas.record_claims(s(1), vec![ClaimBatch { id, claims }]);
+    quotas.record_log_read(s(1));
+    assert!(quotas.admit(s(8), ACCOUNT, 100.0).is_err());
+    assert!(quotas.admit(s(9), ACCOUNT, 100.0).is_ok());
+}
+
+/// Returns a router whose plain routes need a key, and a request with one. The quota lets one
+/// entry without an assigned part admit a request at most.
+fn router_with_quota(quotas: Option<QuotaSettings>) -> (Router, IncomingRequest) {
+    let settings = RouterSettings { zone: "north".into(), quotas, ..RouterSettings::default() };
+    let mut router = Router::new(settings);
+    let unit = QuotaUnit::Requests;
+    let quota = Some(Quota { unit, rate_per_s: 1.0, burst: 0.0 });
+    let account = Account { name: ACCOUNT.into(), priority: None, quota };
+    let keys = vec![ApiKey::new("key")];
+    let accounts = Accounts::new(vec![AccountEntry { account, keys }]).expect("they are valid");
+    router.configure(Configuration { accounts, ..default_configuration() });
+    router.needs_first_read_of_claims(s(1));
+    router.quotas().set_equal_share(s(1), Some(0.25));
+    router.quotas().record_log_read(s(1));
+    (router, IncomingRequest { api_key: Some(ApiKey::new("key")), ..incoming("/lookup/1") })
+}
+
+/// One request in a window for an entry with a quarter of the parts.
+const ONE_REQUEST: QuotaSettings =
+    QuotaSettings { window: Duration::from_secs(6), tolerance: 0.0, allowance: 0.0 };
+
+#[test]
+fn a_request_beyond_the_quota_is_refused_with_a_retry_time() {
+    let (mut router, request) = router_with_quota(Some(ONE_REQUEST));
+    assert!(router.accept_request(s(2), request.clone()).is_ok());
+    let refusal = router.accept_request(s(2), request).expect_err("it is beyond the quota");
+    assert_eq!(refusal.reason, RefusalReason::QuotaExceeded);
+    assert!(refusal.retry_after.is_some_and(|wait| wait >= s(4)), "{refusal:?}");
+}
+
+#[test]
+fn a_request_that_finds_no_upstream_gives_its_units_back() {
+    let (mut router, request) = router_with_quota(Some(ONE_REQUEST));
+    let key = router.accept_request(s(2), request.clone()).expect("it is within the quota");
+    assert!(matches!(router.start(s(2), key), Step::Refuse(_)));
+    router.finish(key);
+    assert!(router.accept_request(s(2), request).is_ok());
+}
+
+#[test]
+fn without_settings_quotas_are_not_enforced() {
+    let (mut router, request) = router_with_quota(None);
+    for _ in 0..5 {
+        assert!(router.accept_request(s(2), request.clone()).is_ok());
+    }
+}
+
+#[test]
+fn after_the_store_came_back_older_nothing_is_claimed_until_earlier_claims_have_expired() {
+    let (mut router, request) = router_with_quota(Some(ONE_REQUEST));
+    router.record_store_era(s(1), StoreEra(1));
+    assert!(router.accept_request(s(2), request.clone()).is_ok());
+    assert!(router.awaits_quota(s(2), &request));
+    router.record_store_era(s(2), StoreEra(2));
+    assert!(!router.awaits_quota(s(7), &request));
+}
