--- a/src/router/quotas.rs
+++ b/src/router/quotas.rs
@@ -230,6 +230,11 @@
         }
     }
 
+    /// True if the entry has enforced quotas for less than a window.
+    fn is_new_entry(&self, now: Duration, settings: &QuotaSettings) -> bool {
+        self.started_at.is_none_or(|started_at| now < started_at + settings.window)
+    }
+
     /// True if there are quotas to enforce and the log of claims was not read yet.
     pub fn needs_first_read(&self) -> bool {
         !self.accounts.is_empty() && self.log_read_at.is_none()
@@ -244,7 +249,14 @@
         }
         let is_lapsed = self.renewed_at.is_some_and(|at| at + UNRENEWED_LIMIT <= now);
         let lapsed_part = if is_lapsed { LAPSED_PART } else { 1.0 };
+        let Some(settings) = self.settings else { return };
+        // A member that joins has no part until the others have given up some of theirs.
+        let is_joining = self.is_new_entry(now, &settings);
         for state in self.accounts.values_mut() {
+            if is_joining && !state.is_new {
+                let share = self.equal_share.min(MAX_NEW_SHARE);
+                state.shares = ShareHistory::new(settings.share_memory(), share);
+            }
             state.shares.record(now, self.equal_share * lapsed_part);
         }
         self.start_new_accounts(now);
