--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -16,6 +16,7 @@
 pub mod lease_task;
 pub mod metrics;
 pub mod origin_log;
+pub mod quota_log;
 mod relay;
 mod request_log;
 mod request_task;
--- a/src/edge/direct/store_follower.rs
+++ b/src/edge/direct/store_follower.rs
@@ -78,6 +78,8 @@
     StreamOrigins,
     /// Runs under which upstreams crashed.
     CrashReports,
+    /// Claims on the pools of quotas.
+    QuotaClaims,
 }
 
 /// Topic with keys of the store that the entries themselves write.
--- a/src/router.rs
+++ b/src/router.rs
@@ -22,6 +22,9 @@
 mod plain;
 pub mod poison;
 pub mod poisoned_requests;
+mod quota_admission;
+pub mod quota_claims;
+pub mod quotas;
 pub mod rate_limit;
 pub mod request;
 pub mod reservation_queue;
@@ -63,6 +66,9 @@
 use crate::router::output_margin::OutputMargin;
 use crate::router::poison::PoisonDetector;
 use crate::router::poisoned_requests::UncheckedRun;
+use crate::router::quota_claims::EntryIncarnation;
+use crate::router::quotas::QuotaSettings;
+use crate::router::quotas::Quotas;
 use crate::router::request::IncomingRequest;
 use crate::router::request::Request;
 use crate::router::request::RequestKey;
@@ -98,6 +104,9 @@
     /// also by an entry that cannot read configurations; `None` if such an entry may accept it
     /// for longer.
     pub key_withdrawal: Option<Duration>,
+    /// What all entries together may admit beyond the quotas of accounts; `None` if quotas
+    /// are not enforced.
+    pub quotas: Option<QuotaSettings>,
 }
 
 impl Default for RouterSettings {
@@ -109,6 +118,7 @@
             roles: RoleSettings::default(),
             outage_grace: Duration::from_secs(2),
             key_withdrawal: None,
+            quotas: None,
         }
     }
 }
@@ -123,6 +133,8 @@
     store_era: Option<StoreEra>,
     /// Whether the configuration in force is current, for the keys of accounts.
     key_certainty: KeyCertainty,
+    /// Quotas of client accounts.
+    quotas: Quotas,
     upstreams: Upstreams,
     instance_list: InstanceList,
     requests: SlotMap<RequestKey, Request>,
@@ -181,6 +193,7 @@
             configuration: None,
             store_era: None,
             key_certainty: KeyCertainty::new(settings.key_withdrawal),
+            quotas: Quotas::new(settings.quotas, EntryIncarnation(settings.random_seed)),
             upstreams: Upstreams::default(),
             instance_list: InstanceList::new(settings.outage_grace),
             requests: SlotMap::with_key(),
@@ -275,8 +288,9 @@
     ///
     /// # Errors
     /// A refusal, with no key assigned, if there is no configuration yet, no route for
-    /// the host and path, or if the route needs the API key of an account and the request
-    /// has none, or one that may have been withdrawn since.
+    /// the host and path, if the route needs the API key of an account and the request
+    /// has none, or one that may have been withdrawn since, or if the request is beyond the
+    /// quota of its account.
     pub fn accept_request(
         &mut self,
         now: Duration,
@@ -290,9 +304,11 @@
         };
         let key = incoming.api_key.as_ref();
         let caller = self.identify_caller(now, &configuration, route, key)?;
+        let quota_units = self.admit_to_quota(now, &caller, incoming.prompt.as_ref())?;
         let service = configuration.routes[route].pick_destination(&mut self.rng);
         self.budget(&service).record_request(now);
         let mut request = Request::new(now, incoming, configuration, route, service, caller);
+        request.quota_units = quota_units;
         if let Some((prompt, engine)) = request.prompt.zip(request.engine()) {
             let longest = self.caller_timeouts.entry(request.route().name.clone()).or_default();
             request.is_late = longest.record(request.remaining_time(now), CAPACITY_RETRY_AFTER);
@@ -399,6 +415,7 @@
         self.leave_reservation_queue(key);
         self.uncount_open(key);
         self.uncount_prefill(key);
+        self.return_quota(key);
         self.requests.remove(key);
     }
 
--- a/src/router/store_era.rs
+++ b/src/router/store_era.rs
@@ -78,6 +78,7 @@
         self.instance_list.start_over(now, &mut self.upstreams);
         self.record_list_gap();
         self.reduce_shares(now);
+        self.quotas.pause_claims(now);
         self.poison.report_again(now);
         let origins = self.stream_origins.resend_own(now);
         StoreEraChange::Risen { before: known, after: named, origins }
--- a/src/schema/bamboodoor.record.rs
+++ b/src/schema/bamboodoor.record.rs
@@ -186,3 +186,26 @@
     #[prost(string, repeated, tag = "1")]
     pub versions: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
+/// A record of the log of claims on the pools of quotas.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct QuotaClaimBatch {
+    /// Incarnation of the entry that claims.
+    #[prost(uint64, tag = "1")]
+    pub entry: u64,
+    /// Number of the batch at this entry.
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+    /// Claims, each on the pool of another account.
+    #[prost(message, repeated, tag = "3")]
+    pub claims: ::prost::alloc::vec::Vec<QuotaClaim>,
+}
+/// Claim on the pool of one client account.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct QuotaClaim {
+    /// Name of the account.
+    #[prost(string, tag = "1")]
+    pub account: ::prost::alloc::string::String,
+    /// Units of the account's quota that are claimed.
+    #[prost(double, tag = "2")]
+    pub units: f64,
+}
--- a/src/schema/bamboodoor.record.serde.rs
+++ b/src/schema/bamboodoor.record.serde.rs
@@ -1308,6 +1308,249 @@
         deserializer.deserialize_struct("bamboodoor.record.Publish", FIELDS, GeneratedVisitor)
     }
 }
+impl serde::Serialize for QuotaClaim {
+    #[allow(deprecated)]
+    fn serialize<S>(&self, serializer: S) -> std::result::Result<S::Ok, S::Error>
+    where
+        S: serde::Serializer,
+    {
+        use serde::ser::SerializeStruct;
+        let mut len = 0;
+        if !self.account.is_empty() {
+            len += 1;
+        }
+        if self.units != 0. {
+            len += 1;
+        }
+        let mut struct_ser = serializer.serialize_struct("bamboodoor.record.QuotaClaim", len)?;
+        if !self.account.is_empty() {
+            struct_ser.serialize_field("account", &self.account)?;
+        }
+        if self.units != 0. {
+            struct_ser.serialize_field("units", &self.units)?;
+        }
+        struct_ser.end()
+    }
+}
+impl<'de> serde::Deserialize<'de> for QuotaClaim {
+    #[allow(deprecated)]
+    fn deserialize<D>(deserializer: D) -> std::result::Result<Self, D::Error>
+    where
+        D: serde::Deserializer<'de>,
+    {
+        const FIELDS: &[&str] = &[
+            "account",
+            "units",
+        ];
+
+        #[allow(clippy::enum_variant_names)]
+        enum GeneratedField {
+            Account,
+            Units,
+        }
+        impl<'de> serde::Deserialize<'de> for GeneratedField {
+            fn deserialize<D>(deserializer: D) -> std::result::Result<GeneratedField, D::Error>
+            where
+                D: serde::Deserializer<'de>,
+            {
+                struct GeneratedVisitor;
+
+                impl serde::de::Visitor<'_> for GeneratedVisitor {
+                    type Value = GeneratedField;
+
+                    fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                        write!(formatter, "expected one of: {:?}", &FIELDS)
+                    }
+
+                    #[allow(unused_variables)]
+                    fn visit_str<E>(self, value: &str) -> std::result::Result<GeneratedField, E>
+                    where
+                        E: serde::de::Error,
+                    {
+                        match value {
+                            "account" => Ok(GeneratedField::Account),
+                            "units" => Ok(GeneratedField::Units),
+                            _ => Err(serde::de::Error::unknown_field(value, FIELDS)),
+                        }
+                    }
+                }
+                deserializer.deserialize_identifier(GeneratedVisitor)
+            }
+        }
+        struct GeneratedVisitor;
+        impl<'de> serde::de::Visitor<'de> for GeneratedVisitor {
+            type Value = QuotaClaim;
+
+            fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                formatter.write_str("struct bamboodoor.record.QuotaClaim")
+            }
+
+            fn visit_map<V>(self, mut map_: V) -> std::result::Result<QuotaClaim, V::Error>
+                where
+                    V: serde::de::MapAccess<'de>,
+            {
+                let mut account__ = None;
+                let mut units__ = None;
+                while let Some(k) = map_.next_key()? {
+                    match k {
+                        GeneratedField::Account => {
+                            if account__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("account"));
+                            }
+                            account__ = Some(map_.next_value()?);
+                        }
+                        GeneratedField::Units => {
+                            if units__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("units"));
+                            }
+                            units__ = 
+                                Some(map_.next_value::<::pbjson::private::NumberDeserialize<_>>()?.0)
+                            ;
+                        }
+                    }
+                }
+                Ok(QuotaClaim {
+                    account: account__.unwrap_or_default(),
+                    units: units__.unwrap_or_default(),
+                })
+            }
+        }
+        deserializer.deserialize_struct("bamboodoor.record.QuotaClaim", FIELDS, GeneratedVisitor)
+    }
+}
+impl serde::Serialize for QuotaClaimBatch {
+    #[allow(deprecated)]
+    fn serialize<S>(&self, serializer: S) -> std::result::Result<S::Ok, S::Error>
+    where
+        S: serde::Serializer,
+    {
+        use serde::ser::SerializeStruct;
+        let mut len = 0;
+        if self.entry != 0 {
+            len += 1;
+        }
+        if self.number != 0 {
+            len += 1;
+        }
+        if !self.claims.is_empty() {
+            len += 1;
+        }
+        let mut struct_ser = serializer.serialize_struct("bamboodoor.record.QuotaClaimBatch", len)?;
+        if self.entry != 0 {
+            #[allow(clippy::needless_borrow)]
+            #[allow(clippy::needless_borrows_for_generic_args)]
+            struct_ser.serialize_field("entry", ToString::to_string(&self.entry).as_str())?;
+        }
+        if self.number != 0 {
+            #[allow(clippy::needless_borrow)]
+            #[allow(clippy::needless_borrows_for_generic_args)]
+            struct_ser.serialize_field("number", ToString::to_string(&self.number).as_str())?;
+        }
+        if !self.claims.is_empty() {
+            struct_ser.serialize_field("claims", &self.claims)?;
+        }
+        struct_ser.end()
+    }
+}
+impl<'de> serde::Deserialize<'de> for QuotaClaimBatch {
+    #[allow(deprecated)]
+    fn deserialize<D>(deserializer: D) -> std::result::Result<Self, D::Error>
+    where
+        D: serde::Deserializer<'de>,
+    {
+        const FIELDS: &[&str] = &[
+            "entry",
+            "number",
+            "claims",
+        ];
+
+        #[allow(clippy::enum_variant_names)]
+        enum GeneratedField {
+            Entry,
+            Number,
+            Claims,
+        }
+        impl<'de> serde::Deserialize<'de> for GeneratedField {
+            fn deserialize<D>(deserializer: D) -> std::result::Result<GeneratedField, D::Error>
+            where
+                D: serde::Deserializer<'de>,
+            {
+                struct GeneratedVisitor;
+
+                impl serde::de::Visitor<'_> for GeneratedVisitor {
+                    type Value = GeneratedField;
+
+                    fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                        write!(formatter, "expected one of: {:?}", &FIELDS)
+                    }
+
+                    #[allow(unused_variables)]
+                    fn visit_str<E>(self, value: &str) -> std::result::Result<GeneratedField, E>
+                    where
+                        E: serde::de::Error,
+                    {
+                        match value {
+                            "entry" => Ok(GeneratedField::Entry),
+                            "number" => Ok(GeneratedField::Number),
+                            "claims" => Ok(GeneratedField::Claims),
+                            _ => Err(serde::de::Error::unknown_field(value, FIELDS)),
+                        }
+                    }
+                }
+                deserializer.deserialize_identifier(GeneratedVisitor)
+            }
+        }
+        struct GeneratedVisitor;
+        impl<'de> serde::de::Visitor<'de> for GeneratedVisitor {
+            type Value = QuotaClaimBatch;
+
+            fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                formatter.write_str("struct bamboodoor.record.QuotaClaimBatch")
+            }
+
+            fn visit_map<V>(self, mut map_: V) -> std::result::Result<QuotaClaimBatch, V::Error>
+                where
+                    V: serde::de::MapAccess<'de>,
+            {
+                let mut entry__ = None;
+                let mut number__ = None;
+                let mut claims__ = None;
+                while let Some(k) = map_.next_key()? {
+                    match k {
+                        GeneratedField::Entry => {
+                            if entry__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("entry"));
+                            }
+                            entry__ = 
+                                Some(map_.next_value::<::pbjson::private::NumberDeserialize<_>>()?.0)
+                            ;
+                        }
+                        GeneratedField::Number => {
+                            if number__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("number"));
+                            }
+                            number__ = 
+                                Some(map_.next_value::<::pbjson::private::NumberDeserialize<_>>()?.0)
+                            ;
+                        }
+                        GeneratedField::Claims => {
+                            if claims__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("claims"));
+                            }
+                            claims__ = Some(map_.next_value()?);
+                        }
+                    }
+                }
+                Ok(QuotaClaimBatch {
+                    entry: entry__.unwrap_or_default(),
+                    number: number__.unwrap_or_default(),
+                    claims: claims__.unwrap_or_default(),
+                })
+            }
+        }
+        deserializer.deserialize_struct("bamboodoor.record.QuotaClaimBatch", FIELDS, GeneratedVisitor)
+    }
+}
 impl serde::Serialize for ServiceVersions {
     #[allow(deprecated)]
     fn serialize<S>(&self, serializer: S) -> std::result::Result<S::Ok, S::Error>
