--- a/src/router.rs
+++ b/src/router.rs
@@ -17,6 +17,7 @@
 pub mod instance_list;
 pub mod lease;
 pub mod output_margin;
+pub mod pace;
 pub mod pauses;
 mod plain;
 pub mod poison;
--- a/src/router/engine_time.rs
+++ b/src/router/engine_time.rs
@@ -55,6 +55,13 @@
 /// not sampled.
 const MIN_PROMPT_TOKENS: u32 = 2_000;
 
+/// Weight of a new sample in the moving average of the interval between events.
+const TYPICAL_EVENT_SMOOTHING: f64 = 0.002;
+/// Weight of a new sample in the moving average of the prefill time.
+const TYPICAL_PREFILL_SMOOTHING: f64 = 0.05;
+/// Shorter samples count as this long: their logarithm must be finite.
+const MIN_SAMPLE_S: f64 = 1e-9;
+
 /// Size of a request and speed of an engine, assumed until real requests were
 /// observed.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -100,6 +107,11 @@
     events: f64,
     /// Decaying sum of the intervals before these events, in seconds.
     event_intervals_s: f64,
+    /// Moving average of the logarithm of the interval between two events, in seconds.
+    typical_event_ln_s: Option<f64>,
+    /// Moving average of the logarithm of the prefill time per token, wait included, in
+    /// seconds.
+    typical_prefill_ln_s: Option<f64>,
 }
 
 impl Default for EngineTimeStats {
@@ -113,6 +125,8 @@
             memory_weighted_events: 0.0,
             events: 0.0,
             event_intervals_s: 0.0,
+            typical_event_ln_s: None,
+            typical_prefill_ln_s: None,
         }
     }
 }
@@ -156,6 +170,37 @@
         self.event_intervals_s = self.event_intervals_s * decay + interval.as_secs_f64();
     }
 
+    /// Records the interval between two events for [`EngineTimeStats::typical_event_s`].
+    pub fn record_typical_event(&mut self, interval: Duration) {
+        let sample = interval.as_secs_f64().max(MIN_SAMPLE_S).ln();
+        self.typical_event_ln_s =
+            Some(smoothed(self.typical_event_ln_s, sample, TYPICAL_EVENT_SMOOTHING));
+    }
+
+    /// Interval between two events at an engine of usual pace, in seconds.
+    pub fn typical_event_s(&self) -> f64 {
+        let assumed = self.assumed.event_interval.as_secs_f64();
+        self.typical_event_ln_s.map_or(assumed, f64::exp)
+    }
+
+    /// Records a prefill for [`EngineTimeStats::typical_prefill_s`]. Returns false, and records
+    /// none, if its prompt is too short.
+    pub fn record_typical_prefill(&mut self, tokens: u32, elapsed: Duration) -> bool {
+        if tokens < MIN_PROMPT_TOKENS {
+            return false;
+        }
+        let sample = (elapsed.as_secs_f64() / f64::from(tokens)).max(MIN_SAMPLE_S).ln();
+        self.typical_prefill_ln_s =
+            Some(smoothed(self.typical_prefill_ln_s, sample, TYPICAL_PREFILL_SMOOTHING));
+        true
+    }
+
+    /// Prefill time per token at an engine of usual pace, the usual wait included, in seconds.
+    pub fn typical_prefill_s(&self) -> f64 {
+        let assumed = self.assumed.prefill_time_per_token.as_secs_f64();
+        self.typical_prefill_ln_s.map_or(assumed, f64::exp)
+    }
+
     /// Share of engine time that prefills take, from 0 to 1. The fewer requests
     /// were observed, the more the assumed one weighs.
     pub fn prefill_share(&self, engine: &Engine) -> f64 {
@@ -180,6 +225,10 @@
     }
 }
 
+fn smoothed(average: Option<f64>, sample: f64, weight: f64) -> f64 {
+    average.map_or(sample, |average| average + weight * (sample - average))
+}
+
 /// Weight of a new sample in the moving average of the wait.
 const WAIT_SMOOTHING: f64 = 0.5;
 /// Age from which an observed wait counts as zero.
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -163,6 +163,7 @@
         if let Some(engine) = self.upstreams.get_mut(target.key) {
             engine.prefill_wait.record(now, wait);
         }
+        self.record_prefill_pace(now, target.key, tokens, elapsed);
         self.uncount_prefill(key);
         self.prefill_times.entry(service).or_default().record(tokens, elapsed);
         self.decode(now, key)
@@ -335,6 +336,8 @@
         let previous = request.last_event_at.replace(now)?;
         let interval = now.saturating_sub(previous);
         let service = request.service.clone();
+        self.record_event_pace(now, key, interval);
+        let request = self.requests.get_mut(key)?;
         if interval <= max_interval {
             self.engine_time.entry(service).or_default().record_event(interval);
             return None;
--- a/src/router/selection.rs
+++ b/src/router/selection.rs
@@ -20,6 +20,9 @@
 /// Cost of a prefill engine of another software version than the decode engine, in tokens:
 /// what one version computes need not suit the other.
 const VERSION_COST_TOKENS: f64 = 8_000.0;
+/// Cost of each second by which an output takes longer than at an engine of usual pace, in
+/// tokens: its memory is not free for others until then.
+const LONGER_OUTPUT_COST_TOKENS_PER_S: f64 = 1_000.0;
 /// Cost of an upstream in another availability zone for a plain call, in open
 /// requests.
 const ZONE_COST_CALLS: f64 = 0.5;
@@ -43,12 +46,28 @@
     ) -> Option<UpstreamKey> {
         let request = &self.requests[key];
         let tokens = request.reserved_tokens;
-        let candidates = self
-            .upstreams
-            .sendable(&request.service, PoolRole::Decode, request.required_version(), now)
+        let output_time = self.typical_output_time(key);
+        let typical_s = self.typical_event_s(&request.service);
+        let remaining = request.remaining_time(now);
+        let can_end = |engine: &Upstream| {
+            output_time.mul_f64(engine.pace.event_factor(now, typical_s)) <= remaining
+        };
+        let sendable = self.upstreams.sendable(
+            &request.service,
+            PoolRole::Decode,
+            request.required_version(),
+            now,
+        );
+        let any_can_end = sendable.clone().any(|(_, engine)| can_end(engine));
+        let candidates = sendable
+            .filter(|(_, engine)| !any_can_end || can_end(engine))
             .filter(|(_, engine)| engine.capacity_backoff.allows(now, tokens));
         let cost = |engine: &Upstream| {
-            engine.open_tokens as f64 + zone_cost(engine, &self.settings.zone, ZONE_COST_TOKENS)
+            let longer_s =
+                output_time.as_secs_f64() * (engine.pace.event_factor(now, typical_s) - 1.0);
+            engine.open_tokens as f64
+                + zone_cost(engine, &self.settings.zone, ZONE_COST_TOKENS)
+                + longer_s * LONGER_OUTPUT_COST_TOKENS_PER_S
         };
         cheapest(candidates, &request.excluded, &mut self.rng, JITTER_TOKENS, cost)
     }
@@ -71,9 +90,14 @@
             sendable.clone().any(|(_, engine)| engine.capacity_backoff.allows(now, 0));
         let engines =
             sendable.filter(|(_, engine)| !any_allowed || engine.capacity_backoff.allows(now, 0));
+        let prompt_tokens = self.prompt_tokens(key) as f64;
+        let typical_s = self.typical_prefill_s(&request.service);
         let cost = |engine: &Upstream| {
             let wait_s = engine.prefill_wait.expected(now).as_secs_f64();
-            let load = engine.prefilling_tokens as f64 + wait_s / s_per_token;
+            let queued_tokens = engine.prefilling_tokens as f64;
+            let factor = engine.pace.prefill_factor(now, typical_s);
+            let longer_tokens = (queued_tokens + prompt_tokens) * (factor - 1.0);
+            let load = queued_tokens + wait_s / s_per_token + longer_tokens;
             let version_cost = if engine.has_version(version) { 0.0 } else { VERSION_COST_TOKENS };
             load + zone_cost(engine, zone, ZONE_COST_TOKENS) + version_cost
         };
@@ -86,6 +110,12 @@
         time.unwrap_or(FALLBACK_PREFILL_TIME_PER_TOKEN).as_secs_f64()
     }
 
+    /// Prefill time per prompt token at an engine of usual pace, in seconds.
+    fn typical_prefill_s(&self, service: &str) -> f64 {
+        let time = self.engine_time.get(service).copied().unwrap_or_default();
+        time.typical_prefill_s()
+    }
+
     /// Selects the upstream for a call to a plain service, of those that may be sent a
     /// request now.
     pub(super) fn select_service_upstream(
--- a/src/router/upstreams.rs
+++ b/src/router/upstreams.rs
@@ -13,6 +13,7 @@
 use crate::policy::ejection::EjectionLimits;
 use crate::policy::ejection::Health;
 use crate::router::engine_time::PrefillWaitEstimate;
+use crate::router::pace::Pace;
 use crate::router::rate_limit::RateLimit;
 
 new_key_type! {
@@ -71,6 +72,8 @@
     /// Estimated wait before a prefill starts, from the latest prefills of this
     /// entry.
     pub prefill_wait: PrefillWaitEstimate,
+    /// Pace of an engine, from its responses to this entry.
+    pub pace: Pace,
     /// Consecutive failures and ejection.
     pub health: Health,
     /// Backoff after a rejection for lack of capacity.
@@ -213,6 +216,7 @@
             open_tokens: 0,
             prefilling_tokens: 0,
             prefill_wait: PrefillWaitEstimate::default(),
+            pace: Pace::default(),
             health: Health::default(),
             capacity_backoff: CapacityBackoff::default(),
             turned_away_until: Duration::ZERO,
