--- a/src/edge/direct/dispatch.rs
+++ b/src/edge/direct/dispatch.rs
@@ -173,6 +173,25 @@
         }
     }
 
+    /// Logs and counts the slow starts of upstreams that have begun or ended.
+    pub(super) fn log_slow_starts(&self) {
+        let now = self.now();
+        let changes = self.router.borrow_mut().instance_list().1.take_slow_start_changes(now);
+        for change in changes {
+            let phase = if change.ended_after.is_none() { "begun" } else { "ended" };
+            if change.ended_after.is_none() {
+                self.metrics.count_slow_start(change.cause);
+            }
+            spdlog::info!("slow-start", kv: {
+                instance: = self.name,
+                upstream: = change.id,
+                cause: = change.cause,
+                phase = phase,
+                took_ms = change.ended_after.map_or(0, crate::clock::as_ms)
+            });
+        }
+    }
+
     fn log_arrived_request(&self, key: RequestKey) {
         let router = self.router.borrow();
         let Some(request) = router.request(key) else { return };
--- a/src/edge/direct/lease_task.rs
+++ b/src/edge/direct/lease_task.rs
@@ -43,6 +43,7 @@
         let until = task.dispatcher.now() + task.lease.settings().renewal_interval;
         while task.dispatcher.now() < until && !stop.is_cancelled() && !task.is_era_over() {
             task.send_due_order().await;
+            task.dispatcher.log_slow_starts();
             tokio::time::sleep(ORDER_CHECK_INTERVAL).await;
         }
     }
--- a/src/edge/direct/metrics.rs
+++ b/src/edge/direct/metrics.rs
@@ -17,6 +17,7 @@
 use crate::router::Target;
 use crate::router::connection_limits::CallerWait;
 use crate::router::follow::Feed;
+use crate::router::slow_start::SlowStartCause;
 use crate::router::upstream_notice::RateLimitNotice;
 
 /// Upper bound of the first histogram bucket, in seconds; each next bound is twice as high.
@@ -77,6 +78,11 @@
     version: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CauseLabels {
+    cause: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct WaitLabels {
     reason: &'static str,
@@ -96,6 +102,7 @@
     rate_limit_notices: Family<RateLimitLabels, Counter>,
     continued_streams: Family<VersionLabels, Counter>,
     leaving_upstreams: Counter,
+    slow_starts: Family<CauseLabels, Counter>,
     turned_away: Counter,
     connections_timed_out: Family<WaitLabels, Counter>,
     first_part: Family<KindLabels, Histogram>,
@@ -121,6 +128,7 @@
             rate_limit_notices: Family::default(),
             continued_streams: Family::default(),
             leaving_upstreams: Counter::default(),
+            slow_starts: Family::default(),
             turned_away: Counter::default(),
             connections_timed_out: Family::default(),
             first_part: Family::new_with_constructor(histogram),
@@ -158,6 +166,8 @@
         registry.register("continued_streams", help, self.continued_streams.clone());
         let help = "Upstreams that said in a response that they are leaving";
         registry.register("leaving_upstreams", help, self.leaving_upstreams.clone());
+        let help = "Slow starts of upstreams begun, by cause";
+        registry.register("slow_starts", help, self.slow_starts.clone());
         let help = "Requests that upstreams turned away with a time to stay away";
         registry.register("turned_away", help, self.turned_away.clone());
         let help = "Connections of callers closed at a time limit, by what they waited for";
@@ -235,6 +245,11 @@
         self.leaving_upstreams.inc();
     }
 
+    /// Counts an upstream that starts slowly.
+    pub fn count_slow_start(&self, cause: SlowStartCause) {
+        self.slow_starts.get_or_create(&CauseLabels { cause: cause.into() }).inc();
+    }
+
     /// Counts a request that an upstream turned away with a time to stay away.
     pub fn count_turned_away(&self) {
         self.turned_away.inc();
--- a/src/policy/ejection.rs
+++ b/src/policy/ejection.rs
@@ -54,6 +54,11 @@
         self.ejected_until.is_some_and(|until| now < until)
     }
 
+    /// End of the ejection; `None` if the upstream is not ejected.
+    pub fn ejected_until(&self, now: Duration) -> Option<Duration> {
+        self.ejected_until.filter(|until| now < *until)
+    }
+
     /// Records a successful exchange, which clears all failures and ejections.
     pub fn record_success(&mut self) {
         *self = Self::default();
--- a/src/router.rs
+++ b/src/router.rs
@@ -28,6 +28,7 @@
 mod reserving;
 pub mod roles;
 mod selection;
+pub mod slow_start;
 pub mod store_era;
 pub mod stream_origins;
 pub mod upstream_notice;
@@ -70,6 +71,7 @@
 use crate::router::roles::RoleBalancer;
 use crate::router::roles::RoleChange;
 use crate::router::roles::RoleSettings;
+use crate::router::slow_start::SlowStartSettings;
 use crate::router::store_era::StoreEra;
 use crate::router::stream_origins::StreamOrigins;
 use crate::router::stream_origins::VersionHistory;
@@ -87,6 +89,8 @@
     pub budget: BudgetLimits,
     /// How engines are split between the prefill and the decode role.
     pub roles: RoleSettings,
+    /// How upstreams start that have just started or recovered.
+    pub slow_start: SlowStartSettings,
     /// Length of the grace period after an outage of the instance list. It
     /// starts when the list can be read again; an upstream whose record is then
     /// found to have vanished stays usable until its end.
@@ -100,6 +104,7 @@
             random_seed: 0,
             budget: BudgetLimits::default(),
             roles: RoleSettings::default(),
+            slow_start: SlowStartSettings::default(),
             outage_grace: Duration::from_secs(2),
         }
     }
@@ -168,7 +173,7 @@
         Self {
             configuration: None,
             store_era: None,
-            upstreams: Upstreams::default(),
+            upstreams: Upstreams::new(settings.slow_start),
             instance_list: InstanceList::new(settings.outage_grace),
             requests: SlotMap::with_key(),
             reservation_queues: HashMap::new(),
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -57,7 +57,7 @@
             Event::Reserved { reservation } => self.reservation_granted(now, key, reservation),
             Event::ReservationRejected => self.reservation_rejected(now, key),
             Event::Prefilled { handle } => self.prefill_completed(now, key, handle),
-            Event::ResponseStarted { status } => self.generate_response_started(key, status),
+            Event::ResponseStarted { status } => self.generate_response_started(now, key, status),
             Event::Failed(failure) => self.generate_failed(now, key, failure),
             Event::ResponseInterrupted { last_event } => {
                 self.stream_interrupted(now, key, last_event)
@@ -67,7 +67,7 @@
                 self.stream_interrupted(now, key, last_event)
             }
             Event::ResponsePaused { last_event } => self.stream_paused(now, key, last_event),
-            Event::ResponseResumed => self.stream_resumed(key),
+            Event::ResponseResumed => self.stream_resumed(now, key),
             Event::DeadlinePassed => self.generate_deadline_passed(now, key),
             Event::ResponseRelayed => Step::Abort,
         }
@@ -206,7 +206,7 @@
         }
     }
 
-    fn generate_response_started(&mut self, key: RequestKey, status: u16) -> Step {
+    fn generate_response_started(&mut self, now: Duration, key: RequestKey, status: u16) -> Step {
         let request = &mut self.requests[key];
         let source = request.prefill_result.take();
         if request.paused_run.take().is_some() {
@@ -219,7 +219,7 @@
         let target = request.current.clone();
         let engines = target.into_iter().chain(source.map(|held| held.target));
         for target in engines.filter(|_| status < MIN_SERVER_ERROR_STATUS) {
-            self.upstreams.record_success(target.key);
+            self.upstreams.record_success(now, target.key);
         }
         self.relay_stream(key)
     }
--- a/src/router/instance_list.rs
+++ b/src/router/instance_list.rs
@@ -147,7 +147,7 @@
                 self.removals.remove(&record.id);
                 let changed =
                     upstreams.get_by_id(&record.id).is_none_or(|current| current.listed != listed);
-                upstreams.upsert(listed);
+                upstreams.upsert(now, listed);
                 changed
             }
             InstanceState::Removed => self.remove_or_retain(now, &record.id, upstreams),
@@ -201,7 +201,7 @@
         let held_back = std::mem::take(&mut self.held_back);
         for record in held_back.values() {
             if let InstanceState::Present(listed) = &record.state {
-                upstreams.upsert(listed.clone());
+                upstreams.upsert(now, listed.clone());
             }
         }
         held_back.into_keys().collect()
--- a/src/router/pauses.rs
+++ b/src/router/pauses.rs
@@ -90,9 +90,9 @@
     }
 
     /// The paused run goes on: its engine is sound.
-    pub(super) fn stream_resumed(&mut self, key: RequestKey) -> Step {
+    pub(super) fn stream_resumed(&mut self, now: Duration, key: RequestKey) -> Step {
         if let Some(engine) = self.requests[key].paused_run.clone() {
-            self.upstreams.record_success(engine.key);
+            self.upstreams.record_success(now, engine.key);
         }
         self.requests[key].replacement_sought = false;
         self.return_to_paused_run(key)
--- a/src/router/plain.rs
+++ b/src/router/plain.rs
@@ -105,7 +105,7 @@
     fn call_response_started(&mut self, now: Duration, key: RequestKey, status: u16) -> Step {
         let Some(target) = self.requests[key].current.clone() else { return Step::Abort };
         if status < MIN_SERVER_ERROR_STATUS {
-            self.upstreams.record_success(target.key);
+            self.upstreams.record_success(now, target.key);
             return Step::Relay { idle_timeout: None };
         }
         // Its upstream has survived the request.
--- a/src/router/selection.rs
+++ b/src/router/selection.rs
@@ -69,7 +69,7 @@
                 + zone_cost(engine, &self.settings.zone, ZONE_COST_TOKENS)
                 + longer_s * LONGER_OUTPUT_COST_TOKENS_PER_S
         };
-        cheapest(candidates, &request.excluded, &mut self.rng, JITTER_TOKENS, cost)
+        cheapest(now, candidates, &request.excluded, &mut self.rng, JITTER_TOKENS, cost)
     }
 
     /// Selects the prefill engine for a request, preferring the zone and the software
@@ -101,7 +101,7 @@
             let version_cost = if engine.has_version(version) { 0.0 } else { VERSION_COST_TOKENS };
             load + zone_cost(engine, zone, ZONE_COST_TOKENS) + version_cost
         };
-        cheapest(engines, &request.excluded, &mut self.rng, JITTER_TOKENS, cost)
+        cheapest(now, engines, &request.excluded, &mut self.rng, JITTER_TOKENS, cost)
     }
 
     /// Prefill time per prompt token without a queue, in seconds.
@@ -130,7 +130,7 @@
             f64::from(upstream.open_requests)
                 + zone_cost(upstream, &self.settings.zone, ZONE_COST_CALLS)
         };
-        cheapest(sendable, &request.excluded, &mut self.rng, JITTER_CALLS, cost)
+        cheapest(now, sendable, &request.excluded, &mut self.rng, JITTER_CALLS, cost)
     }
 
     /// Role of the upstreams that calls to a service go to: decode engines accept plain
@@ -208,9 +208,11 @@
     if upstream.listed.zone == *zone { 0.0 } else { cross_zone_cost }
 }
 
-/// Returns the upstream with the lowest cost. A random addition below `jitter`
-/// keeps entries with the same information from all choosing the same one.
+/// Returns the upstream with the lowest cost. A random addition below `jitter` keeps entries
+/// with the same information from all choosing the same one. Upstreams that their slow start
+/// holds back come after all others.
 fn cheapest<'a>(
+    now: Duration,
     upstreams: impl Iterator<Item = (UpstreamKey, &'a Upstream)>,
     excluded: &[UpstreamKey],
     rng: &mut ChaCha8Rng,
@@ -218,7 +220,11 @@
     cost: impl Fn(&Upstream) -> f64,
 ) -> Option<UpstreamKey> {
     let candidates = upstreams.filter(|(key, _)| !excluded.contains(key));
-    let costs =
-        candidates.map(|(key, upstream)| (cost(upstream) + rng.random_range(0.0..jitter), key));
-    costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, key)| key)
+    let ranks = candidates.map(|(key, upstream)| {
+        let cost = cost(upstream) + rng.random_range(0.0..jitter);
+        let slow_start = upstream.slow_start.as_ref();
+        (slow_start.is_some_and(|slow_start| slow_start.holds_back(now, rng)), cost, key)
+    });
+    let best = ranks.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+    best.map(|(_, _, key)| key)
 }
--- a/src/router/upstreams.rs
+++ b/src/router/upstreams.rs
@@ -15,6 +15,11 @@
 use crate::router::engine_time::PrefillWaitEstimate;
 use crate::router::pace::Pace;
 use crate::router::rate_limit::RateLimit;
+use crate::router::slow_start::SlowStart;
+use crate::router::slow_start::SlowStartCause;
+use crate::router::slow_start::SlowStartChange;
+use crate::router::slow_start::SlowStartSettings;
+use crate::router::slow_start::StartDetector;
 
 new_key_type! {
     /// Identifies one incarnation of an upstream within one entry.
@@ -76,6 +81,8 @@
     pub pace: Pace,
     /// Consecutive failures and ejection.
     pub health: Health,
+    /// Slow start after a start, an ejection or a change of the role, while it lasts.
+    pub slow_start: Option<SlowStart>,
     /// Backoff after a rejection for lack of capacity.
     pub capacity_backoff: CapacityBackoff,
     /// Time until which the upstream wants no requests of this entry.
@@ -190,23 +197,37 @@
     /// their records did when they vanished or the store came back from an older copy. Kept
     /// when a record vanishes, since it may come back.
     said_leaving: HashMap<CompactString, u64>,
+    slow_start: SlowStartSettings,
+    start_detector: StartDetector,
+    /// Slow starts that began or ended; see [`Upstreams::take_slow_start_changes`].
+    slow_start_changes: Vec<SlowStartChange>,
 }
 
 impl Upstreams {
+    /// Creates an empty list whose upstreams start slowly by these settings.
+    pub fn new(slow_start: SlowStartSettings) -> Self {
+        Self { slow_start, ..Self::default() }
+    }
+
     /// Adds an upstream or updates it. A restarted one, or one with another
     /// address or service, replaces the old one under a new key.
-    pub fn upsert(&mut self, listed: ListedUpstream) -> UpstreamKey {
+    pub fn upsert(&mut self, now: Duration, listed: ListedUpstream) -> UpstreamKey {
         if let Some(&key) = self.by_id.get(&listed.id) {
             let current = &mut self.upstreams[key];
             let same = current.listed.address == listed.address
                 && current.listed.service == listed.service
                 && current.listed.started_ms == listed.started_ms;
             if same {
+                let role_changed = current.listed.role != listed.role;
                 current.listed = listed;
+                if role_changed {
+                    self.begin_slow_start(key, SlowStartCause::RoleChanged, now);
+                }
                 return key;
             }
             self.remove(&listed.id);
         }
+        let has_started = self.start_detector.record_listed(now, &listed, &self.slow_start);
         let (id, service) = (listed.id.clone(), listed.service.clone());
         let said_leaving = self.said_leaving.get(&id) == Some(&listed.started_ms);
         let key = self.upstreams.insert(Upstream {
@@ -218,6 +239,7 @@
             prefill_wait: PrefillWaitEstimate::default(),
             pace: Pace::default(),
             health: Health::default(),
+            slow_start: None,
             capacity_backoff: CapacityBackoff::default(),
             turned_away_until: Duration::ZERO,
             rate_limit: None,
@@ -225,6 +247,9 @@
         });
         self.by_id.insert(id, key);
         self.by_service.entry(service).or_default().push(key);
+        if has_started {
+            self.begin_slow_start(key, SlowStartCause::Started, now);
+        }
         key
     }
 
@@ -396,9 +421,11 @@
     }
 
     /// Records that an upstream served a request.
-    pub fn record_success(&mut self, key: UpstreamKey) {
-        if let Some(upstream) = self.upstreams.get_mut(key) {
-            upstream.health.record_success();
+    pub fn record_success(&mut self, now: Duration, key: UpstreamKey) {
+        let Some(upstream) = self.upstreams.get_mut(key) else { return };
+        upstream.health.record_success();
+        if let Some(slow_start) = &mut upstream.slow_start {
+            slow_start.record_success(now);
         }
     }
 
@@ -413,8 +440,38 @@
         });
         let may_eject = EJECTION_LIMITS.may_eject(ejected_and_total.0, ejected_and_total.1);
         let health = &mut self.upstreams[key].health;
+        let was_ejected = health.is_ejected(now);
         health.record_failure(now, &EJECTION_LIMITS, may_eject);
-        health.is_ejected(now)
+        let ejected_until = health.ejected_until(now);
+        if let Some(slow_start) = &mut self.upstreams[key].slow_start {
+            slow_start.record_failure(now);
+        }
+        if let Some(until) = ejected_until.filter(|_| !was_ejected) {
+            self.begin_slow_start(key, SlowStartCause::Recovered, until);
+        }
+        ejected_until.is_some()
+    }
+
+    /// Starts the slow start of an upstream, whose share grows from `from` on.
+    fn begin_slow_start(&mut self, key: UpstreamKey, cause: SlowStartCause, from: Duration) {
+        if self.slow_start.initial_share >= 1.0 {
+            return;
+        }
+        let slow_start = SlowStart::new(self.slow_start, cause, from);
+        let upstream = &mut self.upstreams[key];
+        self.slow_start_changes.push(slow_start.change(&upstream.listed.id, None));
+        upstream.slow_start = Some(slow_start);
+    }
+
+    /// Ends the slow starts that are over. Returns those that have begun or ended since the
+    /// last call.
+    pub fn take_slow_start_changes(&mut self, now: Duration) -> Vec<SlowStartChange> {
+        for upstream in self.upstreams.values_mut() {
+            if let Some(over) = upstream.slow_start.take_if(|slow_start| slow_start.is_over(now)) {
+                self.slow_start_changes.push(over.change(&upstream.listed.id, Some(now)));
+            }
+        }
+        std::mem::take(&mut self.slow_start_changes)
     }
 }
 
