--- a/src/router/pace.rs
+++ b/src/router/pace.rs
@@ -20,7 +20,7 @@
 /// Weight of the service's figure in the pace of events, in events.
 const EVENT_PRIOR_WEIGHT: f64 = 4.0;
 /// Largest weight of the samples of the pace of events, in events.
-const MAX_EVENT_WEIGHT: f64 = 24.0;
+const MAX_EVENT_WEIGHT: f64 = 16.0;
 /// Weight of the service's figure in the pace of prefills, in prefills.
 const PREFILL_PRIOR_WEIGHT: f64 = 0.5;
 /// Largest weight of the samples of the pace of prefills, in prefills.
@@ -140,19 +140,44 @@
 
     /// Time that the expected output of a request takes at an engine of the service's pace;
     /// zero without a prompt.
-    pub(super) fn typical_output_time(&self, key: RequestKey) -> Duration {
+    pub(super) fn typical_output_time(&self, now: Duration, key: RequestKey) -> Duration {
         let request = &self.requests[key];
         let Some((prompt, engine)) = request.prompt.zip(request.engine()) else {
             return Duration::ZERO;
         };
         let tokens = prompt.output_hint.unwrap_or_else(|| prompt.expected_output_tokens());
         let events = f64::from(tokens) / f64::from(engine.tokens_per_event.max(1));
-        Duration::from_secs_f64(events * self.typical_event_s(&request.service))
+        Duration::from_secs_f64(events * self.typical_event_s(now, &request.service))
     }
 
-    /// Time between two events at an engine of usual pace, in seconds.
-    pub(super) fn typical_event_s(&self, service: &str) -> f64 {
+    /// Time between two events at an engine of usual pace, in seconds: the mean over the
+    /// engines, however often each is used.
+    pub(super) fn typical_event_s(&self, now: Duration, service: &str) -> f64 {
         let time = self.engine_time.get(service).copied().unwrap_or_default();
-        time.typical_event_s()
+        let estimates = self.upstreams.service_upstreams(service).map(|(_, each)| each.pace.event);
+        mean_s(now, estimates, time.typical_event_s(), EVENT_PRIOR_WEIGHT)
     }
+
+    /// Time for a prompt token at an engine of usual pace, in seconds, likewise.
+    pub(super) fn typical_prefill_s(&self, now: Duration, service: &str) -> f64 {
+        let time = self.engine_time.get(service).copied().unwrap_or_default();
+        let estimates =
+            self.upstreams.service_upstreams(service).map(|(_, each)| each.pace.prefill);
+        mean_s(now, estimates, time.typical_prefill_s(), PREFILL_PRIOR_WEIGHT)
+    }
+}
+
+/// Geometric mean of the estimates by their weights, with a prior.
+fn mean_s(
+    now: Duration,
+    estimates: impl Iterator<Item = Estimate>,
+    prior_s: f64,
+    prior_weight: f64,
+) -> f64 {
+    let prior = (prior_s.ln() * prior_weight, prior_weight);
+    let (sum, weight) = estimates.fold(prior, |(sum, weight), estimate| {
+        let added = estimate.weight_at(now);
+        (sum + estimate.mean_ln_s * added, weight + added)
+    });
+    (sum / weight).exp()
 }
--- a/src/router/selection.rs
+++ b/src/router/selection.rs
@@ -46,8 +46,8 @@
     ) -> Option<UpstreamKey> {
         let request = &self.requests[key];
         let tokens = request.reserved_tokens;
-        let output_time = self.typical_output_time(key);
-        let typical_s = self.typical_event_s(&request.service);
+        let output_time = self.typical_output_time(now, key);
+        let typical_s = self.typical_event_s(now, &request.service);
         let remaining = request.remaining_time(now);
         let can_end = |engine: &Upstream| {
             output_time.mul_f64(engine.pace.event_factor(now, typical_s)) <= remaining
@@ -91,7 +91,7 @@
         let engines =
             sendable.filter(|(_, engine)| !any_allowed || engine.capacity_backoff.allows(now, 0));
         let prompt_tokens = self.prompt_tokens(key) as f64;
-        let typical_s = self.typical_prefill_s(&request.service);
+        let typical_s = self.typical_prefill_s(now, &request.service);
         let cost = |engine: &Upstream| {
             let wait_s = engine.prefill_wait.expected(now).as_secs_f64();
             let queued_tokens = engine.prefilling_tokens as f64;
@@ -110,12 +110,6 @@
         time.unwrap_or(FALLBACK_PREFILL_TIME_PER_TOKEN).as_secs_f64()
     }
 
-    /// Prefill time per prompt token at an engine of usual pace, in seconds.
-    fn typical_prefill_s(&self, service: &str) -> f64 {
-        let time = self.engine_time.get(service).copied().unwrap_or_default();
-        time.typical_prefill_s()
-    }
-
     /// Selects the upstream for a call to a plain service, of those that may be sent a
     /// request now.
     pub(super) fn select_service_upstream(
--- a/src/router/slow_start.rs
+++ b/src/router/slow_start.rs
@@ -37,7 +37,7 @@
 impl Default for SlowStartSettings {
     fn default() -> Self {
         Self {
-            initial_share: 1.0,
+            initial_share: 0.1,
             doubling_time: Duration::from_millis(1_000),
             failure_pause: Duration::from_millis(1_000),
             list_settle_time: Duration::from_secs(3),
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -15,6 +15,7 @@
 mod instance_list;
 mod lease;
 mod output_margin;
+mod pace;
 mod pauses;
 mod plain;
 mod poison;
--- a/tests/router/roles.rs
+++ b/tests/router/roles.rs
@@ -23,7 +23,7 @@
         let role = if number < prefill { PoolRole::Prefill } else { PoolRole::Decode };
         let id = format!("engine-{number:03}");
         let zone = ZONES[number % ZONES.len()].into();
-        engines.upsert(Duration::ZERO, ListedUpstream { zone, ..upstream(&id, ENGINES, role) });
+        engines.upsert(ms(0), ListedUpstream { zone, ..upstream(&id, ENGINES, role) });
     }
     engines
 }
@@ -44,7 +44,7 @@
                 return true;
             }
             let listed = engines.get(order.key).expect("the engine is listed").listed.clone();
-            engines.upsert(Duration::ZERO, ListedUpstream { role: order.role, ..listed });
+            engines.upsert(ms(0), ListedUpstream { role: order.role, ..listed });
             false
         });
         if let Some(order) = roles.next_change(now, &ENGINES.into(), engines, demand) {
@@ -142,7 +142,7 @@
         };
         roles.record_ordered(ms(now), &order);
         let listed = engines.get(order.key).expect("the engine is listed").listed.clone();
-        engines.upsert(Duration::ZERO, ListedUpstream { role: order.role, ..listed });
+        engines.upsert(ms(0), ListedUpstream { role: order.role, ..listed });
         orders.push(order.role);
     }
     assert!(!orders.is_empty());
