--- a/tests/router/harness.rs
+++ b/tests/router/harness.rs
@@ -18,6 +18,7 @@
 use bamboodoor::router::request::IncomingRequest;
 use bamboodoor::router::request::Prompt;
 use bamboodoor::router::request::RequestKey;
+use bamboodoor::router::slow_start::SlowStartSettings;
 use bamboodoor::router::upstreams::ListedUpstream;
 use bamboodoor::router::upstreams::PoolRole;
 
@@ -116,8 +117,21 @@
 
     /// The same, with this seed of the router's random numbers.
     pub fn with_seed(upstreams: Vec<ListedUpstream>, random_seed: u64) -> Self {
-        let settings =
-            RouterSettings { zone: "north".into(), random_seed, ..RouterSettings::default() };
+        Self::with_slow_start(upstreams, random_seed, SlowStartSettings::default())
+    }
+
+    /// The same, with these settings of the slow start.
+    pub fn with_slow_start(
+        upstreams: Vec<ListedUpstream>,
+        random_seed: u64,
+        slow_start: SlowStartSettings,
+    ) -> Self {
+        let settings = RouterSettings {
+            zone: "north".into(),
+            random_seed,
+            slow_start,
+            ..RouterSettings::default()
+        };
         let mut harness = Self { router: Router::new(settings), now: ms(1_000), offset: 0 };
         harness.router.configure(default_configuration());
         harness.router.set_budget_share(BUDGET_SHARE);
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -22,6 +22,7 @@
 mod rate_limit;
 mod rate_limited_engines;
 mod roles;
+mod slow_start;
 mod software_versions;
 mod store_era;
 mod upstream_notice;
