--- a/src/router/selection.rs
+++ b/src/router/selection.rs
@@ -38,7 +38,8 @@
 impl Router {
     /// Selects the decode engine to ask for a reservation next. Engines that
     /// have just rejected one of this size or a smaller one are left out, and those of
-    /// another version than the one at which the stream began.
+    /// another version than the one at which the stream began. There is no slow start here: an
+    /// engine grants only as many reservations as its memory holds.
     pub(super) fn select_decode_engine(
         &mut self,
         now: Duration,
@@ -69,7 +70,7 @@
                 + zone_cost(engine, &self.settings.zone, ZONE_COST_TOKENS)
                 + longer_s * LONGER_OUTPUT_COST_TOKENS_PER_S
         };
-        cheapest(now, candidates, &request.excluded, &mut self.rng, JITTER_TOKENS, cost)
+        cheapest(candidates, &request.excluded, &mut self.rng, JITTER_TOKENS, cost, |_, _| false)
     }
 
     /// Selects the prefill engine for a request, preferring the zone and the software
@@ -101,7 +102,7 @@
             let version_cost = if engine.has_version(version) { 0.0 } else { VERSION_COST_TOKENS };
             load + zone_cost(engine, zone, ZONE_COST_TOKENS) + version_cost
         };
-        cheapest(now, engines, &request.excluded, &mut self.rng, JITTER_TOKENS, cost)
+        cheapest(engines, &request.excluded, &mut self.rng, JITTER_TOKENS, cost, slow_start(now))
     }
 
     /// Prefill time per prompt token without a queue, in seconds.
@@ -124,7 +125,7 @@
             f64::from(upstream.open_requests)
                 + zone_cost(upstream, &self.settings.zone, ZONE_COST_CALLS)
         };
-        cheapest(now, sendable, &request.excluded, &mut self.rng, JITTER_CALLS, cost)
+        cheapest(sendable, &request.excluded, &mut self.rng, JITTER_CALLS, cost, slow_start(now))
     }
 
     /// Role of the upstreams that calls to a service go to: decode engines accept plain
@@ -202,22 +203,29 @@
     if upstream.listed.zone == *zone { 0.0 } else { cross_zone_cost }
 }
 
+/// Tells whether an upstream is held back by its slow start.
+fn slow_start(now: Duration) -> impl Fn(&Upstream, &mut ChaCha8Rng) -> bool {
+    move |upstream, rng| {
+        let slow_start = upstream.slow_start.as_ref();
+        slow_start.is_some_and(|slow_start| slow_start.holds_back(now, rng))
+    }
+}
+
 /// Returns the upstream with the lowest cost. A random addition below `jitter` keeps entries
-/// with the same information from all choosing the same one. Upstreams that their slow start
-/// holds back come after all others.
+/// with the same information from all choosing the same one. Upstreams that `holds_back`
+/// names come after all others.
 fn cheapest<'a>(
-    now: Duration,
     upstreams: impl Iterator<Item = (UpstreamKey, &'a Upstream)>,
     excluded: &[UpstreamKey],
     rng: &mut ChaCha8Rng,
     jitter: f64,
     cost: impl Fn(&Upstream) -> f64,
+    holds_back: impl Fn(&Upstream, &mut ChaCha8Rng) -> bool,
 ) -> Option<UpstreamKey> {
     let candidates = upstreams.filter(|(key, _)| !excluded.contains(key));
     let ranks = candidates.map(|(key, upstream)| {
         let cost = cost(upstream) + rng.random_range(0.0..jitter);
-        let slow_start = upstream.slow_start.as_ref();
-        (slow_start.is_some_and(|slow_start| slow_start.holds_back(now, rng)), cost, key)
+        (holds_back(upstream, rng), cost, key)
     });
     let best = ranks.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
     best.map(|(_, _, key)| key)
