--- a/src/router/slow_start.rs
+++ b/src/router/slow_start.rs
@@ -5,6 +5,9 @@
 //! share, so all entries together send the same share of the usual load, however many there
 //! are and however few requests each of them has. An upstream that is not considered still
 //! gets the request if there is no other.
+//!
+//! Decode engines do not start slowly: they grant only as many reservations as they have
+//! memory for.
 
 use std::collections::HashMap;
 use std::time::Duration;
--- a/src/router/upstreams.rs
+++ b/src/router/upstreams.rs
@@ -81,7 +81,8 @@
     pub pace: Pace,
     /// Consecutive failures and ejection.
     pub health: Health,
-    /// Slow start after a start, an ejection or a change of the role, while it lasts.
+    /// Slow start after a start, an ejection or a change of the role, while it lasts; decode
+    /// engines have none.
     pub slow_start: Option<SlowStart>,
     /// Backoff after a rejection for lack of capacity.
     pub capacity_backoff: CapacityBackoff,
@@ -454,11 +455,12 @@
 
     /// Starts the slow start of an upstream, whose share grows from `from` on.
     fn begin_slow_start(&mut self, key: UpstreamKey, cause: SlowStartCause, from: Duration) {
-        if self.slow_start.initial_share >= 1.0 {
+        let upstream = &mut self.upstreams[key];
+        // A decode engine limits by its reservations what it gets.
+        if self.slow_start.initial_share >= 1.0 || upstream.listed.role == PoolRole::Decode {
             return;
         }
         let slow_start = SlowStart::new(self.slow_start, cause, from);
-        let upstream = &mut self.upstreams[key];
         self.slow_start_changes.push(slow_start.change(&upstream.listed.id, None));
         upstream.slow_start = Some(slow_start);
     }
