--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -57,7 +57,7 @@
             Event::Reserved { reservation } => self.reservation_granted(now, key, reservation),
             Event::ReservationRejected => self.reservation_rejected(now, key),
             Event::Prefilled { handle } => self.prefill_completed(now, key, handle),
-            Event::ResponseStarted { status } => self.generate_response_started(key, status),
+            Event::ResponseStarted { status } => self.generate_response_started(now, key, status),
             Event::Failed(failure) => self.generate_failed(now, key, failure),
             Event::ResponseInterrupted { last_event } => {
                 self.stream_interrupted(now, key, last_event)
@@ -67,7 +67,7 @@
                 self.stream_interrupted(now, key, last_event)
             }
             Event::ResponsePaused { last_event } => self.stream_paused(now, key, last_event),
-            Event::ResponseResumed => self.stream_resumed(key),
+            Event::ResponseResumed => self.stream_resumed(now, key),
             Event::DeadlinePassed => self.generate_deadline_passed(now, key),
             Event::ResponseRelayed => Step::Abort,
         }
@@ -163,6 +163,7 @@
         if let Some(engine) = self.upstreams.get_mut(target.key) {
             engine.prefill_wait.record(now, wait);
         }
+        self.record_prefill_pace(now, target.key, tokens, elapsed);
         self.uncount_prefill(key);
         self.prefill_times.entry(service).or_default().record(tokens, elapsed);
         self.decode(now, key)
@@ -205,7 +206,7 @@
         }
     }
 
-    fn generate_response_started(&mut self, key: RequestKey, status: u16) -> Step {
+    fn generate_response_started(&mut self, now: Duration, key: RequestKey, status: u16) -> Step {
         let request = &mut self.requests[key];
         let source = request.prefill_result.take();
         if request.paused_run.take().is_some() {
@@ -218,7 +219,7 @@
         let target = request.current.clone();
         let engines = target.into_iter().chain(source.map(|held| held.target));
         for target in engines.filter(|_| status < MIN_SERVER_ERROR_STATUS) {
-            self.upstreams.record_success(target.key);
+            self.upstreams.record_success(now, target.key);
         }
         self.relay_stream(key)
     }
@@ -338,6 +339,8 @@
         let previous = request.last_event_at.replace(now)?;
         let interval = now.saturating_sub(previous);
         let service = request.service.clone();
+        self.record_event_pace(now, key, interval);
+        let request = self.requests.get_mut(key)?;
         if interval <= max_interval {
             self.engine_time.entry(service).or_default().record_event(interval);
             return None;
--- a/src/router/selection.rs
+++ b/src/router/selection.rs
@@ -20,6 +20,9 @@
 /// Cost of a prefill engine of another software version than the decode engine, in tokens:
 /// what one version computes need not suit the other.
 const VERSION_COST_TOKENS: f64 = 8_000.0;
+/// Cost of each second by which an output takes longer than at an engine of usual pace, in
+/// tokens: its memory is not free for others until then.
+const LONGER_OUTPUT_COST_TOKENS_PER_S: f64 = 1_000.0;
 /// Cost of an upstream in another availability zone for a plain call, in open
 /// requests.
 const ZONE_COST_CALLS: f64 = 0.5;
@@ -35,7 +38,8 @@
 impl Router {
     /// Selects the decode engine to ask for a reservation next. Engines that
     /// have just rejected one of this size or a smaller one are left out, and those of
-    /// another version than the one at which the stream began.
+    /// another version than the one at which the stream began. There is no slow start here: an
+    /// engine grants only as many reservations as its memory holds.
     pub(super) fn select_decode_engine(
         &mut self,
         now: Duration,
@@ -43,14 +47,30 @@
     ) -> Option<UpstreamKey> {
         let request = &self.requests[key];
         let tokens = request.reserved_tokens;
-        let candidates = self
-            .upstreams
-            .sendable(&request.service, PoolRole::Decode, request.required_version(), now)
+        let output_time = self.typical_output_time(now, key);
+        let typical_s = self.typical_event_s(now, &request.service);
+        let remaining = request.remaining_time(now);
+        let can_end = |engine: &Upstream| {
+            output_time.mul_f64(engine.pace.event_factor(now, typical_s)) <= remaining
+        };
+        let sendable = self.upstreams.sendable(
+            &request.service,
+            PoolRole::Decode,
+            request.required_version(),
+            now,
+        );
+        let any_can_end = sendable.clone().any(|(_, engine)| can_end(engine));
+        let candidates = sendable
+            .filter(|(_, engine)| !any_can_end || can_end(engine))
             .filter(|(_, engine)| engine.capacity_backoff.allows(now, tokens));
         let cost = |engine: &Upstream| {
-            engine.open_tokens as f64 + zone_cost(engine, &self.settings.zone, ZONE_COST_TOKENS)
+            let longer_s =
+                output_time.as_secs_f64() * (engine.pace.event_factor(now, typical_s) - 1.0);
+            engine.open_tokens as f64
+                + zone_cost(engine, &self.settings.zone, ZONE_COST_TOKENS)
+                + longer_s * LONGER_OUTPUT_COST_TOKENS_PER_S
         };
-        cheapest(candidates, &request.excluded, &mut self.rng, JITTER_TOKENS, cost)
+        cheapest(candidates, &request.excluded, &mut self.rng, JITTER_TOKENS, cost, |_, _| false)
     }
 
     /// Selects the prefill engine for a request, preferring the zone and the software
@@ -71,13 +91,18 @@
             sendable.clone().any(|(_, engine)| engine.capacity_backoff.allows(now, 0));
         let engines =
             sendable.filter(|(_, engine)| !any_allowed || engine.capacity_backoff.allows(now, 0));
+        let prompt_tokens = self.prompt_tokens(key) as f64;
+        let typical_s = self.typical_prefill_s(now, &request.service);
         let cost = |engine: &Upstream| {
             let wait_s = engine.prefill_wait.expected(now).as_secs_f64();
-            let load = engine.prefilling_tokens as f64 + wait_s / s_per_token;
+            let queued_tokens = engine.prefilling_tokens as f64;
+            let factor = engine.pace.prefill_factor(now, typical_s);
+            let longer_tokens = (queued_tokens + prompt_tokens) * (factor - 1.0);
+            let load = queued_tokens + wait_s / s_per_token + longer_tokens;
             let version_cost = if engine.has_version(version) { 0.0 } else { VERSION_COST_TOKENS };
             load + zone_cost(engine, zone, ZONE_COST_TOKENS) + version_cost
         };
-        cheapest(engines, &request.excluded, &mut self.rng, JITTER_TOKENS, cost)
+        cheapest(engines, &request.excluded, &mut self.rng, JITTER_TOKENS, cost, slow_start(now))
     }
 
     /// Prefill time per prompt token without a queue, in seconds.
@@ -100,7 +125,7 @@
             f64::from(upstream.open_requests)
                 + zone_cost(upstream, &self.settings.zone, ZONE_COST_CALLS)
         };
-        cheapest(sendable, &request.excluded, &mut self.rng, JITTER_CALLS, cost)
+        cheapest(sendable, &request.excluded, &mut self.rng, JITTER_CALLS, cost, slow_start(now))
     }
 
     /// Role of the upstreams that calls to a service go to: decode engines accept plain
@@ -178,17 +203,30 @@
     if upstream.listed.zone == *zone { 0.0 } else { cross_zone_cost }
 }
 
-/// Returns the upstream with the lowest cost. A random addition below `jitter`
-/// keeps entries with the same information from all choosing the same one.
+/// Tells whether an upstream is held back by its slow start.
+fn slow_start(now: Duration) -> impl Fn(&Upstream, &mut ChaCha8Rng) -> bool {
+    move |upstream, rng| {
+        let slow_start = upstream.slow_start.as_ref();
+        slow_start.is_some_and(|slow_start| slow_start.holds_back(now, rng))
+    }
+}
+
+/// Returns the upstream with the lowest cost. A random addition below `jitter` keeps entries
+/// with the same information from all choosing the same one. Upstreams that `holds_back`
+/// names come after all others.
 fn cheapest<'a>(
     upstreams: impl Iterator<Item = (UpstreamKey, &'a Upstream)>,
     excluded: &[UpstreamKey],
     rng: &mut ChaCha8Rng,
     jitter: f64,
     cost: impl Fn(&Upstream) -> f64,
+    holds_back: impl Fn(&Upstream, &mut ChaCha8Rng) -> bool,
 ) -> Option<UpstreamKey> {
     let candidates = upstreams.filter(|(key, _)| !excluded.contains(key));
-    let costs =
-        candidates.map(|(key, upstream)| (cost(upstream) + rng.random_range(0.0..jitter), key));
-    costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, key)| key)
+    let ranks = candidates.map(|(key, upstream)| {
+        let cost = cost(upstream) + rng.random_range(0.0..jitter);
+        (holds_back(upstream, rng), cost, key)
+    });
+    let best = ranks.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+    best.map(|(_, _, key)| key)
 }
