Room to prefill decides on admission; reservations last as long as their prefills

Cause: a full prefill pool was answered by starting over. Prefills were abandoned as silent and sent again, reservations lapsed while their prefill waited, and decode answered not run, which threw the prefill away.

Change: new requests are admitted while the wait that this entry's prefills showed within the last second lets the first event come within the latency target, a falling share of them from half of that wait on. A prefill is abandoned only if the waits of others do not explain how long it takes. A reservation is asked for as long as the prefill is expected to take; one that has lapsed is made anew, and the prefill result is kept.

--- a/src/edge/direct/request_task.rs
+++ b/src/edge/direct/request_task.rs
@@ -291,17 +291,27 @@
     }
 
     /// Has the prompt prefilled. After `limit`, the router decides whether to abandon the
-    /// prefill or to keep waiting.
+    /// prefill or to keep waiting, and when it decides again.
     async fn prefill(
         &self,
         target: &Target,
         remaining_time: Duration,
-        limit: Duration,
+        mut limit: Duration,
     ) -> Result<CompactString, Failure> {
-        let upstream_client = &self.dispatcher.upstream_client;
-        let prefill = upstream_client.prefill(&self.request, target, remaining_time);
-        let abandon = |router: &mut Router, now| router.abandon_prefill(now, self.key);
-        self.wait_or_abandon(prefill, limit, abandon).await
+        let dispatcher = &self.dispatcher;
+        let prefill = dispatcher.upstream_client.prefill(&self.request, target, remaining_time);
+        let mut prefill = std::pin::pin!(prefill);
+        loop {
+            if let Ok(result) = timeout(limit, prefill.as_mut()).await {
+                return result;
+            }
+            let now = dispatcher.now();
+            let mut router = dispatcher.router.borrow_mut();
+            if router.abandon_prefill(now, self.key) {
+                return Err(Failure::Silent);
+            }
+            limit = router.prefill_check_after(now, self.key);
+        }
     }
 
     /// Waits for an exchange with an upstream. After `limit`, `abandon` decides whether it
--- a/src/router.rs
+++ b/src/router.rs
@@ -21,6 +21,8 @@
 mod plain;
 pub mod poison;
 pub mod poisoned_requests;
+mod prefill_limits;
+pub mod prefill_pool;
 pub mod rate_limit;
 pub mod request;
 pub mod reservation_queue;
@@ -60,6 +62,7 @@
 use crate::router::output_margin::OutputMargin;
 use crate::router::poison::PoisonDetector;
 use crate::router::poisoned_requests::UncheckedRun;
+use crate::router::prefill_pool::PrefillPool;
 use crate::router::request::IncomingRequest;
 use crate::router::request::Request;
 use crate::router::request::RequestKey;
@@ -128,6 +131,8 @@
     prefill_times: HashMap<CompactString, PrefillTimeEstimate>,
     /// Statistics of engine time, for the selection of engines and their roles.
     engine_time: HashMap<CompactString, EngineTimeStats>,
+    /// What this entry's prefills showed of the prefill pool, for admission.
+    prefill_pools: HashMap<CompactString, PrefillPool>,
     roles: HashMap<CompactString, RoleBalancer>,
     /// Longest caller timeout of each route, by its name.
     caller_timeouts: HashMap<CompactString, LongestCallerTimeout>,
@@ -176,6 +181,7 @@
             rate_limit_share: FALLBACK_SHARE,
             prefill_times: HashMap::new(),
             engine_time: HashMap::new(),
+            prefill_pools: HashMap::new(),
             roles: HashMap::new(),
             caller_timeouts: HashMap::new(),
             output_margins: HashMap::new(),
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -25,11 +25,6 @@
 /// How long an engine that rejected a prefill is avoided: it is full or
 /// changing its role.
 const PREFILL_REJECTION_BACKOFF: Duration = Duration::from_millis(1_500);
-/// Multiple of the expected prefill time that the timeout allows.
-const PREFILL_TIMEOUT_FACTOR: u32 = 4;
-/// Fixed part of a prefill's timeout, added to the multiple of its expected time
-/// for the queue of the engine and for small prompts.
-const PREFILL_TIMEOUT_MARGIN: Duration = Duration::from_millis(400);
 /// Largest number of prefills of one request; after a failure of the last one
 /// the decode engine prefills the prompt itself.
 pub(super) const MAX_PREFILLS: u32 = 3;
@@ -106,13 +101,16 @@
         if let Some(end) = self.end_if_poisonous(now, key) {
             return end;
         }
+        if !self.prefill_fits_patience(now, key) {
+            return self.refuse_prefill(now, key);
+        }
         let next = self.select_prefill_engine(now, key);
         let Some(target) = next.and_then(|next| self.target(next)) else {
             // The decode engine prefills the prompt itself, more slowly.
             return self.decode(now, key);
         };
         self.upstreams.take_permits(now, target.key, 1);
-        let timeout = self.prefill_timeout(key);
+        let timeout = self.prefill_timeout(now, key);
         let request = &mut self.requests[key];
         request.phase = Phase::Prefilling;
         request.run_events = 0;
@@ -126,30 +124,6 @@
         Step::Prefill { target, remaining_time, timeout }
     }
 
-    /// Returns the time limit for a prefill. It allows for the wait at a busy
-    /// engine; an engine that exceeds it is taken to be unresponsive.
-    fn prefill_timeout(&self, key: RequestKey) -> Duration {
-        let request = &self.requests[key];
-        let estimate = self.prefill_times.get(&request.service).copied().unwrap_or_default();
-        let tokens = request.prompt.map_or(0, |prompt| prompt.tokens);
-        estimate.expected(tokens) * PREFILL_TIMEOUT_FACTOR + PREFILL_TIMEOUT_MARGIN
-    }
-
-    /// Decides whether a prefill that exceeded its timeout is abandoned.
-    /// Returns true if so, and takes one send out of the retry budget. Returns
-    /// false if the request has used up its prefills or the budget is spent: it
-    /// then keeps waiting.
-    ///
-    /// # Panics
-    /// If no request with this key is in flight.
-    pub fn abandon_prefill(&mut self, now: Duration, key: RequestKey) -> bool {
-        let service = self.requests[key].service.clone();
-        let below_max_prefills = self.requests[key].prefills < MAX_PREFILLS;
-        below_max_prefills
-            && !self.may_crash_upstreams(key)
-            && self.budget(&service).try_spend(now, 1)
-    }
-
     fn prefill_completed(&mut self, now: Duration, key: RequestKey, handle: CompactString) -> Step {
         let request = &mut self.requests[key];
         let Some(target) = request.current.clone() else { return Step::Abort };
@@ -160,6 +134,8 @@
         let time = self.engine_time.entry(service.clone()).or_default();
         time.record_prefill(tokens, elapsed);
         let wait = elapsed.saturating_sub(time.prefill_time(tokens).unwrap_or(elapsed));
+        let pool = self.prefill_pools.entry(service.clone()).or_default();
+        pool.record(now, wait, elapsed.saturating_sub(wait));
         if let Some(engine) = self.upstreams.get_mut(target.key) {
             engine.prefill_wait.record(now, wait);
         }
@@ -175,10 +151,14 @@
         let Some(reservation) = self.requests[key].reservation.take() else {
             return self.return_to_paused_run(key);
         };
-        if !self.upstreams.accepts_work(now, reservation.target.key) {
-            // The engine started to leave, or turned this entry away, during the prefill.
+        let lapsed = now >= self.requests[key].reservation_ends_at;
+        if lapsed || !self.upstreams.accepts_work(now, reservation.target.key) {
+            // The prefill took longer than the reservation lasts, or the engine started to
+            // leave or turned this entry away during it.
             self.upstreams.give_back_permit(reservation.target.key);
-            self.cleanups.push(Cleanup::ReleaseReservation(reservation));
+            if !lapsed {
+                self.cleanups.push(Cleanup::ReleaseReservation(reservation));
+            }
             self.uncount_open(key);
             return self.queue_for_reservation(now, key);
         }
@@ -320,7 +300,11 @@
         }
         self.record_run_event(now, key);
         let request = &mut self.requests[key];
+        let first_event_after = now.saturating_sub(request.step_started_at);
         if request.begun_version.is_none() {
+            if let Some(pool) = self.prefill_pools.get_mut(&request.service) {
+                pool.record_first_event(first_event_after);
+            }
             request.begun_version = request.current.as_ref().map(|engine| engine.version.clone());
             self.record_origin(now, key);
         }
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -178,6 +178,8 @@
     /// Prefill engine whose `prefilling_tokens` include this prompt.
     pub(super) prefilling_engine: Option<UpstreamKey>,
     pub(super) reservation: Option<HeldResource>,
+    /// Time from which the last reservation may have lapsed unused.
+    pub(super) reservation_ends_at: Duration,
     pub(super) prefill_result: Option<HeldResource>,
     /// True once the response to a model request has started. Not set for plain
     /// calls.
@@ -253,6 +255,7 @@
             counted_upstream: None,
             prefilling_engine: None,
             reservation: None,
+            reservation_ends_at: now,
             prefill_result: None,
             response_started: false,
             last_event: incoming.resume_after,
--- a/src/router/reserving.rs
+++ b/src/router/reserving.rs
@@ -14,9 +14,11 @@
 use crate::router::request::RequestKey;
 use crate::router::upstreams::PoolRole;
 
-/// Longest time that an unused reservation lasts. The prefill and the transfer
-/// of its result fit into this time.
+/// Shortest time for which a reservation is asked, if the engine grants that much. The
+/// prefill and the transfer of its result fit into this time.
 const RESERVATION_TTL: Duration = Duration::from_millis(1_500);
+/// Part of a reservation's time that is left for the transfer of the prefill's result.
+const TRANSFER_TIME: Duration = Duration::from_millis(300);
 /// Longest wait for the response to a reservation; an engine responds within a
 /// few milliseconds.
 const RESERVE_TIMEOUT: Duration = Duration::from_millis(120);
@@ -53,7 +55,7 @@
         let service = self.requests[key].service.clone();
         self.requests[key].phase = Phase::Reserving;
         let is_started = self.requests[key].has_engine_work();
-        let queue = self.reservation_queues.entry(service).or_default();
+        let queue = self.reservation_queues.entry(service.clone()).or_default();
         let request = &mut self.requests[key];
         if is_started {
             request.is_late = false;
@@ -74,7 +76,12 @@
             // the caller can retry earlier.
             return self.refuse_without_reservation(now, key);
         }
-        if self.requests[key].is_late {
+        if !self.admits_prefill(now, key) {
+            return self.refuse_prefill(now, key);
+        }
+        let is_late = self.requests[key].is_late;
+        let queue = self.reservation_queues.entry(service).or_default();
+        if is_late {
             queue.push_late(key);
         } else {
             queue.push_on_time(key);
@@ -128,15 +135,27 @@
             return Step::Wait { until };
         };
         self.upstreams.take_permits(now, target.key, SENDS_PER_RESERVATION);
+        let ttl = self.reservation_ttl(now, key);
         let request = &mut self.requests[key];
         request.current = Some(target.clone());
+        request.reservation_ends_at = now + ttl;
         let tokens = request.reserved_tokens;
-        let max_ttl = request.engine().map(|engine| engine.max_reservation);
-        let ttl = max_ttl.filter(|max_ttl| !max_ttl.is_zero()).unwrap_or(RESERVATION_TTL);
-        let ttl = ttl.min(RESERVATION_TTL);
         Step::Reserve { target, tokens, ttl, timeout: RESERVE_TIMEOUT }
     }
 
+    /// Time for which a reservation is asked: it lasts as long as the prefill that it waits
+    /// for is expected to take, up to what the engine grants.
+    fn reservation_ttl(&self, now: Duration, key: RequestKey) -> Duration {
+        let request = &self.requests[key];
+        let prefill = match request.prefill_result {
+            Some(_) => Duration::ZERO,
+            None => self.longest_expected_prefill(now, key),
+        };
+        let ttl = RESERVATION_TTL.max(prefill + TRANSFER_TIME);
+        let max_ttl = request.engine().map_or(Duration::ZERO, |engine| engine.max_reservation);
+        if max_ttl.is_zero() { RESERVATION_TTL } else { ttl.min(max_ttl) }
+    }
+
     /// When the wait for a reservation ends.
     pub(super) fn reservation_deadline(&self, key: RequestKey) -> Duration {
         let request = &self.requests[key];
