A prefill result that one decode engine rejected is tried at another; roles follow a lack of prefill engines

Cause: an engine that changes its role grants reservations and runs nothing. Each such decode threw the prefill away, though its result was never fetched. And a lack of prefill engines within the dead band, or within 30 s of an order in the other direction, was tolerated while requests were refused for it.

--- a/src/router.rs
+++ b/src/router.rs
@@ -344,6 +344,10 @@
                 has_recent_requests: self
                     .last_prompt_at
                     .is_some_and(|last| now < last + RECENT_DEMAND_WINDOW),
+                prefill_is_short: self
+                    .prefill_pools
+                    .get(&service.name)
+                    .is_some_and(|pool| pool.is_short(now)),
             };
             let role_settings = self.settings.roles;
             let roles = self.roles.entry(service.name.clone());
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -131,6 +131,7 @@
         let tokens = request.prompt.map_or(0, |prompt| prompt.tokens);
         let service = request.service.clone();
         request.prefill_result = Some(HeldResource { target: target.clone(), id: handle });
+        request.result_rejected = false;
         let time = self.engine_time.entry(service.clone()).or_default();
         time.record_prefill(tokens, elapsed);
         let wait = elapsed.saturating_sub(time.prefill_time(tokens).unwrap_or(elapsed));
@@ -344,12 +345,19 @@
     }
 
     /// Drops the prefill result after a failed decode. An engine that did not
-    /// run the request despite its reservation probably failed to fetch the
-    /// result, so this counts as a failure of the engine that holds it.
+    /// run the request despite its reservation failed to fetch the result or is changing
+    /// its role. This counts as a failure of the engine that holds the result, too, but
+    /// another decode engine is tried with the same result before the prompt is prefilled
+    /// anew.
     fn discard_prefill_result(&mut self, now: Duration, key: RequestKey, failure: Failure) {
         let Some(source) = self.requests[key].prefill_result.take() else { return };
         if failure == Failure::NotRun {
             self.upstreams.record_failure(now, source.target.key);
+            let request = &mut self.requests[key];
+            if !std::mem::replace(&mut request.result_rejected, true) {
+                request.prefill_result = Some(source);
+                return;
+            }
         }
         if failure.proves_not_run() {
             self.cleanups.push(Cleanup::DiscardPrefill(source));
--- a/src/router/prefill_limits.rs
+++ b/src/router/prefill_limits.rs
@@ -66,6 +66,9 @@
     /// Refuses a request whose prefill would end too late, and gives up its reservation.
     pub(super) fn refuse_prefill(&mut self, now: Duration, key: RequestKey) -> Step {
         let wait = self.expected_prefill_wait(now, key);
+        if let Some(pool) = self.prefill_pools.get_mut(&self.requests[key].service) {
+            pool.record_refusal(now);
+        }
         let retry_after = CAPACITY_RETRY_AFTER + wait;
         if let Some(held) = &self.requests[key].reservation {
             self.upstreams.give_back_permit(held.target.key);
--- a/src/router/prefill_pool.rs
+++ b/src/router/prefill_pool.rs
@@ -16,6 +16,9 @@
 /// Weight of an assumed prefill without a wait, in prefills: one long wait may be that of a
 /// single engine.
 const ASSUMED_SAMPLES: f64 = 1.0;
+/// How long after a refusal for want of room the pool counts as short. A burst that ends
+/// earlier is over before an engine has changed its role.
+const SHORTAGE_MEMORY: Duration = Duration::from_secs(5);
 /// Weight of a new sample in the moving averages.
 const SMOOTHING: f64 = 0.1;
 /// Share of the longest admissible wait from which fewer requests are admitted. Entries with
@@ -38,6 +41,8 @@
     prefill_s: Option<f64>,
     /// Moving average of the time from the start of a decode to its first event.
     first_event_s: Option<f64>,
+    /// When a request was last refused for want of room.
+    last_refused_at: Option<Duration>,
 }
 
 impl PrefillPool {
@@ -77,6 +82,16 @@
         Duration::from_secs_f64(sum_s / count)
     }
 
+    /// Records that a new request was refused for want of room.
+    pub fn record_refusal(&mut self, now: Duration) {
+        self.last_refused_at = Some(now);
+    }
+
+    /// True if a new request was refused recently for want of room.
+    pub fn is_short(&self, now: Duration) -> bool {
+        self.last_refused_at.is_some_and(|last| now < last + SHORTAGE_MEMORY)
+    }
+
     /// Longest wait that ended within the last second; zero if none did.
     pub fn longest_wait(&self, now: Duration) -> Duration {
         self.recent(now).map(|sample| sample.wait).max().unwrap_or_default()
--- a/src/router/roles.rs
+++ b/src/router/roles.rs
@@ -72,6 +72,8 @@
     pub engine: Engine,
     /// True if model requests arrived recently, so that engines are in use.
     pub has_recent_requests: bool,
+    /// True if requests were refused recently because prefills wait too long.
+    pub prefill_is_short: bool,
 }
 
 /// Change of an engine's role that is due.
@@ -146,7 +148,8 @@
             return None;
         }
         let role = self.needed_role(&engines, demand)?;
-        if self.is_early_reversal(now, role) {
+        let needed_at_once = demand.prefill_is_short && role == PoolRole::Prefill;
+        if !needed_at_once && self.is_early_reversal(now, role) {
             return None;
         }
         let key = self.candidate(now, &engines, role)?;
@@ -212,9 +215,12 @@
             Some(_) => (total as f64 * self.settings.dead_band_share).max(1.0),
             None => self.settings.dead_band_engines,
         };
+        // A lack that the requests of the moment feel is no variation of the demand.
+        let tolerated_lack =
+            if demand.prefill_is_short { self.settings.dead_band_engines } else { dead_band };
         if surplus > dead_band {
             Some(PoolRole::Decode)
-        } else if surplus < -dead_band {
+        } else if surplus < -tolerated_lack {
             Some(PoolRole::Prefill)
         } else {
             None
