An engine that ran nothing despite a reservation is avoided for 3 s

Cause: after an engine that changes its role ran nothing, the same request was often granted a reservation by that or another such engine, as they have most room.

--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -25,6 +25,9 @@
 /// How long an engine that rejected a prefill is avoided: it is full or
 /// changing its role.
 const PREFILL_REJECTION_BACKOFF: Duration = Duration::from_millis(1_500);
+/// How long an engine that ran nothing despite a reservation is avoided for new
+/// reservations: a change of its role takes seconds.
+const DECODE_REJECTION_BACKOFF: Duration = Duration::from_millis(3_000);
 /// Largest number of prefills of one request; after a failure of the last one
 /// the decode engine prefills the prompt itself.
 pub(super) const MAX_PREFILLS: u32 = 3;
@@ -262,8 +265,9 @@
             self.requests[key].current.clone().filter(|_| failure == Failure::NotRun)
         {
             // The engine may be changing its role: it then accepts reservations
-            // but runs nothing. Failures eject it.
+            // but runs nothing.
             self.upstreams.record_failure(now, engine.key);
+            self.back_off(now, key, 0, DECODE_REJECTION_BACKOFF);
         }
         let request = &mut self.requests[key];
         if failure.proves_not_run() {
