Roles: orders on assumed demand do not delay their reversal; a long prefill wait counts as a lack

Cause: the first orders are given before any request has shown the demand. They blocked the opposite change for 30 s, while the prefill pool had 8 engines of the 12 that the demand called for.

--- a/src/router/prefill_limits.rs
+++ b/src/router/prefill_limits.rs
@@ -41,7 +41,7 @@
     pub(super) fn admits_prefill(&mut self, now: Duration, key: RequestKey) -> bool {
         let wait = self.expected_prefill_wait(now, key);
         let request = &self.requests[key];
-        let Some(pool) = self.prefill_pools.get(&request.service) else { return true };
+        let Some(pool) = self.prefill_pools.get_mut(&request.service) else { return true };
         if request.last_event.is_some() {
             // An engine has worked on the stream that the caller takes up.
             return true;
@@ -50,6 +50,9 @@
         let max_wait = target.saturating_sub(pool.time_to_first_event());
         let max_wait = if request.is_late { max_wait.mul_f64(LATE_WAIT_SHARE) } else { max_wait };
         let share = admitted_share(wait, max_wait);
+        if share < 1.0 {
+            pool.record_shortage(now);
+        }
         share >= 1.0 || self.rng.random_range(0.0..1.0) < share
     }
 
@@ -66,9 +69,6 @@
     /// Refuses a request whose prefill would end too late, and gives up its reservation.
     pub(super) fn refuse_prefill(&mut self, now: Duration, key: RequestKey) -> Step {
         let wait = self.expected_prefill_wait(now, key);
-        if let Some(pool) = self.prefill_pools.get_mut(&self.requests[key].service) {
-            pool.record_refusal(now);
-        }
         let retry_after = CAPACITY_RETRY_AFTER + wait;
         if let Some(held) = &self.requests[key].reservation {
             self.upstreams.give_back_permit(held.target.key);
--- a/src/router/prefill_pool.rs
+++ b/src/router/prefill_pool.rs
@@ -16,7 +16,7 @@
 /// Weight of an assumed prefill without a wait, in prefills: one long wait may be that of a
 /// single engine.
 const ASSUMED_SAMPLES: f64 = 1.0;
-/// How long after a refusal for want of room the pool counts as short. A burst that ends
+/// How long the pool counts as short after a long wait. A burst that ends
 /// earlier is over before an engine has changed its role.
 const SHORTAGE_MEMORY: Duration = Duration::from_secs(5);
 /// Weight of a new sample in the moving averages.
@@ -41,8 +41,8 @@
     prefill_s: Option<f64>,
     /// Moving average of the time from the start of a decode to its first event.
     first_event_s: Option<f64>,
-    /// When a request was last refused for want of room.
-    last_refused_at: Option<Duration>,
+    /// When not all new requests were admitted last.
+    last_short_at: Option<Duration>,
 }
 
 impl PrefillPool {
@@ -82,14 +82,14 @@
         Duration::from_secs_f64(sum_s / count)
     }
 
-    /// Records that a new request was refused for want of room.
-    pub fn record_refusal(&mut self, now: Duration) {
-        self.last_refused_at = Some(now);
+    /// Records that the wait is so long that not all new requests are admitted.
+    pub fn record_shortage(&mut self, now: Duration) {
+        self.last_short_at = Some(now);
     }
 
-    /// True if a new request was refused recently for want of room.
+    /// True if the wait was recently so long that not all new requests were admitted.
     pub fn is_short(&self, now: Duration) -> bool {
-        self.last_refused_at.is_some_and(|last| now < last + SHORTAGE_MEMORY)
+        self.last_short_at.is_some_and(|last| now < last + SHORTAGE_MEMORY)
     }
 
     /// Longest wait that ended within the last second; zero if none did.
--- a/src/router/roles.rs
+++ b/src/router/roles.rs
@@ -72,7 +72,7 @@
     pub engine: Engine,
     /// True if model requests arrived recently, so that engines are in use.
     pub has_recent_requests: bool,
-    /// True if requests were refused recently because prefills wait too long.
+    /// True if prefills waited so long recently that not all new requests were admitted.
     pub prefill_is_short: bool,
 }
 
@@ -102,12 +102,14 @@
     pending_changes: Vec<PendingChange>,
     /// Time before which no further order is given.
     next_order_at: Duration,
-    /// Role and time of the last order.
+    /// Role and time of the last order that was given with the demand known.
     last_order: Option<(PoolRole, Duration)>,
     /// Number of engines that are listed and not leaving, with the time at which
     /// it last changed.
     engine_count: usize,
     count_changed_at: Duration,
+    /// True if requests had shown the demand when the last change was found due.
+    demand_is_known: bool,
 }
 
 impl RoleBalancer {
@@ -120,6 +122,7 @@
             last_order: None,
             engine_count: 0,
             count_changed_at: Duration::ZERO,
+            demand_is_known: false,
         }
     }
 
@@ -148,6 +151,7 @@
             return None;
         }
         let role = self.needed_role(&engines, demand)?;
+        self.demand_is_known = demand.prefill_share.is_some();
         let needed_at_once = demand.prefill_is_short && role == PoolRole::Prefill;
         if !needed_at_once && self.is_early_reversal(now, role) {
             return None;
@@ -170,7 +174,9 @@
         let until = now + self.settings.change_timeout;
         self.pending_changes.push(PendingChange { key: change.key, role: change.role, until });
         self.next_order_at = now + self.settings.order_interval;
-        self.last_order = Some((change.role, now));
+        if self.demand_is_known {
+            self.last_order = Some((change.role, now));
+        }
     }
 
     /// Removes the pending changes that are complete or have timed out, and
