Expected prefill wait follows this entry's own prefills in flight; replay of an overloaded pool

Cause: waits of prefills that ended say how long the queue was when they were sent. With that delay all entries admitted too many, then too few.

Change: the observed wait is scaled by how many more or fewer of this entry's prefills are in flight now than were when the observed ones were sent. Late requests may expect a quarter of the admissible wait.

--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -17,6 +17,7 @@
 use crate::router::flow::Step;
 use crate::router::output_margin::StreamStall;
 use crate::router::plain::MIN_SERVER_ERROR_STATUS;
+use crate::router::prefill_pool::ObservedPrefill;
 use crate::router::request::HeldResource;
 use crate::router::request::Phase;
 use crate::router::request::RequestKey;
@@ -114,11 +115,13 @@
         };
         self.upstreams.take_permits(now, target.key, 1);
         let timeout = self.prefill_timeout(now, key);
+        let ahead = self.count_prefills_in_flight(now, key);
         let request = &mut self.requests[key];
         request.phase = Phase::Prefilling;
         request.run_events = 0;
         request.unsent_replacement = request.unsent_replacement.saturating_sub(1);
         request.prefills += 1;
+        request.prefills_ahead = ahead;
         request.step_started_at = now;
         request.current = Some(target.clone());
         request.open_run = Some(target.clone());
@@ -133,13 +136,15 @@
         let elapsed = now.saturating_sub(request.step_started_at);
         let tokens = request.prompt.map_or(0, |prompt| prompt.tokens);
         let service = request.service.clone();
+        let ahead = request.prefills_ahead;
         request.prefill_result = Some(HeldResource { target: target.clone(), id: handle });
         request.result_rejected = false;
         let time = self.engine_time.entry(service.clone()).or_default();
         time.record_prefill(tokens, elapsed);
         let wait = elapsed.saturating_sub(time.prefill_time(tokens).unwrap_or(elapsed));
         let pool = self.prefill_pools.entry(service.clone()).or_default();
-        pool.record(now, wait, elapsed.saturating_sub(wait));
+        let time = elapsed.saturating_sub(wait);
+        pool.record(now, ObservedPrefill { wait, time, ahead });
         if let Some(engine) = self.upstreams.get_mut(target.key) {
             engine.prefill_wait.record(now, wait);
         }
--- a/src/router/prefill_limits.rs
+++ b/src/router/prefill_limits.rs
@@ -9,6 +9,7 @@
 use crate::router::Router;
 use crate::router::flow::Step;
 use crate::router::generate::MAX_PREFILLS;
+use crate::router::prefill_pool::ObservedPrefill;
 use crate::router::prefill_pool::admitted_share;
 use crate::router::request::Phase;
 use crate::router::request::Request;
@@ -33,7 +34,7 @@
 const PATIENCE_INTERVALS: u32 = 8;
 /// Share of the wait that is admissible for requests on time that late ones may expect. They
 /// leave the rest to those that can still be on time.
-const LATE_WAIT_SHARE: f64 = 0.5;
+const LATE_WAIT_SHARE: f64 = 0.25;
 
 impl Router {
     /// True if a new request is admitted to the prefill pool: with the expected wait, most of
@@ -81,7 +82,8 @@
         let request = &self.requests[key];
         let pool = self.prefill_pools.get(&request.service);
         let ended = pool.map(|pool| pool.longest_wait(now)).unwrap_or_default();
-        let in_flight = self.waits_in_flight(now, key).max().unwrap_or_default();
+        let waits = self.prefills_in_flight(now, key).map(|prefill| prefill.wait);
+        let in_flight = waits.max().unwrap_or_default();
         self.prefill_time(key) + ended.max(in_flight)
     }
 
@@ -127,21 +129,36 @@
 
     /// Expected wait before a prefill starts, wherever in the pool.
     fn expected_prefill_wait(&self, now: Duration, key: RequestKey) -> Duration {
-        let pool = self.prefill_pools.get(&self.requests[key].service);
-        pool.map(|pool| pool.expected_wait(now, self.waits_in_flight(now, key))).unwrap_or_default()
+        let Some(pool) = self.prefill_pools.get(&self.requests[key].service) else {
+            return Duration::ZERO;
+        };
+        let in_flight: Vec<ObservedPrefill> = self.prefills_in_flight(now, key).collect();
+        pool.expected_wait(now, &in_flight)
     }
 
-    /// How long other prefills of this entry in the same pool have waited so far.
-    fn waits_in_flight(&self, now: Duration, key: RequestKey) -> impl Iterator<Item = Duration> {
+    /// Other prefills of this entry in the same pool.
+    fn prefills_in_flight(
+        &self,
+        now: Duration,
+        key: RequestKey,
+    ) -> impl Iterator<Item = ObservedPrefill> {
         let service = &self.requests[key].service;
         let others = self.requests.iter().filter(move |(other, request)| {
             *other != key && request.phase == Phase::Prefilling && request.service == *service
         });
         others.map(move |(other, request)| {
-            now.saturating_sub(request.step_started_at).saturating_sub(self.prefill_time(other))
+            let time = self.prefill_time(other);
+            let elapsed = now.saturating_sub(request.step_started_at);
+            let ahead = request.prefills_ahead;
+            ObservedPrefill { wait: elapsed.saturating_sub(time), time, ahead }
         })
     }
 
+    /// Number of this entry's other prefills in the same pool.
+    pub(super) fn count_prefills_in_flight(&self, now: Duration, key: RequestKey) -> u32 {
+        self.prefills_in_flight(now, key).count() as u32
+    }
+
     /// Prefill time of the request's prompt without a wait.
     fn prefill_time(&self, key: RequestKey) -> Duration {
         let request = &self.requests[key];
--- a/src/router/prefill_pool.rs
+++ b/src/router/prefill_pool.rs
@@ -25,18 +25,22 @@
 /// the same information thus don't all stop at the same moment.
 const ADMIT_ALL_SHARE: f64 = 0.5;
 
-/// Wait of a prefill that has ended.
+/// Prefill of this entry that has ended or is in flight.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Sample {
-    at: Duration,
-    wait: Duration,
+pub struct ObservedPrefill {
+    /// How long it waited, or has waited so far.
+    pub wait: Duration,
+    /// Prefill time of its prompt without a wait.
+    pub time: Duration,
+    /// Number of this entry's prefills that were in flight when it was sent.
+    pub ahead: u32,
 }
 
 /// Prefill pool of a service, as one entry's prefills show it.
 #[derive(Debug, Clone, Default)]
 pub struct PrefillPool {
-    /// Waits of the latest prefills, oldest first.
-    samples: VecDeque<Sample>,
+    /// Latest prefills that ended, with the time of their end, oldest first.
+    samples: VecDeque<(Duration, ObservedPrefill)>,
     /// Moving average of the prefill time without a wait.
     prefill_s: Option<f64>,
     /// Moving average of the time from the start of a decode to its first event.
@@ -46,13 +50,13 @@
 }
 
 impl PrefillPool {
-    /// Records a prefill that waited for `wait` and then took `time`.
-    pub fn record(&mut self, now: Duration, wait: Duration, time: Duration) {
+    /// Records a prefill that has ended.
+    pub fn record(&mut self, now: Duration, prefill: ObservedPrefill) {
         if self.samples.len() == MAX_SAMPLES {
             self.samples.pop_front();
         }
-        self.samples.push_back(Sample { at: now, wait });
-        update(&mut self.prefill_s, time);
+        self.samples.push_back((now, prefill));
+        update(&mut self.prefill_s, prefill.time);
     }
 
     /// Records how long after the start of its decode a stream brought its first event.
@@ -60,26 +64,32 @@
         update(&mut self.first_event_s, elapsed);
     }
 
-    /// Expected wait of a prefill that starts now: the mean of the waits that ended within
-    /// the last second. `in_flight` are the waits so far of prefills that haven't ended;
-    /// those that are longer than the mean count, too.
-    pub fn expected_wait(
-        &self,
-        now: Duration,
-        in_flight: impl Iterator<Item = Duration>,
-    ) -> Duration {
+    /// Expected wait of a prefill that is sent now, from those that ended within the last
+    /// second and those of `in_flight` that have waited longer than these did.
+    ///
+    /// What ended was sent a while ago. Entries get much the same load, so by as much as more
+    /// or fewer prefills of this entry are in flight now, the pool's queue is longer or shorter.
+    pub fn expected_wait(&self, now: Duration, in_flight: &[ObservedPrefill]) -> Duration {
         let mut count = ASSUMED_SAMPLES;
-        let mut sum_s = 0.0;
-        for sample in self.recent(now) {
+        let mut wait_s = 0.0;
+        let mut others = ASSUMED_SAMPLES;
+        let mut add = |prefill: &ObservedPrefill, wait_s: &mut f64| {
             count += 1.0;
-            sum_s += sample.wait.as_secs_f64();
+            others += f64::from(prefill.ahead + 1);
+            *wait_s += prefill.wait.as_secs_f64();
+            *wait_s / count
+        };
+        let mut mean_s = 0.0;
+        for prefill in self.recent(now) {
+            mean_s = add(prefill, &mut wait_s);
         }
-        let mean_s = sum_s / count;
-        for wait in in_flight.filter(|wait| wait.as_secs_f64() > mean_s) {
-            count += 1.0;
-            sum_s += wait.as_secs_f64();
+        for prefill in in_flight.iter().filter(|prefill| prefill.wait.as_secs_f64() > mean_s) {
+            add(prefill, &mut wait_s);
         }
-        Duration::from_secs_f64(sum_s / count)
+        let time_s = self.prefill_s.unwrap_or_default();
+        let growth = (in_flight.len() + 1) as f64 / (others / count);
+        let total_s = (wait_s / count + time_s) * growth;
+        Duration::from_secs_f64((total_s - time_s).max(0.0))
     }
 
     /// Records that the wait is so long that not all new requests are admitted.
@@ -94,7 +104,7 @@
 
     /// Longest wait that ended within the last second; zero if none did.
     pub fn longest_wait(&self, now: Duration) -> Duration {
-        self.recent(now).map(|sample| sample.wait).max().unwrap_or_default()
+        self.recent(now).map(|prefill| prefill.wait).max().unwrap_or_default()
     }
 
     /// Expected time from the end of the wait to the first event, for a request of the usual
@@ -104,8 +114,10 @@
         Duration::from_secs_f64(seconds)
     }
 
-    fn recent(&self, now: Duration) -> impl Iterator<Item = &Sample> {
-        self.samples.iter().rev().take_while(move |sample| now < sample.at + SAMPLE_LIFETIME)
+    fn recent(&self, now: Duration) -> impl Iterator<Item = &ObservedPrefill> {
+        let recent =
+            self.samples.iter().rev().take_while(move |(at, _)| now < *at + SAMPLE_LIFETIME);
+        recent.map(|(_, prefill)| prefill)
     }
 }
 
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -162,6 +162,8 @@
     pub(super) attempts: u32,
     /// Number of prefills sent.
     pub(super) prefills: u32,
+    /// Number of this entry's prefills that were in flight when the last one was sent.
+    pub(super) prefills_ahead: u32,
     /// When the last prefill or decode was sent.
     pub(super) step_started_at: Duration,
     /// Upstreams not to select again, because they failed or rejected the
@@ -250,6 +252,7 @@
             may_have_run: false,
             attempts: 0,
             prefills: 0,
+            prefills_ahead: 0,
             step_started_at: now,
             excluded: Vec::new(),
             current: None,
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -18,6 +18,8 @@
 mod pauses;
 mod plain;
 mod poison;
+mod prefill_admission;
+mod prefill_pool_replay;
 mod rate_limit;
 mod rate_limited_engines;
 mod roles;
--- a/tests/router/roles.rs
+++ b/tests/router/roles.rs
@@ -70,13 +70,23 @@
 /// Demand of a pool that has had no requests yet, so that the size of a request is
 /// assumed.
 fn idle(kv_tokens: u32) -> Demand {
-    Demand { prefill_share: None, engine: engine(kv_tokens), has_recent_requests: false }
+    Demand {
+        prefill_share: None,
+        engine: engine(kv_tokens),
+        has_recent_requests: false,
+        prefill_is_short: false,
+    }
 }
 
 /// Demand of a pool in use, with the observed share of engine time that prefills
 /// take.
 fn in_use(prefill_share: f64) -> Demand {
-    Demand { prefill_share: Some(prefill_share), engine: engine(50_000), has_recent_requests: true }
+    Demand {
+        prefill_share: Some(prefill_share),
+        engine: engine(50_000),
+        has_recent_requests: true,
+        prefill_is_short: false,
+    }
 }
 
 /// Checks the number of prefill engines that a pool with `$prefill` and `$decode`
