--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -56,7 +56,10 @@
             Event::Reserved { reservation } => self.reservation_granted(now, key, reservation),
             Event::ReservationRejected => self.reservation_rejected(now, key),
             Event::Prefilled { handle } => self.prefill_completed(now, key, handle),
-            Event::ResponseStarted { status } => self.generate_response_started(key, status),
+            Event::ResponseStarted { status } => {
+                self.avoid_rejecting_engines(now, key);
+                self.generate_response_started(key, status)
+            }
             Event::Failed(failure) => self.generate_failed(now, key, failure),
             Event::ResponseInterrupted { last_event } => {
                 self.stream_interrupted(now, key, last_event)
@@ -138,7 +141,7 @@
         let service = request.service.clone();
         let ahead = request.prefills_ahead;
         request.prefill_result = Some(HeldResource { target: target.clone(), id: handle });
-        request.result_rejected = false;
+        request.result_rejected_by.clear();
         let time = self.engine_time.entry(service.clone()).or_default();
         time.record_prefill(tokens, elapsed);
         let wait = elapsed.saturating_sub(time.prefill_time(tokens).unwrap_or(elapsed));
@@ -212,6 +215,16 @@
         self.relay_stream(key)
     }
 
+    /// Avoids the decode engines that rejected a prefill result which another one took: they
+    /// grant reservations but run nothing, as they change their roles.
+    fn avoid_rejecting_engines(&mut self, now: Duration, key: RequestKey) {
+        for engine in std::mem::take(&mut self.requests[key].result_rejected_by) {
+            if let Some(engine) = self.upstreams.get_mut(engine) {
+                engine.capacity_backoff.record_rejection(now, 0, DECODE_REJECTION_BACKOFF);
+            }
+        }
+    }
+
     fn generate_failed(&mut self, now: Duration, key: RequestKey, failure: Failure) -> Step {
         self.record_step_failure(now, key, failure);
         if failure == Failure::Crashed && self.requests[key].phase != Phase::Reserving {
@@ -272,7 +285,6 @@
             // The engine may be changing its role: it then accepts reservations
             // but runs nothing.
             self.upstreams.record_failure(now, engine.key);
-            self.back_off(now, key, 0, DECODE_REJECTION_BACKOFF);
         }
         let request = &mut self.requests[key];
         if failure.proves_not_run() {
@@ -363,7 +375,12 @@
         if failure == Failure::NotRun {
             self.upstreams.record_failure(now, source.target.key);
             let request = &mut self.requests[key];
-            if !std::mem::replace(&mut request.result_rejected, true) {
+            let is_first = request.result_rejected_by.is_empty();
+            if let Some(engine) = &request.current {
+                request.result_rejected_by.push(engine.key);
+                request.excluded.push(engine.key);
+            }
+            if is_first {
                 request.prefill_result = Some(source);
                 return;
             }
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -183,8 +183,8 @@
     /// Time from which the last reservation may have lapsed unused.
     pub(super) reservation_ends_at: Duration,
     pub(super) prefill_result: Option<HeldResource>,
-    /// True if a decode engine did not run the request with this prefill result.
-    pub(super) result_rejected: bool,
+    /// Decode engines that did not run the request with this prefill result.
+    pub(super) result_rejected_by: Vec<UpstreamKey>,
     /// True once the response to a model request has started. Not set for plain
     /// calls.
     pub(super) response_started: bool,
@@ -262,7 +262,7 @@
             reservation: None,
             reservation_ends_at: now,
             prefill_result: None,
-            result_rejected: false,
+            result_rejected_by: Vec::new(),
             response_started: false,
             last_event: incoming.resume_after,
             resumes: incoming.resumes,
