Time to the first event is expected by a running median

Cause: with engines of three speeds a few late streams raised the mean, and with it the share of requests that were refused.

--- a/src/router/prefill_pool.rs
+++ b/src/router/prefill_pool.rs
@@ -19,8 +19,9 @@
 /// How long the pool counts as short after a long wait. A burst that ends
 /// earlier is over before an engine has changed its role.
 const SHORTAGE_MEMORY: Duration = Duration::from_secs(5);
-/// Weight of a new sample in the moving averages.
-const SMOOTHING: f64 = 0.1;
+/// Largest change of a running median by one sample, as a share of the median. A few streams at
+/// slow engines thus hardly change what is expected of all.
+const MEDIAN_STEP: f64 = 0.05;
 /// Share of the longest admissible wait from which fewer requests are admitted. Entries with
 /// the same information thus don't all stop at the same moment.
 const ADMIT_ALL_SHARE: f64 = 0.5;
@@ -41,9 +42,9 @@
 pub struct PrefillPool {
     /// Latest prefills that ended, with the time of their end, oldest first.
     samples: VecDeque<(Duration, ObservedPrefill)>,
-    /// Moving average of the prefill time without a wait.
+    /// Running median of the prefill time without a wait.
     prefill_s: Option<f64>,
-    /// Moving average of the time from the start of a decode to its first event.
+    /// Running median of the time from the start of a decode to its first event.
     first_event_s: Option<f64>,
     /// When not all new requests were admitted last.
     last_short_at: Option<Duration>,
@@ -121,10 +122,12 @@
     }
 }
 
-fn update(average_s: &mut Option<f64>, sample: Duration) {
+/// Moves a running median towards a sample.
+fn update(median_s: &mut Option<f64>, sample: Duration) {
     let sample_s = sample.as_secs_f64();
-    let previous_s = average_s.unwrap_or(sample_s);
-    *average_s = Some(previous_s + SMOOTHING * (sample_s - previous_s));
+    let previous_s = median_s.unwrap_or(sample_s);
+    let step_s = (sample_s - previous_s).clamp(-MEDIAN_STEP * previous_s, MEDIAN_STEP * previous_s);
+    *median_s = Some(previous_s + step_s);
 }
 
 /// Share of the new requests to admit, from 0 to 1, if they are expected to wait for `wait`
