--- a/tests/router/roles.rs
+++ b/tests/router/roles.rs
@@ -169,3 +169,29 @@
         assert_eq!(order, None);
     }
 }
+
+/// Returns the orders of a pool with 8 prefill engines of 46, in use, that was ordered to decode
+/// before its demand was known. Its demand calls for about 12.
+fn orders_after_assumed_ones(prefill_is_short: bool) -> usize {
+    let mut engines = engines(12, 34);
+    let mut roles = RoleBalancer::new(RoleSettings::default());
+    give_due_orders(&mut engines, &mut roles, 20, idle(27_000));
+    let demand = Demand { prefill_is_short, ..in_use(0.19) };
+    give_due_orders(&mut engines, &mut roles, 20, demand).len()
+}
+
+#[test]
+fn a_long_prefill_wait_makes_a_small_lack_of_prefill_engines_count() {
+    assert_eq!(orders_after_assumed_ones(false), 0);
+    assert!(orders_after_assumed_ones(true) > 0);
+}
+
+#[test]
+fn orders_on_assumed_demand_do_not_delay_the_opposite_change() {
+    let mut engines = engines(17, 29);
+    let mut roles = RoleBalancer::new(RoleSettings::default());
+    let first = give_due_orders(&mut engines, &mut roles, 20, idle(27_000));
+    assert!(first.iter().any(|order| order.role == PoolRole::Decode), "{first:?}");
+    let then = give_due_orders(&mut engines, &mut roles, 10, in_use(0.5));
+    assert!(then.iter().any(|order| order.role == PoolRole::Prefill), "{then:?}");
+}
