--- a/tests/router/roles.rs
+++ b/tests/router/roles.rs
@@ -171,12 +171,12 @@
 }
 
 /// Returns the orders of a pool with 8 prefill engines of 46, in use, that was ordered to decode
-/// before its demand was known. Its demand calls for about 12.
+/// before its demand was known. Its demand calls for about 10.
 fn orders_after_assumed_ones(prefill_is_short: bool) -> usize {
     let mut engines = engines(12, 34);
     let mut roles = RoleBalancer::new(RoleSettings::default());
     give_due_orders(&mut engines, &mut roles, 20, idle(27_000));
-    let demand = Demand { prefill_is_short, ..in_use(0.19) };
+    let demand = Demand { prefill_is_short, ..in_use(0.16) };
     give_due_orders(&mut engines, &mut roles, 20, demand).len()
 }
 
