--- a/src/router.rs
+++ b/src/router.rs
@@ -23,6 +23,8 @@
 mod plain;
 pub mod poison;
 pub mod poisoned_requests;
+mod prefill_limits;
+pub mod prefill_pool;
 mod quota_admission;
 pub mod quota_claims;
 pub mod quotas;
@@ -68,6 +70,7 @@
 use crate::router::output_margin::OutputMargin;
 use crate::router::poison::PoisonDetector;
 use crate::router::poisoned_requests::UncheckedRun;
+use crate::router::prefill_pool::PrefillPool;
 use crate::router::quota_claims::EntryIncarnation;
 use crate::router::quotas::QuotaSettings;
 use crate::router::quotas::Quotas;
@@ -157,6 +160,8 @@
     prefill_times: HashMap<CompactString, PrefillTimeEstimate>,
     /// Statistics of engine time, for the selection of engines and their roles.
     engine_time: HashMap<CompactString, EngineTimeStats>,
+    /// What this entry's prefills showed of the prefill pool, for admission.
+    prefill_pools: HashMap<CompactString, PrefillPool>,
     roles: HashMap<CompactString, RoleBalancer>,
     /// Longest caller timeout of each route, by its name.
     caller_timeouts: HashMap<CompactString, LongestCallerTimeout>,
@@ -209,6 +214,7 @@
             rate_limit_share: FALLBACK_SHARE,
             prefill_times: HashMap::new(),
             engine_time: HashMap::new(),
+            prefill_pools: HashMap::new(),
             roles: HashMap::new(),
             caller_timeouts: HashMap::new(),
             output_margins: HashMap::new(),
@@ -374,6 +380,10 @@
                 has_recent_requests: self
                     .last_prompt_at
                     .is_some_and(|last| now < last + RECENT_DEMAND_WINDOW),
+                prefill_is_short: self
+                    .prefill_pools
+                    .get(&service.name)
+                    .is_some_and(|pool| pool.is_short(now)),
             };
             let role_settings = self.settings.roles;
             let roles = self.roles.entry(service.name.clone());
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -17,6 +17,7 @@
 use crate::router::flow::Step;
 use crate::router::output_margin::StreamStall;
 use crate::router::plain::MIN_SERVER_ERROR_STATUS;
+use crate::router::prefill_pool::ObservedPrefill;
 use crate::router::request::HeldResource;
 use crate::router::request::Phase;
 use crate::router::request::RequestKey;
@@ -25,11 +26,9 @@
 /// How long an engine that rejected a prefill is avoided: it is full or
 /// changing its role.
 const PREFILL_REJECTION_BACKOFF: Duration = Duration::from_millis(1_500);
-/// Multiple of the expected prefill time that the timeout allows.
-const PREFILL_TIMEOUT_FACTOR: u32 = 4;
-/// Fixed part of a prefill's timeout, added to the multiple of its expected time
-/// for the queue of the engine and for small prompts.
-const PREFILL_TIMEOUT_MARGIN: Duration = Duration::from_millis(400);
+/// How long an engine that ran nothing despite a reservation is avoided for new
+/// reservations: a change of its role takes seconds.
+const DECODE_REJECTION_BACKOFF: Duration = Duration::from_millis(3_000);
 /// Largest number of prefills of one request; after a failure of the last one
 /// the decode engine prefills the prompt itself.
 pub(super) const MAX_PREFILLS: u32 = 3;
@@ -57,7 +56,10 @@
             Event::Reserved { reservation } => self.reservation_granted(now, key, reservation),
             Event::ReservationRejected => self.reservation_rejected(now, key),
             Event::Prefilled { handle } => self.prefill_completed(now, key, handle),
-            Event::ResponseStarted { status } => self.generate_response_started(now, key, status),
+            Event::ResponseStarted { status } => {
+                self.avoid_rejecting_engines(now, key);
+                self.generate_response_started(now, key, status)
+            }
             Event::Failed(failure) => self.generate_failed(now, key, failure),
             Event::ResponseInterrupted { last_event } => {
                 self.stream_interrupted(now, key, last_event)
@@ -106,18 +108,23 @@
         if let Some(end) = self.end_if_poisonous(now, key) {
             return end;
         }
+        if !self.prefill_fits_patience(now, key) {
+            return self.refuse_prefill(now, key);
+        }
         let next = self.select_prefill_engine(now, key);
         let Some(target) = next.and_then(|next| self.target(next)) else {
             // The decode engine prefills the prompt itself, more slowly.
             return self.decode(now, key);
         };
         self.upstreams.take_permits(now, target.key, 1);
-        let timeout = self.prefill_timeout(key);
+        let timeout = self.prefill_timeout(now, key);
+        let ahead = self.count_prefills_in_flight(now, key);
         let request = &mut self.requests[key];
         request.phase = Phase::Prefilling;
         request.run_events = 0;
         request.unsent_replacement = request.unsent_replacement.saturating_sub(1);
         request.prefills += 1;
+        request.prefills_ahead = ahead;
         request.step_started_at = now;
         request.current = Some(target.clone());
         request.open_run = Some(target.clone());
@@ -126,40 +133,21 @@
         Step::Prefill { target, remaining_time, timeout }
     }
 
-    /// Returns the time limit for a prefill. It allows for the wait at a busy
-    /// engine; an engine that exceeds it is taken to be unresponsive.
-    fn prefill_timeout(&self, key: RequestKey) -> Duration {
-        let request = &self.requests[key];
-        let estimate = self.prefill_times.get(&request.service).copied().unwrap_or_default();
-        let tokens = request.prompt.map_or(0, |prompt| prompt.tokens);
-        estimate.expected(tokens) * PREFILL_TIMEOUT_FACTOR + PREFILL_TIMEOUT_MARGIN
-    }
-
-    /// Decides whether a prefill that exceeded its timeout is abandoned.
-    /// Returns true if so, and takes one send out of the retry budget. Returns
-    /// false if the request has used up its prefills or the budget is spent: it
-    /// then keeps waiting.
-    ///
-    /// # Panics
-    /// If no request with this key is in flight.
-    pub fn abandon_prefill(&mut self, now: Duration, key: RequestKey) -> bool {
-        let service = self.requests[key].service.clone();
-        let below_max_prefills = self.requests[key].prefills < MAX_PREFILLS;
-        below_max_prefills
-            && !self.may_crash_upstreams(key)
-            && self.budget(&service).try_spend(now, 1)
-    }
-
     fn prefill_completed(&mut self, now: Duration, key: RequestKey, handle: CompactString) -> Step {
         let request = &mut self.requests[key];
         let Some(target) = request.current.clone() else { return Step::Abort };
         let elapsed = now.saturating_sub(request.step_started_at);
         let tokens = request.prompt.map_or(0, |prompt| prompt.tokens);
         let service = request.service.clone();
+        let ahead = request.prefills_ahead;
         request.prefill_result = Some(HeldResource { target: target.clone(), id: handle });
+        request.result_rejected_by.clear();
         let time = self.engine_time.entry(service.clone()).or_default();
         time.record_prefill(tokens, elapsed);
         let wait = elapsed.saturating_sub(time.prefill_time(tokens).unwrap_or(elapsed));
+        let pool = self.prefill_pools.entry(service.clone()).or_default();
+        let time = elapsed.saturating_sub(wait);
+        pool.record(now, ObservedPrefill { wait, time, ahead });
         if let Some(engine) = self.upstreams.get_mut(target.key) {
             engine.prefill_wait.record(now, wait);
         }
@@ -176,10 +164,14 @@
         let Some(reservation) = self.requests[key].reservation.take() else {
             return self.return_to_paused_run(key);
         };
-        if !self.upstreams.accepts_work(now, reservation.target.key) {
-            // The engine started to leave, or turned this entry away, during the prefill.
+        let lapsed = now >= self.requests[key].reservation_ends_at;
+        if lapsed || !self.upstreams.accepts_work(now, reservation.target.key) {
+            // The prefill took longer than the reservation lasts, or the engine started to
+            // leave or turned this entry away during it.
             self.upstreams.give_back_permit(reservation.target.key);
-            self.cleanups.push(Cleanup::ReleaseReservation(reservation));
+            if !lapsed {
+                self.cleanups.push(Cleanup::ReleaseReservation(reservation));
+            }
             self.uncount_open(key);
             return self.queue_for_reservation(now, key);
         }
@@ -224,6 +216,16 @@
         self.relay_stream(key)
     }
 
+    /// Avoids the decode engines that rejected a prefill result which another one took: they
+    /// grant reservations but run nothing, as they change their roles.
+    fn avoid_rejecting_engines(&mut self, now: Duration, key: RequestKey) {
+        for engine in std::mem::take(&mut self.requests[key].result_rejected_by) {
+            if let Some(engine) = self.upstreams.get_mut(engine) {
+                engine.capacity_backoff.record_rejection(now, 0, DECODE_REJECTION_BACKOFF);
+            }
+        }
+    }
+
     fn generate_failed(&mut self, now: Duration, key: RequestKey, failure: Failure) -> Step {
         self.record_step_failure(now, key, failure);
         if failure == Failure::Crashed && self.requests[key].phase != Phase::Reserving {
@@ -282,7 +284,7 @@
             self.requests[key].current.clone().filter(|_| failure == Failure::NotRun)
         {
             // The engine may be changing its role: it then accepts reservations
-            // but runs nothing. Failures eject it.
+            // but runs nothing.
             self.upstreams.record_failure(now, engine.key);
         }
         let request = &mut self.requests[key];
@@ -322,7 +324,11 @@
         self.record_run_event(now, key);
         let request = &mut self.requests[key];
         let is_first = request.last_event_at.is_none();
+        let first_event_after = now.saturating_sub(request.step_started_at);
         if request.begun_version.is_none() {
+            if let Some(pool) = self.prefill_pools.get_mut(&request.service) {
+                pool.record_first_event(first_event_after);
+            }
             request.begun_version = request.current.as_ref().map(|engine| engine.version.clone());
         }
         if is_first {
@@ -366,12 +372,24 @@
     }
 
     /// Drops the prefill result after a failed decode. An engine that did not
-    /// run the request despite its reservation probably failed to fetch the
-    /// result, so this counts as a failure of the engine that holds it.
+    /// run the request despite its reservation failed to fetch the result or is changing
+    /// its role. This counts as a failure of the engine that holds the result, too, but
+    /// another decode engine is tried with the same result before the prompt is prefilled
+    /// anew.
     fn discard_prefill_result(&mut self, now: Duration, key: RequestKey, failure: Failure) {
         let Some(source) = self.requests[key].prefill_result.take() else { return };
         if failure == Failure::NotRun {
             self.upstreams.record_failure(now, source.target.key);
+            let request = &mut self.requests[key];
+            let is_first = request.result_rejected_by.is_empty();
+            if let Some(engine) = &request.current {
+                request.result_rejected_by.push(engine.key);
+                request.excluded.push(engine.key);
+            }
+            if is_first {
+                request.prefill_result = Some(source);
+                return;
+            }
         }
         if failure.proves_not_run() {
             self.cleanups.push(Cleanup::DiscardPrefill(source));
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -164,6 +164,8 @@
     pub(super) attempts: u32,
     /// Number of prefills sent.
     pub(super) prefills: u32,
+    /// Number of this entry's prefills that were in flight when the last one was sent.
+    pub(super) prefills_ahead: u32,
     /// When the last prefill or decode was sent.
     pub(super) step_started_at: Duration,
     /// Upstreams not to select again, because they failed or rejected the
@@ -180,7 +182,11 @@
     /// Prefill engine whose `prefilling_tokens` include this prompt.
     pub(super) prefilling_engine: Option<UpstreamKey>,
     pub(super) reservation: Option<HeldResource>,
+    /// Time from which the last reservation may have lapsed unused.
+    pub(super) reservation_ends_at: Duration,
     pub(super) prefill_result: Option<HeldResource>,
+    /// Decode engines that did not run the request with this prefill result.
+    pub(super) result_rejected_by: Vec<UpstreamKey>,
     /// True once the response to a model request has started. Not set for plain
     /// calls.
     pub(super) response_started: bool,
@@ -249,6 +255,7 @@
             may_have_run: false,
             attempts: 0,
             prefills: 0,
+            prefills_ahead: 0,
             step_started_at: now,
             excluded: Vec::new(),
             current: None,
@@ -256,7 +263,9 @@
             counted_upstream: None,
             prefilling_engine: None,
             reservation: None,
+            reservation_ends_at: now,
             prefill_result: None,
+            result_rejected_by: Vec::new(),
             response_started: false,
             last_event: incoming.resume_after,
             resumes: incoming.resumes,
--- a/src/router/roles.rs
+++ b/src/router/roles.rs
@@ -72,6 +72,8 @@
     pub engine: Engine,
     /// True if model requests arrived recently, so that engines are in use.
     pub has_recent_requests: bool,
+    /// True if prefills waited so long recently that not all new requests were admitted.
+    pub prefill_is_short: bool,
 }
 
 /// Change of an engine's role that is due.
@@ -100,12 +102,14 @@
     pending_changes: Vec<PendingChange>,
     /// Time before which no further order is given.
     next_order_at: Duration,
-    /// Role and time of the last order.
+    /// Role and time of the last order that was given with the demand known.
     last_order: Option<(PoolRole, Duration)>,
     /// Number of engines that are listed and not leaving, with the time at which
     /// it last changed.
     engine_count: usize,
     count_changed_at: Duration,
+    /// True if requests had shown the demand when the last change was found due.
+    demand_is_known: bool,
 }
 
 impl RoleBalancer {
@@ -118,6 +122,7 @@
             last_order: None,
             engine_count: 0,
             count_changed_at: Duration::ZERO,
+            demand_is_known: false,
         }
     }
 
@@ -146,7 +151,9 @@
             return None;
         }
         let role = self.needed_role(&engines, demand)?;
-        if self.is_early_reversal(now, role) {
+        self.demand_is_known = demand.prefill_share.is_some();
+        let needed_at_once = demand.prefill_is_short && role == PoolRole::Prefill;
+        if !needed_at_once && self.is_early_reversal(now, role) {
             return None;
         }
         let key = self.candidate(now, &engines, role)?;
@@ -167,7 +174,9 @@
         let until = now + self.settings.change_timeout;
         self.pending_changes.push(PendingChange { key: change.key, role: change.role, until });
         self.next_order_at = now + self.settings.order_interval;
-        self.last_order = Some((change.role, now));
+        if self.demand_is_known {
+            self.last_order = Some((change.role, now));
+        }
     }
 
     /// Removes the pending changes that are complete or have timed out, and
@@ -212,9 +221,12 @@
             Some(_) => (total as f64 * self.settings.dead_band_share).max(1.0),
             None => self.settings.dead_band_engines,
         };
+        // A lack that the requests of the moment feel is no variation of the demand.
+        let tolerated_lack =
+            if demand.prefill_is_short { self.settings.dead_band_engines } else { dead_band };
         if surplus > dead_band {
             Some(PoolRole::Decode)
-        } else if surplus < -dead_band {
+        } else if surplus < -tolerated_lack {
             Some(PoolRole::Prefill)
         } else {
             None
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -21,6 +21,8 @@
 mod pauses;
 mod plain;
 mod poison;
+mod prefill_admission;
+mod prefill_pool_replay;
 mod quota_fleet;
 mod quotas;
 mod rate_limit;
