--- a/tests/core/simulation.rs
+++ b/tests/core/simulation.rs
@@ -135,10 +135,11 @@
 ];
 
 /// Reasons of an entry that connects to upstreams directly; `tests/router` reaches them
-/// (`accounts`, `key_certainty`, `rate_limited_engines`, `upstream_notice`, `software_versions`, `poison`, `deadly_requests`).
-const ROUTER_REASONS: [RefusalReason; 6] = [
+/// (`accounts`, `key_certainty`, `quotas`, `rate_limited_engines`, `upstream_notice`, `software_versions`, `poison`, `deadly_requests`).
+const ROUTER_REASONS: [RefusalReason; 7] = [
     RefusalReason::UnknownApiKey,
     RefusalReason::KeysUncertain,
+    RefusalReason::QuotaExceeded,
     RefusalReason::RateLimited,
     RefusalReason::VersionUnavailable,
     RefusalReason::PoisonousPrompt,
