Give up callers that read nothing of their response for the idle timeout

Cause: a write to a caller's full socket had no deadline of ours, and the relay's send waits for it, also beyond the deadline of the request. Only the kernel ended such a connection, and nothing counted it.

Change: a socket that takes no byte for idleTimeoutMs fails its write and resets its connection (`CallerWait::Read`). That drops the body, which cancels the work at the upstream. Logged and counted as `read` beside `idle` and `head`. A full socket is offered bytes every 250 ms whatever the runtime reports, as that reports it writable only when a third is free. A pending write no longer restarts the idle time, and no idle end is counted while a response waits to be read.

--- a/src/edge/direct/caller_stream.rs
+++ b/src/edge/direct/caller_stream.rs
@@ -1,4 +1,5 @@
-//! Socket of a caller's connection, which ends when its caller is silent for too long.
+//! Socket of a caller's connection, which ends when its caller is silent or reads nothing for
+//! too long.
 //!
 //! The HTTP library has one timer for the idle time and for the head of a request, with a
 //! limit that is fixed for each connection. Here the limits in force decide, and a
@@ -34,6 +35,10 @@
 use crate::router::connection_limits::CallerWait;
 use crate::router::connection_limits::ConnectionLimits;
 
+/// Interval at which bytes are offered to a full socket. The runtime reports it as writable
+/// only when about a third of its buffer is free, which a slow caller may take long to read.
+const OFFER_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Time limits of the connections of a server.
 #[derive(Clone)]
 pub struct ConnectionTimeouts {
@@ -185,26 +190,35 @@
 
 /// Socket of a caller's connection. Once the connection has waited for too long, or waits
 /// and is to be closed, a read returns the end of the input, at which the HTTP library
-/// closes the connection.
+/// closes the connection. Once the caller has read nothing of a response for too long, a write
+/// fails with [`io::ErrorKind::TimedOut`], and dropping the socket resets the connection.
 pub(super) struct CallerStream {
     stream: TcpStream,
     activity: Rc<Activity>,
     timer: Pin<Box<Sleep>>,
     /// Wait for which the timer was set.
     timed_wait: Option<(CallerWait, Duration)>,
+    /// Since when the socket has taken no bytes of a response, if it is full.
+    blocked_since: Option<Duration>,
+    /// Timer of the next offer to a full socket.
+    offer_timer: Pin<Box<Sleep>>,
 }
 
 impl CallerStream {
     /// Creates the socket of a connection that was just accepted.
     pub(super) fn new(stream: TcpStream, activity: Rc<Activity>) -> Self {
         let timer = Box::pin(tokio::time::sleep(Duration::ZERO));
-        Self { stream, activity, timer, timed_wait: None }
+        let offer_timer = Box::pin(tokio::time::sleep(Duration::ZERO));
+        Self { stream, activity, timer, timed_wait: None, blocked_since: None, offer_timer }
     }
 
     /// True if the connection has waited for too long or is to be closed; else wakes the task
-    /// when it may have.
+    /// when it may have. While a response waits to be read, no other wait counts.
     fn poll_ended(&mut self, context: &mut Context<'_>) -> bool {
         self.activity.waker.replace(Some(context.waker().clone()));
+        if self.blocked_since.is_some() {
+            return false;
+        }
         let Some(wait) = self.activity.wait() else { return false };
         if self.activity.closing.get() && wait.0 == CallerWait::NextRequest {
             return !self.has_unread_input();
@@ -237,6 +251,67 @@
     fn set_timer(&mut self, remaining: Duration) {
         self.timer.as_mut().reset(Instant::now() + remaining);
     }
+
+    /// Completes a write: one that is pending fails once its caller has read nothing for too
+    /// long. `send` sends the same bytes whatever the runtime has reported.
+    fn poll_written(
+        &mut self,
+        context: &mut Context<'_>,
+        written: Poll<io::Result<usize>>,
+        send: impl Fn(&SockRef<'_>) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        let written = if written.is_pending() { self.poll_offer(context, send) } else { written };
+        if written.is_ready() {
+            self.activity.record_write();
+            if self.blocked_since.take().is_some() {
+                // The connection is read again, which starts the timer of its next wait.
+                context.waker().wake_by_ref();
+            }
+        }
+        written
+    }
+
+    /// Offers bytes to a full socket at intervals, until it takes some or the time of the
+    /// caller is over.
+    fn poll_offer(
+        &mut self,
+        context: &mut Context<'_>,
+        send: impl Fn(&SockRef<'_>) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        let since = self.blocked_since.unwrap_or_else(|| self.start_offers());
+        while self.offer_timer.as_mut().poll(context).is_ready() {
+            match send(&SockRef::from(&self.stream)) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                sent => return Poll::Ready(sent),
+            }
+            let remaining = self.activity.remaining((CallerWait::Read, since));
+            if remaining.is_zero() {
+                return Poll::Ready(Err(self.give_up_caller()));
+            }
+            self.set_offer_timer(remaining);
+        }
+        Poll::Pending
+    }
+
+    /// Starts the wait for a caller to read on, and returns its beginning.
+    fn start_offers(&mut self) -> Duration {
+        let since = self.activity.timeouts.clock.now();
+        self.blocked_since = Some(since);
+        self.set_offer_timer(self.activity.remaining((CallerWait::Read, since)));
+        since
+    }
+
+    fn set_offer_timer(&mut self, remaining: Duration) {
+        let next = Instant::now() + remaining.min(OFFER_INTERVAL);
+        self.offer_timer.as_mut().reset(next);
+    }
+
+    /// Has the connection reset, which also frees what its socket holds.
+    fn give_up_caller(&self) -> io::Error {
+        (self.activity.timeouts.timed_out)(CallerWait::Read);
+        self.activity.reset.set(true);
+        io::ErrorKind::TimedOut.into()
+    }
 }
 
 impl Drop for CallerStream {
@@ -275,8 +350,7 @@
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
         let written = Pin::new(&mut this.stream).poll_write(context, bytes);
-        this.activity.record_write();
-        written
+        this.poll_written(context, written, |socket| socket.send(bytes))
     }
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -294,8 +368,7 @@
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
         let written = Pin::new(&mut this.stream).poll_write_vectored(context, buffers);
-        this.activity.record_write();
-        written
+        this.poll_written(context, written, |socket| socket.send_vectored(buffers))
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/router/connection_limits.rs
+++ b/src/router/connection_limits.rs
@@ -14,6 +14,8 @@
     NextRequest,
     /// The rest of the head of a request.
     Head,
+    /// That the caller reads on, as its socket takes no more bytes of a response.
+    Read,
 }
 
 /// Limits that a newer configuration replaced.
@@ -50,7 +52,7 @@
     /// Returns the time at which a connection is closed that has waited since `since`.
     pub fn close_at(&self, wait: CallerWait, since: Duration) -> Duration {
         let limit = self.longest(since, |limits| match wait {
-            CallerWait::NextRequest => limits.idle_timeout,
+            CallerWait::NextRequest | CallerWait::Read => limits.idle_timeout,
             CallerWait::Head => limits.header_timeout,
         });
         since + limit
--- a/tests/router/connection_limits.rs
+++ b/tests/router/connection_limits.rs
@@ -42,3 +42,13 @@
     assert_eq!(connections.close_at(CallerWait::NextRequest, at(1)), at(41));
     assert_eq!(connections.close_at(CallerWait::NextRequest, at(20)), at(26));
 }
+
+#[test]
+fn a_caller_may_leave_its_response_unread_for_the_longest_idle_timeout() {
+    let mut connections = ConnectionLimits::default();
+    connections.change(at(0), limits(10, 3));
+    assert_eq!(connections.close_at(CallerWait::Read, at(1)), at(11));
+    connections.change(at(2), limits(5, 30));
+    assert_eq!(connections.close_at(CallerWait::Read, at(1)), at(11));
+    assert_eq!(connections.close_at(CallerWait::Read, at(3)), at(8));
+}
