--- a/src/router/prefill_limits.rs
+++ b/src/router/prefill_limits.rs
@@ -38,10 +38,14 @@
 
 impl Router {
     /// True if a new request is admitted to the prefill pool: with the expected wait, most of
-    /// those admitted get their first event within the latency target.
+    /// those admitted get their first event within the latency target. Without client accounts
+    /// that compete for the pool all are admitted.
     pub(super) fn admits_prefill(&mut self, now: Duration, key: RequestKey) -> bool {
         let wait = self.expected_prefill_wait(now, key);
         let request = &self.requests[key];
+        if request.configuration.accounts.is_empty() {
+            return true;
+        }
         let Some(pool) = self.prefill_pools.get_mut(&request.service) else { return true };
         if request.last_event.is_some() {
             // An engine has worked on the stream that the caller takes up.
--- a/src/router/prefill_pool.rs
+++ b/src/router/prefill_pool.rs
@@ -22,12 +22,9 @@
 /// Largest change of a running median by one sample, as a share of the median. A few streams at
 /// slow engines thus hardly change what is expected of all.
 const MEDIAN_STEP: f64 = 0.05;
-/// Share of the longest wait with which requests are on time from which fewer are admitted.
-/// Entries with the same information thus don't all stop at the same moment.
-const ADMIT_ALL_SHARE: f64 = 0.75;
-/// Share of that wait from which none are admitted. The expected wait is uncertain, and a late
-/// response is worth more to its caller than none.
-const ADMIT_NONE_SHARE: f64 = 1.25;
+/// Share of the longest admissible wait from which fewer requests are admitted. Entries with
+/// the same information thus don't all stop at the same moment.
+const ADMIT_ALL_SHARE: f64 = 0.5;
 
 /// Prefill of this entry that has ended or is in flight.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -134,11 +131,11 @@
 }
 
 /// Share of the new requests to admit, from 0 to 1, if they are expected to wait for `wait`
-/// and are on time after a wait of `max_wait` at most.
+/// and may wait for `max_wait`.
 pub fn admitted_share(wait: Duration, max_wait: Duration) -> f64 {
     if wait.is_zero() {
         return 1.0;
     }
     let used = wait.as_secs_f64() / max_wait.as_secs_f64();
-    ((ADMIT_NONE_SHARE - used) / (ADMIT_NONE_SHARE - ADMIT_ALL_SHARE)).clamp(0.0, 1.0)
+    ((1.0 - used) / (1.0 - ADMIT_ALL_SHARE)).clamp(0.0, 1.0)
 }
--- a/tests/router/harness.rs
+++ b/tests/router/harness.rs
@@ -7,6 +7,10 @@
 use bamboodoor::router::RouterSettings;
 use bamboodoor::router::Step;
 use bamboodoor::router::Target;
+use bamboodoor::router::accounts::Account;
+use bamboodoor::router::accounts::AccountEntry;
+use bamboodoor::router::accounts::Accounts;
+use bamboodoor::router::accounts::ApiKey;
 use bamboodoor::router::configuration::Configuration;
 use bamboodoor::router::configuration::Destination;
 use bamboodoor::router::configuration::Engine;
@@ -141,6 +145,17 @@
         harness
     }
 
+    /// Adds a client account to the configuration. The routes stay public.
+    pub fn add_accounts(&mut self) {
+        let mut configuration = default_configuration();
+        configuration.version += 1;
+        configuration.routes.iter_mut().for_each(|route| route.public = true);
+        let account = Account { name: "first".into(), ..Account::default() };
+        let entry = AccountEntry { account, keys: vec![ApiKey::new("key")] };
+        configuration.accounts = Accounts::new(vec![entry]).expect("the account is valid");
+        assert!(self.router.configure(configuration));
+    }
+
     /// Adds or updates the upstream's record in the instance list.
     pub fn list_upstream(&mut self, listed: ListedUpstream) {
         let id = listed.id.clone();
