--- a/src/router.rs
+++ b/src/router.rs
@@ -380,6 +380,7 @@
                 has_recent_requests: self
                     .last_prompt_at
                     .is_some_and(|last| now < last + RECENT_DEMAND_WINDOW),
+                is_contended: !configuration.accounts.is_empty(),
                 prefill_is_short: self
                     .prefill_pools
                     .get(&service.name)
--- a/src/router/roles.rs
+++ b/src/router/roles.rs
@@ -74,6 +74,8 @@
     pub has_recent_requests: bool,
     /// True if prefills waited so long recently that not all new requests were admitted.
     pub prefill_is_short: bool,
+    /// True if client accounts compete for the engines.
+    pub is_contended: bool,
 }
 
 /// Change of an engine's role that is due.
@@ -102,14 +104,15 @@
     pending_changes: Vec<PendingChange>,
     /// Time before which no further order is given.
     next_order_at: Duration,
-    /// Role and time of the last order that was given with the demand known.
+    /// Role and time of the last order that delays the opposite change.
     last_order: Option<(PoolRole, Duration)>,
     /// Number of engines that are listed and not leaving, with the time at which
     /// it last changed.
     engine_count: usize,
     count_changed_at: Duration,
-    /// True if requests had shown the demand when the last change was found due.
-    demand_is_known: bool,
+    /// True if an order of the change that was found due last delays the opposite change:
+    /// requests had shown the demand, or no accounts compete for the engines.
+    delays_reversal: bool,
 }
 
 impl RoleBalancer {
@@ -122,7 +125,7 @@
             last_order: None,
             engine_count: 0,
             count_changed_at: Duration::ZERO,
-            demand_is_known: false,
+            delays_reversal: true,
         }
     }
 
@@ -151,7 +154,7 @@
             return None;
         }
         let role = self.needed_role(&engines, demand)?;
-        self.demand_is_known = demand.prefill_share.is_some();
+        self.delays_reversal = demand.prefill_share.is_some() || !demand.is_contended;
         let needed_at_once = demand.prefill_is_short && role == PoolRole::Prefill;
         if !needed_at_once && self.is_early_reversal(now, role) {
             return None;
@@ -174,7 +177,7 @@
         let until = now + self.settings.change_timeout;
         self.pending_changes.push(PendingChange { key: change.key, role: change.role, until });
         self.next_order_at = now + self.settings.order_interval;
-        if self.demand_is_known {
+        if self.delays_reversal {
             self.last_order = Some((change.role, now));
         }
     }
--- a/tests/router/roles.rs
+++ b/tests/router/roles.rs
@@ -75,6 +75,7 @@
         engine: engine(kv_tokens),
         has_recent_requests: false,
         prefill_is_short: false,
+        is_contended: false,
     }
 }
 
@@ -86,6 +87,7 @@
         engine: engine(50_000),
         has_recent_requests: true,
         prefill_is_short: false,
+        is_contended: false,
     }
 }
 
@@ -190,8 +192,18 @@
 fn orders_on_assumed_demand_do_not_delay_the_opposite_change() {
     let mut engines = engines(17, 29);
     let mut roles = RoleBalancer::new(RoleSettings::default());
-    let first = give_due_orders(&mut engines, &mut roles, 20, idle(27_000));
+    let contended = |demand| Demand { is_contended: true, ..demand };
+    let first = give_due_orders(&mut engines, &mut roles, 20, contended(idle(27_000)));
     assert!(first.iter().any(|order| order.role == PoolRole::Decode), "{first:?}");
-    let then = give_due_orders(&mut engines, &mut roles, 10, in_use(0.5));
+    let then = give_due_orders(&mut engines, &mut roles, 10, contended(in_use(0.5)));
     assert!(then.iter().any(|order| order.role == PoolRole::Prefill), "{then:?}");
 }
+
+#[test]
+fn without_accounts_orders_on_assumed_demand_delay_the_opposite_change() {
+    let mut engines = engines(17, 29);
+    let mut roles = RoleBalancer::new(RoleSettings::default());
+    give_due_orders(&mut engines, &mut roles, 20, idle(27_000));
+    let then = give_due_orders(&mut engines, &mut roles, 10, in_use(0.5));
+    assert_eq!(then.len(), 0);
+}
