Log and count what retry budgets decide

Line retry-budget and counter budgeted_sends give the decision (paid, charged after, given back, denied) with the budget's state. The budgets of all services move from the router to a module. No decision changes.

--- a/src/edge/direct/dispatch.rs
+++ b/src/edge/direct/dispatch.rs
@@ -16,6 +16,7 @@
 use crate::edge::direct::metrics::Metrics;
 use crate::edge::direct::origin_log::OriginLog;
 use crate::edge::direct::quota_log::QuotaLog;
+use crate::edge::direct::request_log::log_budget_notice;
 use crate::edge::direct::request_log::log_refusal;
 use crate::edge::direct::request_task::CallerChannel;
 use crate::edge::direct::request_task::RequestTask;
@@ -226,6 +227,15 @@
         });
     }
 
+    /// Logs and counts what the retry budgets have decided.
+    pub(super) fn log_budget_notices(&self) {
+        let notices = self.router.borrow_mut().take_budget_notices();
+        for notice in notices {
+            self.metrics.count_budgeted_sends(&notice);
+            log_budget_notice(&self.name, &notice);
+        }
+    }
+
     /// Starts the cleanups that the router asks for and wakes the waiting requests that are
     /// runnable now.
     pub(super) fn start_cleanups_and_wake(self: &Rc<Self>) {
@@ -245,6 +255,7 @@
             );
         }
         self.check_runs();
+        self.log_budget_notices();
         self.crash_log.wake(&self.router.borrow());
         self.log_suspect_changes();
         let runnable = self.router.borrow_mut().take_runnable();
--- a/src/edge/direct/metrics.rs
+++ b/src/edge/direct/metrics.rs
@@ -17,6 +17,7 @@
 use crate::router::Target;
 use crate::router::connection_limits::CallerWait;
 use crate::router::follow::Feed;
+use crate::router::retry_budgets::BudgetNotice;
 use crate::router::slow_start::SlowStartCause;
 use crate::router::upstream_notice::RateLimitNotice;
 
@@ -103,6 +104,11 @@
     reason: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct BudgetLabels {
+    decision: &'static str,
+}
+
 /// Metrics of an entry, with their registry.
 pub struct Metrics {
     registry: Registry,
@@ -117,6 +123,7 @@
     quota_claims: Family<QuotaClaimLabels, Counter>,
     rate_limit_notices: Family<RateLimitLabels, Counter>,
     continued_streams: Family<VersionLabels, Counter>,
+    budgeted_sends: Family<BudgetLabels, Counter>,
     leaving_upstreams: Counter,
     slow_starts: Family<CauseLabels, Counter>,
     turned_away: Counter,
@@ -144,6 +151,7 @@
             quota_claims: Family::default(),
             rate_limit_notices: Family::default(),
             continued_streams: Family::default(),
+            budgeted_sends: Family::default(),
             leaving_upstreams: Counter::default(),
             slow_starts: Family::default(),
             turned_away: Counter::default(),
@@ -183,6 +191,8 @@
         registry.register("rate_limit_notices", help, self.rate_limit_notices.clone());
         let help = "Interrupted streams that continued, by the version of the new engine";
         registry.register("continued_streams", help, self.continued_streams.clone());
+        let help = "Sends beyond the first of a request, by what the retry budget decided";
+        registry.register("budgeted_sends", help, self.budgeted_sends.clone());
         let help = "Upstreams that said in a response that they are leaving";
         registry.register("leaving_upstreams", help, self.leaving_upstreams.clone());
         let help = "Slow starts of upstreams begun, by cause";
@@ -269,6 +279,12 @@
         self.leaving_upstreams.inc();
     }
 
+    /// Counts the sends that a retry budget decided on.
+    pub fn count_budgeted_sends(&self, notice: &BudgetNotice) {
+        let labels = BudgetLabels { decision: notice.decision.into() };
+        self.budgeted_sends.get_or_create(&labels).inc_by(notice.sends as u64);
+    }
+
     /// Counts an upstream that starts slowly.
     pub fn count_slow_start(&self, cause: SlowStartCause) {
         self.slow_starts.get_or_create(&CauseLabels { cause: cause.into() }).inc();
--- a/src/edge/direct/request_log.rs
+++ b/src/edge/direct/request_log.rs
@@ -10,6 +10,7 @@
 use crate::router::Step;
 use crate::router::Target;
 use crate::router::request::Request;
+use crate::router::retry_budgets::BudgetNotice;
 
 /// Returns the name of a step in logs and metrics.
 pub(super) fn step_kind(step: &Step) -> &'static str {
@@ -127,6 +128,21 @@
     ids.join(",")
 }
 
+/// Logs what a retry budget decided for a request, with the state of the budget after it.
+pub(super) fn log_budget_notice(instance: &str, notice: &BudgetNotice) {
+    spdlog::info!("retry-budget", kv: {
+        instance: = instance,
+        request_id: = notice.request_id,
+        service: = notice.service,
+        decision: = notice.decision,
+        sends = notice.sends,
+        spent = notice.balance.spent,
+        limit = notice.balance.limit,
+        requests = notice.balance.requests,
+        share = notice.balance.share
+    });
+}
+
 /// Logs that the entry goes on waiting for the upstream of a response that paused.
 pub(super) fn log_kept_run(instance: &str, now: Duration, request: &Request) {
     spdlog::info!("run-kept", kv: {
--- a/src/router.rs
+++ b/src/router.rs
@@ -32,6 +32,7 @@
 pub mod request;
 pub mod reservation_queue;
 mod reserving;
+pub mod retry_budgets;
 pub mod roles;
 mod selection;
 pub mod slow_start;
@@ -60,7 +61,6 @@
 use crate::outcome::RefusalReason;
 use crate::router::budget::BudgetLimits;
 use crate::router::budget::FALLBACK_SHARE;
-use crate::router::budget::WindowedRetryBudget;
 use crate::router::caller_retry::LongestCallerTimeout;
 use crate::router::configuration::Configuration;
 use crate::router::engine_time::EngineTimeStats;
@@ -79,6 +79,7 @@
 use crate::router::request::RequestKey;
 use crate::router::reservation_queue::ReservationQueue;
 use crate::router::reserving::CAPACITY_RETRY_AFTER;
+use crate::router::retry_budgets::RetryBudgets;
 use crate::router::roles::Demand;
 use crate::router::roles::RoleBalancer;
 use crate::router::roles::RoleChange;
@@ -150,10 +151,7 @@
     /// Reservation queue of each service. The key is the name of the service, as
     /// in the maps below.
     reservation_queues: HashMap<CompactString, ReservationQueue>,
-    /// Retry budget of each service.
-    budgets: HashMap<CompactString, WindowedRetryBudget>,
-    /// This entry's share of the allowance in every retry budget.
-    budget_share: f64,
+    budgets: RetryBudgets,
     /// This entry's share of the rate limits of upstreams.
     rate_limit_share: f64,
     /// Prefill times with the wait for the engine, for the timeout of prefills.
@@ -209,8 +207,7 @@
             instance_list: InstanceList::new(settings.outage_grace),
             requests: SlotMap::with_key(),
             reservation_queues: HashMap::new(),
-            budgets: HashMap::new(),
-            budget_share: FALLBACK_SHARE,
+            budgets: RetryBudgets::new(settings.budget),
             rate_limit_share: FALLBACK_SHARE,
             prefill_times: HashMap::new(),
             engine_time: HashMap::new(),
@@ -318,7 +315,7 @@
         let caller = self.identify_caller(now, &configuration, route, key)?;
         let quota_units = self.admit_to_quota(now, &caller, incoming.prompt.as_ref())?;
         let service = configuration.routes[route].pick_destination(&mut self.rng);
-        self.budget(&service).record_request(now);
+        self.budgets.record_request(now, &service);
         let mut request = Request::new(now, incoming, configuration, route, service, caller);
         request.quota_units = quota_units;
         if let Some((prompt, engine)) = request.prompt.zip(request.engine()) {
@@ -436,33 +433,14 @@
         self.requests.remove(key);
     }
 
-    /// Sets this entry's share, from 0 to 1, of the allowance in the retry
-    /// budget of every service.
-    pub fn set_budget_share(&mut self, share: f64) {
-        self.budget_share = share;
-    }
-
     /// Sets this entry's share, from 0 to 1, of the rate limits that upstreams name.
     pub fn set_rate_limit_share(&mut self, now: Duration, share: f64) {
         self.rate_limit_share = share;
         self.upstreams.set_rate_limit_share(now, share);
     }
 
-    /// This entry's share of the allowance in the retry budget of every service.
-    pub fn budget_share(&self) -> f64 {
-        self.budget_share
-    }
-
     /// This entry's share of the rate limits that upstreams name.
     pub fn rate_limit_share(&self) -> f64 {
         self.rate_limit_share
     }
-
-    fn budget(&mut self, service: &CompactString) -> &mut WindowedRetryBudget {
-        let limits = self.settings.budget;
-        let budget = self.budgets.entry(service.clone());
-        let budget = budget.or_insert_with(|| WindowedRetryBudget::new(limits));
-        budget.set_share(self.budget_share);
-        budget
-    }
 }
--- a/src/router/budget.rs
+++ b/src/router/budget.rs
@@ -31,6 +31,19 @@
 /// none. An entry also uses it if the store has assigned a smaller one.
 pub const FALLBACK_SHARE: f64 = 1.0 / 64.0;
 
+/// State of a retry budget.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BudgetBalance {
+    /// Requests within the window.
+    pub requests: usize,
+    /// Extra sends within the window.
+    pub spent: usize,
+    /// Extra sends that may be spent within the window.
+    pub limit: f64,
+    /// This entry's share of the allowance, from 0 to 1.
+    pub share: f64,
+}
+
 impl Default for BudgetLimits {
     fn default() -> Self {
         Self { ratio: 0.2, window: Duration::from_secs(10), allowance: 50.0 }
@@ -96,10 +109,21 @@
 
     /// True if this number of extra sends is left; takes none.
     pub fn allows(&mut self, now: Duration, sends: usize) -> bool {
+        let balance = self.balance(now);
+        (balance.spent + sends) as f64 <= balance.limit
+    }
+
+    /// State of the budget at `now`.
+    pub fn balance(&mut self, now: Duration) -> BudgetBalance {
         self.expire(now);
         let allowance = self.limits.allowance * self.share;
         let allowed = self.limits.ratio * self.requests.len() as f64 + allowance;
-        (self.extra_sends.len() + sends) as f64 <= allowed * SPENDABLE_SHARE
+        BudgetBalance {
+            requests: self.requests.len(),
+            spent: self.extra_sends.len(),
+            limit: allowed * SPENDABLE_SHARE,
+            share: self.share,
+        }
     }
 
     fn expire(&mut self, now: Duration) {
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -162,7 +162,7 @@
             return end;
         }
         let Some(reservation) = self.requests[key].reservation.take() else {
-            return self.return_to_paused_run(key);
+            return self.return_to_paused_run(now, key);
         };
         let lapsed = now >= self.requests[key].reservation_ends_at;
         if lapsed || !self.upstreams.accepts_work(now, reservation.target.key) {
@@ -257,20 +257,18 @@
     fn prefill_failed(&mut self, now: Duration, key: RequestKey, failure: Failure) -> Step {
         self.uncount_prefill(key);
         let reservation = self.requests[key].reservation.as_ref().map(|held| held.target.clone());
-        let service = self.requests[key].service.clone();
         let below_max_prefills = self.requests[key].prefills < MAX_PREFILLS;
         if failure == Failure::NotRun {
             self.back_off(now, key, 0, PREFILL_REJECTION_BACKOFF);
         }
-        let budget = self.budget(&service);
         if !matches!(failure, Failure::NotSent | Failure::Silent) {
             // Every failed prefill counts against the budget, except for one
             // that was not sent, and one that was abandoned after its timeout,
             // which `abandon_prefill` has charged.
-            budget.charge(now);
+            self.charge(now, key);
         }
         let already_charged = failure == Failure::Silent;
-        if below_max_prefills && (already_charged || budget.allows(now, 1)) {
+        if below_max_prefills && (already_charged || self.allows_sends(now, key, 1)) {
             self.requests[key].current = reservation;
             return self.prefill(now, key);
         }
@@ -294,7 +292,7 @@
             request.may_have_run = true;
         }
         if request.paused_run.is_some() {
-            return self.return_to_paused_run(key);
+            return self.return_to_paused_run(now, key);
         }
         let repeatable = failure.proves_not_run() || request.route().allows_rerun();
         let reason = match failure {
@@ -426,9 +424,7 @@
     /// another run.
     fn try_spend_rerun(&mut self, now: Duration, key: RequestKey) -> bool {
         let request = &self.requests[key];
-        let allowed = request.allows_another_run();
-        let service = request.service.clone();
-        allowed && self.budget(&service).try_spend(now, SENDS_PER_RUN)
+        request.allows_another_run() && self.try_spend(now, key, SENDS_PER_RUN)
     }
 
     fn generate_deadline_passed(&mut self, now: Duration, key: RequestKey) -> Step {
--- a/src/router/pauses.rs
+++ b/src/router/pauses.rs
@@ -64,11 +64,10 @@
         let Some(engine) = request.current.clone() else { return Step::Abort };
         let first_search = !std::mem::replace(&mut request.replacement_sought, true);
         let replaceable = request.idle_timeout().is_some();
-        let service = request.service.clone();
         if first_search {
             self.upstreams.record_failure(now, engine.key);
         }
-        if !replaceable || !self.budget(&service).try_spend(now, SENDS_PER_RUN) {
+        if !replaceable || !self.try_spend(now, key, SENDS_PER_RUN) {
             return self.relay_stream(key);
         }
         let request = &mut self.requests[key];
@@ -84,7 +83,7 @@
     /// time for the search is over.
     pub(super) fn seek_replacement(&mut self, now: Duration, key: RequestKey) -> Step {
         if now >= self.reservation_deadline(key) {
-            return self.return_to_paused_run(key);
+            return self.return_to_paused_run(now, key);
         }
         self.reserve_at_next_engine(now, key)
     }
@@ -95,22 +94,21 @@
             self.upstreams.record_success(now, engine.key);
         }
         self.requests[key].replacement_sought = false;
-        self.return_to_paused_run(key)
+        self.return_to_paused_run(now, key)
     }
 
     /// Ends the search for a replacement and returns to the paused run. Aborts the
     /// response if there is none.
-    pub(super) fn return_to_paused_run(&mut self, key: RequestKey) -> Step {
+    pub(super) fn return_to_paused_run(&mut self, now: Duration, key: RequestKey) -> Step {
         self.leave_reservation_queue(key);
         self.uncount_prefill(key);
         let request = &mut self.requests[key];
         let unsent = std::mem::take(&mut request.unsent_replacement);
-        let service = request.service.clone();
         let reserved_at = request.reservation.as_ref().map(|held| held.target.key);
         request.excluded.clear();
         let held = request.take_cleanups();
         let paused_run = request.paused_run.take();
-        self.budget(&service).refund(unsent);
+        self.refund(now, key, unsent);
         if let Some(engine) = reserved_at {
             self.upstreams.give_back_permit(engine);
         }
--- a/src/router/plain.rs
+++ b/src/router/plain.rs
@@ -192,10 +192,7 @@
             && request.attempts < MAX_ATTEMPTS
             && (route.idempotent || request.runs == 0)
             && request.remaining_time(now) > MIN_CALL_TIMEOUT;
-        let service = request.service.clone();
-        allowed
-            && self.select_service_upstream(now, key).is_some()
-            && self.budget(&service).try_spend(now, 1)
+        allowed && self.select_service_upstream(now, key).is_some() && self.try_spend(now, key, 1)
     }
 
     /// Excludes the current upstream from further selection and, unless it only
--- a/src/router/poisoned_requests.rs
+++ b/src/router/poisoned_requests.rs
@@ -213,7 +213,7 @@
                 None
             }
             Verdict::Poisonous { .. } if self.requests[key].response_started => {
-                Some(self.return_to_paused_run(key))
+                Some(self.return_to_paused_run(now, key))
             }
             Verdict::Poisonous { retry_after, as_a_whole } => {
                 let reason = if as_a_whole {
--- a/src/router/prefill_limits.rs
+++ b/src/router/prefill_limits.rs
@@ -112,14 +112,13 @@
     /// If no request with this key is in flight.
     pub fn abandon_prefill(&mut self, now: Duration, key: RequestKey) -> bool {
         let request = &self.requests[key];
-        let service = request.service.clone();
         let below_max_prefills = request.prefills < MAX_PREFILLS;
         let overdue = now >= request.step_started_at + self.prefill_timeout(now, key);
         below_max_prefills
             && overdue
             && self.prefill_fits_patience(now, key)
             && !self.may_crash_upstreams(key)
-            && self.budget(&service).try_spend(now, 1)
+            && self.try_spend(now, key, 1)
     }
 
     /// Time after which a prefill that was not abandoned is checked again.
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -211,6 +211,8 @@
     pub(super) is_trial: bool,
     /// True if the retry of an abandoned call has been taken out of the retry budget.
     pub(super) retry_paid: bool,
+    /// True if the retry budget had too few sends left when it was last asked.
+    pub(super) budget_denied: bool,
     /// Sends of a replacement that were taken out of the retry budget and not made yet.
     pub(super) unsent_replacement: usize,
     /// True once a replacement of a paused run has been sought, until the stream goes on.
@@ -276,6 +278,7 @@
             paused_run: None,
             is_trial: false,
             retry_paid: false,
+            budget_denied: false,
             unsent_replacement: 0,
             replacement_sought: false,
         }
--- a/src/router/reserving.rs
+++ b/src/router/reserving.rs
@@ -108,7 +108,7 @@
         let version = self.requests[key].required_version();
         let next = self.upstreams.next_sendable(&service, PoolRole::Decode, version, now);
         match next {
-            None if version.is_some() => self.refuse_version_unavailable(key),
+            None if version.is_some() => self.refuse_version_unavailable(now, key),
             None => Step::Wait { until: until.min(now + RESERVATION_POLL_INTERVAL) },
             Some((_, at)) if at > until => self.refuse_rate_limited(now, key, at),
             Some((_, at)) if at > now => Step::Wait { until: at },
@@ -128,7 +128,7 @@
             next.filter(|_| engines_asked < max_engines).and_then(|next| self.target(next))
         else {
             if self.requests[key].paused_run.is_some() {
-                return self.return_to_paused_run(key);
+                return self.return_to_paused_run(now, key);
             }
             self.requests[key].excluded.clear();
             let until = self.reservation_deadline(key).min(now + RESERVATION_POLL_INTERVAL);
@@ -165,7 +165,7 @@
     fn refuse_without_reservation(&mut self, now: Duration, key: RequestKey) -> Step {
         self.leave_reservation_queue(key);
         if self.requests[key].response_started {
-            return self.return_to_paused_run(key);
+            return self.return_to_paused_run(now, key);
         }
         let service = self.requests[key].service.clone();
         let none_available =
@@ -185,7 +185,7 @@
     ) -> Step {
         self.leave_reservation_queue(key);
         if self.requests[key].response_started {
-            return self.return_to_paused_run(key);
+            return self.return_to_paused_run(now, key);
         }
         let wait = sendable_at.saturating_sub(now);
         Step::Refuse(self.refusal(now, key, RefusalReason::RateLimited, wait))
@@ -193,10 +193,10 @@
 
     /// Refuses a stream, or ends it if its response has started, because no engine of
     /// the version at which it began accepts work.
-    fn refuse_version_unavailable(&mut self, key: RequestKey) -> Step {
+    fn refuse_version_unavailable(&mut self, now: Duration, key: RequestKey) -> Step {
         self.leave_reservation_queue(key);
         if self.requests[key].response_started {
-            return self.return_to_paused_run(key);
+            return self.return_to_paused_run(now, key);
         }
         let outcome = self.requests[key].outcome();
         Step::Refuse(Refusal::with_outcome(RefusalReason::VersionUnavailable, outcome))
--- a/src/router/store_era.rs
+++ b/src/router/store_era.rs
@@ -86,7 +86,7 @@
 
     /// Uses shares that no assignment of the new era to other entries can exceed by much.
     fn reduce_shares(&mut self, now: Duration) {
-        self.set_budget_share(self.budget_share.min(FALLBACK_SHARE));
+        self.set_budget_share(self.budget_share().min(FALLBACK_SHARE));
         self.set_rate_limit_share(now, lapsed_share(self.rate_limit_share));
     }
 }
