Failing tests: the retry budget as a promise of all entries together

A fleet of entries in virtual time counts what arrives at the upstreams, as the users do: the first prefill that an engine accepts and the first other arrival of a request are free, all else is extra, in any window of 10 s. The tests that there were ask the budget itself, and so pass whatever is sent.

--- a/tests/router/harness.rs
+++ b/tests/router/harness.rs
@@ -11,6 +11,7 @@
 use bamboodoor::router::accounts::AccountEntry;
 use bamboodoor::router::accounts::Accounts;
 use bamboodoor::router::accounts::ApiKey;
+use bamboodoor::router::budget::BudgetLimits;
 use bamboodoor::router::configuration::Configuration;
 use bamboodoor::router::configuration::Destination;
 use bamboodoor::router::configuration::Engine;
@@ -130,12 +131,22 @@
         random_seed: u64,
         slow_start: SlowStartSettings,
     ) -> Self {
-        let settings = RouterSettings {
-            zone: "north".into(),
-            random_seed,
-            slow_start,
-            ..RouterSettings::default()
-        };
+        let settings = RouterSettings { random_seed, slow_start, ..RouterSettings::default() };
+        Self::with_settings(upstreams, settings)
+    }
+
+    /// The same, with these limits of the retry budgets.
+    pub fn with_budget(
+        upstreams: Vec<ListedUpstream>,
+        random_seed: u64,
+        budget: BudgetLimits,
+    ) -> Self {
+        let settings = RouterSettings { random_seed, budget, ..RouterSettings::default() };
+        Self::with_settings(upstreams, settings)
+    }
+
+    fn with_settings(upstreams: Vec<ListedUpstream>, settings: RouterSettings) -> Self {
+        let settings = RouterSettings { zone: "north".into(), ..settings };
         let mut harness = Self { router: Router::new(settings), now: ms(1_000), offset: 0 };
         harness.router.configure(default_configuration());
         harness.router.set_budget_share(BUDGET_SHARE);
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -28,6 +28,8 @@
 mod rate_limit;
 mod rate_limited_engines;
 mod rejoined_streams;
+mod retry_budget;
+mod retry_fleet;
 mod roles;
 mod slow_start;
 mod software_versions;
