A prefill's cost if it fails is held in the retry budget before it is sent

Callers saw nothing of it; the engines got more sends beyond the first of a request than allowed. Cause: a first prefill is free if an engine accepts it, so it was sent whatever the budget held, and charged once it had failed, beyond any limit. Each new request sent one more.

A send is now held before it is made and counts from then on. One is held for a prefill until it is accepted; a second prefill is an extra send in any case. The first prefill of a request may go without to an engine that has not failed one of this entry lately; if it fails and nothing is left then, the request is refused, truthfully as not run. An engine that has failed one gets no unpaid prefill; another engine does, or the decode engine prefills the prompt. Held sends are given back by number, not by cutting off the newest entries of the window, and count from the time of the send. A reservation that lapses no longer leads to a prefill that nobody pays, and a decode or call of which no byte was sent is not paid again. A request's prefills end at three also on that path.

--- a/src/edge/direct/metrics.rs
+++ b/src/edge/direct/metrics.rs
@@ -282,7 +282,7 @@
     /// Counts the sends that a retry budget decided on.
     pub fn count_budgeted_sends(&self, notice: &BudgetNotice) {
         let labels = BudgetLabels { decision: notice.decision.into() };
-        self.budgeted_sends.get_or_create(&labels).inc_by(notice.sends as u64);
+        self.budgeted_sends.get_or_create(&labels).inc();
     }
 
     /// Counts an upstream that starts slowly.
--- a/src/edge/direct/request_log.rs
+++ b/src/edge/direct/request_log.rs
@@ -135,8 +135,8 @@
         request_id: = notice.request_id,
         service: = notice.service,
         decision: = notice.decision,
-        sends = notice.sends,
         spent = notice.balance.spent,
+        held = notice.balance.held,
         limit = notice.balance.limit,
         requests = notice.balance.requests,
         share = notice.balance.share
--- a/src/edge/direct/request_task.rs
+++ b/src/edge/direct/request_task.rs
@@ -111,7 +111,7 @@
             last_failure = reason.or(last_failure);
             dispatcher.start_cleanups_and_wake();
         }
-        dispatcher.router.borrow_mut().finish(self.key);
+        dispatcher.router.borrow_mut().finish(dispatcher.now(), self.key);
         dispatcher.start_cleanups_and_wake();
     }
 
--- a/src/router.rs
+++ b/src/router.rs
@@ -419,10 +419,13 @@
     /// Ends a request: it is complete, was refused or aborted, or its caller
     /// disconnected. Resources that it still holds are queued for
     /// [`Router::take_cleanups`].
-    pub fn finish(&mut self, key: RequestKey) {
+    pub fn finish(&mut self, now: Duration, key: RequestKey) {
         self.record_steady_stream(key);
         self.report_crashed_runs(key);
         self.have_run_checked(key);
+        if self.requests.contains_key(key) {
+            self.settle_sends(now, key);
+        }
         let Some(request) = self.requests.get_mut(key) else { return };
         let held = request.take_cleanups();
         self.cleanups.extend(held);
--- a/src/router/budget.rs
+++ b/src/router/budget.rs
@@ -1,12 +1,13 @@
-//! Retry budget of an entry that connects to upstreams directly: limits the
-//! sends to a service beyond the first one of each request. Prefills, decodes
-//! and calls count as sends. An entry with agents uses the budget in
-//! [`crate::policy::retry`] instead.
+//! Retry budget of an entry that connects to upstreams directly: limits what
+//! arrives at a service beyond the first arrival of each request. An entry with
+//! agents uses the budget in [`crate::policy::retry`] instead.
 //!
 //! Each entry keeps to the ratio over its own requests and to its share of the
 //! fixed allowance, so that all entries together keep to the total. The
 //! platform's store assigns the shares; without one, an entry uses a small
 //! share.
+//! A send is held in the budget before it is made and counts from then on, as
+//! long as it may turn out to be an extra one.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -23,14 +24,19 @@
     pub allowance: f64,
 }
 
-/// Share of the budget that may be spent in advance. The rest covers sends that
-/// only later turn out to be extra ones, and sends that a restarted entry no
-/// longer knows of.
+/// Share of the budget that may be spent in advance. The rest covers sends that a restarted
+/// entry no longer knows of.
 const SPENDABLE_SHARE: f64 = 0.8;
 /// Share of the allowance that an entry uses while the store has assigned it
 /// none. An entry also uses it if the store has assigned a smaller one.
 pub const FALLBACK_SHARE: f64 = 1.0 / 64.0;
 
+impl Default for BudgetLimits {
+    fn default() -> Self {
+        Self { ratio: 0.2, window: Duration::from_secs(10), allowance: 50.0 }
+    }
+}
+
 /// State of a retry budget.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct BudgetBalance {
@@ -38,20 +44,15 @@
     pub requests: usize,
     /// Extra sends within the window.
     pub spent: usize,
-    /// Extra sends that may be spent within the window.
+    /// Sends that may turn out to be extra ones.
+    pub held: usize,
+    /// Extra sends that may be spent or held.
     pub limit: f64,
     /// This entry's share of the allowance, from 0 to 1.
     pub share: f64,
 }
 
-impl Default for BudgetLimits {
-    fn default() -> Self {
-        Self { ratio: 0.2, window: Duration::from_secs(10), allowance: 50.0 }
-    }
-}
-
-/// Retry budget of one entry for one service: counts the requests and the extra
-/// sends within a sliding window.
+/// Retry budget of one entry for one service.
 #[derive(Debug, Clone)]
 pub struct WindowedRetryBudget {
     limits: BudgetLimits,
@@ -60,6 +61,8 @@
     requests: VecDeque<Duration>,
     /// Times of the extra sends, the oldest first.
     extra_sends: VecDeque<Duration>,
+    /// Sends that are held.
+    held: usize,
 }
 
 impl WindowedRetryBudget {
@@ -71,6 +74,7 @@
             share: FALLBACK_SHARE,
             requests: VecDeque::new(),
             extra_sends: VecDeque::new(),
+            held: 0,
         }
     }
 
@@ -85,32 +89,32 @@
         self.expire(now);
     }
 
-    /// Takes a number of extra sends out of the budget. Returns false, and
-    /// takes none, if fewer are left.
-    pub fn try_spend(&mut self, now: Duration, sends: usize) -> bool {
-        let allowed = self.allows(now, sends);
+    /// Holds a number of sends that may become extra ones. Returns false, and
+    /// holds none, if fewer are left. They are held until [`Self::spend_held`] or
+    /// [`Self::release`].
+    pub fn try_hold(&mut self, now: Duration, sends: usize) -> bool {
+        self.try_hold_within(now, sends, 1.0)
+    }
+
+    /// The same, but within a part of the limit, from 0 to 1.
+    pub fn try_hold_within(&mut self, now: Duration, sends: usize, part: f64) -> bool {
+        let balance = self.balance(now);
+        let allowed = (balance.spent + balance.held + sends) as f64 <= balance.limit * part;
         if allowed {
-            self.extra_sends.extend(std::iter::repeat_n(now, sends));
+            self.held += sends;
         }
         allowed
     }
 
-    /// Returns extra sends that were taken but not made.
-    pub fn refund(&mut self, sends: usize) {
-        let kept = self.extra_sends.len().saturating_sub(sends);
-        self.extra_sends.truncate(kept);
-    }
-
-    /// Records a send that only turned out to be an extra one after it was
-    /// made. The budget may be exceeded by it.
-    pub fn charge(&mut self, now: Duration) {
-        self.extra_sends.push_back(now);
+    /// Records that held sends are extra ones, made by `now`.
+    pub fn spend_held(&mut self, now: Duration, sends: usize) {
+        self.release(sends);
+        self.extra_sends.extend(std::iter::repeat_n(now, sends));
     }
 
-    /// True if this number of extra sends is left; takes none.
-    pub fn allows(&mut self, now: Duration, sends: usize) -> bool {
-        let balance = self.balance(now);
-        (balance.spent + sends) as f64 <= balance.limit
+    /// Gives back held sends, which were not made or are no extra ones.
+    pub fn release(&mut self, sends: usize) {
+        self.held = self.held.saturating_sub(sends);
     }
 
     /// State of the budget at `now`.
@@ -121,6 +125,7 @@
         BudgetBalance {
             requests: self.requests.len(),
             spent: self.extra_sends.len(),
+            held: self.held,
             limit: allowed * SPENDABLE_SHARE,
             share: self.share,
         }
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -15,6 +15,7 @@
 use crate::router::flow::Failure;
 use crate::router::flow::KvSource;
 use crate::router::flow::Step;
+use crate::router::flow::Target;
 use crate::router::output_margin::StreamStall;
 use crate::router::plain::MIN_SERVER_ERROR_STATUS;
 use crate::router::prefill_pool::ObservedPrefill;
@@ -32,9 +33,6 @@
 /// Largest number of prefills of one request; after a failure of the last one
 /// the decode engine prefills the prompt itself.
 pub(super) const MAX_PREFILLS: u32 = 3;
-/// Sends that another run takes out of the retry budget: a prefill and a
-/// decode.
-pub(super) const SENDS_PER_RUN: usize = 2;
 
 impl Router {
     pub(super) fn advance_generate(
@@ -111,8 +109,7 @@
         if !self.prefill_fits_patience(now, key) {
             return self.refuse_prefill(now, key);
         }
-        let next = self.select_prefill_engine(now, key);
-        let Some(target) = next.and_then(|next| self.target(next)) else {
+        let Some(target) = self.next_prefill_engine(now, key) else {
             // The decode engine prefills the prompt itself, more slowly.
             return self.decode(now, key);
         };
@@ -122,7 +119,6 @@
         let request = &mut self.requests[key];
         request.phase = Phase::Prefilling;
         request.run_events = 0;
-        request.unsent_replacement = request.unsent_replacement.saturating_sub(1);
         request.prefills += 1;
         request.prefills_ahead = ahead;
         request.step_started_at = now;
@@ -133,6 +129,26 @@
         Step::Prefill { target, remaining_time, timeout }
     }
 
+    /// Selects the engine for the next prefill of the request. Returns `None` if there is none,
+    /// or if neither the request nor the retry budget has a prefill left.
+    fn next_prefill_engine(&mut self, now: Duration, key: RequestKey) -> Option<Target> {
+        if self.requests[key].prefills >= MAX_PREFILLS {
+            return None;
+        }
+        let excluded = self.requests[key].excluded.len();
+        let mut target = None;
+        while let Some(engine) = self.select_prefill_engine(now, key) {
+            if self.hold_prefill(now, key, engine) {
+                target = self.target(engine);
+                break;
+            }
+            // Another engine may need none of the budget.
+            self.requests[key].excluded.push(engine);
+        }
+        self.requests[key].excluded.truncate(excluded);
+        target
+    }
+
     fn prefill_completed(&mut self, now: Duration, key: RequestKey, handle: CompactString) -> Step {
         let request = &mut self.requests[key];
         let Some(target) = request.current.clone() else { return Step::Abort };
@@ -153,11 +169,13 @@
         }
         self.record_prefill_pace(now, target.key, tokens, elapsed);
         self.uncount_prefill(key);
+        self.record_accepted_prefill(now, key);
         self.prefill_times.entry(service).or_default().record(tokens, elapsed);
         self.decode(now, key)
     }
 
     fn decode(&mut self, now: Duration, key: RequestKey) -> Step {
+        self.release_prefill(now, key);
         if let Some(end) = self.end_if_poisonous(now, key) {
             return end;
         }
@@ -175,8 +193,8 @@
             self.uncount_open(key);
             return self.queue_for_reservation(now, key);
         }
+        self.count_send(now, key);
         let request = &mut self.requests[key];
-        request.unsent_replacement = 0;
         request.phase = Phase::Decoding;
         request.attempts += 1;
         request.runs += 1;
@@ -257,22 +275,28 @@
     fn prefill_failed(&mut self, now: Duration, key: RequestKey, failure: Failure) -> Step {
         self.uncount_prefill(key);
         let reservation = self.requests[key].reservation.as_ref().map(|held| held.target.clone());
-        let below_max_prefills = self.requests[key].prefills < MAX_PREFILLS;
         if failure == Failure::NotRun {
             self.back_off(now, key, 0, PREFILL_REJECTION_BACKOFF);
         }
-        if !matches!(failure, Failure::NotSent | Failure::Silent) {
-            // Every failed prefill counts against the budget, except for one
-            // that was not sent, and one that was abandoned after its timeout,
-            // which `abandon_prefill` has charged.
-            self.charge(now, key);
+        match failure {
+            // Nothing arrived.
+            Failure::NotSent => self.release_prefill(now, key),
+            // `abandon_prefill` has paid for it.
+            Failure::Silent => {}
+            _ if self.pay_for_failed_prefill(now, key) => {}
+            _ => return self.refuse_unpaid(now, key),
         }
-        let already_charged = failure == Failure::Silent;
-        if below_max_prefills && (already_charged || self.allows_sends(now, key, 1)) {
-            self.requests[key].current = reservation;
-            return self.prefill(now, key);
+        self.requests[key].current = reservation;
+        self.prefill(now, key)
+    }
+
+    /// Refuses a request whose first prefill failed, as the retry budget has no send left for
+    /// what would follow.
+    fn refuse_unpaid(&mut self, now: Duration, key: RequestKey) -> Step {
+        if let Some(held) = &self.requests[key].reservation {
+            self.upstreams.give_back_permit(held.target.key);
         }
-        self.decode(now, key)
+        Step::Refuse(self.refusal(now, key, RefusalReason::RetryBudget, CAPACITY_RETRY_AFTER))
     }
 
     fn decode_failed(&mut self, now: Duration, key: RequestKey, failure: Failure) -> Step {
@@ -285,6 +309,9 @@
             // but runs nothing.
             self.upstreams.record_failure(now, engine.key);
         }
+        if failure == Failure::NotSent {
+            self.uncount_send(key);
+        }
         let request = &mut self.requests[key];
         if failure.proves_not_run() {
             request.runs -= 1;
@@ -301,7 +328,7 @@
             Failure::NotRun => RefusalReason::Overloaded,
             Failure::NotSent | Failure::OtherInstance => RefusalReason::NoUpstream,
         };
-        if repeatable && self.try_spend_rerun(now, key) {
+        if repeatable && self.try_hold_rerun(now, key) {
             return self.queue_for_reservation(now, key);
         }
         if self.requests[key].response_started {
@@ -413,18 +440,17 @@
         if let Some(end) = self.end_if_poisonous(now, key) {
             return end;
         }
-        if resumable && self.try_spend_rerun(now, key) {
+        if resumable && self.try_hold_rerun(now, key) {
             return self.queue_for_reservation(now, key);
         }
         Step::Abort
     }
 
-    /// Takes the sends of another run out of the retry budget. Returns false,
-    /// and takes none, if the limits of the request or the budget forbid
-    /// another run.
-    fn try_spend_rerun(&mut self, now: Duration, key: RequestKey) -> bool {
+    /// Holds the decode of another run in the retry budget. Returns false, and holds none, if
+    /// the limits of the request or the budget forbid another run.
+    fn try_hold_rerun(&mut self, now: Duration, key: RequestKey) -> bool {
         let request = &self.requests[key];
-        request.allows_another_run() && self.try_spend(now, key, SENDS_PER_RUN)
+        request.allows_another_run() && self.hold_retry(now, key)
     }
 
     fn generate_deadline_passed(&mut self, now: Duration, key: RequestKey) -> Step {
--- a/src/router/pauses.rs
+++ b/src/router/pauses.rs
@@ -13,7 +13,6 @@
 use crate::router::Router;
 use crate::router::flow::Step;
 use crate::router::generate::MAX_PREFILLS;
-use crate::router::generate::SENDS_PER_RUN;
 use crate::router::request::Phase;
 use crate::router::request::Request;
 use crate::router::request::RequestKey;
@@ -67,13 +66,12 @@
         if first_search {
             self.upstreams.record_failure(now, engine.key);
         }
-        if !replaceable || !self.try_spend(now, key, SENDS_PER_RUN) {
+        if !replaceable || !self.hold_retry(now, key) {
             return self.relay_stream(key);
         }
         let request = &mut self.requests[key];
         request.excluded.push(engine.key);
         request.paused_run = Some(engine);
-        request.unsent_replacement = SENDS_PER_RUN;
         request.phase = Phase::Reserving;
         request.reservation_deadline = now + request.longest_pause();
         self.seek_replacement(now, key)
@@ -103,12 +101,12 @@
         self.leave_reservation_queue(key);
         self.uncount_prefill(key);
         let request = &mut self.requests[key];
-        let unsent = std::mem::take(&mut request.unsent_replacement);
         let reserved_at = request.reservation.as_ref().map(|held| held.target.key);
         request.excluded.clear();
         let held = request.take_cleanups();
         let paused_run = request.paused_run.take();
-        self.refund(now, key, unsent);
+        self.release_retries(now, key);
+        self.release_prefill(now, key);
         if let Some(engine) = reserved_at {
             self.upstreams.give_back_permit(engine);
         }
--- a/src/router/plain.rs
+++ b/src/router/plain.rs
@@ -88,6 +88,7 @@
 
     fn call_upstream(&mut self, now: Duration, key: RequestKey, target: Target) -> Step {
         self.count_open(key, &target);
+        self.count_send(now, key);
         let request = &mut self.requests[key];
         request.attempts += 1;
         request.runs += 1;
@@ -112,14 +113,14 @@
         self.requests[key].open_run = None;
         self.record_sound_run(now, key);
         self.requests[key].excluded.push(target.key);
-        if self.try_spend_retry(now, key) {
+        if self.try_hold_retry(now, key) {
             return self.call(now, key);
         }
         Step::Relay { idle_timeout: None }
     }
 
     /// Decides whether a call that exceeded its timeout is abandoned. Returns true if it
-    /// can be retried at another upstream, and takes the retry out of the retry budget.
+    /// can be retried at another upstream, and holds the retry in the retry budget.
     /// Returns false if not: it then keeps waiting, as its upstream may still respond.
     ///
     /// # Panics
@@ -131,10 +132,8 @@
         let Some(target) = self.requests[key].current.clone() else { return false };
         let excluded = self.requests[key].excluded.len();
         self.requests[key].excluded.push(target.key);
-        let abandoned = self.try_spend_retry(now, key);
-        let request = &mut self.requests[key];
-        request.excluded.truncate(excluded);
-        request.retry_paid = abandoned;
+        let abandoned = self.try_hold_retry(now, key);
+        self.requests[key].excluded.truncate(excluded);
         abandoned
     }
 
@@ -143,6 +142,9 @@
         if failure == Failure::Crashed {
             self.record_crashed_run(now, key);
         }
+        if failure == Failure::NotSent {
+            self.uncount_send(key);
+        }
         if failure.proves_not_run() {
             self.requests[key].runs -= 1;
         } else {
@@ -152,9 +154,9 @@
             return end;
         }
         let repeatable = failure.proves_not_run() || self.requests[key].route().idempotent;
-        let paid = std::mem::take(&mut self.requests[key].retry_paid);
+        let held = self.requests[key].sends.is_retry_held();
         let unsent = failure == Failure::NotSent && self.requests[key].attempts < MAX_ATTEMPTS;
-        if paid || (repeatable && (unsent || self.try_spend_retry(now, key))) {
+        if held || (repeatable && (unsent || self.try_hold_retry(now, key))) {
             return self.call(now, key);
         }
         let reason = match failure {
@@ -182,17 +184,17 @@
         ))
     }
 
-    /// Takes one send out of the retry budget for another attempt. Returns
-    /// false, and takes none, if the limits of the request or the budget forbid
-    /// one, or if there is no upstream for it.
-    fn try_spend_retry(&mut self, now: Duration, key: RequestKey) -> bool {
+    /// Holds one send in the retry budget for another attempt. Returns false, and
+    /// holds none, if the limits of the request or the budget forbid one, or if
+    /// there is no upstream for it.
+    fn try_hold_retry(&mut self, now: Duration, key: RequestKey) -> bool {
         let request = &self.requests[key];
         let route = request.route();
         let allowed = request.runs < route.max_runs
             && request.attempts < MAX_ATTEMPTS
             && (route.idempotent || request.runs == 0)
             && request.remaining_time(now) > MIN_CALL_TIMEOUT;
-        allowed && self.select_service_upstream(now, key).is_some() && self.try_spend(now, key, 1)
+        allowed && self.select_service_upstream(now, key).is_some() && self.hold_retry(now, key)
     }
 
     /// Excludes the current upstream from further selection and, unless it only
--- a/src/router/prefill_limits.rs
+++ b/src/router/prefill_limits.rs
@@ -103,8 +103,8 @@
     }
 
     /// Decides whether a prefill that exceeded its timeout is abandoned.
-    /// Returns true if so, and takes one send out of the retry budget. Returns
-    /// false if the waits of other prefills explain how long it takes, if another one could
+    /// Returns true if so; the retry budget has paid for it then and holds a send for
+    /// another prefill. Returns false if the waits of other prefills explain how long it takes, if another one could
     /// not end before the caller gives up, or if the request has used up its prefills or the
     /// budget is spent: it then keeps waiting, for [`Router::prefill_check_after`].
     ///
@@ -118,7 +118,7 @@
             && overdue
             && self.prefill_fits_patience(now, key)
             && !self.may_crash_upstreams(key)
-            && self.try_spend(now, key, 1)
+            && self.replace_prefill(now, key)
     }
 
     /// Time after which a prefill that was not abandoned is checked again.
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -17,6 +17,7 @@
 use crate::router::flow::Target;
 use crate::router::poison::CrashedRun;
 use crate::router::poison::Suspect;
+use crate::router::retry_budgets::BudgetedSends;
 use crate::router::upstreams::UpstreamKey;
 
 new_key_type! {
@@ -209,12 +210,8 @@
     /// True if the request finds out whether it, or a part of its prompt, still crashes
     /// upstreams.
     pub(super) is_trial: bool,
-    /// True if the retry of an abandoned call has been taken out of the retry budget.
-    pub(super) retry_paid: bool,
-    /// True if the retry budget had too few sends left when it was last asked.
-    pub(super) budget_denied: bool,
-    /// Sends of a replacement that were taken out of the retry budget and not made yet.
-    pub(super) unsent_replacement: usize,
+    /// Sends that count in the retry budget of the service.
+    pub(super) sends: BudgetedSends,
     /// True once a replacement of a paused run has been sought, until the stream goes on.
     pub(super) replacement_sought: bool,
 }
@@ -277,9 +274,7 @@
             stalled: false,
             paused_run: None,
             is_trial: false,
-            retry_paid: false,
-            budget_denied: false,
-            unsent_replacement: 0,
+            sends: BudgetedSends::default(),
             replacement_sought: false,
         }
     }
--- a/src/router/upstreams.rs
+++ b/src/router/upstreams.rs
@@ -77,6 +77,8 @@
     /// Estimated wait before a prefill starts, from the latest prefills of this
     /// entry.
     pub prefill_wait: PrefillWaitEstimate,
+    /// When a prefill of this entry failed at the engine; `None` once another one was accepted.
+    pub prefill_failed_at: Option<Duration>,
     /// Pace of an engine, from its responses to this entry.
     pub pace: Pace,
     /// Consecutive failures and ejection.
@@ -238,6 +240,7 @@
             open_tokens: 0,
             prefilling_tokens: 0,
             prefill_wait: PrefillWaitEstimate::default(),
+            prefill_failed_at: None,
             pace: Pace::default(),
             health: Health::default(),
             slow_start: None,
--- a/tests/router/budget.rs
+++ b/tests/router/budget.rs
@@ -8,7 +8,7 @@
 use crate::harness::ms;
 
 fn limits() -> BudgetLimits {
-    BudgetLimits { ratio: 0.2, window: ms(10_000), allowance: 48.0 }
+    BudgetLimits { allowance: 48.0, ..BudgetLimits::default() }
 }
 
 /// Returns the budget of an entry that has a sixteenth of the allowance.
@@ -18,13 +18,21 @@
     budget
 }
 
+fn try_spend(budget: &mut WindowedRetryBudget, at_ms: u64) -> bool {
+    let held = budget.try_hold(ms(at_ms), 1);
+    if held {
+        budget.spend_held(ms(at_ms), 1);
+    }
+    held
+}
+
 /// Records `requests` requests, then tries `wanted` extra sends one at a time.
 /// Returns how many of them the budget allowed.
 fn spend_after_requests(budget: &mut WindowedRetryBudget, requests: u32, wanted: u32) -> u32 {
     for _ in 0..requests {
         budget.record_request(ms(0));
     }
-    (0..wanted).filter(|_| budget.try_spend(ms(1), 1)).count() as u32
+    (0..wanted).filter(|_| try_spend(budget, 1)).count() as u32
 }
 
 #[test]
@@ -47,8 +55,8 @@
 fn an_extra_send_counts_until_the_window_has_passed() {
     let mut budget = budget();
     assert_eq!(spend_after_requests(&mut budget, 0, 10), 2);
-    assert!(!budget.try_spend(ms(9_999), 1));
-    assert!(budget.try_spend(ms(10_001), 1));
+    assert!(!try_spend(&mut budget, 9_999));
+    assert!(try_spend(&mut budget, 10_001));
 }
 
 #[test]
@@ -59,25 +67,31 @@
 }
 
 #[test]
-fn several_sends_are_allowed_together_or_not_at_all() {
+fn several_sends_are_held_together_or_not_at_all() {
     let mut budget = budget();
     for _ in 0..5 {
         budget.record_request(ms(0));
     }
     // 0.8 x (0.2 x 5 + 48 / 16) = 3.2.
-    assert!(budget.try_spend(ms(0), 2));
-    assert!(!budget.try_spend(ms(0), 2));
-    assert!(budget.try_spend(ms(0), 1));
+    assert!(budget.try_hold(ms(0), 2));
+    assert!(!budget.try_hold(ms(0), 2));
+    assert!(budget.try_hold(ms(0), 1));
 }
 
 #[test]
-fn sends_that_turn_out_to_be_extra_count_against_the_budget() {
+fn what_is_held_counts_until_it_is_released_however_long_that_takes() {
     let mut budget = budget();
-    for _ in 0..100 {
-        budget.record_request(ms(0));
-    }
-    for _ in 0..18 {
-        budget.charge(ms(0));
-    }
-    assert!(!budget.allows(ms(0), 1));
+    assert!(budget.try_hold(ms(0), 2));
+    assert!(!budget.try_hold(ms(60_000), 1));
+    budget.release(1);
+    assert!(budget.try_hold(ms(60_000), 1));
+}
+
+#[test]
+fn what_is_spent_counts_from_the_send_not_from_when_it_was_held() {
+    let mut budget = budget();
+    assert!(budget.try_hold(ms(0), 2));
+    budget.spend_held(ms(8_000), 2);
+    assert!(!budget.try_hold(ms(17_999), 1));
+    assert!(budget.try_hold(ms(18_000), 1));
 }
--- a/tests/router/caller_retry.rs
+++ b/tests/router/caller_retry.rs
@@ -80,7 +80,7 @@
     let mut harness = Harness::new(default_upstreams().into_iter().chain(engines).collect());
     // Shows the caller's usual timeout.
     let (first, _) = harness.start_request("/stream/1");
-    harness.router.finish(first);
+    harness.router.finish(harness.now, first);
     let start = harness.now;
     let (key, mut step) = harness.start_retry("/stream/2", ms(earlier_wait_ms));
     let mut first_round = None;
--- a/tests/router/crash_fleet.rs
+++ b/tests/router/crash_fleet.rs
@@ -179,6 +179,12 @@
         self.report(request, Event::ResponseStarted { status: 200 });
     }
 
+    /// Has the entry decide whether a call that exceeded its timeout is abandoned.
+    pub fn abandon_call(&mut self, request: InFlight) -> bool {
+        let entry = &mut self.entries[request.entry];
+        entry.router.abandon_call(entry.now, request.key)
+    }
+
     pub fn report(&mut self, request: InFlight, event: Event) -> Step {
         self.entries[request.entry].report(request.key, event)
     }
@@ -194,12 +200,13 @@
     pub fn complete(&mut self, request: InFlight) {
         let entry = &mut self.entries[request.entry];
         entry.router.record_complete_response(entry.now, request.key);
-        entry.router.finish(request.key);
+        entry.router.finish(entry.now, request.key);
         self.share_reports();
     }
 
     pub fn finish(&mut self, request: InFlight) {
-        self.entries[request.entry].router.finish(request.key);
+        let entry = &mut self.entries[request.entry];
+        entry.router.finish(entry.now, request.key);
     }
 
     /// Id of the upstream that a request has last gone to.
--- a/tests/router/fleet.rs
+++ b/tests/router/fleet.rs
@@ -259,14 +259,14 @@
             }
             Step::Relay { .. } => {
                 self.served += 1;
-                self.entries[entry].router.finish(key);
+                self.entries[entry].router.finish(self.now, key);
             }
             Step::Refuse(refusal) => {
                 let router = &mut self.entries[entry].router;
                 let arrived_at = router.request(key).expect("it is in flight").arrived_at;
                 self.refused.push(self.now - arrived_at);
                 self.retry_after.extend(refusal.retry_after);
-                router.finish(key);
+                router.finish(self.now, key);
             }
             other => panic!("unexpected step {other:?}"),
         }
--- a/tests/router/generate.rs
+++ b/tests/router/generate.rs
@@ -239,7 +239,7 @@
                 assert_eq!(refused.outcome, Outcome::NotRun);
                 assert!(refused.retry_after.is_some());
                 at_once += 1;
-                harness.router.finish(key);
+                harness.router.finish(harness.now, key);
             }
             _ => waiting.push_back((key, harness.now)),
         }
@@ -247,11 +247,11 @@
             && let Some((served, _)) = waiting.pop_front()
         {
             harness.report(served, reserved());
-            harness.router.finish(served);
+            harness.router.finish(harness.now, served);
         }
         while waiting.front().is_some_and(|(_, arrived)| harness.now >= *arrived + ms(450)) {
             let (key, _) = waiting.pop_front().expect("a request waits");
-            harness.router.finish(key);
+            harness.router.finish(harness.now, key);
             late += 1;
         }
     }
@@ -305,7 +305,7 @@
     let mut harness = Harness::new(default_upstreams());
     let (key, _) = harness.start_request("/stream/1");
     harness.report(key, reserved());
-    harness.router.finish(key);
+    harness.router.finish(harness.now, key);
     assert_eq!(harness.router.take_cleanups().len(), 1);
     assert_eq!(harness.router.open_requests(), 0);
 }
@@ -315,7 +315,7 @@
     let mut harness = Harness::new(default_upstreams());
     let (first, _) = harness.start_request("/stream/1");
     let (second, _) = harness.start_request("/stream/2");
-    harness.router.finish(first);
+    harness.router.finish(harness.now, first);
     assert_eq!(harness.router.take_runnable(), vec![second]);
 }
 
@@ -361,7 +361,7 @@
             step = harness.report(key, Event::Failed(Failure::Silent));
         }
         assert!(matches!(step, Step::Decode { .. }), "{step:?}");
-        harness.router.finish(key);
+        harness.router.finish(harness.now, key);
         requests += 1;
     }
     assert!(prefills > requests, "no prefill was abandoned");
@@ -390,7 +390,7 @@
                 harness.report(key, Event::Prefilled { handle: "handle".into() })
             };
         }
-        harness.router.finish(key);
+        harness.router.finish(harness.now, key);
         harness.now += ms(100);
     }
     assert!(rejected <= 10, "p1 rejected {rejected} prefills of 100 requests");
@@ -416,7 +416,7 @@
                 _ => break,
             };
         }
-        harness.router.finish(key);
+        harness.router.finish(harness.now, key);
         harness.now += ms(50);
     }
     assert!(rejected <= 6, "d1 rejected {rejected} decodes of 50 requests");
@@ -439,7 +439,7 @@
             .find(|(id, _)| *id == prefill.id)
             .expect("the prefill ran at p1 or p2");
         count.1 += 1;
-        harness.router.finish(key);
+        harness.router.finish(harness.now, key);
     }
     assert!(prefills[0].1 <= 3, "prefills at each engine: {prefills:?}");
 }
--- a/tests/router/key_certainty.rs
+++ b/tests/router/key_certainty.rs
@@ -61,7 +61,7 @@
 
 fn send(router: &mut Router, at: u64, path: &str, key: &str) -> Result<(), Refusal> {
     let key = router.accept_request(ms(at), keyed(path, key))?;
-    router.finish(key);
+    router.finish(ms(at), key);
     Ok(())
 }
 
--- a/tests/router/output_margin.rs
+++ b/tests/router/output_margin.rs
@@ -98,7 +98,7 @@
         harness.router.record_event(harness.now, key);
         harness.now += interval;
     }
-    harness.router.finish(key);
+    harness.router.finish(harness.now, key);
     match harness.start_request("/stream/2").1 {
         Step::Reserve { tokens, .. } => tokens,
         other => panic!("unexpected step {other:?}"),
--- a/tests/router/pace.rs
+++ b/tests/router/pace.rs
@@ -77,7 +77,7 @@
             self.harness.now += EVENT_INTERVAL.mul_f64(factor);
             self.harness.router.record_event(self.harness.now, key);
         }
-        self.harness.router.finish(key);
+        self.harness.router.finish(self.harness.now, key);
     }
 
     /// Serves requests, one after the other, from which the entry learns.
@@ -92,7 +92,7 @@
     /// finished before the next one.
     fn place(&mut self, incoming: IncomingRequest) -> (f64, f64) {
         let (key, prefill, decode) = self.start(incoming);
-        self.harness.router.finish(key);
+        self.harness.router.finish(self.harness.now, key);
         (self.factors[&prefill], self.factors[&decode])
     }
 }
--- a/tests/router/pauses.rs
+++ b/tests/router/pauses.rs
@@ -95,7 +95,7 @@
     let mut harness = Harness::new(upstreams);
     let mut key = start_stream(&mut harness);
     while harness.router.request(key).is_some_and(|request| request.upstream_id() != "d1") {
-        harness.router.finish(key);
+        harness.router.finish(harness.now, key);
         key = start_stream(&mut harness);
     }
     harness.router.record_event(harness.now, key);
@@ -175,7 +175,7 @@
         let step = harness.report(key, Event::ResponsePaused { last_event: Some(5) });
         assert!(!matches!(step, Step::Relay { .. }), "{step:?}");
         harness.report(key, Event::ResponseResumed);
-        harness.router.finish(key);
+        harness.router.finish(harness.now, key);
         harness.now += ms(10);
     }
 }
@@ -306,7 +306,7 @@
     };
     let (first, step) = harness.start_request("/resumable/1");
     let before = tokens(&step);
-    harness.router.finish(first);
+    harness.router.finish(harness.now, first);
     let streams: Vec<RequestKey> = (0..15).map(|_| start_stream(&mut harness)).collect();
     for &key in &streams {
         harness.router.record_event(harness.now, key);
@@ -319,7 +319,7 @@
     for &key in &streams {
         harness.report(key, Event::ResponseResumed);
         harness.router.record_event(harness.now, key);
-        harness.router.finish(key);
+        harness.router.finish(harness.now, key);
     }
     let (_, step) = harness.start_request("/resumable/1");
     assert_eq!(tokens(&step), before);
@@ -362,7 +362,7 @@
             let key = start_stream(&mut harness);
             harness.router.record_event(harness.now, key);
             if upstream_id(&harness, key) == "d3" {
-                harness.router.finish(key);
+                harness.router.finish(harness.now, key);
                 return None;
             }
             Some(key)
@@ -442,7 +442,7 @@
         let (pause, event) = match step {
             Step::Reserve { target, .. } if target.id == "d3" => {
                 harness.router.advance(harness.now, key, reserved());
-                harness.router.finish(key);
+                harness.router.finish(harness.now, key);
                 (None, Event::Started)
             }
             Step::Reserve { .. } => (Some(harness.now + ms(3)), Event::ReservationRejected),
@@ -453,7 +453,7 @@
             ),
             Step::Refuse(_) => {
                 refused += 1;
-                harness.router.finish(key);
+                harness.router.finish(harness.now, key);
                 (None, Event::Started)
             }
             other => panic!("{other:?}"),
--- a/tests/router/prefill_pool_replay.rs
+++ b/tests/router/prefill_pool_replay.rs
@@ -380,7 +380,7 @@
         let attempt = self.attempts.remove(&id).expect("the attempt is open");
         let useful = if served { u64::from(self.settings.prompt_tokens) } else { 0 };
         self.counts.tokens_in_vain += attempt.tokens.saturating_sub(useful);
-        self.entries[attempt.entry].router.finish(attempt.key);
+        self.entries[attempt.entry].router.finish(self.now, attempt.key);
         self.entries[attempt.entry].router.take_cleanups();
         self.wake_runnable(attempt.entry);
     }
--- a/tests/router/quotas.rs
+++ b/tests/router/quotas.rs
@@ -331,7 +331,7 @@
     let (mut router, request) = router_with_quota(Some(ONE_REQUEST));
     let key = router.accept_request(s(2), request.clone()).expect("it is within the quota");
     assert!(matches!(router.start(s(2), key), Step::Refuse(_)));
-    router.finish(key);
+    router.finish(s(2), key);
     assert!(router.accept_request(s(2), request).is_ok());
 }
 
--- a/tests/router/rate_limited_engines.rs
+++ b/tests/router/rate_limited_engines.rs
@@ -64,7 +64,7 @@
         assert_eq!(target(&step).id, "d2");
         let step = harness.report(key, reserved());
         assert_eq!(target(&step).id, "p2");
-        harness.router.finish(key);
+        harness.router.finish(harness.now, key);
     }
 }
 
@@ -118,7 +118,7 @@
     let engine = target(&step);
     harness.report(key, reserved());
     limit(&mut harness, &engine.id, 0.01);
-    harness.router.finish(key);
+    harness.router.finish(harness.now, key);
     let cleanups = harness.router.take_cleanups();
     assert_eq!(cleanups.len(), 1);
     assert!(!harness.router.permit_cleanup(harness.now, &cleanups[0]));
--- a/tests/router/retry_budget.rs
+++ b/tests/router/retry_budget.rs
@@ -4,7 +4,6 @@
 use bamboodoor::router::budget::BudgetLimits;
 use bamboodoor::router::upstreams::PoolRole;
 
-use crate::harness::ms;
 use crate::retry_fleet::Fault;
 use crate::retry_fleet::Load;
 use crate::retry_fleet::Reaction;
@@ -109,7 +108,7 @@
 }
 
 fn with_5_entries(settings: RetryFleetSettings) -> RetryFleetSettings {
-    let budget = BudgetLimits { allowance: 58.0, window: ms(10_000), ..settings.budget };
+    let budget = BudgetLimits { allowance: 58.0, ..settings.budget };
     let mut settings = RetryFleetSettings { entries: 5, engines: 18, budget, ..settings };
     for load in &mut settings.loads {
         load.entries = 0..5;
--- a/tests/router/retry_fleet.rs
+++ b/tests/router/retry_fleet.rs
@@ -111,7 +111,7 @@
             entries: 24,
             engines: 20,
             paths: vec!["/stream/1", "/resumable/1"],
-            budget: BudgetLimits { ratio: 0.2, window: ms(10_000), allowance: 88.0 },
+            budget: BudgetLimits { allowance: 88.0, ..BudgetLimits::default() },
             loads: vec![Load { until_ms: 20_000, requests_per_s: 35.0, entries: 0..24 }],
             faults: Vec::new(),
             kills: Vec::new(),
@@ -315,7 +315,7 @@
 
     fn end(&mut self, request: u64) {
         let ended = self.in_flight.remove(&request).expect("it is in flight");
-        self.entries[ended.entry].router.finish(ended.key);
+        self.entries[ended.entry].router.finish(self.now, ended.key);
         self.wake_runnable(ended.entry);
     }
 
@@ -494,7 +494,7 @@
     /// ratio of the requests and the allowance permit. The requests are those of the window, of
     /// the one before it or of the one half a window before it, whichever has most.
     pub fn assert_budget_kept(&self) {
-        let BudgetLimits { ratio, window, allowance } = self.settings.budget;
+        let BudgetLimits { ratio, window, allowance, .. } = self.settings.budget;
         let extras = self.extra_arrivals();
         let requests = |from: Duration| {
             self.sent_at.iter().filter(|at| (from..from + window).contains(at)).count()
--- a/tests/router/slow_start.rs
+++ b/tests/router/slow_start.rs
@@ -55,7 +55,7 @@
     } else {
         entry.report_after(RESPONSE_TIME, key, Event::ResponseStarted { status: 200 });
     }
-    entry.router.finish(key);
+    entry.router.finish(entry.now, key);
     called
 }
 
--- a/tests/router/software_versions.rs
+++ b/tests/router/software_versions.rs
@@ -125,7 +125,7 @@
 fn a_stream_that_is_taken_up_where_it_began_needs_no_lookup() {
     let mut harness = harness(&["v1", "v2", "v2", "v1"], 0);
     let (key, engine) = start_stream(&mut harness, 5);
-    harness.router.finish(key);
+    harness.router.finish(harness.now, key);
     let (_, step) = take_up(&mut harness, Some("request"));
     assert_eq!(target(&step).version, engine.version);
 }
