Entries use the part of the allowance that they have had for long enough

Cause, of its own: a share of the retry budget's allowance was usable as soon as the store had assigned it. A restarted entry had an empty window and its whole share again; a share that moved was spent by both holders within one window; entries without one all used 1/64; and the ratio counts in three fixed windows, an entry's in its own.

An entry now uses the smallest share that it has had over the window, the time to live of shares and a second for sends under way, and none otherwise, so that at the start of any window each part has one user at most. At the first start of all entries nothing was used before, so the share counts at once. Of the ratio an entry uses half: all entries' windows lie in two windows of the users. In return shares count in full, no longer by four fifths. Requests count for a second less than the window, sends for a second more.

--- a/src/edge/direct/lease_task.rs
+++ b/src/edge/direct/lease_task.rs
@@ -14,10 +14,10 @@
 use crate::edge::direct::upstream_client::RoleOrder;
 use crate::edge::direct::upstream_client::UpstreamClient;
 use crate::router::Target;
-use crate::router::budget::FALLBACK_SHARE;
 use crate::router::flow::Failure;
 use crate::router::lease::Lease;
 use crate::router::lease::LeaseSettings;
+use crate::router::rate_limit::FALLBACK_SHARE;
 use crate::router::roles::RoleChange;
 
 /// Interval of the checks whether a role order is due.
@@ -64,14 +64,15 @@
             self.try_renewal().await;
         }
         let now = self.dispatcher.now();
-        let budget_share = self.lease.share(now).unwrap_or(0.0);
         // An entry to which the store assigns no share uses none: there may be more
         // entries than shares.
         let rate_limit_share = self.lease.rate_limit_share(now).unwrap_or(FALLBACK_SHARE);
         let tries_until = self.lease.orders_until(now).unwrap_or_default();
         let mut router = self.dispatcher.router.borrow_mut();
         router.set_tries_poisonous_until(now, tries_until);
-        router.set_budget_share(budget_share.max(FALLBACK_SHARE));
+        if let Some(assigned) = self.lease.assigned_share() {
+            router.assign_budget_share(now, assigned);
+        }
         router.set_rate_limit_share(now, rate_limit_share);
         self.dispatcher.version_records.wake(&router, now, tries_until);
         router.quotas().set_equal_share(now, self.lease.share(now));
--- a/src/router.rs
+++ b/src/router.rs
@@ -5,6 +5,7 @@
 //! I/O and reads no clock: times, the random seed and events are passed in.
 
 pub mod accounts;
+pub mod allowance;
 pub mod budget;
 pub mod caller_retry;
 pub mod configuration;
@@ -60,7 +61,6 @@
 use crate::outcome::Refusal;
 use crate::outcome::RefusalReason;
 use crate::router::budget::BudgetLimits;
-use crate::router::budget::FALLBACK_SHARE;
 use crate::router::caller_retry::LongestCallerTimeout;
 use crate::router::configuration::Configuration;
 use crate::router::engine_time::EngineTimeStats;
@@ -74,6 +74,7 @@
 use crate::router::quota_claims::EntryIncarnation;
 use crate::router::quotas::QuotaSettings;
 use crate::router::quotas::Quotas;
+use crate::router::rate_limit::FALLBACK_SHARE;
 use crate::router::request::IncomingRequest;
 use crate::router::request::Request;
 use crate::router::request::RequestKey;
@@ -101,6 +102,8 @@
     pub random_seed: u64,
     /// Limits on the sends to a service beyond the first one of each request.
     pub budget: BudgetLimits,
+    /// True if all entries start for the first time: none has sent anything before.
+    pub first_start: bool,
     /// How engines are split between the prefill and the decode role.
     pub roles: RoleSettings,
     /// How upstreams start that have just started or recovered.
@@ -124,6 +127,7 @@
             zone: CompactString::default(),
             random_seed: 0,
             budget: BudgetLimits::default(),
+            first_start: false,
             roles: RoleSettings::default(),
             slow_start: SlowStartSettings::default(),
             outage_grace: Duration::from_secs(2),
@@ -207,7 +211,7 @@
             instance_list: InstanceList::new(settings.outage_grace),
             requests: SlotMap::with_key(),
             reservation_queues: HashMap::new(),
-            budgets: RetryBudgets::new(settings.budget),
+            budgets: RetryBudgets::new(settings.budget, settings.first_start),
             rate_limit_share: FALLBACK_SHARE,
             prefill_times: HashMap::new(),
             engine_time: HashMap::new(),
--- a/src/router/budget.rs
+++ b/src/router/budget.rs
@@ -2,16 +2,17 @@
 //! arrives at a service beyond the first arrival of each request. An entry with
 //! agents uses the budget in [`crate::policy::retry`] instead.
 //!
-//! Each entry keeps to the ratio over its own requests and to its share of the
-//! fixed allowance, so that all entries together keep to the total. The
-//! platform's store assigns the shares; without one, an entry uses a small
-//! share.
+//! The limit holds over all entries together, in any window, without what they
+//! would have to tell each other: each keeps to a part of the ratio over its own
+//! requests and to its share of the fixed allowance ([`crate::router::allowance`]).
 //! A send is held in the budget before it is made and counts from then on, as
 //! long as it may turn out to be an extra one.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use crate::router::lease::LeaseSettings;
+
 /// Limits on the extra sends to one service, for all entries together.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct BudgetLimits {
@@ -22,18 +23,29 @@
     /// Extra sends allowed within the window on top of the ratio, for all
     /// entries together.
     pub allowance: f64,
+    /// Time for which an entry must have had a share of the allowance before it uses it: what
+    /// the share's former holder sent, or this entry before a restart, is beyond the window
+    /// then. See [`settling_time`].
+    pub share_settling: Duration,
 }
 
-/// Share of the budget that may be spent in advance. The rest covers sends that a restarted
-/// entry no longer knows of.
-const SPENDABLE_SHARE: f64 = 0.8;
-/// Share of the allowance that an entry uses while the store has assigned it
-/// none. An entry also uses it if the store has assigned a smaller one.
-pub const FALLBACK_SHARE: f64 = 1.0 / 64.0;
+/// Longest time from a send until it arrives.
+const ARRIVAL_DELAY: Duration = Duration::from_secs(1);
+/// Part of the ratio that an entry uses. Its own window may end up to a window later than that
+/// of another entry, so the requests of all entries lie in two windows.
+const USED_RATIO_PART: f64 = 0.5;
+
+/// Time after which a share of the allowance may be used, for this window and this time to live
+/// of shares: its former holder may not know for so long that it has lost it.
+pub fn settling_time(window: Duration, share_ttl: Duration) -> Duration {
+    window + ARRIVAL_DELAY + share_ttl
+}
 
 impl Default for BudgetLimits {
     fn default() -> Self {
-        Self { ratio: 0.2, window: Duration::from_secs(10), allowance: 50.0 }
+        let window = Duration::from_secs(10);
+        let share_settling = settling_time(window, LeaseSettings::default().ttl);
+        Self { ratio: 0.2, window, allowance: 50.0, share_settling }
     }
 }
 
@@ -66,12 +78,11 @@
 }
 
 impl WindowedRetryBudget {
-    /// Creates a budget without requests or sends, whose share of the allowance
-    /// is [`FALLBACK_SHARE`].
+    /// Creates a budget without requests, sends or a share of the allowance.
     pub fn new(limits: BudgetLimits) -> Self {
         Self {
             limits,
-            share: FALLBACK_SHARE,
+            share: 0.0,
             requests: VecDeque::new(),
             extra_sends: VecDeque::new(),
             held: 0,
@@ -120,23 +131,27 @@
     /// State of the budget at `now`.
     pub fn balance(&mut self, now: Duration) -> BudgetBalance {
         self.expire(now);
+        let ratio = self.limits.ratio * USED_RATIO_PART;
         let allowance = self.limits.allowance * self.share;
-        let allowed = self.limits.ratio * self.requests.len() as f64 + allowance;
         BudgetBalance {
             requests: self.requests.len(),
             spent: self.extra_sends.len(),
             held: self.held,
-            limit: allowed * SPENDABLE_SHARE,
+            limit: ratio * self.requests.len() as f64 + allowance,
             share: self.share,
         }
     }
 
+    /// Drops requests and sends that no window holds together with a send that is made now.
     fn expire(&mut self, now: Duration) {
-        let expired = |at: &Duration| *at + self.limits.window <= now;
-        for times in [&mut self.requests, &mut self.extra_sends] {
-            while times.front().is_some_and(expired) {
-                times.pop_front();
-            }
-        }
+        let window = self.limits.window;
+        expire(&mut self.requests, now, window.saturating_sub(ARRIVAL_DELAY));
+        expire(&mut self.extra_sends, now, window + ARRIVAL_DELAY);
+    }
+}
+
+fn expire(times: &mut VecDeque<Duration>, now: Duration, age: Duration) {
+    while times.front().is_some_and(|at| *at + age <= now) {
+        times.pop_front();
     }
 }
--- a/src/router/lease.rs
+++ b/src/router/lease.rs
@@ -12,6 +12,7 @@
 
 use std::time::Duration;
 
+use crate::router::allowance::AssignedShare;
 use crate::router::store_era::StoreEra;
 use crate::router::store_era::is_other_era;
 
@@ -160,6 +161,12 @@
         self.share.filter(|_| now < self.share_until)
     }
 
+    /// Last share that the store assigned to this member, with the end of its validity; `None`
+    /// before the store's first response.
+    pub fn assigned_share(&self) -> Option<AssignedShare> {
+        self.share.map(|share| AssignedShare { share, valid_until: self.share_until })
+    }
+
     /// This member's share of the rate limits of upstreams, from 0 to 1; `None` before
     /// the store's first response. If it was not renewed in time, it is a part of the
     /// last one.
--- a/src/router/quotas.rs
+++ b/src/router/quotas.rs
@@ -18,7 +18,6 @@
 use crate::policy::quota::WindowedUse;
 use crate::router::accounts::Accounts;
 use crate::router::accounts::Quota;
-use crate::router::budget::FALLBACK_SHARE;
 use crate::router::quota_claims::ClaimBatch;
 use crate::router::quota_claims::ClaimId;
 use crate::router::quota_claims::EntryIncarnation;
@@ -26,6 +25,7 @@
 use crate::router::quota_claims::PoolClaims;
 use crate::router::quota_claims::QuotaClaim;
 use crate::router::quota_claims::USE_TIME;
+use crate::router::rate_limit::FALLBACK_SHARE;
 
 /// What all entries together may admit beyond the quotas.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/src/router/rate_limit.rs
+++ b/src/router/rate_limit.rs
@@ -21,6 +21,8 @@
 const MIN_REQUESTS_PER_S: f64 = 0.1;
 /// Share that an entry uses if it has none or less, to learn that a limit was lifted.
 const MIN_SHARE: f64 = 1.0 / 4_096.0;
+/// Share of a limit that an entry uses before the store has assigned it any.
+pub const FALLBACK_SHARE: f64 = 1.0 / 64.0;
 /// Time for which an unused permit stays valid.
 const PERMIT_VALIDITY: Duration = Duration::from_secs(1);
 /// Window over which the requests of all entries count.
--- a/src/router/retry_budgets.rs
+++ b/src/router/retry_budgets.rs
@@ -12,9 +12,11 @@
 use compact_str::CompactString;
 
 use crate::router::Router;
+
+use crate::router::allowance::AssignedShare;
+use crate::router::allowance::ShareHistory;
 use crate::router::budget::BudgetBalance;
 use crate::router::budget::BudgetLimits;
-use crate::router::budget::FALLBACK_SHARE;
 use crate::router::budget::WindowedRetryBudget;
 use crate::router::request::Phase;
 use crate::router::request::RequestKey;
@@ -79,25 +81,36 @@
 #[derive(Debug)]
 pub(super) struct RetryBudgets {
     limits: BudgetLimits,
-    /// This entry's share of the allowance in every budget.
-    share: f64,
+    /// Shares that this entry has had of the allowance in every budget.
+    shares: ShareHistory,
     budgets: HashMap<CompactString, WindowedRetryBudget>,
     notices: Vec<BudgetNotice>,
 }
 
 impl RetryBudgets {
-    /// Creates budgets without requests, sends or a share.
-    pub(super) fn new(limits: BudgetLimits) -> Self {
-        Self { limits, share: FALLBACK_SHARE, budgets: HashMap::new(), notices: Vec::new() }
+    /// Creates budgets without requests, sends or a share, as [`first_start`](crate::router::RouterSettings::first_start)
+    /// says.
+    pub(super) fn new(limits: BudgetLimits, first_start: bool) -> Self {
+        Self {
+            limits,
+            shares: ShareHistory::new(limits.share_settling, first_start),
+            budgets: HashMap::new(),
+            notices: Vec::new(),
+        }
     }
 
     /// Records that a request for a service arrived.
     pub(super) fn record_request(&mut self, now: Duration, service: &CompactString) {
-        self.budget(service).record_request(now);
+        self.budget(now, service).record_request(now);
+    }
+
+    /// Drops the share that the store assigned.
+    pub(super) fn lapse_share(&mut self, now: Duration) {
+        self.shares.lapse(now);
     }
 
-    fn budget(&mut self, service: &CompactString) -> &mut WindowedRetryBudget {
-        let (limits, share) = (self.limits, self.share);
+    fn budget(&mut self, now: Duration, service: &CompactString) -> &mut WindowedRetryBudget {
+        let (limits, share) = (self.limits, self.shares.usable(now));
         let budget = self.budgets.entry(service.clone());
         let budget = budget.or_insert_with(|| WindowedRetryBudget::new(limits));
         budget.set_share(share);
@@ -106,15 +119,14 @@
 }
 
 impl Router {
-    /// Sets this entry's share, from 0 to 1, of the allowance in the retry
-    /// budget of every service.
-    pub fn set_budget_share(&mut self, share: f64) {
-        self.budgets.share = share;
+    /// Records this entry's share of the allowance in the retry budget of every service.
+    pub fn assign_budget_share(&mut self, now: Duration, assigned: AssignedShare) {
+        self.budgets.shares.assign(now, assigned);
     }
 
-    /// This entry's share of the allowance in the retry budget of every service.
-    pub fn budget_share(&self) -> f64 {
-        self.budgets.share
+    /// Share of the allowance that this entry may use in the retry budget of every service.
+    pub fn budget_share(&mut self, now: Duration) -> f64 {
+        self.budgets.shares.usable(now)
     }
 
     /// Returns what retry budgets decided since the last call, the oldest first.
@@ -180,7 +192,7 @@
         let is_first = sends.arrivals == 0 && !sends.prefill_accepted;
         if is_first && self.prefills_succeed(now, engine) {
             let service = self.requests[key].service.clone();
-            let budget = self.budgets.budget(&service);
+            let budget = self.budgets.budget(now, &service);
             let held = budget.try_hold_within(now, 1, FIRST_PREFILL_PART);
             self.requests[key].sends.prefill_held = held;
             return true;
@@ -281,7 +293,7 @@
 
     fn try_hold(&mut self, now: Duration, key: RequestKey) -> bool {
         let service = self.requests[key].service.clone();
-        let held = self.budgets.budget(&service).try_hold(now, 1);
+        let held = self.budgets.budget(now, &service).try_hold(now, 1);
         let was_denied = std::mem::replace(&mut self.requests[key].sends.denied, !held);
         // A stream that stays silent asks again and again.
         if !held && !was_denied {
@@ -292,19 +304,19 @@
 
     fn spend_held(&mut self, now: Duration, key: RequestKey, decision: BudgetDecision) {
         let service = self.requests[key].service.clone();
-        self.budgets.budget(&service).spend_held(now, 1);
+        self.budgets.budget(now, &service).spend_held(now, 1);
         self.note_budget(now, key, decision);
     }
 
-    fn release(&mut self, _now: Duration, key: RequestKey, sends: usize) {
+    fn release(&mut self, now: Duration, key: RequestKey, sends: usize) {
         let service = self.requests[key].service.clone();
-        self.budgets.budget(&service).release(sends);
+        self.budgets.budget(now, &service).release(sends);
     }
 
     fn note_budget(&mut self, now: Duration, key: RequestKey, decision: BudgetDecision) {
         let request = &self.requests[key];
         let (request_id, service) = (request.id.clone(), request.service.clone());
-        let balance = self.budgets.budget(&service).balance(now);
+        let balance = self.budgets.budget(now, &service).balance(now);
         self.budgets.notices.push(BudgetNotice { request_id, service, decision, balance });
     }
 }
--- a/src/router/store_era.rs
+++ b/src/router/store_era.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 
 use crate::router::Router;
-use crate::router::budget::FALLBACK_SHARE;
 use crate::router::lease::lapsed_share;
 
 /// Number of an era of the store.
@@ -86,7 +85,7 @@
 
     /// Uses shares that no assignment of the new era to other entries can exceed by much.
     fn reduce_shares(&mut self, now: Duration) {
-        self.set_budget_share(self.budget_share().min(FALLBACK_SHARE));
+        self.budgets.lapse_share(now);
         self.set_rate_limit_share(now, lapsed_share(self.rate_limit_share));
     }
 }
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the router's decisions, without sockets and in virtual time.
 
 mod accounts;
+mod allowance;
 mod budget;
 mod caller_retry;
 mod configuration;
