--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -3,6 +3,7 @@
 mod accounts;
 mod allowance;
 mod budget;
+mod budgeted_sends;
 mod caller_retry;
 mod configuration;
 mod connection_limits;
