Tests: the ratio alone over a load that moves, and the cost of another run

Taking two rules out one after the other failed no test of all entries together or none at all: the half of the ratio, and the payment for a second prefill. Each fails one now. The other rules, taken out one at a time, fail 1 to 19 tests each.

--- a/tests/router/budgeted_sends.rs
+++ b/tests/router/budgeted_sends.rs
@@ -176,6 +176,20 @@
     assert_eq!(decisions(&mut harness), [BudgetDecision::GivenBack, BudgetDecision::PrefillFailed]);
 }
 
+/// The first prefill that an engine accepts is free, another one is not.
+#[test]
+fn another_run_costs_a_prefill_and_a_decode() {
+    let mut harness = router_with_sends(4.0);
+    let (key, step) = interrupt_stream(&mut harness);
+    assert!(matches!(step, Step::Reserve { .. }), "{step:?}");
+    harness.report(key, reserved());
+    let step = harness.report(key, Event::Prefilled { handle: "again".into() });
+    assert!(matches!(step, Step::Decode { .. }), "{step:?}");
+    let notices = harness.router.take_budget_notices();
+    let last = notices.last().expect("the decode is paid");
+    assert_eq!((last.balance.spent, last.balance.held), (2, 0));
+}
+
 /// Has a stream break off after its first event. Returns the step that follows.
 fn interrupt_stream(harness: &mut Harness) -> (RequestKey, Step) {
     let (key, step) = harness.start_decode("/resumable/1");
--- a/tests/router/retry_budget.rs
+++ b/tests/router/retry_budget.rs
@@ -117,6 +117,18 @@
     settings
 }
 
+/// Streams break off while the load is at one half of the entries, then at the other, and there
+/// is no allowance: each half uses the ratio over its own requests.
+fn ratio_alone() -> RetryFleetSettings {
+    let settings = RetryFleetSettings {
+        paths: vec!["/resumable/1"],
+        budget: BudgetLimits { allowance: 0.0, ..BudgetLimits::default() },
+        faults: vec![fault(6_000, 20_000, PoolRole::Decode, 1.0, Reaction::BreakOff)],
+        ..RetryFleetSettings::default()
+    };
+    moving_load(settings)
+}
+
 macro_rules! budget_kept {
     ($($name:ident: $settings:expr;)*) => {$(
         #[test]
@@ -149,6 +161,7 @@
     a_store_that_is_away_while_calls_fail_keeps_the_budget: store_away(calls(Reaction::Error));
     a_load_that_moves_keeps_the_budget: moving_load(long_failure(Reaction::Reset));
     calls_of_a_load_that_moves_keep_the_budget: moving_load(calls(Reaction::Error));
+    a_load_that_moves_keeps_the_ratio_without_an_allowance: ratio_alone();
     bursts_between_windows_keep_the_budget: bursts_between_windows(long_failure(Reaction::Reset));
     calls_that_are_reset_keep_the_budget: calls(Reaction::Reset);
     silent_calls_keep_the_budget: calls(Reaction::Silent);
