At the first start of all entries shares count once all have joined

Cause: an entry whose first response from the store named no partition had no share for 15 s. None uses a share for the first 4 s now, and then what it has counts, as nothing was sent on it before.

--- a/src/router/allowance.rs
+++ b/src/router/allowance.rs
@@ -20,7 +20,8 @@
 /// Share from a time on.
 #[derive(Debug, Clone, Copy)]
 struct ShareSince {
-    since: Duration,
+    /// `None` if it has had none before since all entries started.
+    since: Option<Duration>,
     share: f64,
 }
 
@@ -32,19 +33,27 @@
     /// Shares in the order of time, each until the next one. Without one, none was had.
     shares: VecDeque<ShareSince>,
     valid_until: Duration,
-    /// True until the first share is assigned, if no entry has used any before.
-    unused_before: bool,
+    /// True if all entries start for the first time.
+    first_start: bool,
+    /// End of the time after the first start in which the entries join and use no share.
+    joining_until: Duration,
 }
 
+/// Time after the first start of all entries within which all have joined the group that
+/// shares the allowance.
+const JOINING_TIME: Duration = Duration::from_secs(4);
+
 impl ShareHistory {
     /// Creates the history of an entry that has had no share. With `first_start` all entries
-    /// start for the first time, so that no share has been used by others.
+    /// start for the first time: none uses a share while they join, and what each has at the end
+    /// of that time has not been used by others.
     pub fn new(settling: Duration, first_start: bool) -> Self {
         Self {
             settling,
             shares: VecDeque::new(),
             valid_until: Duration::ZERO,
-            unused_before: first_start,
+            first_start,
+            joining_until: Duration::ZERO,
         }
     }
 
@@ -53,12 +62,18 @@
         if assigned.valid_until <= now {
             return;
         }
-        if std::mem::take(&mut self.unused_before) {
-            self.push(Duration::ZERO, assigned.share);
-        } else if self.valid_until <= now {
-            self.push(self.valid_until, 0.0);
+        if self.first_start && self.shares.is_empty() {
+            self.joining_until = now + JOINING_TIME;
+        }
+        if now < self.joining_until {
+            self.shares.clear();
+            self.push(None, assigned.share);
+        } else {
+            if self.valid_until <= now {
+                self.push(Some(self.valid_until), 0.0);
+            }
+            self.push(Some(now), assigned.share);
         }
-        self.push(now, assigned.share);
         self.valid_until = assigned.valid_until;
     }
 
@@ -69,10 +84,11 @@
 
     /// Share that may be used at `now`.
     pub fn usable(&mut self, now: Duration) -> f64 {
-        if self.valid_until <= now {
+        if self.valid_until <= now || now < self.joining_until {
             return 0.0;
         }
-        let settled_by = now.saturating_sub(self.settling);
+        // Before the settling time has passed, only `None` is early enough.
+        let settled_by = now.checked_sub(self.settling);
         while self.shares.get(1).is_some_and(|next| next.since <= settled_by) {
             self.shares.pop_front();
         }
@@ -81,7 +97,7 @@
         lowest.filter(|_| had_before).unwrap_or(0.0)
     }
 
-    fn push(&mut self, since: Duration, share: f64) {
+    fn push(&mut self, since: Option<Duration>, share: f64) {
         if self.shares.back().is_none_or(|last| last.share != share) {
             self.shares.push_back(ShareSince { since, share });
         }
--- a/tests/router/allowance.rs
+++ b/tests/router/allowance.rs
@@ -29,16 +29,26 @@
     assert_eq!(history.usable(ms(25_000)), 0.25);
 }
 
-/// Members that join one after the other get smaller shares.
+/// Members that join one after the other get smaller shares, and the last ones none at first.
 #[test]
-fn at_the_first_start_of_all_entries_the_smallest_share_is_used_at_once() {
-    let mut history = ShareHistory::new(SETTLING, true);
-    assign(&mut history, 0, 0, 1.0);
-    assign(&mut history, 1, 3, 0.25);
-    assert_eq!(history.usable(ms(3_000)), 0.25);
-    // A share that grows afterwards has been used by others.
-    assign(&mut history, 4, 10, 0.5);
-    assert_eq!(history.usable(ms(10_000)), 0.25);
+fn at_the_first_start_the_share_is_used_that_an_entry_has_once_all_have_joined() {
+    for first in [1.0, 0.0] {
+        let mut history = ShareHistory::new(SETTLING, true);
+        assign(&mut history, 0, 1, first);
+        assign(&mut history, 2, 4, 0.25);
+        assert_eq!(history.usable(ms(3_999)), 0.0);
+        assert_eq!(history.usable(ms(4_000)), 0.25);
+        // A share that grows afterwards has been used by others.
+        assign(&mut history, 5, 10, 0.5);
+        assert_eq!(history.usable(ms(10_000)), 0.25);
+    }
+}
+
+#[test]
+fn after_another_start_there_is_no_exception() {
+    let mut history = history();
+    assign(&mut history, 0, 14, 0.25);
+    assert_eq!(history.usable(ms(14_999)), 0.0);
 }
 
 #[test]
