--- a/src/router/pauses.rs
+++ b/src/router/pauses.rs
@@ -12,7 +12,7 @@
 
 use crate::router::Router;
 use crate::router::flow::Step;
-use crate::router::generate::MAX_PREFILLS;
+use crate::router::prefilling::MAX_PREFILLS;
 use crate::router::request::Phase;
 use crate::router::request::Request;
 use crate::router::request::RequestKey;
