--- a/src/router/retry_budgets.rs
+++ b/src/router/retry_budgets.rs
@@ -12,7 +12,6 @@
 use compact_str::CompactString;
 
 use crate::router::Router;
-
 use crate::router::allowance::AssignedShare;
 use crate::router::allowance::ShareHistory;
 use crate::router::budget::BudgetBalance;
@@ -32,7 +31,7 @@
 pub enum BudgetDecision {
     /// A send beyond the first is held for the request before it is made.
     Held,
-    /// It is made.
+    /// An extra send is made.
     Spent,
     /// A prefill failed, for which a send was held or is taken now.
     PrefillFailed,
@@ -88,8 +87,8 @@
 }
 
 impl RetryBudgets {
-    /// Creates budgets without requests, sends or a share, as [`first_start`](crate::router::RouterSettings::first_start)
-    /// says.
+    /// Creates budgets without requests, sends or a share. `first_start` is true if all entries
+    /// start for the first time.
     pub(super) fn new(limits: BudgetLimits, first_start: bool) -> Self {
         Self {
             limits,
