--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -45,6 +45,14 @@
         entry
     }
 
+    /// Writes the settings of a process that starts again: the whole system no longer starts for
+    /// the first time.
+    pub fn end_bootstrap(&self) {
+        let text = std::fs::read_to_string(&self.settings).expect("the settings can be read");
+        let text = text.replace("bootstrap = true", "bootstrap = false");
+        std::fs::write(&self.settings, text).expect("the settings can be written");
+    }
+
     /// Starts the process, also again after its end.
     pub fn spawn(&mut self) {
         let deploy = std::fs::read_to_string("deploy/system.toml").expect("the deploy file");
--- a/review/standin/late_heartbeat.rs
+++ b/review/standin/late_heartbeat.rs
@@ -4,23 +4,24 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use crate::client::Clients;
-use crate::client::Kind;
 use crate::fleet::Entry;
 use crate::fleet::loopback_network;
 use crate::late_rejection::BOUNDS;
 use crate::late_rejection::ZONES;
+use crate::plain;
+use crate::plain::CONFIGURATION;
+use crate::plain::Running;
+use crate::plain::SAFE_PER_S;
+use crate::plain::Service;
+use crate::plain::UNSAFE_PER_S;
 use crate::record::Random;
 use crate::record::Record;
 use crate::replica::HEARTBEAT;
-use crate::replica::Replica;
-use crate::replica::ReplicaSettings;
 use crate::store::Store;
 
 /// `drainMs` of the small deployment.
@@ -36,22 +37,13 @@
 const RELEASES: usize = 9;
 /// Time from one replacement to the next.
 const PERIOD: Duration = Duration::from_secs(9);
-/// Requests a second that may run once, and those that may run again.
-const UNSAFE_PER_S: f64 = 16.6;
-const SAFE_PER_S: f64 = 8.0;
-const CONFIGURATION: &str = r#"{"version":7,"routes":[
-{"name":"r-write","host":"ficu95.example","pathPrefix":"/write/","kind":"unsafe","timeoutMs":1500,"sloMs":300,"priority":2,"service":"balcao","attempts":1},
-{"name":"r-read","host":"ficu95.example","pathPrefix":"/read/","kind":"safe","timeoutMs":1500,"sloMs":300,"priority":2,"service":"balcao","attempts":2}],
-"services":[{"name":"balcao","healthPath":"/healthz","maxConns":110,"protocol":"h1","tls":false}],
-"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}"#;
-
 /// Plays the case. Returns true if the rules held.
 pub fn play(folder: &str, record: Arc<Record>, trouble: bool, seed: u64) -> bool {
     let random = Arc::new(Random::new(seed));
     let network = loopback_network(seed);
     let (store, store_address) = Store::start(&format!("{network}.1"));
     store.put("keyed.op", "config", Some(CONFIGURATION));
-    let mut service = Service {
+    let service = Service {
         ip: format!("{network}.2"),
         store: store.clone(),
         record: record.clone(),
@@ -73,20 +65,10 @@
         random: random.clone(),
         next: AtomicUsize::new(0),
     });
-    let write = Kind {
-        method: "POST",
-        path: "/write/2f",
-        deadline: Duration::from_millis(1_500),
-        tokens: None,
-        body_bytes: 600,
-        idempotent: false,
-    };
-    let read =
-        Kind { method: "GET", path: "/read/2f", body_bytes: 0, idempotent: true, ..write.clone() };
     let begun = record.now();
     let end = begun + PERIOD * RELEASES as u32 + Duration::from_secs(2);
-    clients.load(write, UNSAFE_PER_S, end);
-    clients.load(read, SAFE_PER_S, end);
+    clients.load(plain::write(), UNSAFE_PER_S, end);
+    clients.load(plain::read(), SAFE_PER_S, end);
     std::thread::sleep(Duration::from_secs(2));
     for release in 0..RELEASES {
         let begun = record.now();
@@ -108,40 +90,7 @@
     check(&record)
 }
 
-struct Running {
-    replica: Arc<Replica>,
-    is_over: Arc<AtomicBool>,
-}
-
-/// Starts and replaces the replicas of the plain service.
-struct Service {
-    ip: String,
-    store: Arc<Store>,
-    record: Arc<Record>,
-    random: Arc<Random>,
-}
-
 impl Service {
-    fn start(&mut self, zone: &str) -> Running {
-        let replica = Replica::start(ReplicaSettings {
-            ip: &self.ip,
-            id: format!("i-{}", self.random.id()),
-            service: "balcao",
-            zone,
-            stage: None,
-            extra_late: None,
-            peers: Arc::new(Mutex::new(HashMap::new())),
-            record: self.record.clone(),
-            random: self.random.clone(),
-            work: Duration::from_millis(60),
-        });
-        self.record.add("replica", &replica.id, "started");
-        let is_over = Arc::new(AtomicBool::new(false));
-        let ends = is_over.clone();
-        replica.beat(self.store.clone(), move || ends.load(Ordering::SeqCst));
-        Running { replica, is_over }
-    }
-
     /// Has a replica leave, as the pages say: it reports `draining`, serves on for `drainMs` and a
     /// little longer, and ends. Its last heartbeat before that got no response; with trouble the
     /// store carries it out late.
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -6,9 +6,11 @@
 
 mod client;
 mod fleet;
+mod foreign_entries;
 mod http;
 mod late_heartbeat;
 mod late_rejection;
+mod plain;
 mod record;
 mod replica;
 mod store;
@@ -37,6 +39,7 @@
     });
     let played = std::panic::catch_unwind(|| match case.as_str() {
         "late-rejection" => late_rejection::play(folder, record, trouble, seed),
+        "foreign-entries" => foreign_entries::play(folder, record, trouble, seed),
         "late-heartbeat" => late_heartbeat::play(folder, record, trouble, seed),
         _ => panic!("there is no case {case}"),
     });
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -18,6 +18,9 @@
 
 /// Partitions of each topic, as in the settings.
 const PARTS: u64 = 8;
+/// Largest page of the newest records: `at most 500 or 1 MB`.
+const MAX_PAGE_ITEMS: usize = 500;
+const MAX_PAGE_BYTES: usize = 1 << 20;
 
 #[derive(Default)]
 struct Topic {
@@ -106,7 +109,10 @@
                 (200, format!("{{\"offset\":{offset},\"end\":{end}}}").into_bytes())
             }
             ("GET", "/api/log-read") if first_part => (200, self.read(topic, request)),
-            ("GET", "/api/log-newest") if first_part => (200, self.newest(topic)),
+            ("GET", "/api/log-newest") if first_part => {
+                let after = request.query("after").map(percent_decoded).unwrap_or_default();
+                (200, self.newest(topic, &after))
+            }
             ("POST", "/api/log-join") => (200, self.join(&String::from_utf8_lossy(&request.body))),
             _ => (200, b"{}".to_vec()),
         }
@@ -136,19 +142,21 @@
         }
     }
 
-    fn newest(&self, name: &str) -> Vec<u8> {
+    /// A page of the newest record of each key: at most 500 of them or 1 MB, after the key `after`.
+    fn newest(&self, name: &str, after: &str) -> Vec<u8> {
         let mut state = self.state.lock().unwrap();
         let topic = state.topics.entry(name.to_string()).or_default();
-        let items: Vec<String> = topic
-            .newest
-            .iter()
-            .map(|(key, (offset, value))| {
-                let value = base64(value);
-                format!("{{\"key\":\"{key}\",\"value\":\"{value}\",\"offset\":{offset}}}")
-            })
-            .collect();
-        let end = topic.records.len();
-        format!("{{\"items\":[{}],\"hasMore\":false,\"end\":{end}}}", items.join(",")).into_bytes()
+        let mut rest = topic.newest.iter().filter(|(key, _)| key.as_str() > after).peekable();
+        let (mut items, mut bytes) = (Vec::new(), 0);
+        while let Some((key, (offset, value))) = rest.next_if(|(_, (_, value))| {
+            items.len() < MAX_PAGE_ITEMS && (items.is_empty() || bytes + value.len() <= MAX_PAGE_BYTES)
+        }) {
+            bytes += value.len();
+            let value = base64(value);
+            items.push(format!("{{\"key\":\"{key}\",\"value\":\"{value}\",\"offset\":{offset}}}"));
+        }
+        let (more, end, items) = (rest.peek().is_some(), topic.records.len(), items.join(","));
+        format!("{{\"items\":[{items}],\"hasMore\":{more},\"end\":{end}}}").into_bytes()
     }
 
     /// Joins a group. A partition moves once its former owner has left or has named the present
@@ -206,6 +214,27 @@
     records
 }
 
+/// Text of a part of a query.
+fn percent_decoded(text: &str) -> String {
+    let mut bytes = Vec::new();
+    let mut rest = text.as_bytes();
+    while let Some((&first, others)) = rest.split_first() {
+        let digits = others.get(..2).and_then(|it| std::str::from_utf8(it).ok());
+        let byte = digits.and_then(|it| u8::from_str_radix(it, 16).ok());
+        match byte.filter(|_| first == b'%') {
+            Some(byte) => {
+                bytes.push(byte);
+                rest = &others[2..];
+            }
+            None => {
+                bytes.push(if first == b'+' { b' ' } else { first });
+                rest = others;
+            }
+        }
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 fn base64(bytes: &[u8]) -> String {
     const DIGITS: &[u8] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
