--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -2,6 +2,7 @@
 
 use std::io::Write;
 use std::net::SocketAddr;
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -33,7 +34,6 @@
     /// True if the answer had its whole body.
     pub complete: bool,
     pub retry_after: Option<Duration>,
-    pub body: Vec<u8>,
 }
 
 pub struct Clients {
@@ -70,14 +70,48 @@
             status: 0,
             complete: false,
             retry_after: None,
-            body: Vec::new(),
         });
         let whole = if got.complete { "whole" } else { "cut" };
         self.record.add("answer", &id, format!("{} {whole}", got.status));
         got
     }
 
-    fn exchange(&self, kind: &Kind, id: &str, front: SocketAddr, left: Duration) -> Option<Got> {
+    /// One client that keeps its connection to an entry and sends one request after the other on
+    /// it, until `end` of the record. The record says of each whether it is the first on its
+    /// connection.
+    pub fn keep_asking(self: &Arc<Self>, kind: Kind, front: SocketAddr, end: Duration) {
+        let clients = self.clone();
+        std::thread::spawn(move || {
+            while clients.record.now() < end {
+                let Ok(mut stream) = http::connect(front, kind.deadline) else {
+                    std::thread::sleep(Duration::from_millis(100));
+                    continue;
+                };
+                let Ok(copy) = stream.try_clone() else { return };
+                let mut reader = http::Reader::new(copy);
+                for number in 0.. {
+                    std::thread::sleep(Duration::from_secs_f64(0.3 * clients.random.unit()));
+                    if clients.record.now() >= end {
+                        return;
+                    }
+                    let id = clients.random.id();
+                    let connection = if number == 0 { "a new" } else { "a kept" };
+                    clients.record.add("sent", &id, format!("to {front} on {connection} connection"));
+                    let text = clients.head(&kind, &id, kind.deadline);
+                    let got = Self::exchange_on(&mut stream, &mut reader, &text, &kind);
+                    let (status, complete) = got.as_ref().map_or((0, false), |it| (it.status, it.complete));
+                    let whole = if complete { "whole" } else { "cut" };
+                    clients.record.add("answer", &id, format!("{status} {whole}"));
+                    if !complete {
+                        break;
+                    }
+                }
+            }
+        });
+    }
+
+    /// Head of a request.
+    fn head(&self, kind: &Kind, id: &str, left: Duration) -> String {
         let mut text = format!(
             "{} {} HTTP/1.1\r\nHost: {}\r\nBamboodoor-Request-Id: {id}\r\nBamboodoor-Deadline-Ms: {}\r\n",
             kind.method,
@@ -96,12 +130,27 @@
             text.push_str(&format!("Content-Length: {}\r\n", kind.body_bytes));
         }
         text.push_str("\r\n");
+        text
+    }
+
+    fn exchange(&self, kind: &Kind, id: &str, front: SocketAddr, left: Duration) -> Option<Got> {
+        let text = self.head(kind, id, left);
         let mut stream = http::connect(front, left.max(Duration::from_millis(1))).ok()?;
+        let mut reader = http::Reader::new(stream.try_clone().ok()?);
+        Self::exchange_on(&mut stream, &mut reader, &text, kind)
+    }
+
+    /// Sends a request on a connection and reads the answer.
+    fn exchange_on(
+        stream: &mut TcpStream,
+        reader: &mut http::Reader,
+        text: &str,
+        kind: &Kind,
+    ) -> Option<Got> {
         stream.write_all(text.as_bytes()).ok()?;
         if kind.method == "POST" {
             stream.write_all(&vec![b'x'; kind.body_bytes]).ok()?;
         }
-        let mut reader = http::Reader::new(stream);
         let head = reader.head().ok()??;
         let body = reader.body(&head).ok().flatten();
         let retry_after = head.header("retry-after").and_then(|it| it.parse().ok());
@@ -109,7 +158,6 @@
             status: head.status(),
             complete: body.is_some(),
             retry_after: retry_after.map(Duration::from_secs_f64),
-            body: body.unwrap_or_default(),
         })
     }
 
--- a/review/standin/late_rejection.rs
+++ b/review/standin/late_rejection.rs
@@ -34,7 +34,8 @@
     drainMs = 2000\ngraceS = 8\nlossSlackMs = 200\napplyMs = 2000\ndowngradeMs = 250\n\
     maxStretchMs = 5000\nretryRatio = 0.2\nretryWindowS = 10\nretrySlack = 58\nrecoverS = 12\n\
     transitMs = 120\nretryAfterS = 7.4\nrequireFence = true\nleaseMs = 3000\nthawMs = 300";
-const CONFIGURATION: &str = r#"{"version":7,"routes":[
+/// Configuration with a route for streams that run once, and one for streams that may be resumed.
+pub const CONFIGURATION: &str = r#"{"version":7,"routes":[
 {"name":"r-once","host":"ficu95.example","pathPrefix":"/once/","kind":"stream","timeoutMs":14000,"sloMs":900,"priority":1,"service":"redator","attempts":1,"sticky":true,"canResume":false,"gapTargetMs":300},
 {"name":"r-more","host":"ficu95.example","pathPrefix":"/more/","kind":"stream","timeoutMs":14000,"sloMs":900,"priority":1,"service":"redator","attempts":2,"sticky":true,"canResume":true,"gapTargetMs":300}],
 "services":[{"name":"redator","healthPath":"/healthz","maxConns":370,"protocol":"h1","tls":false,"engine":{"slots":64,"kvCapacity":51867,"kvTokenBytes":18432,"linkMbps":200000.0,"moves":true,"backups":true,"stride":7,"most":12,"kvHoldS":0.5,"switchS":6.0,"pinMs":4000.0,"holdMs":2000.0,"models":[{"name":"m"}]}}],
@@ -65,6 +66,8 @@
             zone: ZONES[index % ZONES.len()],
             stage: Some(stage),
             extra_late,
+            grey: None,
+            pauses: None,
             peers: peers.clone(),
             record: record.clone(),
             random: random.clone(),
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,6 +5,7 @@
 //! the case could not run. With `TROUBLE=0` it plays without the disruption.
 
 mod client;
+mod failed_replacement;
 mod fleet;
 mod foreign_entries;
 mod http;
@@ -39,6 +40,7 @@
     });
     let played = std::panic::catch_unwind(|| match case.as_str() {
         "late-rejection" => late_rejection::play(folder, record, trouble, seed),
+        "failed-replacement" => failed_replacement::play(folder, record, trouble, seed),
         "foreign-entries" => foreign_entries::play(folder, record, trouble, seed),
         "late-heartbeat" => late_heartbeat::play(folder, record, trouble, seed),
         _ => panic!("there is no case {case}"),
--- a/review/standin/plain.rs
+++ b/review/standin/plain.rs
@@ -63,6 +63,8 @@
             zone,
             stage: None,
             extra_late: None,
+            grey: None,
+            pauses: None,
             peers: Arc::new(Mutex::new(HashMap::new())),
             record: self.record.clone(),
             random: self.random.clone(),
--- a/review/standin/replica.rs
+++ b/review/standin/replica.rs
@@ -43,6 +43,19 @@
     pub spans: Vec<(Duration, Duration)>,
 }
 
+/// Requests that fail though the replica is healthy: `srv_grey` of the pages, `errors`.
+pub struct Grey {
+    pub share_of_requests: f64,
+    /// Span after the start of the play.
+    pub span: (Duration, Duration),
+}
+
+/// Streams that pause in their middle, as those of a sound engine do that preempts them.
+pub struct Pauses {
+    pub share_of_streams: f64,
+    pub length: Duration,
+}
+
 #[derive(Default)]
 struct EngineState {
     stage: String,
@@ -71,6 +84,8 @@
     state: Mutex<EngineState>,
     pub service_state: Mutex<&'static str>,
     extra_late: Option<ExtraLate>,
+    grey: Option<Grey>,
+    pauses: Option<Pauses>,
     /// Engines by address, for handles of prefill results.
     peers: Arc<Mutex<HashMap<String, Arc<Replica>>>>,
     record: Arc<Record>,
@@ -87,6 +102,8 @@
     /// Stage of an engine; `None` for a plain service.
     pub stage: Option<&'a str>,
     pub extra_late: Option<ExtraLate>,
+    pub grey: Option<Grey>,
+    pub pauses: Option<Pauses>,
     pub peers: Arc<Mutex<HashMap<String, Arc<Replica>>>>,
     pub record: Arc<Record>,
     pub random: Arc<Random>,
@@ -109,6 +126,8 @@
             state: Mutex::new(EngineState { stage, ..EngineState::default() }),
             service_state: Mutex::new("ready"),
             extra_late: settings.extra_late,
+            grey: settings.grey,
+            pauses: settings.pauses,
             peers: settings.peers.clone(),
             record: settings.record,
             random: settings.random,
@@ -180,6 +199,13 @@
         chosen && self.random.unit() < extra.share_of_answers
     }
 
+    /// True if the request that runs now fails.
+    fn is_failing(&self) -> bool {
+        let Some(grey) = &self.grey else { return false };
+        let is_grey = (grey.span.0..grey.span.1).contains(&self.record.now());
+        is_grey && self.random.unit() < grey.share_of_requests
+    }
+
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_read_timeout(Some(IDLE_TIMEOUT));
         let Ok(mut output) = stream.try_clone() else { return };
@@ -348,6 +374,16 @@
         }
         let after = request.header("last-event-id").and_then(|it| it.parse().ok()).unwrap_or(0);
         self.record.add("run", id, format!("at {} after event {after}", self.id));
+        if self.is_failing() {
+            let mut state = self.state.lock().unwrap();
+            state.running -= 1;
+            state.running_tokens -= prompt + most;
+            drop(state);
+            self.record.add("run-end", id, format!("at {}: failed with 500", self.id));
+            let mut headers = echo;
+            headers.push(("Bamboodoor-Response-Signature", format!("s.{id}")));
+            return Answer::Whole(http::response(500, &headers, b"error"));
+        }
         let sent = self.stream(id, after, most, echo, output);
         let mut state = self.state.lock().unwrap();
         state.running -= 1;
@@ -372,7 +408,12 @@
         }
         head.push_str("Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
         head.push_str(&format!("Bamboodoor-Response-Signature: s.{id}\r\n\r\n"));
+        let pauses = self.pauses.as_ref().filter(|it| self.random.unit() < it.share_of_streams);
         for event in after + 1..=tokens.div_ceil(TOKENS_PER_EVENT) {
+            if let Some(pauses) = pauses.filter(|_| event == after + 4) {
+                self.record.add("pause", id, format!("at {}", self.id));
+                std::thread::sleep(pauses.length);
+            }
             let running = self.state.lock().unwrap().running as u32;
             std::thread::sleep((STEP + STEP * running / 8) * TOKENS_PER_EVENT);
             let text = format!("id: {event}\ndata: {} piece {event}\n\n", self.id);
