--- a/review/standin/failed_replacement.rs
+++ b/review/standin/failed_replacement.rs
@@ -1,5 +1,5 @@
-//! Case: an engine that is to replace a paused stream fails the request, and the stream of the
-//! sound engine that had paused is cut.
+//! Cases: an engine that is to replace a paused stream fails the request or breaks the stream off,
+//! and the stream of the sound engine that had paused is cut.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -19,12 +19,13 @@
 use crate::record::Random;
 use crate::record::Record;
 use crate::replica::Grey;
+use crate::replica::GreyFailure;
 use crate::replica::Pauses;
 use crate::replica::Replica;
 use crate::replica::ReplicaSettings;
 use crate::store::Store;
 
-/// `srv_grey` `errors` of the site file: share of the replicas, and of their requests.
+/// `srv_grey` of the site file: share of the replicas, and of their requests.
 const GREY_SHARE: f64 = 0.14;
 const GREY_REQUESTS: f64 = 0.45;
 /// Engines, half of them for prefills.
@@ -40,7 +41,13 @@
 const ALLOWED: usize = 3;
 
 /// Plays the case. Returns true if the rule held.
-pub fn play(folder: &str, record: Arc<Record>, trouble: bool, seed: u64) -> bool {
+pub fn play(
+    folder: &str,
+    record: Arc<Record>,
+    trouble: bool,
+    seed: u64,
+    failure: GreyFailure,
+) -> bool {
     let random = Arc::new(Random::new(seed));
     let network = loopback_network(seed);
     let (store, store_address) = Store::start(&format!("{network}.1"));
@@ -60,6 +67,7 @@
             stage: Some(stage),
             extra_late: None,
             grey: is_grey.then_some(Grey {
+                failure,
                 share_of_requests: GREY_REQUESTS,
                 span: (GREY_FROM, LENGTH),
             }),
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -19,6 +19,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::replica::GreyFailure;
+
 /// A script may take two minutes.
 const LONGEST_PLAY: Duration = Duration::from_secs(116);
 
@@ -40,7 +42,12 @@
     });
     let played = std::panic::catch_unwind(|| match case.as_str() {
         "late-rejection" => late_rejection::play(folder, record, trouble, seed),
-        "failed-replacement" => failed_replacement::play(folder, record, trouble, seed),
+        "failed-replacement" => {
+            failed_replacement::play(folder, record, trouble, seed, GreyFailure::Error)
+        }
+        "broken-replacement" => {
+            failed_replacement::play(folder, record, trouble, seed, GreyFailure::Reset)
+        }
         "foreign-entries" => foreign_entries::play(folder, record, trouble, seed),
         "late-heartbeat" => late_heartbeat::play(folder, record, trouble, seed),
         _ => panic!("there is no case {case}"),
--- a/review/standin/replica.rs
+++ b/review/standin/replica.rs
@@ -45,11 +45,21 @@
 
 /// Requests that fail though the replica is healthy: `srv_grey` of the pages, `errors`.
 pub struct Grey {
+    pub failure: GreyFailure,
     pub share_of_requests: f64,
     /// Span after the start of the play.
     pub span: (Duration, Duration),
 }
 
+/// How requests fail at a grey replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum GreyFailure {
+    /// The answer is 500 (`errors`).
+    Error,
+    /// The stream begins, and its connection breaks after two events (`reset`).
+    Reset,
+}
+
 /// Streams that pause in their middle, as those of a sound engine do that preempts them.
 pub struct Pauses {
     pub share_of_streams: f64,
@@ -199,11 +209,11 @@
         chosen && self.random.unit() < extra.share_of_answers
     }
 
-    /// True if the request that runs now fails.
-    fn is_failing(&self) -> bool {
-        let Some(grey) = &self.grey else { return false };
+    /// How the request fails that runs now; `None` if it doesn't.
+    fn failure_now(&self) -> Option<GreyFailure> {
+        let grey = self.grey.as_ref()?;
         let is_grey = (grey.span.0..grey.span.1).contains(&self.record.now());
-        is_grey && self.random.unit() < grey.share_of_requests
+        (is_grey && self.random.unit() < grey.share_of_requests).then_some(grey.failure)
     }
 
     fn serve(&self, stream: TcpStream) {
@@ -374,7 +384,8 @@
         }
         let after = request.header("last-event-id").and_then(|it| it.parse().ok()).unwrap_or(0);
         self.record.add("run", id, format!("at {} after event {after}", self.id));
-        if self.is_failing() {
+        let failure = self.failure_now();
+        if failure == Some(GreyFailure::Error) {
             let mut state = self.state.lock().unwrap();
             state.running -= 1;
             state.running_tokens -= prompt + most;
@@ -384,12 +395,17 @@
             headers.push(("Bamboodoor-Response-Signature", format!("s.{id}")));
             return Answer::Whole(http::response(500, &headers, b"error"));
         }
-        let sent = self.stream(id, after, most, echo, output);
+        let breaks = failure == Some(GreyFailure::Reset);
+        let sent = self.stream(id, after, most, breaks, echo, output);
         let mut state = self.state.lock().unwrap();
         state.running -= 1;
         state.running_tokens -= prompt + most;
         drop(state);
-        let end = if sent.is_ok() { "complete" } else { "connection closed by the caller" };
+        let end = match sent {
+            Ok(()) => "complete",
+            Err(_) if breaks => "broke off",
+            Err(_) => "connection closed by the caller",
+        };
         self.record.add("run-end", id, format!("at {}: {end}", self.id));
         if sent.is_ok() { Answer::Streamed } else { Answer::Broken }
     }
@@ -399,6 +415,7 @@
         id: &str,
         after: u32,
         tokens: u32,
+        breaks: bool,
         echo: Vec<(&str, String)>,
         output: &mut TcpStream,
     ) -> std::io::Result<()> {
@@ -410,6 +427,9 @@
         head.push_str(&format!("Bamboodoor-Response-Signature: s.{id}\r\n\r\n"));
         let pauses = self.pauses.as_ref().filter(|it| self.random.unit() < it.share_of_streams);
         for event in after + 1..=tokens.div_ceil(TOKENS_PER_EVENT) {
+            if breaks && event == after + 3 {
+                return Err(std::io::ErrorKind::ConnectionReset.into());
+            }
             if let Some(pauses) = pauses.filter(|_| event == after + 4) {
                 self.record.add("pause", id, format!("at {}", self.id));
                 std::thread::sleep(pauses.length);
