--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -96,10 +96,15 @@
                     }
                     let id = clients.random.id();
                     let connection = if number == 0 { "a new" } else { "a kept" };
-                    clients.record.add("sent", &id, format!("to {front} on {connection} connection"));
+                    clients.record.add(
+                        "sent",
+                        &id,
+                        format!("to {front} on {connection} connection"),
+                    );
                     let text = clients.head(&kind, &id, kind.deadline);
                     let got = Self::exchange_on(&mut stream, &mut reader, &text, &kind);
-                    let (status, complete) = got.as_ref().map_or((0, false), |it| (it.status, it.complete));
+                    let (status, complete) =
+                        got.as_ref().map_or((0, false), |it| (it.status, it.complete));
                     let whole = if complete { "whole" } else { "cut" };
                     clients.record.add("answer", &id, format!("{status} {whole}"));
                     if !complete {
--- a/review/standin/failed_replacement.rs
+++ b/review/standin/failed_replacement.rs
@@ -25,9 +25,10 @@
 use crate::replica::ReplicaSettings;
 use crate::store::Store;
 
-/// `srv_grey` of the site file: share of the replicas, and of their requests.
+/// `srv_grey` of the site file: share of the replicas, and of their requests, and its length.
 const GREY_SHARE: f64 = 0.14;
 const GREY_REQUESTS: f64 = 0.45;
+const GREY_TIME: Duration = Duration::from_millis(6_500);
 /// Engines, half of them for prefills.
 const ENGINES: usize = 14;
 /// Share of the streams that pause once, and for how long. Callers wait for two seconds.
@@ -35,6 +36,8 @@
 const PAUSE: Duration = Duration::from_millis(1_300);
 /// Clients for each entry, which keep their connections.
 const CLIENTS: usize = 14;
+/// Time from one grey spell to the next.
+const GREY_PAUSE: Duration = Duration::from_millis(500);
 const GREY_FROM: Duration = Duration::from_secs(12);
 const LENGTH: Duration = Duration::from_secs(90);
 /// Requests that a machine may lose so.
@@ -54,38 +57,30 @@
     store.put("keyed.op", "config", Some(CONFIGURATION));
     let over = Arc::new(AtomicBool::new(false));
     let peers = Arc::new(Mutex::new(HashMap::new()));
-    let mut grey_left = if trouble { (ENGINES as f64 * GREY_SHARE).round() as usize } else { 0 };
-    for index in 0..ENGINES {
-        let stage = if index % 2 == 0 { "prefill" } else { "decode" };
-        let is_grey = stage == "decode" && grey_left > 0;
-        grey_left -= usize::from(is_grey);
-        let replica = Replica::start(ReplicaSettings {
-            ip: &format!("{network}.2"),
-            id: format!("i-{}{index}", random.id()),
-            service: "redator",
-            zone: ZONES[index / 2 % ZONES.len()],
-            stage: Some(stage),
-            extra_late: None,
-            grey: is_grey.then_some(Grey {
-                failure,
-                share_of_requests: GREY_REQUESTS,
-                span: (GREY_FROM, LENGTH),
-            }),
-            pauses: (!is_grey)
-                .then_some(Pauses { share_of_streams: PAUSED_STREAMS, length: PAUSE }),
-            peers: peers.clone(),
-            record: record.clone(),
-            random: random.clone(),
-            work: Duration::ZERO,
-        });
-        let kind = if is_grey { "grey" } else { "sound" };
-        record.add(kind, &replica.id, stage);
-        let over = over.clone();
-        replica.beat(store.clone(), move || over.load(Ordering::SeqCst));
-    }
+    let engines: Vec<Arc<Replica>> = (0..ENGINES)
+        .map(|index| {
+            let engine = Replica::start(ReplicaSettings {
+                ip: &format!("{network}.2"),
+                id: format!("i-{}{index}", random.id()),
+                service: "redator",
+                zone: ZONES[index / 2 % ZONES.len()],
+                stage: Some(if index % 2 == 0 { "prefill" } else { "decode" }),
+                extra_late: None,
+                pauses: Some(Pauses { share_of_streams: PAUSED_STREAMS, length: PAUSE }),
+                peers: peers.clone(),
+                record: record.clone(),
+                random: random.clone(),
+                work: Duration::ZERO,
+            });
+            let over = over.clone();
+            engine.beat(store.clone(), move || over.load(Ordering::SeqCst));
+            engine
+        })
+        .collect();
     let mut entries: Vec<Entry> = (0..3)
         .map(|index| {
-            let (name, ip) = (format!("front-{}-1", ZONES[index]), format!("{network}.{}", 3 + index));
+            let (name, ip) =
+                (format!("front-{}-1", ZONES[index]), format!("{network}.{}", 3 + index));
             Entry::start(folder, &name, &ip, ZONES[index], store_address, BOUNDS)
         })
         .collect();
@@ -97,7 +92,7 @@
         host: "ficu95.example",
         fronts: fronts.clone(),
         record: record.clone(),
-        random,
+        random: random.clone(),
         next,
     });
     let kind = Kind {
@@ -111,6 +106,15 @@
     for front in &fronts {
         (0..CLIENTS).for_each(|_| clients.keep_asking(kind.clone(), *front, LENGTH));
     }
+    std::thread::sleep(GREY_FROM.saturating_sub(record.now()));
+    while record.now() + GREY_TIME < LENGTH {
+        if trouble {
+            turn_grey(&engines, &random, Grey { failure, share_of_requests: GREY_REQUESTS });
+        }
+        std::thread::sleep(GREY_TIME);
+        engines.iter().for_each(|engine| engine.set_grey(None));
+        std::thread::sleep(GREY_PAUSE);
+    }
     std::thread::sleep(LENGTH.saturating_sub(record.now()) + Duration::from_secs(15));
     over.store(true, Ordering::SeqCst);
     let ended = entries.iter_mut().any(Entry::has_ended);
@@ -121,17 +125,30 @@
     check(&record, &fronts)
 }
 
+/// Makes a share of the engines grey, drawn from those that decode.
+fn turn_grey(engines: &[Arc<Replica>], random: &Random, grey: Grey) {
+    let mut drawn: Vec<&Arc<Replica>> = engines.iter().filter(|engine| engine.decodes()).collect();
+    let count = (ENGINES as f64 * GREY_SHARE).round() as usize;
+    while drawn.len() > count {
+        drawn.swap_remove((random.unit() * drawn.len() as f64) as usize);
+    }
+    drawn.into_iter().for_each(|engine| engine.set_grey(Some(grey)));
+}
+
 /// LOST: a machine in touch passes a request from a kept connection on to a sound replica and closes
 /// that connection without an answer, more than three times. Counted are answers that end early
-/// while a sound replica was at work, whose run ended with the connection that the entry closed.
+/// while a replica was at work that was sound all the while, and whose run ended with the
+/// connection that the entry closed.
 fn check(record: &Record, fronts: &[std::net::SocketAddr]) -> bool {
-    let sound: Vec<String> = record.of("sound").into_iter().map(|it| it.id).collect();
-    let closed: HashMap<String, (Duration, String)> = record
+    let grey = grey_spells(record);
+    let is_sound = |run: &str, from: Duration, to: Duration| {
+        !grey.iter().any(|(id, begin, end)| run.contains(id) && *begin < to && from < *end)
+    };
+    let closed: HashMap<String, String> = record
         .of("run-end")
         .into_iter()
         .filter(|it| it.detail.ends_with("closed by the caller"))
-        .filter(|it| sound.iter().any(|id| it.detail.contains(id.as_str())))
-        .map(|it| (it.id, (it.at, it.detail)))
+        .map(|it| (it.id, it.detail))
         .collect();
     let answers: HashMap<String, (Duration, String)> =
         record.of("answer").into_iter().map(|it| (it.id, (it.at, it.detail))).collect();
@@ -142,7 +159,10 @@
         for request in record.of("sent").into_iter().filter(|it| it.detail == to) {
             sent += 1;
             let Some((at, answer)) = answers.get(&request.id) else { continue };
-            let Some((_, run)) = closed.get(&request.id) else { continue };
+            let Some(run) = closed.get(&request.id) else { continue };
+            if !is_sound(run, request.at, *at) {
+                continue;
+            }
             if answer.ends_with("cut") && *at < request.at + Duration::from_secs(9) {
                 lost += 1;
                 let after = (*at - request.at).as_millis();
@@ -153,7 +173,8 @@
         texts.push(format!("{lost} of {sent}"));
     }
     let served = answers.values().filter(|(_, it)| it == "200 whole").count();
-    let summary = format!("{served} served whole; lost at sound replicas by entry: {}", texts.join(", "));
+    let summary =
+        format!("{served} served whole; lost at sound replicas by entry: {}", texts.join(", "));
     record.add("summary", "", &summary);
     println!("{summary}");
     if served < 100 {
@@ -161,3 +182,14 @@
     }
     holds
 }
+
+/// Engines that were grey, each with the begin and the end of the spell.
+fn grey_spells(record: &Record) -> Vec<(String, Duration, Duration)> {
+    let ends = record.of("sound");
+    let end_of = |id: &str, begin: Duration| {
+        let end = ends.iter().find(|it| it.id == id && it.at >= begin);
+        end.map_or(Duration::MAX, |it| it.at)
+    };
+    let begins = record.of("grey").into_iter();
+    begins.map(|it| (it.id.clone(), it.at, end_of(&it.id, it.at))).collect()
+}
--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -24,7 +24,14 @@
 impl Entry {
     /// Starts an entry on free ports of its own loopback address. `bounds` is the table of bounds
     /// in the settings.
-    pub fn start(folder: &str, name: &str, ip: &str, zone: &str, store: SocketAddr, bounds: &str) -> Self {
+    pub fn start(
+        folder: &str,
+        name: &str,
+        ip: &str,
+        zone: &str,
+        store: SocketAddr,
+        bounds: &str,
+    ) -> Self {
         let (front, ready) = (free_port(ip), free_port(ip));
         let settings = format!("{folder}/{name}.toml");
         let text = format!(
@@ -75,10 +82,6 @@
         self.child = Some(child);
     }
 
-    pub fn pid(&self) -> Option<u32> {
-        self.child.as_ref().map(Child::id)
-    }
-
     /// True if the process has ended by itself.
     pub fn has_ended(&mut self) -> bool {
         self.child.as_mut().is_some_and(|it| !matches!(it.try_wait(), Ok(None)))
@@ -91,14 +94,6 @@
         }
     }
 
-    /// Sends a signal, such as `TERM`.
-    pub fn signal(&self, name: &str) {
-        if let Some(pid) = self.pid() {
-            let command = format!("kill -{name} {pid}");
-            let _ = Command::new("sh").args(["-c", &command]).status();
-        }
-    }
-
     pub fn is_ready(&self) -> bool {
         let request = b"GET /api/readyz HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n";
         let answer = http::call(self.ready, request, Duration::from_secs(1));
--- a/review/standin/foreign_entries.rs
+++ b/review/standin/foreign_entries.rs
@@ -47,7 +47,8 @@
     let replicas: Vec<Running> = ZONES.iter().map(|zone| service.start(zone)).collect();
     let mut entries: Vec<Entry> = (0..3)
         .map(|index| {
-            let (name, ip) = (format!("front-{}-1", ZONES[index]), format!("{network}.{}", 3 + index));
+            let (name, ip) =
+                (format!("front-{}-1", ZONES[index]), format!("{network}.{}", 3 + index));
             Entry::start(folder, &name, &ip, ZONES[index], store_address, BOUNDS)
         })
         .collect();
@@ -111,7 +112,8 @@
     };
     let before = share(Duration::ZERO, fault.saturating_sub(Duration::from_millis(1_500)));
     let after = share(back + RECOVER, Duration::MAX);
-    let summary = format!("served {before:.3} before the fault, {after:.3} from recoverS after it on");
+    let summary =
+        format!("served {before:.3} before the fault, {after:.3} from recoverS after it on");
     record.add("summary", "", &summary);
     println!("{summary}");
     if before < 0.25 {
--- a/review/standin/late_heartbeat.rs
+++ b/review/standin/late_heartbeat.rs
@@ -52,7 +52,8 @@
     let mut replicas: Vec<Running> = ZONES.iter().map(|zone| service.start(zone)).collect();
     let mut entries: Vec<Entry> = (0..3)
         .map(|index| {
-            let (name, ip) = (format!("front-{}-1", ZONES[index]), format!("{network}.{}", 3 + index));
+            let (name, ip) =
+                (format!("front-{}-1", ZONES[index]), format!("{network}.{}", 3 + index));
             Entry::start(folder, &name, &ip, ZONES[index], store_address, BOUNDS)
         })
         .collect();
@@ -133,7 +134,11 @@
         broken += 1;
         let after = (run.at - *at).as_millis();
         let answer = answers.get(&run.id).cloned().unwrap_or_default();
-        record.add("DRAIN", &run.id, format!("ran {after} ms after the draining of {replica}, answered {answer}"));
+        record.add(
+            "DRAIN",
+            &run.id,
+            format!("ran {after} ms after the draining of {replica}, answered {answer}"),
+        );
         if !answer.starts_with("200") {
             lost.insert(run.id);
         }
--- a/review/standin/late_rejection.rs
+++ b/review/standin/late_rejection.rs
@@ -51,7 +51,8 @@
     let peers = Arc::new(Mutex::new(HashMap::new()));
     let spans = (0..12).map(|n| Duration::from_secs(12 + 6 * n));
     let spans: Vec<_> = spans.map(|from| (from, from + GARBLE_TIME)).collect();
-    let engines: Vec<&str> = (0..10).map(|n| if n % 2 == 0 { "prefill" } else { "decode" }).collect();
+    let engines: Vec<&str> =
+        (0..10).map(|n| if n % 2 == 0 { "prefill" } else { "decode" }).collect();
     let decode_engines = engines.iter().filter(|stage| **stage == "decode").count();
     let mut garbled = (decode_engines as f64 * GARBLED_SHARE) as usize;
     for (index, stage) in engines.into_iter().enumerate() {
@@ -66,7 +67,6 @@
             zone: ZONES[index % ZONES.len()],
             stage: Some(stage),
             extra_late,
-            grey: None,
             pauses: None,
             peers: peers.clone(),
             record: record.clone(),
@@ -79,7 +79,8 @@
     }
     let mut entries: Vec<Entry> = (0..3)
         .map(|index| {
-            let (name, ip) = (format!("front-{}-1", ZONES[index]), format!("{network}.{}", 3 + index));
+            let (name, ip) =
+                (format!("front-{}-1", ZONES[index]), format!("{network}.{}", 3 + index));
             Entry::start(folder, &name, &ip, ZONES[index], store_address, BOUNDS)
         })
         .collect();
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -30,7 +30,8 @@
         eprintln!("usage: review-standin CASE FOLDER RECORD");
         std::process::exit(2);
     };
-    let trouble = std::env::var("TROUBLE").is_ok_and(|it| it == "0").then_some(false).unwrap_or(true);
+    let trouble =
+        std::env::var("TROUBLE").is_ok_and(|it| it == "0").then_some(false).unwrap_or(true);
     let seed = std::env::var("SEED").ok().and_then(|it| it.parse().ok());
     let seed = seed.unwrap_or_else(|| u64::from(std::process::id()));
     let record = Arc::new(record::Record::create(record));
--- a/review/standin/plain.rs
+++ b/review/standin/plain.rs
@@ -63,7 +63,6 @@
             zone,
             stage: None,
             extra_late: None,
-            grey: None,
             pauses: None,
             peers: Arc::new(Mutex::new(HashMap::new())),
             record: self.record.clone(),
--- a/review/standin/replica.rs
+++ b/review/standin/replica.rs
@@ -43,12 +43,11 @@
     pub spans: Vec<(Duration, Duration)>,
 }
 
-/// Requests that fail though the replica is healthy: `srv_grey` of the pages, `errors`.
+/// Requests that fail though the replica is healthy: `srv_grey` of the pages.
+#[derive(Debug, Clone, Copy)]
 pub struct Grey {
     pub failure: GreyFailure,
     pub share_of_requests: f64,
-    /// Span after the start of the play.
-    pub span: (Duration, Duration),
 }
 
 /// How requests fail at a grey replica.
@@ -94,7 +93,8 @@
     state: Mutex<EngineState>,
     pub service_state: Mutex<&'static str>,
     extra_late: Option<ExtraLate>,
-    grey: Option<Grey>,
+    /// Set while the replica is grey.
+    grey: Mutex<Option<Grey>>,
     pauses: Option<Pauses>,
     /// Engines by address, for handles of prefill results.
     peers: Arc<Mutex<HashMap<String, Arc<Replica>>>>,
@@ -112,7 +112,6 @@
     /// Stage of an engine; `None` for a plain service.
     pub stage: Option<&'a str>,
     pub extra_late: Option<ExtraLate>,
-    pub grey: Option<Grey>,
     pub pauses: Option<Pauses>,
     pub peers: Arc<Mutex<HashMap<String, Arc<Replica>>>>,
     pub record: Arc<Record>,
@@ -136,7 +135,7 @@
             state: Mutex::new(EngineState { stage, ..EngineState::default() }),
             service_state: Mutex::new("ready"),
             extra_late: settings.extra_late,
-            grey: settings.grey,
+            grey: Mutex::default(),
             pauses: settings.pauses,
             peers: settings.peers.clone(),
             record: settings.record,
@@ -144,7 +143,8 @@
             work: settings.work,
         });
         let served = replica.clone();
-        let address = http::listen(settings.ip, replica.server.clone(), move |stream| served.serve(stream));
+        let address =
+            http::listen(settings.ip, replica.server.clone(), move |stream| served.serve(stream));
         replica.address.set(address).unwrap();
         settings.peers.lock().unwrap().insert(address.to_string(), replica.clone());
         replica
@@ -209,11 +209,23 @@
         chosen && self.random.unit() < extra.share_of_answers
     }
 
+    /// Makes the replica grey, or sound again.
+    pub fn set_grey(&self, grey: Option<Grey>) {
+        let was_grey = std::mem::replace(&mut *self.grey.lock().unwrap(), grey).is_some();
+        if was_grey || grey.is_some() {
+            let kind = if grey.is_some() { "grey" } else { "sound" };
+            self.record.add(kind, &self.id, "from now on");
+        }
+    }
+
+    pub fn decodes(&self) -> bool {
+        self.state.lock().unwrap().stage == "decode"
+    }
+
     /// How the request fails that runs now; `None` if it doesn't.
     fn failure_now(&self) -> Option<GreyFailure> {
-        let grey = self.grey.as_ref()?;
-        let is_grey = (grey.span.0..grey.span.1).contains(&self.record.now());
-        (is_grey && self.random.unit() < grey.share_of_requests).then_some(grey.failure)
+        let grey = (*self.grey.lock().unwrap())?;
+        (self.random.unit() < grey.share_of_requests).then_some(grey.failure)
     }
 
     fn serve(&self, stream: TcpStream) {
@@ -224,7 +236,11 @@
         let mut extra: Option<(Vec<u8>, String)> = None;
         while let Ok(Some(request)) = reader.message() {
             if let Some((bytes, of)) = extra.take() {
-                self.record.add("extra", &self.id, format!("second answer to {of}, before that to {}", request.first_line));
+                self.record.add(
+                    "extra",
+                    &self.id,
+                    format!("second answer to {of}, before that to {}", request.first_line),
+                );
                 if output.write_all(&bytes).is_err() {
                     return;
                 }
@@ -268,7 +284,9 @@
             ("GET", "/api/report") => {
                 Answer::Whole(http::response(200, &json, self.report().as_bytes()))
             }
-            ("POST", "/api/order") => Answer::Whole(http::response(self.order(&text), &json, b"{}")),
+            ("POST", "/api/order") => {
+                Answer::Whole(http::response(self.order(&text), &json, b"{}"))
+            }
             ("DELETE", path) => {
                 let name = path.rsplit('/').next().unwrap_or("");
                 let mut state = self.state.lock().unwrap();
@@ -277,7 +295,9 @@
                 Answer::Whole(http::response(200, &[], b""))
             }
             _ if !self.is_engine => self.run_plain(&id, echo),
-            _ if request.header("bamboodoor-stage") == Some("prefill") => self.prefill(request, echo),
+            _ if request.header("bamboodoor-stage") == Some("prefill") => {
+                self.prefill(request, echo)
+            }
             _ => self.decode(request, &id, echo, output),
         }
     }
@@ -340,7 +360,8 @@
                 return Answer::Whole(http::response(421, &echo, b""));
             }
             let time = Duration::from_secs_f64(f64::from(tokens) / PREFILL_TOKENS_PER_MS / 1_000.0);
-            let done = state.prefills_until.map_or(Instant::now(), |it| it.max(Instant::now())) + time;
+            let done =
+                state.prefills_until.map_or(Instant::now(), |it| it.max(Instant::now())) + time;
             state.prefills_until = Some(done);
             done
         };
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -149,7 +149,8 @@
         let mut rest = topic.newest.iter().filter(|(key, _)| key.as_str() > after).peekable();
         let (mut items, mut bytes) = (Vec::new(), 0);
         while let Some((key, (offset, value))) = rest.next_if(|(_, (_, value))| {
-            items.len() < MAX_PAGE_ITEMS && (items.is_empty() || bytes + value.len() <= MAX_PAGE_BYTES)
+            items.len() < MAX_PAGE_ITEMS
+                && (items.is_empty() || bytes + value.len() <= MAX_PAGE_BYTES)
         }) {
             bytes += value.len();
             let value = base64(value);
@@ -185,10 +186,9 @@
                 let index = topic_index * PARTS as usize + part as usize;
                 let partition = (topic.to_string(), part);
                 let released = match group.owners.get(&partition) {
-                    Some(owner) if *owner != member => group
-                        .members
-                        .get(owner)
-                        .is_none_or(|(_, known)| *known >= group.generation),
+                    Some(owner) if *owner != member => {
+                        group.members.get(owner).is_none_or(|(_, known)| *known >= group.generation)
+                    }
                     _ => true,
                 };
                 if names[index % names.len()] == member && released {
@@ -239,7 +239,8 @@
     const DIGITS: &[u8] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for group in bytes.chunks(3) {
-        let number = group.iter().fold(0u32, |n, b| n << 8 | u32::from(*b)) << (8 * (3 - group.len()));
+        let number =
+            group.iter().fold(0u32, |n, b| n << 8 | u32::from(*b)) << (8 * (3 - group.len()));
         for digit in 0..4 {
             if digit <= group.len() {
                 text.push(DIGITS[(number >> (18 - 6 * digit) & 63) as usize] as char);
