--- a/review/standin/failed_replacement.rs
+++ b/review/standin/failed_replacement.rs
@@ -33,6 +33,8 @@
 const ENGINES: usize = 14;
 /// Share of the streams that pause once, and for how long. Callers wait for two seconds.
 const PAUSED_STREAMS: f64 = 0.15;
+/// The same where replacements break off, which uses up more of the retry budget.
+const PAUSED_STREAMS_WITH_RESETS: f64 = 0.3;
 const PAUSE: Duration = Duration::from_millis(1_300);
 /// Clients for each entry, which keep their connections.
 const CLIENTS: usize = 14;
@@ -57,6 +59,10 @@
     store.put("keyed.op", "config", Some(CONFIGURATION));
     let over = Arc::new(AtomicBool::new(false));
     let peers = Arc::new(Mutex::new(HashMap::new()));
+    let paused_streams = match failure {
+        GreyFailure::Error => PAUSED_STREAMS,
+        GreyFailure::Reset => PAUSED_STREAMS_WITH_RESETS,
+    };
     let engines: Vec<Arc<Replica>> = (0..ENGINES)
         .map(|index| {
             let engine = Replica::start(ReplicaSettings {
@@ -66,7 +72,7 @@
                 zone: ZONES[index / 2 % ZONES.len()],
                 stage: Some(if index % 2 == 0 { "prefill" } else { "decode" }),
                 extra_late: None,
-                pauses: Some(Pauses { share_of_streams: PAUSED_STREAMS, length: PAUSE }),
+                pauses: Some(Pauses { share_of_streams: paused_streams, length: PAUSE }),
                 peers: peers.clone(),
                 record: record.clone(),
                 random: random.clone(),
