--- a/standins/src/platform/replica.rs
+++ b/standins/src/platform/replica.rs
@@ -88,6 +88,8 @@
     pub open_streams: AtomicU64,
     /// Number in the next name of a reservation or prefill result.
     next_number: AtomicU64,
+    /// Gives reservations and prefill results names that a path cannot contain as they are.
+    pub reserved_characters: Switch,
     /// Rejects all reservations with status 503.
     pub full: Switch,
     /// Executes the next request, but responds with status 500.
@@ -138,6 +140,7 @@
             streams_closed_early: AtomicU64::default(),
             open_streams: AtomicU64::default(),
             next_number: AtomicU64::default(),
+            reserved_characters: Switch::default(),
             full: Switch::default(),
             fail_next: Switch::default(),
             lose_next_response: Switch::default(),
@@ -300,13 +303,20 @@
         if self.full.is_on() {
             return server::json(StatusCode::SERVICE_UNAVAILABLE, &json!({}));
         }
-        let hold = format!("hold-{}", self.next_number.fetch_add(1, Ordering::SeqCst));
+        let hold = self.next_name("hold");
         server::json(StatusCode::OK, &json!({"hold": hold}))
     }
 
+    /// Returns a new name for a reservation or a prefill result.
+    fn next_name(&self, kind: &str) -> String {
+        let number = self.next_number.fetch_add(1, Ordering::SeqCst);
+        let separator = if self.reserved_characters.is_on() { " ?#" } else { "-" };
+        format!("{kind}{separator}{number}")
+    }
+
     fn prefill(&self, received: ReceivedRequest) -> Response<Body> {
         self.prefill_requests.lock().expect("the mutex is not poisoned").push(received);
-        let handle = format!("handle-{}", self.next_number.fetch_add(1, Ordering::SeqCst));
+        let handle = self.next_name("handle");
         server::json(StatusCode::OK, &json!({"handle": handle, "tokens": 100, "version": 1}))
     }
 
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -27,6 +27,7 @@
 use hyper::body::Incoming;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
+use percent_encoding::percent_decode_str;
 use serde_json::json;
 use tokio::sync::Notify;
 
@@ -378,9 +379,11 @@
     Record { key, value: (!content.is_empty()).then_some(content) }
 }
 
+/// Decoded value of a parameter of the query; empty without one.
 fn query_text(request: &Request<Incoming>, name: &str) -> String {
     let query = request.uri().query().unwrap_or_default();
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
     let found = pairs.into_iter().find(|(key, _)| *key == name);
-    found.map(|(_, value)| value.to_string()).unwrap_or_default()
+    let value = found.map(|(_, value)| value.replace('+', " ")).unwrap_or_default();
+    percent_decode_str(&value).decode_utf8_lossy().into_owned()
 }
