--- a/src/edge/direct/store_follower.rs
+++ b/src/edge/direct/store_follower.rs
@@ -18,6 +18,7 @@
 use crate::router::follow::Cursor;
 use crate::router::follow::Feed;
 use crate::router::follow::FollowBounds;
+use crate::router::follow::FullRead;
 use crate::router::follow::Read;
 use crate::router::follow::ReadTiming;
 use crate::router::instance_list::InstanceRecord;
@@ -329,11 +330,15 @@
             ReadResponse::Page(page) => {
                 let keys = page.records.iter().map(|record| record.key.clone()).collect();
                 self.apply_records(page.records, RecordAge::Any);
-                if let Some((keys, end_offset)) =
-                    self.cursor.record_page(keys, page.has_more, page.end_offset)
-                {
-                    self.apply_full_list(&keys, end_offset);
-                    self.record_complete_read(Duration::ZERO);
+                match self.cursor.record_page(keys, page.has_more, page.end_offset) {
+                    FullRead::Unfinished => {}
+                    FullRead::Complete { keys, end_offset } => {
+                        self.apply_full_list(&keys, end_offset);
+                        self.record_complete_read(Duration::ZERO);
+                    }
+                    FullRead::Stuck => {
+                        spdlog::warn!("full-read-stuck", kv: { feed: = self.feed });
+                    }
                 }
             }
             ReadResponse::Changes(changes) => {
--- a/src/router/follow.rs
+++ b/src/router/follow.rs
@@ -116,6 +116,23 @@
     },
 }
 
+/// What a page has brought a full read to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum FullRead {
+    /// More pages follow.
+    Unfinished,
+    /// All pages were read.
+    Complete {
+        /// Keys of all pages.
+        keys: Vec<CompactString>,
+        /// Offset up to which the keys are complete.
+        end_offset: u64,
+    },
+    /// More pages should follow, but the store returned no key behind the last one again. What
+    /// they hold is learned from later records only.
+    Stuck,
+}
+
 /// Position up to which a feed was read.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Cursor {
@@ -144,27 +161,32 @@
 
     /// Records a page of the newest records; `more` says that another page
     /// follows, and `end_offset` is that of the next record written to the
-    /// feed. After the last page, returns the keys of all pages and the offset
-    /// up to which they are complete.
+    /// feed.
+    ///
+    /// A page that ends with the key that it should come after brings no progress: the key is
+    /// another in the store, since it is no valid text, or the page is empty.
     pub fn record_page(
         &mut self,
         keys: Vec<CompactString>,
         more: bool,
         end_offset: u64,
-    ) -> Option<(Vec<CompactString>, u64)> {
+    ) -> FullRead {
         if self.keys.is_empty() {
             self.first_page_end = end_offset;
         }
+        let previous = self.keys.last().cloned();
         self.keys.extend(keys);
-        match self.keys.last().filter(|_| more) {
-            Some(last) => {
-                self.next = Read::Newest { after: Some(last.clone()) };
-                None
-            }
-            None => {
-                self.next = Read::Changes { from: self.first_page_end };
-                Some((std::mem::take(&mut self.keys), self.first_page_end))
-            }
+        let last = self.keys.last().cloned();
+        let is_stuck = more && last == previous;
+        if more && !is_stuck {
+            self.next = Read::Newest { after: last };
+            return FullRead::Unfinished;
+        }
+        self.next = Read::Changes { from: self.first_page_end };
+        let keys = std::mem::take(&mut self.keys);
+        match is_stuck {
+            true => FullRead::Stuck,
+            false => FullRead::Complete { keys, end_offset: self.first_page_end },
         }
     }
 
