--- a/src/edge/direct/store_follower.rs
+++ b/src/edge/direct/store_follower.rs
@@ -23,6 +23,7 @@
 use crate::router::follow::ReadTiming;
 use crate::router::instance_list::InstanceRecord;
 use crate::router::instance_list::InstanceState;
+use crate::router::instance_list::RecordEffect;
 use crate::router::key_certainty::ConfigurationRead;
 use crate::router::lease::RenewalResponse;
 use crate::router::poison::RecordAge;
@@ -486,13 +487,21 @@
         };
         let mut router = self.dispatcher.router.borrow_mut();
         let (instance_list, upstreams) = router.instance_list();
-        if instance_list.apply(now, record, upstreams) {
-            spdlog::info!("upstream-listed", kv: {
+        match instance_list.apply(now, record, upstreams) {
+            RecordEffect::Unchanged => {}
+            RecordEffect::Changed => spdlog::info!("upstream-listed", kv: {
                 upstream: = id,
                 state = state,
                 version: = version,
                 offset = offset
-            });
+            }),
+            effect @ (RecordEffect::HeldBack | RecordEffect::Outdated) => {
+                spdlog::info!("upstream-record-late", kv: {
+                    upstream: = id,
+                    effect: = effect,
+                    offset = offset
+                });
+            }
         }
     }
 
--- a/src/router/instance_list.rs
+++ b/src/router/instance_list.rs
@@ -49,6 +49,27 @@
     Unreadable,
 }
 
+/// What a record changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum RecordEffect {
+    /// Nothing.
+    Unchanged,
+    /// An upstream was added, changed or removed.
+    Changed,
+    /// Nothing yet; see [`InstanceList::apply_held_back`].
+    HeldBack,
+    /// Nothing: the record says that the upstream is ready, but a record before it said that
+    /// this incarnation is leaving. It is a heartbeat that was written late.
+    Outdated,
+}
+
+impl RecordEffect {
+    fn of_change(changed: bool) -> Self {
+        if changed { Self::Changed } else { Self::Unchanged }
+    }
+}
+
 /// State of the instance list, as far as its records were read.
 #[derive(Debug)]
 pub struct InstanceList {
@@ -111,50 +132,46 @@
     }
 
     /// Starts over with the offsets, since the store came back from an older copy. Starts
-    /// the grace period, in which instances write their records again. An upstream that
-    /// was leaving stays so, also if the copy lists it as ready.
-    pub fn start_over(&mut self, now: Duration, upstreams: &mut Upstreams) {
+    /// the grace period, in which instances write their records again.
+    pub fn start_over(&mut self, now: Duration) {
         self.offsets.clear();
         self.grace_until = Some(now + self.grace);
         self.hold_back_until = Some(now + HOLD_BACK_TIME);
         self.held_back.clear();
         self.removals.retain(|_, removal| now < removal.at + REMOVAL_RETENTION);
-        upstreams.keep_leaving();
     }
 
     /// Applies a record, unless it or a newer one of the same instance was
-    /// applied before. Returns true if an upstream was added, changed or
-    /// removed.
+    /// applied before.
     pub fn apply(
         &mut self,
         now: Duration,
         record: InstanceRecord,
         upstreams: &mut Upstreams,
-    ) -> bool {
+    ) -> RecordEffect {
         let applied_offset = self.offsets.get(&record.id).copied();
         if applied_offset.is_some_and(|offset| record.offset <= offset) {
-            return false;
+            return RecordEffect::Unchanged;
         }
         self.offsets.insert(record.id.clone(), record.offset);
         if self.holds_back(now, &record) {
             self.held_back.insert(record.id.clone(), record);
-            return false;
+            return RecordEffect::HeldBack;
         }
         self.held_back.remove(&record.id);
         match record.state {
             InstanceState::Present(listed) => {
                 self.retained_until.remove(&record.id);
                 self.removals.remove(&record.id);
-                let changed =
-                    upstreams.get_by_id(&record.id).is_none_or(|current| current.listed != listed);
-                upstreams.upsert(now, listed);
-                changed
+                upsert(upstreams, now, listed)
+            }
+            InstanceState::Removed => {
+                RecordEffect::of_change(self.remove_or_retain(now, &record.id, upstreams))
             }
-            InstanceState::Removed => self.remove_or_retain(now, &record.id, upstreams),
             InstanceState::Unreadable => {
                 let was_listed = upstreams.get_by_id(&record.id).is_some();
                 upstreams.remove(&record.id);
-                was_listed
+                RecordEffect::of_change(was_listed)
             }
         }
     }
@@ -265,3 +282,15 @@
         upstreams.remove(id);
     }
 }
+
+/// Adds or updates an upstream. Returns what that changed.
+fn upsert(upstreams: &mut Upstreams, now: Duration, listed: ListedUpstream) -> RecordEffect {
+    let before = upstreams.get_by_id(&listed.id).map(|upstream| upstream.listed.clone());
+    let says_ready = !listed.leaving;
+    let key = upstreams.upsert(now, listed);
+    let after = upstreams.get(key).map(|upstream| &upstream.listed);
+    if says_ready && after.is_some_and(|listed| listed.leaving) {
+        return RecordEffect::Outdated;
+    }
+    RecordEffect::of_change(before.as_ref() != after)
+}
--- a/src/router/store_era.rs
+++ b/src/router/store_era.rs
@@ -74,7 +74,7 @@
             return StoreEraChange::None;
         }
         self.store_era = Some(named);
-        self.instance_list.start_over(now, &mut self.upstreams);
+        self.instance_list.start_over(now);
         self.record_list_gap();
         self.reduce_shares(now);
         self.quotas.pause_claims(now);
--- a/src/router/upstreams.rs
+++ b/src/router/upstreams.rs
@@ -66,8 +66,8 @@
 pub struct Upstream {
     /// Newest record of the upstream in the instance list.
     pub listed: ListedUpstream,
-    /// True if the upstream has said in a response that it is leaving.
-    pub said_leaving: bool,
+    /// True once this incarnation has said, in a record or a response, that it is leaving.
+    pub has_said_leaving: bool,
     /// Requests of this entry that are in flight at the upstream.
     pub open_requests: u32,
     /// Prompt tokens and expected output tokens of the requests in flight.
@@ -112,7 +112,7 @@
 
     /// True if the upstream is leaving and gets no new work.
     pub fn is_leaving(&self) -> bool {
-        self.listed.leaving || self.said_leaving
+        self.has_said_leaving
     }
 
     /// True if the upstream has this software version, or any will do.
@@ -163,9 +163,9 @@
     upstreams: SlotMap<UpstreamKey, Upstream>,
     by_id: HashMap<CompactString, UpstreamKey>,
     by_service: HashMap<CompactString, Vec<UpstreamKey>>,
-    /// Start times of the upstreams that are leaving for good, by id: they have said so, or
-    /// their records did when they vanished or the store came back from an older copy. Kept
-    /// when a record vanishes, since it may come back.
+    /// Start times of the incarnations that have said that they are leaving, by id. They do not
+    /// come back into use, whatever later records say: the store may carry out a heartbeat late,
+    /// or come back from an older copy. Kept when a record vanishes, since it may come back.
     said_leaving: HashMap<CompactString, u64>,
     slow_start: SlowStartSettings,
     start_detector: StartDetector,
@@ -180,8 +180,13 @@
     }
 
     /// Adds an upstream or updates it. A restarted one, or one with another
-    /// address or service, replaces the old one under a new key.
-    pub fn upsert(&mut self, now: Duration, listed: ListedUpstream) -> UpstreamKey {
+    /// address or service, replaces the old one under a new key. An incarnation that was
+    /// leaving stays so.
+    pub fn upsert(&mut self, now: Duration, mut listed: ListedUpstream) -> UpstreamKey {
+        if listed.leaving {
+            self.said_leaving.insert(listed.id.clone(), listed.started_ms);
+        }
+        let has_said_leaving = self.said_leaving.get(&listed.id) == Some(&listed.started_ms);
         if let Some(&key) = self.by_id.get(&listed.id) {
             let current = &mut self.upstreams[key];
             let same = current.listed.address == listed.address
@@ -189,7 +194,9 @@
                 && current.listed.started_ms == listed.started_ms;
             if same {
                 let role_changed = current.listed.role != listed.role;
+                listed.leaving |= current.listed.leaving;
                 current.listed = listed;
+                current.has_said_leaving = has_said_leaving;
                 if role_changed {
                     self.begin_slow_start(key, SlowStartCause::RoleChanged, now);
                 }
@@ -197,12 +204,12 @@
             }
             self.remove(&listed.id);
         }
+        listed.leaving |= has_said_leaving;
         let has_started = self.start_detector.record_listed(now, &listed, &self.slow_start);
         let (id, service) = (listed.id.clone(), listed.service.clone());
-        let said_leaving = self.said_leaving.get(&id) == Some(&listed.started_ms);
         let key = self.upstreams.insert(Upstream {
             listed,
-            said_leaving,
+            has_said_leaving,
             open_requests: 0,
             open_tokens: 0,
             prefilling_tokens: 0,
@@ -229,22 +236,12 @@
     pub fn mark_leaving(&mut self, key: UpstreamKey) -> bool {
         let Some(upstream) = self.upstreams.get_mut(key) else { return false };
         let was_leaving = upstream.is_leaving();
-        upstream.said_leaving = true;
+        upstream.has_said_leaving = true;
         let listed = &upstream.listed;
         self.said_leaving.insert(listed.id.clone(), listed.started_ms);
         !was_leaving
     }
 
-    /// Keeps the upstreams that are listed as leaving in that state, whatever later records
-    /// of the same incarnation say.
-    pub fn keep_leaving(&mut self) {
-        for upstream in self.upstreams.values_mut().filter(|upstream| upstream.listed.leaving) {
-            upstream.said_leaving = true;
-            let listed = &upstream.listed;
-            self.said_leaving.insert(listed.id.clone(), listed.started_ms);
-        }
-    }
-
     /// Ids of all listed upstreams.
     pub fn ids(&self) -> impl Iterator<Item = &CompactString> {
         self.by_id.keys()
@@ -254,9 +251,6 @@
     pub fn remove(&mut self, id: &str) {
         let Some(key) = self.by_id.remove(id) else { return };
         let Some(upstream) = self.upstreams.remove(key) else { return };
-        if upstream.listed.leaving {
-            self.said_leaving.insert(upstream.listed.id.clone(), upstream.listed.started_ms);
-        }
         if let Some(keys) = self.by_service.get_mut(&upstream.listed.service) {
             keys.retain(|&other| other != key);
         }
--- a/tests/router/instance_list.rs
+++ b/tests/router/instance_list.rs
@@ -42,6 +42,21 @@
     fn is_listed(&self) -> bool {
         self.upstreams.get_by_id("s1").is_some()
     }
+
+    /// True if the upstream is listed and gets new work.
+    fn is_usable(&self) -> bool {
+        self.upstreams.get_by_id("s1").is_some_and(|upstream| !upstream.is_leaving())
+    }
+}
+
+/// Record of `s1` in an incarnation that started at this time.
+fn started_at(started_ms: u64) -> ListedUpstream {
+    ListedUpstream { started_ms, ..upstream("s1", DESK, PoolRole::Service) }
+}
+
+/// The same, as that of an upstream that is leaving.
+fn leaving(started_ms: u64) -> ListedUpstream {
+    ListedUpstream { leaving: true, ..started_at(started_ms) }
 }
 
 fn present(listed: ListedUpstream) -> InstanceState {
@@ -126,3 +141,39 @@
     assert!(list.upstreams.get(before).is_none());
     assert!(list.is_listed());
 }
+
+macro_rules! usable_after_records {
+    ($($name:ident: [$($record:expr),*] => $usable:literal;)*) => {$(
+        /// Guards against new work for an upstream that has left, brought back by a record that the
+        /// store carried out late.
+        #[test]
+        fn $name() {
+            let mut list = ListWithUpstreams::new();
+            let mut offset = 5;
+            $(
+                offset += 1;
+                list.apply(ms(100 * offset), offset, $record);
+            )*
+            assert_eq!(list.is_usable(), $usable);
+        }
+    )*};
+}
+
+usable_after_records! {
+    a_late_heartbeat_does_not_undo_a_drain: [
+        present(leaving(1)), present(started_at(1))
+    ] => false;
+    late_heartbeats_do_not_undo_a_drain: [
+        present(leaving(1)), present(started_at(1)), present(started_at(1))
+    ] => false;
+    a_late_heartbeat_does_not_undo_a_drain_that_ended: [
+        present(leaving(1)), InstanceState::Removed, present(started_at(1)), present(started_at(1))
+    ] => false;
+    a_late_heartbeat_between_two_reports_of_a_drain_changes_nothing: [
+        present(leaving(1)), present(started_at(1)), present(leaving(1))
+    ] => false;
+    a_restart_after_a_drain_is_used: [present(leaving(1)), present(started_at(2))] => true;
+    a_restart_after_a_drain_and_a_late_heartbeat_is_used: [
+        present(leaving(1)), present(started_at(1)), present(started_at(2))
+    ] => true;
+}
