--- a/src/router/instance_list.rs
+++ b/src/router/instance_list.rs
@@ -8,9 +8,10 @@
 //! respond. The same holds in a new era of the store, whose copy may be older than
 //! the record.
 //!
-//! The copy may also list an upstream whose removal it lacks. Such a record is held back
-//! until the store has had the time to let it expire; a record that the instance writes
-//! in the new era is applied at once.
+//! A record of an upstream that was removed, or of an earlier incarnation, may be a heartbeat that
+//! the store carried out late, or one of a copy of the store that lacks the removal. Such a record
+//! is held back until the instance writes another one, or until the store has had the time to let
+//! it expire.
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -21,10 +22,10 @@
 use crate::router::upstreams::ListedUpstream;
 use crate::router::upstreams::Upstreams;
 
-/// Time for which a removal is remembered; copies of the store are not as old.
+/// Time for which a removal is remembered; copies of the store and late records are not as old.
 const REMOVAL_RETENTION: Duration = Duration::from_secs(60);
-/// Time for which a record in a copy of the store is held back whose removal may be lost: a
-/// record expires after three heartbeats, of mostly a second.
+/// Time for which a record is held back: one that is not written again expires after three
+/// heartbeats, of mostly a second.
 const HOLD_BACK_TIME: Duration = Duration::from_secs(6);
 
 /// Record of the instance list.
@@ -85,11 +86,19 @@
     unavailable: bool,
     /// Upstreams that were removed, by id.
     removals: HashMap<CompactString, Removal>,
-    /// End of the time in which records of removed upstreams are held back; `None` before
-    /// the first new era.
-    hold_back_until: Option<Duration>,
+    /// End of the time in which records of upstreams that lapsed are held back as well; `None`
+    /// before the first new era.
+    new_era_until: Option<Duration>,
     /// Records that are held back, by id.
-    held_back: HashMap<CompactString, InstanceRecord>,
+    held_back: HashMap<CompactString, HeldBackRecord>,
+}
+
+/// Record that is not applied yet.
+#[derive(Debug)]
+struct HeldBackRecord {
+    listed: ListedUpstream,
+    /// When it is applied if it still stands.
+    until: Duration,
 }
 
 /// Removal of one incarnation of an upstream.
@@ -97,6 +106,9 @@
 struct Removal {
     started_ms: u64,
     at: Duration,
+    /// True if the upstream was retained before: its record had expired in an outage, and is
+    /// written again if it lives.
+    has_lapsed: bool,
 }
 
 impl InstanceList {
@@ -110,7 +122,7 @@
             grace_until: None,
             unavailable: false,
             removals: HashMap::new(),
-            hold_back_until: None,
+            new_era_until: None,
             held_back: HashMap::new(),
         }
     }
@@ -136,7 +148,7 @@
     pub fn start_over(&mut self, now: Duration) {
         self.offsets.clear();
         self.grace_until = Some(now + self.grace);
-        self.hold_back_until = Some(now + HOLD_BACK_TIME);
+        self.new_era_until = Some(now + HOLD_BACK_TIME);
         self.held_back.clear();
         self.removals.retain(|_, removal| now < removal.at + REMOVAL_RETENTION);
     }
@@ -154,12 +166,15 @@
             return RecordEffect::Unchanged;
         }
         self.offsets.insert(record.id.clone(), record.offset);
-        if self.holds_back(now, &record) {
-            self.held_back.insert(record.id.clone(), record);
-            return RecordEffect::HeldBack;
-        }
-        self.held_back.remove(&record.id);
+        let held_back = self.held_back.remove(&record.id);
         match record.state {
+            InstanceState::Present(listed)
+                if held_back.is_none() && self.may_be_late(now, &listed, upstreams) =>
+            {
+                let until = now + HOLD_BACK_TIME;
+                self.held_back.insert(record.id, HeldBackRecord { listed, until });
+                RecordEffect::HeldBack
+            }
             InstanceState::Present(listed) => {
                 self.retained_until.remove(&record.id);
                 self.removals.remove(&record.id);
@@ -212,26 +227,31 @@
         now: Duration,
         upstreams: &mut Upstreams,
     ) -> Vec<CompactString> {
-        if self.unavailable || self.hold_back_until.is_none_or(|until| now < until) {
+        if self.unavailable {
             return Vec::new();
         }
-        let held_back = std::mem::take(&mut self.held_back);
-        for record in held_back.values() {
-            if let InstanceState::Present(listed) = &record.state {
-                upstreams.upsert(now, listed.clone());
-            }
+        let standing = self.held_back.extract_if(|_, record| record.until <= now);
+        let standing: Vec<(CompactString, HeldBackRecord)> = standing.collect();
+        for (_, record) in &standing {
+            upstreams.upsert(now, record.listed.clone());
         }
-        held_back.into_keys().collect()
+        standing.into_iter().map(|(id, _)| id).collect()
     }
 
-    /// True if a record is the first one in a new era of an incarnation that was removed
-    /// before: the copy of the store may lack the removal.
-    fn holds_back(&self, now: Duration, record: &InstanceRecord) -> bool {
-        let InstanceState::Present(listed) = &record.state else { return false };
-        let removal = self.removals.get(&record.id);
-        self.hold_back_until.is_some_and(|until| now < until)
-            && !self.held_back.contains_key(&record.id)
-            && removal.is_some_and(|removal| removal.started_ms == listed.started_ms)
+    /// True if a record may be older than what is known: the upstream is listed in a later
+    /// incarnation, or this or a later one was removed.
+    fn may_be_late(&self, now: Duration, listed: &ListedUpstream, upstreams: &Upstreams) -> bool {
+        let current = upstreams.get_by_id(&listed.id);
+        if current.is_some_and(|current| listed.started_ms < current.listed.started_ms) {
+            return true;
+        }
+        let is_new_era = self.new_era_until.is_some_and(|until| now < until);
+        let removal = self.removals.get(&listed.id);
+        removal.is_some_and(|removal| {
+            listed.started_ms <= removal.started_ms
+                && now < removal.at + REMOVAL_RETENTION
+                && (is_new_era || !removal.has_lapsed)
+        })
     }
 
     /// Removes the retained upstreams whose records were not written again by
@@ -249,7 +269,7 @@
         let due: Vec<CompactString> = due.map(|(id, _)| id.clone()).collect();
         for id in &due {
             self.retained_until.remove(id);
-            self.remove(now, id, upstreams);
+            self.remove(now, id, true, upstreams);
         }
         due
     }
@@ -269,15 +289,21 @@
             self.retained_until.insert(id.clone(), until);
             return false;
         }
-        self.remove(now, id, upstreams);
+        self.remove(now, id, false, upstreams);
         true
     }
 
     /// Removes an upstream and remembers which incarnation it was.
-    fn remove(&mut self, now: Duration, id: &CompactString, upstreams: &mut Upstreams) {
+    fn remove(
+        &mut self,
+        now: Duration,
+        id: &CompactString,
+        has_lapsed: bool,
+        upstreams: &mut Upstreams,
+    ) {
         if let Some(upstream) = upstreams.get_by_id(id) {
-            let removal = Removal { started_ms: upstream.listed.started_ms, at: now };
-            self.removals.insert(id.clone(), removal);
+            let started_ms = upstream.listed.started_ms;
+            self.removals.insert(id.clone(), Removal { started_ms, at: now, has_lapsed });
         }
         upstreams.remove(id);
     }
--- a/tests/router/instance_list.rs
+++ b/tests/router/instance_list.rs
@@ -172,8 +172,67 @@
     a_late_heartbeat_between_two_reports_of_a_drain_changes_nothing: [
         present(leaving(1)), present(started_at(1)), present(leaving(1))
     ] => false;
+    a_late_heartbeat_after_a_removal_is_not_used: [
+        InstanceState::Removed, present(started_at(1))
+    ] => false;
+    a_late_heartbeat_that_expires_is_never_used: [
+        InstanceState::Removed, present(started_at(1)), InstanceState::Removed,
+        present(started_at(1))
+    ] => false;
+    a_removed_upstream_that_goes_on_writing_is_used: [
+        InstanceState::Removed, present(started_at(1)), present(started_at(1))
+    ] => true;
+    a_restart_after_a_removal_is_used: [InstanceState::Removed, present(started_at(2))] => true;
+    a_restart_after_a_late_heartbeat_is_used: [
+        InstanceState::Removed, present(started_at(1)), present(started_at(2))
+    ] => true;
+    a_late_heartbeat_from_before_a_restart_does_not_undo_a_drain: [
+        present(leaving(2)), present(started_at(1))
+    ] => false;
+    a_late_heartbeat_from_before_a_restart_that_was_removed_is_not_used: [
+        present(started_at(2)), InstanceState::Removed, present(started_at(1))
+    ] => false;
+    a_late_drain_from_before_a_restart_changes_nothing: [
+        present(started_at(2)), present(leaving(1))
+    ] => true;
+    a_restart_with_an_earlier_start_time_is_used_from_its_second_record_on: [
+        present(started_at(2)), present(leaving(2)), present(started_at(1)), present(started_at(1))
+    ] => true;
     a_restart_after_a_drain_is_used: [present(leaving(1)), present(started_at(2))] => true;
     a_restart_after_a_drain_and_a_late_heartbeat_is_used: [
         present(leaving(1)), present(started_at(1)), present(started_at(2))
     ] => true;
 }
+
+/// Guards against an upstream that is replaced by its own past under the same id.
+#[test]
+fn a_late_heartbeat_from_before_a_restart_keeps_the_upstream() {
+    let mut list = ListWithUpstreams::new();
+    list.apply(ms(1_000), 6, present(started_at(2)));
+    list.apply(ms(1_100), 7, present(started_at(1)));
+    let upstream = list.upstreams.get_by_id("s1").expect("the upstream is listed");
+    assert_eq!(upstream.listed.started_ms, 2);
+}
+
+/// A record that stands for longer than three heartbeats is that of an upstream that lives.
+#[test]
+fn a_removed_upstream_whose_record_stands_is_used() {
+    let mut list = ListWithUpstreams::new();
+    list.apply(ms(1_000), 6, InstanceState::Removed);
+    list.apply(ms(1_100), 7, present(started_at(1)));
+    assert!(list.instance_list.apply_held_back(ms(7_000), &mut list.upstreams).is_empty());
+    assert_eq!(list.instance_list.apply_held_back(ms(7_100), &mut list.upstreams), ["s1"]);
+    assert!(list.is_usable());
+}
+
+/// Records expire while the store is away, and upstreams that live write theirs again.
+#[test]
+fn an_upstream_that_lapsed_after_an_outage_is_used_from_its_first_record_on() {
+    let mut list = ListWithUpstreams::new();
+    list.instance_list.mark_unavailable();
+    list.instance_list.mark_available(ms(5_000));
+    list.apply(ms(5_000), 6, InstanceState::Removed);
+    assert_eq!(list.instance_list.remove_retained(ms(7_000), &mut list.upstreams), ["s1"]);
+    list.apply(ms(7_100), 7, present(started_at(1)));
+    assert!(list.is_usable());
+}
