--- a/src/edge/direct/request_task.rs
+++ b/src/edge/direct/request_task.rs
@@ -335,14 +335,33 @@
         exchange.await
     }
 
+    /// Receives the response to a decode.
+    ///
+    /// # Errors
+    /// `NoContinuation` if a part of the response was passed on and this is not the rest of it.
     async fn receive_response(
         &mut self,
         response: Result<UpstreamResponse, Failure>,
     ) -> Result<Event, Failure> {
-        let ready = self.buffer_if_small(response?).await?;
+        let response = response?;
+        if self.has_response_started() && !response.is_event_stream {
+            spdlog::info!("no-continuation", kv: {
+                instance: = self.dispatcher.name,
+                request_id: = self.request.id,
+                status = response.status
+            });
+            return Err(Failure::NoContinuation);
+        }
+        let ready = self.buffer_if_small(response).await?;
         Ok(self.store_response(ready))
     }
 
+    /// True if the head of the response, and mostly events of it, were passed on.
+    fn has_response_started(&self) -> bool {
+        let router = self.dispatcher.router.borrow();
+        router.request(self.key).is_some_and(|request| request.response_started)
+    }
+
     /// Stores a response for `Step::Relay` and returns the event for the router.
     fn store_response(&mut self, ready: ReadyResponse) -> Event {
         let status = match &ready {
--- a/src/router/flow.rs
+++ b/src/router/flow.rs
@@ -134,6 +134,9 @@
     /// The exchange was interrupted or the response is not valid; the request
     /// may have run.
     Broken,
+    /// The upstream responded, but with an error or with no stream, to a request that continues a
+    /// stream; the request has run.
+    NoContinuation,
     /// The exchange was interrupted, and the upstream refuses connections now; the request may
     /// have run, and may have crashed it.
     Crashed,
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -205,6 +205,9 @@
         if failure == Failure::NotSent {
             self.uncount_send(key);
         }
+        if failure == Failure::NoContinuation {
+            self.record_sound_run(now, key);
+        }
         let request = &mut self.requests[key];
         if failure.proves_not_run() {
             request.runs -= 1;
@@ -217,7 +220,9 @@
         let repeatable = failure.proves_not_run() || request.route().allows_rerun();
         let reason = match failure {
             Failure::Silent => RefusalReason::DeadlineExceeded,
-            Failure::Broken | Failure::Crashed => RefusalReason::UpstreamLost,
+            Failure::Broken | Failure::NoContinuation | Failure::Crashed => {
+                RefusalReason::UpstreamLost
+            }
             Failure::NotRun => RefusalReason::Overloaded,
             Failure::NotSent | Failure::OtherInstance => RefusalReason::NoUpstream,
         };
--- a/src/router/plain.rs
+++ b/src/router/plain.rs
@@ -163,7 +163,9 @@
             Failure::NotRun => RefusalReason::Overloaded,
             Failure::NotSent | Failure::OtherInstance => RefusalReason::NoUpstream,
             Failure::Silent => RefusalReason::DeadlineExceeded,
-            Failure::Broken | Failure::Crashed => RefusalReason::UpstreamLost,
+            Failure::Broken | Failure::NoContinuation | Failure::Crashed => {
+                RefusalReason::UpstreamLost
+            }
         };
         Step::Refuse(self.refusal(now, key, reason, NO_UPSTREAM_RETRY_AFTER))
     }
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -190,7 +190,7 @@
     pub(super) result_rejected_by: Vec<UpstreamKey>,
     /// True once the response to a model request has started. Not set for plain
     /// calls.
-    pub(super) response_started: bool,
+    pub response_started: bool,
     /// Id of the last event that the caller has received, if any.
     pub(super) last_event: Option<u64>,
     /// Id of the request that brought the first event, if the caller continues a
--- a/standins/src/platform/replica.rs
+++ b/standins/src/platform/replica.rs
@@ -94,6 +94,8 @@
     pub full: Switch,
     /// Executes the next request, but responds with status 500.
     pub fail_next: Switch,
+    /// Executes the next request, but responds with a complete body that is no stream.
+    pub complete_next: Switch,
     /// Executes the next request, but breaks its connection without a response.
     pub lose_next_response: Switch,
     /// Rejects the next request or prefill with status 503 as not executed.
@@ -143,6 +145,7 @@
             reserved_characters: Switch::default(),
             full: Switch::default(),
             fail_next: Switch::default(),
+            complete_next: Switch::default(),
             lose_next_response: Switch::default(),
             reject_next: Switch::default(),
             mismatch_next_id: Switch::default(),
@@ -336,6 +339,7 @@
         let mut response = match (self.kind, self.fail_next.take()) {
             (_, true) => server::json(StatusCode::INTERNAL_SERVER_ERROR, &json!({"error": "x"})),
             (Kind::Plain, false) => server::json(StatusCode::OK, &json!({"echo": received.line})),
+            (_, false) if self.complete_next.take() => server::json(StatusCode::OK, &json!({})),
             (_, false) => self.stream(&received),
         };
         let id = if self.mismatch_next_id.take() { "another" } else { &received.id };
