--- a/src/edge/direct/dispatch.rs
+++ b/src/edge/direct/dispatch.rs
@@ -17,6 +17,7 @@
 use crate::edge::direct::origin_log::OriginLog;
 use crate::edge::direct::quota_log::QuotaLog;
 use crate::edge::direct::request_log::log_budget_notice;
+use crate::edge::direct::request_log::log_cut_request;
 use crate::edge::direct::request_log::log_refusal;
 use crate::edge::direct::request_task::CallerChannel;
 use crate::edge::direct::request_task::RequestTask;
@@ -223,10 +224,22 @@
             max_output_tokens = request.prompt.map_or(0, |prompt| prompt.max_output_tokens),
             resumes: = request.resumes.as_deref().unwrap_or_default(),
             output_hint = request.prompt.and_then(|prompt| prompt.output_hint).unwrap_or(0),
-            generation = request.version()
+            generation = request.version(),
+            leaving_ms = router
+                .leaving_since()
+                .map_or(0, |since| crate::clock::as_ms(request.arrived_at.saturating_sub(since)))
         });
     }
 
+    /// Logs the requests that the exit of the process cuts.
+    pub fn log_cut_requests(&self) {
+        let router = self.router.borrow();
+        let leaving_since = router.leaving_since().unwrap_or_default();
+        for request in router.requests() {
+            log_cut_request(&self.name, self.now(), request, leaving_since);
+        }
+    }
+
     /// Logs and counts what the retry budgets have decided.
     pub(super) fn log_budget_notices(&self) {
         let notices = self.router.borrow_mut().take_budget_notices();
--- a/src/edge/direct/request_log.rs
+++ b/src/edge/direct/request_log.rs
@@ -194,6 +194,29 @@
     });
 }
 
+/// Logs that the exit of the process cuts a request. `arrived_ms` is the time from the start of
+/// the graceful shutdown to its arrival, negative before it.
+pub(super) fn log_cut_request(
+    instance: &str,
+    now: Duration,
+    request: &Request,
+    leaving_since: Duration,
+) {
+    let arrived_ms = as_ms(request.arrived_at) as i64 - as_ms(leaving_since) as i64;
+    spdlog::warn!("cut-at-exit", kv: {
+        instance: = instance,
+        request_id: = request.id,
+        route: = request.route().name,
+        upstream: = request.upstream_id(),
+        arrived_ms = arrived_ms,
+        age_ms = as_ms(now.saturating_sub(request.arrived_at)),
+        phase: = request.phase(),
+        response_started = request.response_started,
+        silent = request.is_silent(),
+        run_events = request.run_events
+    });
+}
+
 /// How a request that was neither refused nor aborted ended; logged under these names in
 /// kebab case.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
--- a/src/router.rs
+++ b/src/router.rs
@@ -188,7 +188,8 @@
     /// Resources to free at upstreams; see [`Router::take_cleanups`].
     cleanups: Vec<Cleanup>,
     rng: ChaCha8Rng,
-    leaving: bool,
+    /// When the graceful shutdown started; `None` before it.
+    leaving_since: Option<Duration>,
 }
 
 /// `Retry-After` of a request that is refused because this entry has no
@@ -230,7 +231,7 @@
             runnable: Vec::new(),
             cleanups: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(settings.random_seed),
-            leaving: false,
+            leaving_since: None,
             settings,
         }
     }
@@ -269,18 +270,23 @@
     /// True if the entry may receive requests: it has a configuration, is not leaving and, if
     /// callers need keys, can accept them.
     pub fn is_ready(&self, now: Duration) -> bool {
-        self.configuration.is_some() && !self.leaving && !self.refuses_keys(now)
+        self.configuration.is_some() && !self.is_leaving() && !self.refuses_keys(now)
     }
 
     /// True once the graceful shutdown has started.
     pub fn is_leaving(&self) -> bool {
-        self.leaving
+        self.leaving_since.is_some()
+    }
+
+    /// When the graceful shutdown started; `None` before it.
+    pub fn leaving_since(&self) -> Option<Duration> {
+        self.leaving_since
     }
 
     /// Starts the graceful shutdown: the entry is no longer ready, but finishes
     /// the requests in flight.
-    pub fn start_leaving(&mut self) {
-        self.leaving = true;
+    pub fn start_leaving(&mut self, now: Duration) {
+        self.leaving_since = Some(now);
     }
 
     /// Number of requests in flight.
@@ -288,6 +294,11 @@
         self.requests.len()
     }
 
+    /// Requests in flight.
+    pub fn requests(&self) -> impl Iterator<Item = &Request> {
+        self.requests.values()
+    }
+
     /// Returns the requests that wait for a reservation and may go on now, and
     /// clears the list of them.
     pub fn take_runnable(&mut self) -> Vec<RequestKey> {
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -105,12 +105,17 @@
 }
 
 /// Stage that a model request has reached.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub(super) enum Phase {
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Phase {
+    /// It waits for a reservation at a decode engine.
     #[default]
     Reserving,
+    /// Its prompt is prefilled.
     Prefilling,
+    /// It was sent to a decode engine, which has not responded yet.
     Decoding,
+    /// Its response is passed on.
     Relaying,
 }
 
@@ -296,6 +301,11 @@
         self.configuration.version
     }
 
+    /// Stage that a model request has reached.
+    pub fn phase(&self) -> Phase {
+        self.phase
+    }
+
     /// Upstream of the last step.
     pub fn upstream(&self) -> Option<&Target> {
         self.current.as_ref()
--- a/tests/router/configuration.rs
+++ b/tests/router/configuration.rs
@@ -67,6 +67,6 @@
     let mut router = Router::new(RouterSettings::default());
     router.configure(overlapping_routes());
     assert!(router.is_ready(ms(0)));
-    router.start_leaving();
+    router.start_leaving(ms(1));
     assert!(!router.is_ready(ms(0)));
 }
