--- a/src/edge/direct/dispatch.rs
+++ b/src/edge/direct/dispatch.rs
@@ -225,18 +225,18 @@
             resumes: = request.resumes.as_deref().unwrap_or_default(),
             output_hint = request.prompt.and_then(|prompt| prompt.output_hint).unwrap_or(0),
             generation = request.version(),
-            leaving_ms = router
-                .leaving_since()
-                .map_or(0, |since| crate::clock::as_ms(request.arrived_at.saturating_sub(since)))
+            leaving_ms = router.shutdown().map_or(0, |shutdown| {
+                crate::clock::as_ms(request.arrived_at.saturating_sub(shutdown.started_at))
+            })
         });
     }
 
     /// Logs the requests that the exit of the process cuts.
     pub fn log_cut_requests(&self) {
         let router = self.router.borrow();
-        let leaving_since = router.leaving_since().unwrap_or_default();
+        let Some(shutdown) = router.shutdown() else { return };
         for request in router.requests() {
-            log_cut_request(&self.name, self.now(), request, leaving_since);
+            log_cut_request(&self.name, self.now(), request, shutdown.started_at);
         }
     }
 
--- a/src/router.rs
+++ b/src/router.rs
@@ -38,6 +38,7 @@
 pub mod retry_budgets;
 pub mod roles;
 mod selection;
+pub mod shutdown;
 pub mod slow_start;
 pub mod store_era;
 pub mod stream_origins;
@@ -87,6 +88,7 @@
 use crate::router::roles::RoleBalancer;
 use crate::router::roles::RoleChange;
 use crate::router::roles::RoleSettings;
+use crate::router::shutdown::Shutdown;
 use crate::router::slow_start::SlowStartSettings;
 use crate::router::store_era::StoreEra;
 use crate::router::stream_origins::StreamOrigins;
@@ -188,8 +190,8 @@
     /// Resources to free at upstreams; see [`Router::take_cleanups`].
     cleanups: Vec<Cleanup>,
     rng: ChaCha8Rng,
-    /// When the graceful shutdown started; `None` before it.
-    leaving_since: Option<Duration>,
+    /// Graceful shutdown in progress; `None` before it.
+    shutdown: Option<Shutdown>,
 }
 
 /// `Retry-After` of a request that is refused because this entry has no
@@ -231,7 +233,7 @@
             runnable: Vec::new(),
             cleanups: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(settings.random_seed),
-            leaving_since: None,
+            shutdown: None,
             settings,
         }
     }
@@ -273,22 +275,6 @@
         self.configuration.is_some() && !self.is_leaving() && !self.refuses_keys(now)
     }
 
-    /// True once the graceful shutdown has started.
-    pub fn is_leaving(&self) -> bool {
-        self.leaving_since.is_some()
-    }
-
-    /// When the graceful shutdown started; `None` before it.
-    pub fn leaving_since(&self) -> Option<Duration> {
-        self.leaving_since
-    }
-
-    /// Starts the graceful shutdown: the entry is no longer ready, but finishes
-    /// the requests in flight.
-    pub fn start_leaving(&mut self, now: Duration) {
-        self.leaving_since = Some(now);
-    }
-
     /// Number of requests in flight.
     pub fn open_requests(&self) -> usize {
         self.requests.len()
@@ -315,8 +301,8 @@
     /// # Errors
     /// A refusal, with no key assigned, if there is no configuration yet, no route for
     /// the host and path, if the route needs the API key of an account and the request
-    /// has none, or one that may have been withdrawn since, or if the request is beyond the
-    /// quota of its account.
+    /// has none, or one that may have been withdrawn since, if the request is beyond the
+    /// quota of its account, or if it would outlast the graceful shutdown.
     pub fn accept_request(
         &mut self,
         now: Duration,
@@ -330,8 +316,10 @@
         };
         let key = incoming.api_key.as_ref();
         let caller = self.identify_caller(now, &configuration, route, key)?;
-        let quota_units = self.admit_to_quota(now, &caller, incoming.prompt.as_ref())?;
         let service = configuration.routes[route].pick_destination(&mut self.rng);
+        let destination = (&configuration.routes[route], service.as_str());
+        self.admit_before_exit(now, &incoming, &configuration, destination)?;
+        let quota_units = self.admit_to_quota(now, &caller, incoming.prompt.as_ref())?;
         self.budgets.record_request(now, &service);
         let mut request = Request::new(now, incoming, configuration, route, service, caller);
         request.quota_units = quota_units;
--- a/src/router/pace.rs
+++ b/src/router/pace.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use crate::router::Router;
+use crate::router::configuration::Engine;
 use crate::router::request::RequestKey;
 use crate::router::upstreams::UpstreamKey;
 
@@ -146,8 +147,19 @@
             return Duration::ZERO;
         };
         let tokens = prompt.output_hint.unwrap_or_else(|| prompt.expected_output_tokens());
+        self.output_time(now, &request.service, &engine, tokens)
+    }
+
+    /// Time that this many output tokens take at an engine of the service's pace.
+    pub(super) fn output_time(
+        &self,
+        now: Duration,
+        service: &str,
+        engine: &Engine,
+        tokens: u32,
+    ) -> Duration {
         let events = f64::from(tokens) / f64::from(engine.tokens_per_event.max(1));
-        Duration::from_secs_f64(events * self.typical_event_s(now, &request.service))
+        Duration::from_secs_f64(events * self.typical_event_s(now, service))
     }
 
     /// Time between two events at an engine of usual pace, in seconds: the mean over the
--- a/tests/router/configuration.rs
+++ b/tests/router/configuration.rs
@@ -5,6 +5,7 @@
 use bamboodoor::router::RouterSettings;
 use bamboodoor::router::configuration::Configuration;
 use bamboodoor::router::request::IncomingRequest;
+use bamboodoor::router::shutdown::Shutdown;
 
 use crate::harness::DESK;
 use crate::harness::ENGINES;
@@ -67,6 +68,10 @@
     let mut router = Router::new(RouterSettings::default());
     router.configure(overlapping_routes());
     assert!(router.is_ready(ms(0)));
-    router.start_leaving(ms(1));
+    router.start_leaving(Shutdown {
+        started_at: ms(0),
+        listener_closes_at: ms(2_500),
+        ends_at: ms(7_200),
+    });
     assert!(!router.is_ready(ms(0)));
 }
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -33,6 +33,7 @@
 mod retry_budget;
 mod retry_fleet;
 mod roles;
+mod shutdown;
 mod slow_start;
 mod software_versions;
 mod store_era;
--- /dev/null
+++ b/tests/router/shutdown.rs
@@ -0,0 +1,88 @@
+//! Requests that arrive while an entry shuts down.
+
+use std::time::Duration;
+
+use bamboodoor::outcome::Outcome;
+use bamboodoor::outcome::Refusal;
+use bamboodoor::outcome::RefusalReason;
+use bamboodoor::router::request::IncomingRequest;
+use bamboodoor::router::request::Prompt;
+use bamboodoor::router::shutdown::Shutdown;
+
+use crate::harness::HOST;
+use crate::harness::Harness;
+use crate::harness::default_upstreams;
+use crate::harness::ms;
+
+/// Time from the start of the shutdown until the listener closes, and until the exit.
+const LISTENER_OPEN: Duration = Duration::from_millis(2_500);
+const TIME_TO_EXIT: Duration = Duration::from_millis(7_200);
+
+/// Returns a router whose graceful shutdown has started this long ago.
+fn leaving_for(elapsed: Duration) -> Harness {
+    let mut harness = Harness::new(default_upstreams());
+    let started_at = harness.now;
+    harness.router.start_leaving(Shutdown {
+        started_at,
+        listener_closes_at: started_at + LISTENER_OPEN,
+        ends_at: started_at + TIME_TO_EXIT,
+    });
+    harness.now += elapsed;
+    harness
+}
+
+/// Has a request arrive with this timeout and, for a model request, this many output tokens.
+fn accept(
+    harness: &mut Harness,
+    path: &str,
+    timeout_ms: u64,
+    output_tokens: Option<u32>,
+) -> Result<(), Refusal> {
+    let prompt = output_tokens.map(|tokens| Prompt {
+        tokens: 100,
+        max_output_tokens: tokens,
+        output_hint: Some(tokens),
+    });
+    let incoming = IncomingRequest {
+        host: HOST.into(),
+        path: path.into(),
+        caller_timeout: Some(ms(timeout_ms)),
+        prompt,
+        ..IncomingRequest::default()
+    };
+    harness.router.accept_request(harness.now, incoming).map(|_| ())
+}
+
+macro_rules! accepted_while_leaving {
+    ($($name:ident: $elapsed_ms:literal, $path:literal, $timeout_ms:literal, $tokens:expr
+        => $accepted:literal;)*) => {$(
+        /// Guards against a request that is accepted and then cut by the exit, and against one
+        /// that is refused though there is time for it.
+        #[test]
+        fn $name() {
+            let mut harness = leaving_for(ms($elapsed_ms));
+            let accepted = accept(&mut harness, $path, $timeout_ms, $tokens);
+            assert_eq!(accepted.is_ok(), $accepted, "{accepted:?}");
+            if let Err(refusal) = accepted {
+                assert_eq!(refusal.reason, RefusalReason::ShuttingDown);
+                assert_eq!(refusal.outcome, Outcome::NotRun);
+                assert!(refusal.retry_after.is_some_and(|wait| wait < ms(100)), "{refusal:?}");
+            }
+        }
+    )*};
+}
+
+// The routes have a timeout of 8 s; a token takes 47 ms / 7 before any was seen.
+accepted_while_leaving! {
+    a_short_stream_before_the_listener_closes: 100, "/stream/1", 8_000, Some(300) => true;
+    a_long_stream_at_the_start: 100, "/stream/1", 8_000, Some(700) => true;
+    a_long_stream_before_the_listener_closes: 2_400, "/stream/1", 8_000, Some(700) => false;
+    a_short_stream_after_the_listener_has_closed: 2_600, "/stream/1", 8_000, Some(70) => false;
+    a_stream_whose_deadline_comes_before_the_exit: 2_600, "/stream/1", 4_000, Some(700) => true;
+    a_resumable_stream_after_the_listener_has_closed: 5_000, "/resumable/1", 8_000, Some(70) => false;
+    a_call_before_the_listener_closes: 2_400, "/booking/1", 8_000, None => true;
+    a_call_after_the_listener_has_closed: 2_600, "/booking/1", 8_000, None => false;
+    a_call_whose_deadline_comes_before_the_exit: 2_600, "/booking/1", 4_000, None => true;
+    a_call_whose_deadline_comes_after_the_exit: 6_500, "/lookup/1", 800, None => false;
+    a_call_at_the_exit: 7_300, "/booking/1", 1, None => false;
+}
