--- a/src/edge/direct/dispatch.rs
+++ b/src/edge/direct/dispatch.rs
@@ -10,6 +10,7 @@
 use compact_str::CompactString;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
+use tokio_util::sync::CancellationToken;
 
 use crate::clock::Clock;
 use crate::edge::direct::crash_log::CrashLog;
@@ -59,6 +60,9 @@
     pub(super) quota_log: QuotaLog,
     /// Memory of the responses that are buffered.
     pub(super) response_memory: ResponseMemory,
+    /// Cancelled when the graceful shutdown ends: requests whose response has not started get
+    /// a final answer.
+    pub exiting: CancellationToken,
     /// Signal that the store came back from an older copy.
     pub(super) era_risen: Notify,
     /// Wake-up signals of the requests that execute `Step::Wait`.
@@ -86,6 +90,7 @@
             crash_log: CrashLog::default(),
             quota_log: QuotaLog::default(),
             response_memory: ResponseMemory::default(),
+            exiting: CancellationToken::new(),
             era_risen: Notify::new(),
             waiting: RefCell::default(),
         }
--- a/src/edge/direct/request_log.rs
+++ b/src/edge/direct/request_log.rs
@@ -35,6 +35,7 @@
         Event::UpstreamCrashed { .. } => Some("upstream-crashed".to_string()),
         Event::ResponsePaused { .. } => Some("paused".to_string()),
         Event::DeadlinePassed => Some("deadline-passed".to_string()),
+        Event::EntryExits => Some("entry-exits".to_string()),
         _ => None,
     }
 }
@@ -105,6 +106,7 @@
         Event::ResponsePaused { .. } if request.is_silent() => return,
         Event::ResponsePaused { last_event } => ("paused", format!("after {last_event:?}")),
         Event::DeadlinePassed => ("deadline-passed", String::new()),
+        Event::EntryExits => ("entry-exits", String::new()),
         _ => return,
     };
     let age_ms = as_ms(now.saturating_sub(request.arrived_at));
--- a/src/edge/direct/request_task.rs
+++ b/src/edge/direct/request_task.rs
@@ -187,6 +187,7 @@
         let remaining_time = self.remaining_time();
         let mut caller = std::mem::replace(&mut self.caller, CallerChannel::AwaitingHead(None));
         let mut paused = self.paused.take();
+        let awaits_head = matches!(caller, CallerChannel::AwaitingHead(Some(_)));
         let replaces = matches!(step, Step::Decode { .. });
         let event = {
             let (dispatcher, key) = (self.dispatcher.clone(), self.key);
@@ -200,6 +201,9 @@
                     event = execution.as_mut() => {
                         break Some(event.unwrap_or(Event::DeadlinePassed));
                     }
+                    () = dispatcher.exiting.cancelled(), if awaits_head => {
+                        break Some(Event::EntryExits);
+                    }
                     // Closes the connection, so that the engine of the paused run stops.
                     () = overlap.as_mut(), if replaces && paused.is_some() => paused = None,
                     resumed = OpenStream::resumed(&mut paused), if !replaces => {
--- a/src/router/flow.rs
+++ b/src/router/flow.rs
@@ -168,6 +168,8 @@
         /// Identifier of the prefill result at the engine.
         handle: CompactString,
     },
+    /// The entry is about to exit.
+    EntryExits,
     /// The head of the response has been received.
     ResponseStarted {
         /// HTTP status of the response.
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -61,6 +61,7 @@
             Event::ResponsePaused { last_event } => self.stream_paused(now, key, last_event),
             Event::ResponseResumed => self.stream_resumed(now, key),
             Event::DeadlinePassed => self.generate_deadline_passed(now, key),
+            Event::EntryExits => self.entry_exits(now, key),
             Event::ResponseRelayed => Step::Abort,
         }
     }
--- a/src/router/plain.rs
+++ b/src/router/plain.rs
@@ -38,6 +38,7 @@
             Event::ResponseStarted { status } => self.call_response_started(now, key, status),
             Event::Failed(failure) => self.call_failed(now, key, failure),
             Event::DeadlinePassed => self.call_deadline_passed(now, key),
+            Event::EntryExits => self.entry_exits(now, key),
             Event::ResponseInterrupted { .. } => Step::Abort,
             Event::UpstreamCrashed { .. } => {
                 self.record_crashed_run(now, key);
--- a/src/router/shutdown.rs
+++ b/src/router/shutdown.rs
@@ -1,4 +1,4 @@
-//! Graceful shutdown: which requests a leaving entry still accepts.
+//! Graceful shutdown: which requests a leaving entry still accepts, and how it ends the last ones.
 //!
 //! Until the listener closes, the load balancer still sends requests; those that are expected
 //! to end in time are accepted. Afterwards requests come on open connections only, whose callers
@@ -11,7 +11,10 @@
 use crate::router::Router;
 use crate::router::configuration::Configuration;
 use crate::router::configuration::Route;
+use crate::router::flow::Step;
 use crate::router::request::IncomingRequest;
+use crate::router::request::Phase;
+use crate::router::request::RequestKey;
 
 /// `Retry-After` of a request that is refused because of the shutdown: another entry can serve
 /// it at once.
@@ -24,7 +27,7 @@
     pub started_at: Duration,
     /// When the listener closes.
     pub listener_closes_at: Duration,
-    /// When the process exits at the latest.
+    /// When requests whose response has not started get a final answer, shortly before the exit.
     pub ends_at: Duration,
 }
 
@@ -82,4 +85,18 @@
         });
         route.latency_target + output
     }
+
+    /// Refuses a request whose response has not started, as the entry exits.
+    pub(super) fn entry_exits(&mut self, now: Duration, key: RequestKey) -> Step {
+        let request = &mut self.requests[key];
+        if request.response_started {
+            return Step::Abort;
+        }
+        let is_at_upstream = match request.prompt {
+            Some(_) => request.phase == Phase::Decoding,
+            None => request.runs > 0,
+        };
+        request.may_have_run |= is_at_upstream;
+        Step::Refuse(self.refusal(now, key, RefusalReason::ShuttingDown, SHUTDOWN_RETRY_AFTER))
+    }
 }
--- a/tests/router/shutdown.rs
+++ b/tests/router/shutdown.rs
@@ -1,10 +1,12 @@
-//! Requests that arrive while an entry shuts down.
+//! Requests that arrive while an entry shuts down, and those that its exit finds.
 
 use std::time::Duration;
 
 use bamboodoor::outcome::Outcome;
 use bamboodoor::outcome::Refusal;
 use bamboodoor::outcome::RefusalReason;
+use bamboodoor::router::Event;
+use bamboodoor::router::Step;
 use bamboodoor::router::request::IncomingRequest;
 use bamboodoor::router::request::Prompt;
 use bamboodoor::router::shutdown::Shutdown;
@@ -86,3 +88,44 @@
     a_call_whose_deadline_comes_after_the_exit: 6_500, "/lookup/1", 800, None => false;
     a_call_at_the_exit: 7_300, "/booking/1", 1, None => false;
 }
+
+#[test]
+fn a_request_that_waits_at_the_exit_is_refused_as_not_run() {
+    let mut harness = Harness::new(default_upstreams());
+    let (key, _) = harness.start_request("/stream/1");
+    let step = harness.report(key, Event::EntryExits);
+    assert!(
+        matches!(&step, Step::Refuse(refusal) if refusal.outcome == Outcome::NotRun),
+        "{step:?}"
+    );
+}
+
+macro_rules! outcome_unknown_at_the_exit {
+    ($($name:ident: $start:ident, $path:literal;)*) => {$(
+        /// Guards against a promise that a request has not run, which an upstream may run.
+        #[test]
+        fn $name() {
+            let mut harness = Harness::new(default_upstreams());
+            let (key, _) = harness.$start($path);
+            let step = harness.report(key, Event::EntryExits);
+            assert!(
+                matches!(&step, Step::Refuse(refusal) if refusal.outcome == Outcome::Unknown
+                    && refusal.retry_after.is_none()),
+                "{step:?}"
+            );
+        }
+    )*};
+}
+
+outcome_unknown_at_the_exit! {
+    a_call_that_an_upstream_has_is_not_said_not_to_run: start_request, "/booking/1";
+    a_stream_that_an_engine_has_is_not_said_not_to_run: start_decode, "/stream/1";
+}
+
+#[test]
+fn a_stream_that_has_begun_is_cut_at_the_exit() {
+    let mut harness = Harness::new(default_upstreams());
+    let (key, _) = harness.start_decode("/stream/1");
+    harness.report(key, Event::ResponseStarted { status: 200 });
+    assert_eq!(harness.report(key, Event::EntryExits), Step::Abort);
+}
