--- a/src/edge/direct/connections.rs
+++ b/src/edge/direct/connections.rs
@@ -73,6 +73,8 @@
     /// Name of the peer of the current exchange, for log lines.
     peer: CompactString,
     allowance: ReadAllowance,
+    /// Number of requests that it has carried, the current one included.
+    requests: u32,
     sender: SendRequest<Full<Bytes>>,
     task: ConnectionTask,
 }
@@ -221,7 +223,7 @@
             let _ = connection.await;
         });
         let (peer, task) = (CompactString::default(), ConnectionTask(task.abort_handle()));
-        Some(Connection { address, peer, allowance, sender, task })
+        Some(Connection { address, peer, allowance, requests: 0, sender, task })
     }
 }
 
@@ -237,6 +239,7 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, Option<Request<Full<Bytes>>>> {
         self.peer = peer.into();
+        self.requests += 1;
         self.limit_reads(MAX_HEAD_READ_BYTES);
         let mut error = match self.sender.try_send_request(request).await {
             Ok(response) => return Ok(response),
@@ -250,6 +253,12 @@
         Err(error.take_message())
     }
 
+    /// True if the current request is the first one that the connection carries: its response
+    /// cannot be a late copy of another one.
+    pub fn is_first_request(&self) -> bool {
+        self.requests <= 1
+    }
+
     /// Sets how many more bytes the peer may send; with the next one the connection fails.
     pub(super) fn limit_reads(&self, bytes: usize) {
         self.allowance.set(bytes);
