--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -24,6 +24,7 @@
 mod response_memory;
 pub mod server;
 pub mod sse;
+pub mod store;
 mod store_eras;
 pub mod store_follower;
 pub mod upstream_client;
--- a/src/edge/direct/lease_task.rs
+++ b/src/edge/direct/lease_task.rs
@@ -10,7 +10,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::edge::direct::dispatch::Dispatcher;
-use crate::edge::direct::store_follower::Store;
+use crate::edge::direct::store::Store;
 use crate::edge::direct::upstream_client::RoleOrder;
 use crate::edge::direct::upstream_client::UpstreamClient;
 use crate::router::Target;
--- a/src/edge/direct/origin_log.rs
+++ b/src/edge/direct/origin_log.rs
@@ -12,9 +12,9 @@
 use tokio::time::timeout;
 
 use crate::edge::direct::dispatch::Dispatcher;
-use crate::edge::direct::store_follower::EntryLog;
-use crate::edge::direct::store_follower::Store;
-use crate::edge::direct::store_follower::StoreError;
+use crate::edge::direct::store::EntryLog;
+use crate::edge::direct::store::Store;
+use crate::edge::direct::store::StoreError;
 use crate::edge::direct::upstream_client::UpstreamClient;
 use crate::edge::direct::version_records::read_if_needed;
 use crate::router::Router;
--- a/src/edge/direct/store_eras.rs
+++ b/src/edge/direct/store_eras.rs
@@ -3,7 +3,7 @@
 
 use crate::edge::direct::dispatch::Dispatcher;
 use crate::edge::direct::metrics::StoreEraResult;
-use crate::edge::direct::store_follower::Store;
+use crate::edge::direct::store::Store;
 use crate::edge::direct::upstream_client::UpstreamClient;
 use crate::router::store_era::StoreEra;
 use crate::router::store_era::StoreEraChange;
--- a/src/edge/direct/version_records.rs
+++ b/src/edge/direct/version_records.rs
@@ -10,10 +10,10 @@
 use tokio::sync::Notify;
 
 use crate::edge::direct::dispatch::Dispatcher;
-use crate::edge::direct::store_follower::EntryTopic;
-use crate::edge::direct::store_follower::NewestPage;
-use crate::edge::direct::store_follower::Store;
-use crate::edge::direct::store_follower::StoreError;
+use crate::edge::direct::store::EntryTopic;
+use crate::edge::direct::store::NewestPage;
+use crate::edge::direct::store::Store;
+use crate::edge::direct::store::StoreError;
 use crate::edge::direct::upstream_client::UpstreamClient;
 use crate::router::Router;
 use crate::router::version_history::ServiceVersions;
