--- a/src/router/shutdown.rs
+++ b/src/router/shutdown.rs
@@ -2,7 +2,9 @@
 //!
 //! Until the listener closes, the load balancer still sends requests; those that are expected
 //! to end in time are accepted. Afterwards requests come on open connections only, whose callers
-//! have not been told of the shutdown, and those are accepted that end in time for certain.
+//! have not been told of the shutdown. Of model requests, whose streams the exit would cut, those
+//! are accepted then that end in time for certain. A call that takes longer than expected still
+//! gets a final answer.
 
 use std::time::Duration;
 
@@ -62,28 +64,28 @@
         let Some(shutdown) = self.shutdown else { return Ok(()) };
         let timeout = incoming.caller_timeout.unwrap_or(route.timeout).min(route.timeout);
         let ends_for_certain = now + timeout <= shutdown.ends_at;
-        let accepts = now < shutdown.listener_closes_at;
-        let expected_end = now + self.expected_time(now, incoming, configuration, (route, service));
+        let output_time = self.expected_output_time(now, incoming, configuration, service);
+        let may_be_cut = output_time.is_some();
+        let accepts = !may_be_cut || now < shutdown.listener_closes_at;
+        let expected_end = now + route.latency_target + output_time.unwrap_or_default();
         if ends_for_certain || (accepts && expected_end <= shutdown.ends_at) {
             return Ok(());
         }
         Err(Refusal::not_run(RefusalReason::ShuttingDown, Some(SHUTDOWN_RETRY_AFTER)))
     }
 
-    /// Time that a request is expected to take: for a model request the latency target of its
-    /// first event and the expected output after it, for a call its latency target.
-    fn expected_time(
+    /// Time that the output of a model request is expected to take after its first event; `None`
+    /// for a call.
+    fn expected_output_time(
         &self,
         now: Duration,
         incoming: &IncomingRequest,
         configuration: &Configuration,
-        (route, service): (&Route, &str),
-    ) -> Duration {
-        let engine = configuration.service(service).and_then(|service| service.engine);
-        let output = incoming.prompt.zip(engine).map_or(Duration::ZERO, |(prompt, engine)| {
-            self.output_time(now, service, &engine, prompt.expected_output_tokens())
-        });
-        route.latency_target + output
+        service: &str,
+    ) -> Option<Duration> {
+        let engine = configuration.service(service)?.engine?;
+        let tokens = incoming.prompt?.expected_output_tokens();
+        Some(self.output_time(now, service, &engine, tokens))
     }
 
     /// Refuses a request whose response has not started, as the entry exits.
