--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -51,24 +51,43 @@
 /// Time for which a leaving replica goes on serving.
 const LEAVING_DURATION: Duration = Duration::from_secs(6);
 
-/// Service and kind of the replicas at the start of a run.
-const INITIAL_REPLICAS: [(&str, Kind); 12] = [
-    (ENGINE_SERVICE, Kind::Prefill),
-    (ENGINE_SERVICE, Kind::Prefill),
-    (ENGINE_SERVICE, Kind::Prefill),
-    (ENGINE_SERVICE, Kind::Prefill),
-    (ENGINE_SERVICE, Kind::Decode),
-    (ENGINE_SERVICE, Kind::Decode),
-    (ENGINE_SERVICE, Kind::Decode),
-    (DESK_SERVICE, Kind::Plain),
-    (DESK_SERVICE, Kind::Plain),
-    (DESK_SERVICE, Kind::Plain),
-    (OTHER_DESK_SERVICE, Kind::Plain),
-    (OTHER_DESK_SERVICE, Kind::Plain),
-];
-
-/// Number of replicas in a fleet at any time, without those that leave.
-pub const REPLICA_COUNT: usize = INITIAL_REPLICAS.len();
+/// Number of replicas of the second plain service.
+const OTHER_DESK_REPLICAS: usize = 2;
+
+/// Number of replicas of the engines and of the plain service for lookups and bookings.
+#[derive(Debug, Clone, Copy)]
+pub struct FleetShape {
+    /// Number of engines, of which one more than half start in the prefill stage.
+    pub engines: usize,
+    /// Number of replicas of the plain service for lookups and bookings.
+    pub desks: usize,
+}
+
+impl Default for FleetShape {
+    fn default() -> Self {
+        Self { engines: 7, desks: 3 }
+    }
+}
+
+impl FleetShape {
+    /// Number of replicas in the fleet at any time, without those that leave.
+    pub fn replica_count(&self) -> usize {
+        self.engines + self.desks + OTHER_DESK_REPLICAS
+    }
+
+    /// Service and kind of the replicas at the start of a run.
+    fn initial_replicas(&self) -> impl Iterator<Item = (&'static str, Kind)> {
+        let prefill = self.engines / 2 + 1;
+        let counts = [
+            (ENGINE_SERVICE, Kind::Prefill, prefill),
+            (ENGINE_SERVICE, Kind::Decode, self.engines - prefill),
+            (DESK_SERVICE, Kind::Plain, self.desks),
+            (OTHER_DESK_SERVICE, Kind::Plain, OTHER_DESK_REPLICAS),
+        ];
+        let repeat = |(service, kind, count)| std::iter::repeat_n((service, kind), count);
+        counts.into_iter().flat_map(repeat)
+    }
+}
 
 /// Entry under test: its proxies, files and current process.
 #[derive(Debug)]
@@ -179,6 +198,8 @@
     pub several_versions: bool,
     /// True if the configurations have client accounts.
     pub accounts: bool,
+    /// True if rejections do not name the request.
+    pub anonymous_rejections: bool,
 }
 
 /// Software versions of the replicas, if there are several.
@@ -192,15 +213,17 @@
         program: &Path,
         dir: &Path,
         entries: usize,
+        shape: FleetShape,
         features: Features,
     ) -> Arc<Self> {
         let (store, address) = Store::start().await;
         let mut nodes = Vec::new();
-        for (number, (service, kind)) in INITIAL_REPLICAS.into_iter().enumerate() {
+        for (number, (service, kind)) in shape.initial_replicas().enumerate() {
             let node = ReplicaNode::start(&format!("replica-{number}"), service, kind).await;
             if features.several_versions {
                 node.replica.set_version(VERSIONS[number % VERSIONS.len()]);
             }
+            node.replica.anonymous_rejections.set(features.anonymous_rejections);
             nodes.push(node);
         }
         let mut started = Vec::new();
@@ -220,6 +243,12 @@
         fleet
     }
 
+    /// Number of responses that replicas sent a second time.
+    pub fn late_copies(&self) -> u64 {
+        let nodes = self.nodes.lock().expect("the mutex is not poisoned");
+        nodes.iter().map(|node| node.proxy.repeated_responses()).sum()
+    }
+
     /// Publishes the instance record of every replica that serves now, as replicas do at
     /// intervals.
     pub fn publish_replicas(&self) {
@@ -268,6 +297,7 @@
         if self.features.several_versions {
             new.replica.set_version(VERSIONS[number % VERSIONS.len()]);
         }
+        new.replica.anonymous_rejections.set(self.features.anonymous_rejections);
         self.nodes.lock().expect("the mutex is not poisoned").push(new.clone());
         self.current.lock().expect("the mutex is not poisoned")[position] = new.clone();
         self.publish_replica(&new, "ready");
--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -76,6 +76,7 @@
             Action::ReplicaLink(..)
                 | Action::ReplicaFault(..)
                 | Action::ReplicaFull(..)
+                | Action::Shed(..)
                 | Action::EndWithConnection(..)
                 | Action::RateLimit(..)
                 | Action::DeadlyRequests(..)
@@ -182,6 +183,12 @@
                 tokio::time::sleep(duration).await;
                 node.replica.full.set(false);
             }
+            Action::Shed(position, capacity, duration) => {
+                let node = fleet.node(position);
+                node.replica.capacity.store(capacity, Ordering::SeqCst);
+                tokio::time::sleep(duration).await;
+                node.replica.capacity.store(0, Ordering::SeqCst);
+            }
             Action::EndWithConnection(position, duration) => {
                 self.end_with_connection(position, duration).await;
             }
@@ -247,9 +254,11 @@
     async fn apply_link_fault(&self, proxy: &Proxy, fault: LinkFault, duration: Duration) {
         proxy.set_fault(fault);
         tokio::time::sleep(duration).await;
-        // Resets the connections that dropped bytes, since they would forward no more.
-        proxy.set_fault(LinkFault::Reset);
-        tokio::time::sleep(POLL_INTERVAL).await;
+        if !matches!(fault, LinkFault::RepeatOneIn(_)) {
+            // Resets the connections that dropped bytes, since they would forward no more.
+            proxy.set_fault(LinkFault::Reset);
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
         proxy.set_fault(LinkFault::None);
     }
 
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -28,6 +28,7 @@
 use crate::checks::Violation;
 use crate::fleet::Features;
 use crate::fleet::Fleet;
+use crate::fleet::FleetShape;
 use crate::inject::Injector;
 use crate::plan::RunSize;
 
@@ -38,13 +39,20 @@
     pub entries: usize,
     /// Number of callers, each of which sends one request at a time.
     pub callers: usize,
+    /// Number of replicas of each service.
+    pub shape: FleetShape,
     /// Time during which faults and planned changes start.
     pub fault_duration: Duration,
 }
 
 impl Default for RunSettings {
     fn default() -> Self {
-        Self { entries: 3, callers: 12, fault_duration: Duration::from_secs(12) }
+        Self {
+            entries: 3,
+            callers: 12,
+            shape: FleetShape::default(),
+            fault_duration: Duration::from_secs(12),
+        }
     }
 }
 
@@ -59,6 +67,8 @@
     pub faults: usize,
     /// Number of role orders that engines received.
     pub orders: usize,
+    /// Number of responses that replicas sent a second time.
+    pub late_copies: u64,
     /// Violations of guarantees; empty if the run passed.
     pub violations: Vec<Violation>,
 }
@@ -79,8 +89,9 @@
     let features = Features {
         several_versions: seed >= plan::FIRST_EXTENDED_SEED,
         accounts: seed >= plan::FIRST_ACCOUNT_SEED,
+        anonymous_rejections: plan::has_anonymous_rejections(seed),
     };
-    let fleet = Fleet::start(program, dir, settings.entries, features).await;
+    let fleet = Fleet::start(program, dir, settings.entries, settings.shape, features).await;
     let publisher = fleet.clone();
     let heartbeat = tokio::spawn(async move {
         loop {
@@ -97,7 +108,8 @@
         .collect();
     let size = RunSize {
         entries: settings.entries,
-        replicas: fleet::REPLICA_COUNT,
+        replicas: settings.shape.replica_count(),
+        engines: settings.shape.engines,
         fault_duration: settings.fault_duration,
     };
     let actions = plan::plan(seed, size);
@@ -125,6 +137,7 @@
         served: requests.iter().filter(|request| checks::is_served(request)).count(),
         faults,
         orders: record.orders().len(),
+        late_copies: fleet.late_copies(),
         violations,
     }
 }
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -6,6 +6,7 @@
 
 use argh::FromArgs;
 use soak::RunSettings;
+use soak::fleet::FleetShape;
 
 /// Randomized faults against the real entries.
 #[derive(Debug, FromArgs)]
@@ -28,6 +29,12 @@
     /// number of callers
     #[argh(option, default = "12")]
     callers: usize,
+    /// number of engines
+    #[argh(option, default = "FleetShape::default().engines")]
+    engines: usize,
+    /// number of replicas of the plain service for lookups and bookings
+    #[argh(option, default = "FleetShape::default().desks")]
+    desks: usize,
     /// time during which faults are injected, in seconds
     #[argh(option, default = "12")]
     length_s: u64,
@@ -42,6 +49,7 @@
     let settings = RunSettings {
         entries: arguments.entries,
         callers: arguments.callers,
+        shape: FleetShape { engines: arguments.engines, desks: arguments.desks },
         fault_duration: Duration::from_secs(arguments.length_s),
     };
     let mut failed_seeds = 0;
@@ -53,11 +61,12 @@
         }
         let report = soak::run(seed, &arguments.program, &dir, settings).await;
         println!(
-            "seed {seed}: {} requests, {} served, {} faults, {} orders, {} breaches",
+            "seed {seed}: {} requests, {} served, {} faults, {} orders, {} late copies, {} breaches",
             report.requests,
             report.served,
             report.faults,
             report.orders,
+            report.late_copies,
             report.violations.len()
         );
         for violation in report.violations.iter().take(MAX_PRINTED_VIOLATIONS) {
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -68,6 +68,8 @@
     ReplicaFault(usize, OneTimeFault),
     /// A replica has no capacity and rejects reservations.
     ReplicaFull(usize, Duration),
+    /// A replica executes so many requests at once, and rejects those beyond.
+    Shed(usize, u64, Duration),
     /// Streams of a replica end with their connection only, and some of them break off.
     EndWithConnection(usize, Duration),
     /// A replica names a rate limit, in tenths of a request a second.
@@ -104,6 +106,7 @@
             Self::ReplicaLink(position, ..)
             | Self::ReplicaFault(position, _)
             | Self::ReplicaFull(position, _)
+            | Self::Shed(position, ..)
             | Self::RateLimit(position, ..)
             | Self::EndWithConnection(position, _)
             | Self::PauseReplicas(position, ..)
@@ -131,6 +134,8 @@
     pub entries: usize,
     /// Number of replicas in the fleet at any time.
     pub replicas: usize,
+    /// Number of engines, which have the first positions.
+    pub engines: usize,
     /// Time during which actions start.
     pub fault_duration: Duration,
 }
@@ -150,6 +155,11 @@
 pub const FIRST_DEADLY_SEED: u64 = 4_000;
 /// First seed whose configurations have client accounts.
 pub const FIRST_ACCOUNT_SEED: u64 = 5_000;
+/// First seed with late copies of responses, and replicas that reject what is beyond their
+/// capacity.
+pub const FIRST_LATE_COPY_SEED: u64 = 6_000;
+/// Longest time between the starts of two times of late copies, and of rejections for capacity.
+const MAX_LATE_COPY_INTERVAL_MS: u64 = 600;
 /// Longest time between two configurations that withdraw a key.
 const MAX_WITHDRAWAL_INTERVAL_MS: u64 = 3_000;
 /// Longest time between the starts of two times of streams that end with their connection.
@@ -200,10 +210,41 @@
     if seed >= FIRST_ACCOUNT_SEED {
         actions.extend(draw_withdrawals(&mut rng, size));
     }
+    if seed >= FIRST_LATE_COPY_SEED {
+        actions.extend(draw_late_copies(&mut rng, size));
+    }
     actions.sort_by_key(|action| action.at);
     actions
 }
 
+/// True if the replicas do not name the request in their rejections.
+pub fn has_anonymous_rejections(seed: u64) -> bool {
+    seed >= FIRST_LATE_COPY_SEED && !seed.is_multiple_of(2)
+}
+
+/// Late copies of responses of replicas, most of which also lack capacity in that time. Half of
+/// them are plain services, which come last.
+fn draw_late_copies(rng: &mut ChaCha8Rng, size: RunSize) -> Vec<ScheduledAction> {
+    let mut actions = Vec::new();
+    let mut at = Duration::ZERO;
+    while at < size.fault_duration {
+        let first = if rng.random_bool(0.5) { size.engines } else { 0 };
+        let replica = rng.random_range(first..size.replicas);
+        let duration = Duration::from_millis(rng.random_range(1_000..6_000));
+        let fault = LinkFault::RepeatOneIn(rng.random_range(1..8));
+        actions.push(ScheduledAction { at, action: Action::ReplicaLink(replica, fault, duration) });
+        let capacity = rng.random_range(1..4);
+        let action = match rng.random_range(0..4) {
+            0 => Action::ReplicaFull(replica, duration / 2),
+            1 => Action::ReplicaFault(replica, OneTimeFault::Reject),
+            _ => Action::Shed(replica, capacity, duration),
+        };
+        actions.push(ScheduledAction { at, action });
+        at += Duration::from_millis(rng.random_range(0..MAX_LATE_COPY_INTERVAL_MS));
+    }
+    actions
+}
+
 /// Configurations that withdraw a key, each while one entry does not reach the store, and for longer
 /// than it may accept the key.
 fn draw_withdrawals(rng: &mut ChaCha8Rng, size: RunSize) -> Vec<ScheduledAction> {
--- a/standins/src/platform/replica.rs
+++ b/standins/src/platform/replica.rs
@@ -92,6 +92,12 @@
     pub reserved_characters: Switch,
     /// Rejects all reservations with status 503.
     pub full: Switch,
+    /// Rejects the requests beyond this many at once as not executed; 0 means no limit.
+    pub capacity: AtomicU64,
+    /// Number of requests that are executed now.
+    executing: AtomicU64,
+    /// Leaves the request id out of its rejections.
+    pub anonymous_rejections: Switch,
     /// Executes the next request, but responds with status 500.
     pub fail_next: Switch,
     /// Executes the next request, but responds with a complete body that is no stream.
@@ -144,6 +150,9 @@
             next_number: AtomicU64::default(),
             reserved_characters: Switch::default(),
             full: Switch::default(),
+            capacity: AtomicU64::default(),
+            executing: AtomicU64::default(),
+            anonymous_rejections: Switch::default(),
             fail_next: Switch::default(),
             complete_next: Switch::default(),
             lose_next_response: Switch::default(),
@@ -281,6 +290,9 @@
         if self.reject_next.take() {
             return Ok(self.reject(&received, StatusCode::SERVICE_UNAVAILABLE));
         }
+        let Some(_place) = self.clone().take_place() else {
+            return Ok(self.reject(&received, StatusCode::SERVICE_UNAVAILABLE));
+        };
         self.response_delay.wait().await;
         if received.headers.get("bamboodoor-stage").is_some_and(|stage| stage == "prefill") {
             return Ok(self.prefill(received));
@@ -288,6 +300,14 @@
         self.execute(received)
     }
 
+    /// Takes a place for a request that is executed; `None` if all are taken.
+    fn take_place(self: Arc<Self>) -> Option<Place> {
+        let capacity = self.capacity.load(Ordering::SeqCst);
+        let executing = self.executing.fetch_add(1, Ordering::SeqCst);
+        let place = Place(self);
+        (capacity == 0 || executing < capacity).then_some(place)
+    }
+
     fn report_stage(&self) -> Response<Body> {
         let report =
             json!({"stage": self.stage(), "busy": false, "seq": self.orders.accepted_count()});
@@ -304,7 +324,10 @@
 
     fn reserve(&self) -> Response<Body> {
         if self.full.is_on() {
-            return server::json(StatusCode::SERVICE_UNAVAILABLE, &json!({}));
+            let mut response = server::json(StatusCode::SERVICE_UNAVAILABLE, &json!({}));
+            let not_executed = "1".parse().expect("the header is valid");
+            response.headers_mut().insert("bamboodoor-not-executed", not_executed);
+            return response;
         }
         let hold = self.next_name("hold");
         server::json(StatusCode::OK, &json!({"hold": hold}))
@@ -360,7 +383,9 @@
         let mut response = server::json(status, &json!({}));
         let head = response.headers_mut();
         head.insert("bamboodoor-not-executed", "1".parse().expect("the header is valid"));
-        head.insert("bamboodoor-request-id", received.id.parse().expect("the header is valid"));
+        if !self.anonymous_rejections.is_on() {
+            head.insert("bamboodoor-request-id", received.id.parse().expect("the header is valid"));
+        }
         head.insert("bamboodoor-instance-id", self.id.parse().expect("the header is valid"));
         response
     }
@@ -404,6 +429,15 @@
     format!("id: {id}\ndata: token {id}\n\n")
 }
 
+/// Place of a request until it was executed, or until the head of its stream was sent.
+struct Place(Arc<Replica>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.executing.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
 struct OpenStream {
     replica: Arc<Replica>,
     next_event: u64,
