--- a/src/edge/direct/connections.rs
+++ b/src/edge/direct/connections.rs
@@ -253,6 +253,16 @@
         Err(error.take_message())
     }
 
+    /// Name of the peer of the current exchange.
+    pub fn peer(&self) -> &str {
+        &self.peer
+    }
+
+    /// Number of requests that the connection has carried, the current one included.
+    pub fn requests(&self) -> u32 {
+        self.requests
+    }
+
     /// True if the current request is the first one that the connection carries: its response
     /// cannot be a late copy of another one.
     pub fn is_first_request(&self) -> bool {
