--- a/src/edge/direct/connections.rs
+++ b/src/edge/direct/connections.rs
@@ -66,6 +66,17 @@
     }
 }
 
+/// Which connections may carry a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionUse {
+    /// Any idle one, or a new one.
+    Any,
+    /// One that was not idle for longer than [`ConnectionSettings::max_fresh_idle`], or a new one.
+    Fresh,
+    /// A new one.
+    New,
+}
+
 /// An established connection. Dropping it closes it.
 #[derive(Debug)]
 pub struct Connection {
@@ -119,8 +130,7 @@
     }
 
     /// Sends a request and waits for the head of the response. `peer` names the receiver in
-    /// log lines. With `fresh_connection`, no connection is reused that was idle for longer
-    /// than [`ConnectionSettings::max_fresh_idle`].
+    /// log lines.
     ///
     /// # Errors
     /// `NotSent` if no connection could be made or hyper returned the request unsent;
@@ -130,10 +140,10 @@
         address: SocketAddr,
         peer: &str,
         request: Request<Full<Bytes>>,
-        fresh_connection: bool,
+        allowed: ConnectionUse,
     ) -> Result<Exchange, Failure> {
         let mut request = request;
-        while let Some(mut connection) = self.take_idle(address, fresh_connection) {
+        while let Some(mut connection) = self.take_idle(address, allowed) {
             match connection.exchange(peer, request).await {
                 Ok(response) => return Ok(Exchange { response, connection }),
                 Err(Some(unsent)) => request = unsent,
@@ -170,13 +180,16 @@
         });
     }
 
-    fn take_idle(&self, address: SocketAddr, fresh_connection: bool) -> Option<Connection> {
+    fn take_idle(&self, address: SocketAddr, allowed: ConnectionUse) -> Option<Connection> {
+        if allowed == ConnectionUse::New {
+            return None;
+        }
         let mut idle = self.idle.borrow_mut();
         let pooled = idle.get_mut(&address)?;
         while let Some(candidate) = pooled.pop() {
             let idle_time = candidate.since.elapsed();
             let usable = idle_time < candidate.keep_alive && !candidate.connection.is_closed();
-            let recent = !fresh_connection || idle_time < self.settings.max_fresh_idle;
+            let recent = allowed == ConnectionUse::Any || idle_time < self.settings.max_fresh_idle;
             if usable && recent && candidate.connection.sender.is_ready() {
                 return Some(candidate.connection);
             }
--- a/src/edge/direct/upstream_client.rs
+++ b/src/edge/direct/upstream_client.rs
@@ -2,6 +2,8 @@
 //! [`UpstreamClient`] and the types of its calls. The adapter encodes the calls in the
 //! wire protocol of its platform.
 
+use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,6 +15,7 @@
 
 use crate::edge::direct::body_framing::BodyFraming;
 use crate::edge::direct::connections::Connection;
+use crate::edge::direct::connections::ConnectionUse;
 use crate::router::Cleanup;
 use crate::router::Target;
 use crate::router::accounts::Caller;
@@ -37,6 +40,26 @@
     pub body: Bytes,
     /// Who sent the request. Upstreams get the name of the account, never the key.
     pub caller: Caller,
+    /// Where the request was sent so far.
+    pub sent_to: SentAddresses,
+}
+
+/// Addresses to which a request was sent, prefills included.
+#[derive(Debug, Clone, Default)]
+pub struct SentAddresses(RefCell<Vec<SocketAddr>>);
+
+impl SentAddresses {
+    /// Records a send. Returns which connections may carry it: a connection must not carry a request
+    /// twice, as a late copy of the first response would have the id of the second one. With
+    /// `fresh_connection`, none that has been idle for long.
+    pub fn record(&self, address: SocketAddr, fresh_connection: bool) -> ConnectionUse {
+        let mut addresses = self.0.borrow_mut();
+        if addresses.contains(&address) {
+            return ConnectionUse::New;
+        }
+        addresses.push(address);
+        if fresh_connection { ConnectionUse::Fresh } else { ConnectionUse::Any }
+    }
 }
 
 /// Parameters of one call to a decode engine that generates output.
--- a/tests/router/ended_tasks.rs
+++ b/tests/router/ended_tasks.rs
@@ -13,6 +13,7 @@
 use bamboodoor::edge::direct::upstream_client::GenerateParameters;
 use bamboodoor::edge::direct::upstream_client::OrderResponse;
 use bamboodoor::edge::direct::upstream_client::RoleOrder;
+use bamboodoor::edge::direct::upstream_client::SentAddresses;
 use bamboodoor::edge::direct::upstream_client::UpstreamClient;
 use bamboodoor::edge::direct::upstream_client::UpstreamResponse;
 use bamboodoor::outcome::Outcome;
@@ -109,6 +110,7 @@
             uri: path.parse().expect("the path is valid"),
             headers: HeaderMap::new(),
             body: Bytes::new(),
+            sent_to: SentAddresses::default(),
         };
         let served = dispatcher.serve(incoming(path), request);
         let response = LocalSet::new().run_until(served).await;
