--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -241,8 +241,8 @@
 impl ResponseCounter {
     /// True if the chunk is a whole response whose turn it is to come twice.
     fn chooses(&self, chunk: &[u8], interval: u64) -> bool {
-        let chosen =
-            is_whole_response(chunk) && self.seen.fetch_add(1, Ordering::SeqCst) % interval == 0;
+        let chosen = is_whole_response(chunk)
+            && self.seen.fetch_add(1, Ordering::SeqCst).is_multiple_of(interval);
         self.repeated.fetch_add(u64::from(chosen), Ordering::SeqCst);
         chosen
     }
