--- a/src/edge/problem.rs
+++ b/src/edge/problem.rs
@@ -59,7 +59,8 @@
         RefusalReason::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
         RefusalReason::AttemptsExhausted
         | RefusalReason::UpstreamLost
-        | RefusalReason::UpstreamFailed => StatusCode::BAD_GATEWAY,
+        | RefusalReason::UpstreamFailed
+        | RefusalReason::UnprovenRejection => StatusCode::BAD_GATEWAY,
     }
 }
 
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -91,6 +91,9 @@
     /// A call was sent to the upstream, but no complete response came back. An error
     /// status of the upstream is a response like any other.
     UpstreamFailed,
+    /// The upstream responded with a status by which callers take a request for not run, but
+    /// did not say that it has not run it.
+    UnprovenRejection,
     /// The entry is shutting down.
     ShuttingDown,
     /// The entry has no manifest yet.
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -17,6 +17,7 @@
 use crate::router::flow::Step;
 use crate::router::output_margin::StreamStall;
 use crate::router::plain::MIN_SERVER_ERROR_STATUS;
+use crate::router::plain::promises_not_run;
 use crate::router::request::HeldResource;
 use crate::router::request::Phase;
 use crate::router::request::RequestKey;
@@ -138,6 +139,9 @@
     }
 
     fn generate_response_started(&mut self, now: Duration, key: RequestKey, status: u16) -> Step {
+        if promises_not_run(status) && !self.requests[key].route().allows_rerun() {
+            return self.refuse_unproven_rejection(now, key);
+        }
         let request = &mut self.requests[key];
         let source = request.prefill_result.take();
         if request.paused_run.take().is_some() {
--- a/src/router/plain.rs
+++ b/src/router/plain.rs
@@ -31,6 +31,14 @@
 /// Lowest HTTP status by which an upstream reports a failure of its own.
 pub(super) const MIN_SERVER_ERROR_STATUS: u16 = 500;
 
+/// Statuses by which callers take a request for not run; they send it again.
+const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
+
+/// True if callers take a request for not run that ends with this status.
+pub(super) fn promises_not_run(status: u16) -> bool {
+    NOT_RUN_STATUSES.contains(&status)
+}
+
 impl Router {
     pub(super) fn advance_plain(&mut self, now: Duration, key: RequestKey, event: Event) -> Step {
         match event {
@@ -106,6 +114,9 @@
 
     fn call_response_started(&mut self, now: Duration, key: RequestKey, status: u16) -> Step {
         let Some(target) = self.requests[key].current.clone() else { return Step::Abort };
+        if promises_not_run(status) && !self.requests[key].route().idempotent {
+            return self.refuse_unproven_rejection(now, key);
+        }
         if status < MIN_SERVER_ERROR_STATUS {
             self.upstreams.record_success(now, target.key);
             return Step::Relay { idle_timeout: None };
@@ -120,6 +131,15 @@
         Step::Relay { idle_timeout: None }
     }
 
+    /// Refuses a request that its upstream may have run, in place of a response whose status would
+    /// promise that it has not.
+    pub(super) fn refuse_unproven_rejection(&mut self, now: Duration, key: RequestKey) -> Step {
+        self.requests[key].open_run = None;
+        self.requests[key].may_have_run = true;
+        let reason = RefusalReason::UnprovenRejection;
+        Step::Refuse(self.refusal(now, key, reason, Duration::ZERO))
+    }
+
     /// Decides whether a call that exceeded its timeout is abandoned. Returns true if it
     /// can be retried at another upstream, and holds the retry in the retry budget.
     /// Returns false if not: it then keeps waiting, as its upstream may still respond.
--- a/tests/core/simulation.rs
+++ b/tests/core/simulation.rs
@@ -135,8 +135,8 @@
 ];
 
 /// Reasons of an entry that connects to upstreams directly; `tests/router` reaches them
-/// (`accounts`, `key_certainty`, `quotas`, `rate_limited_engines`, `upstream_notice`, `software_versions`, `poison`, `deadly_requests`).
-const ROUTER_REASONS: [RefusalReason; 7] = [
+/// (`accounts`, `key_certainty`, `quotas`, `rate_limited_engines`, `upstream_notice`, `software_versions`, `poison`, `deadly_requests`, `plain`).
+const ROUTER_REASONS: [RefusalReason; 8] = [
     RefusalReason::UnknownApiKey,
     RefusalReason::KeysUncertain,
     RefusalReason::QuotaExceeded,
@@ -144,6 +144,7 @@
     RefusalReason::VersionUnavailable,
     RefusalReason::PoisonousPrompt,
     RefusalReason::PoisonousRequest,
+    RefusalReason::UnprovenRejection,
 ];
 
 #[test]
--- a/tests/router/generate.rs
+++ b/tests/router/generate.rs
@@ -169,6 +169,15 @@
     assert_eq!(refused.retry_after, None);
 }
 
+#[test]
+fn a_stream_with_status_503_that_is_not_resumable_has_an_unknown_outcome() {
+    let mut harness = Harness::new(default_upstreams());
+    let (key, _) = harness.start_decode("/stream/1");
+    let refused = refusal(harness.report(key, Event::ResponseStarted { status: 503 }));
+    assert_eq!(refused.outcome, Outcome::Unknown);
+    assert_eq!(refused.retry_after, None);
+}
+
 #[test]
 fn a_request_that_certainly_did_not_run_is_retried() {
     let mut harness = Harness::new(default_upstreams());
--- a/tests/router/plain.rs
+++ b/tests/router/plain.rs
@@ -2,6 +2,7 @@
 //! refusal reports.
 
 use bamboodoor::outcome::Outcome;
+use bamboodoor::outcome::RefusalReason;
 use bamboodoor::router::Event;
 use bamboodoor::router::Step;
 use bamboodoor::router::flow::Failure;
@@ -61,9 +62,25 @@
     an_interrupted_booking_has_an_unknown_outcome: "/booking/1", Event::Failed(Failure::Broken) => Next::Refused(Outcome::Unknown);
     a_booking_without_a_response_has_an_unknown_outcome: "/booking/1", Event::Failed(Failure::Silent) => Next::Refused(Outcome::Unknown);
     a_booking_with_status_500_is_relayed: "/booking/1", Event::ResponseStarted { status: 500 } => Next::Relayed;
+    a_booking_with_status_503_has_an_unknown_outcome: "/booking/1", Event::ResponseStarted { status: 503 } => Next::Refused(Outcome::Unknown);
+    a_booking_with_status_429_has_an_unknown_outcome: "/booking/1", Event::ResponseStarted { status: 429 } => Next::Refused(Outcome::Unknown);
+    a_booking_with_status_408_has_an_unknown_outcome: "/booking/1", Event::ResponseStarted { status: 408 } => Next::Refused(Outcome::Unknown);
+    a_booking_with_status_421_has_an_unknown_outcome: "/booking/1", Event::ResponseStarted { status: 421 } => Next::Refused(Outcome::Unknown);
+    a_lookup_with_status_429_is_relayed: "/lookup/1", Event::ResponseStarted { status: 429 } => Next::Relayed;
     a_booking_past_its_deadline_has_an_unknown_outcome: "/booking/1", Event::DeadlinePassed => Next::Refused(Outcome::Unknown);
 }
 
+#[test]
+fn a_booking_with_an_unproven_rejection_says_why_it_failed() {
+    let mut harness = Harness::new(default_upstreams());
+    let (key, _) = harness.start_request("/booking/1");
+    let Step::Refuse(refusal) = harness.report(key, Event::ResponseStarted { status: 503 }) else {
+        panic!("a booking is not retried");
+    };
+    assert_eq!(refusal.reason, RefusalReason::UnprovenRejection);
+    assert_eq!(refusal.retry_after, None);
+}
+
 #[test]
 fn a_retried_booking_is_not_retried_again_once_it_may_have_run() {
     let mut harness = Harness::new(default_upstreams());
