--- a/standins/src/platform/replica.rs
+++ b/standins/src/platform/replica.rs
@@ -341,9 +341,13 @@
     }
 
     fn prefill(&self, received: ReceivedRequest) -> Response<Body> {
+        let id = received.id.parse().expect("the header is valid");
         self.prefill_requests.lock().expect("the mutex is not poisoned").push(received);
         let handle = self.next_name("handle");
-        server::json(StatusCode::OK, &json!({"handle": handle, "tokens": 100, "version": 1}))
+        let result = json!({"handle": handle, "tokens": 100, "version": 1});
+        let mut response = server::json(StatusCode::OK, &result);
+        response.headers_mut().insert("bamboodoor-request-id", id);
+        response
     }
 
     fn execute(
