Soak: entries are probed at the same time, and violations are counted by guarantee

The check at the start probed all routes of all entries one after the other: at 24 entries and more a route that failed before the list was read was not tried again within its 15 s.

--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -19,10 +19,14 @@
 mod retry_budget;
 mod versions;
 
+use std::collections::BTreeMap;
 use std::path::Path;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
+use tokio::task::JoinSet;
+
 use crate::callers::Callers;
 use crate::checks::RunRecord;
 use crate::checks::Violation;
@@ -73,6 +77,17 @@
     pub violations: Vec<Violation>,
 }
 
+impl Report {
+    /// Number of violations by guarantee, in the order of the names.
+    pub fn violation_counts(&self) -> BTreeMap<&'static str, usize> {
+        let mut counts = BTreeMap::new();
+        for violation in &self.violations {
+            *counts.entry(violation.guarantee).or_default() += 1;
+        }
+        counts
+    }
+}
+
 /// Time within which every entry must serve every route after the start.
 const START_TIMEOUT: Duration = Duration::from_secs(15);
 /// Time after which no replica may still work for callers that have disconnected.
@@ -142,26 +157,38 @@
     }
 }
 
-/// Probes every route at every entry, until each probe has succeeded once or `limit` has passed.
-/// Returns a violation for each route at an entry whose probes all failed; its detail starts with
-/// `when`.
-async fn wait_until_served(callers: &Callers, when: &str, limit: Duration) -> Vec<Violation> {
-    let started_at = Instant::now();
-    let mut unserved: Vec<(usize, &'static str)> = Vec::new();
+/// Probes every route at every entry, until each probe has succeeded once or `limit` has passed. The
+/// entries are probed at the same time, the routes of each one after the other. Returns a violation
+/// for each route at an entry whose probes all failed; its detail starts with `when`.
+async fn wait_until_served(callers: &Arc<Callers>, when: &str, limit: Duration) -> Vec<Violation> {
+    let mut probes = JoinSet::new();
     for entry in 0..callers.entry_count() {
-        unserved.extend(callers::ROUTES.iter().map(|route| (entry, *route)));
+        let callers = callers.clone();
+        probes.spawn(async move { (entry, unserved_routes(&callers, entry, limit).await) });
+    }
+    let mut violations = Vec::new();
+    while let Some(probed) = probes.join_next().await {
+        let (entry, unserved) = probed.expect("a probe does not panic");
+        let violation = |route| Violation::new("recover", format!("{when}: {route} at {entry}"));
+        violations.extend(unserved.into_iter().map(violation));
     }
+    violations
+}
+
+/// Probes the routes of an entry until each has been served once, and returns those that were not
+/// within `limit`.
+async fn unserved_routes(callers: &Callers, entry: usize, limit: Duration) -> Vec<&'static str> {
+    let started_at = Instant::now();
+    let mut unserved = callers::ROUTES.to_vec();
     while !unserved.is_empty() && started_at.elapsed() < limit {
         let mut still_unserved = Vec::new();
-        for (entry, route) in unserved {
+        for route in unserved {
             if !callers.probe(entry, route).await {
-                still_unserved.push((entry, route));
+                still_unserved.push(route);
             }
         }
         unserved = still_unserved;
         tokio::time::sleep(PROBE_INTERVAL).await;
     }
-    let violation =
-        |(entry, route)| Violation::new("recover", format!("{when}: {route} at {entry}"));
-    unserved.into_iter().map(violation).collect()
+    unserved
 }
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -69,6 +69,9 @@
             report.late_copies,
             report.violations.len()
         );
+        for (guarantee, count) in report.violation_counts() {
+            println!("  {count} x {guarantee}");
+        }
         for violation in report.violations.iter().take(MAX_PRINTED_VIOLATIONS) {
             println!("  {}: {}", violation.guarantee, violation.detail);
         }
