Soak: two replicas do not work on a stream for more than 0.4 s, also with starved entries

The users' TWICE has a second half: a stream goes on elsewhere while the replica before still works on it 0.4 s later. The soak did not look at it.

--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -27,6 +27,7 @@
 use crate::lost::check_lost;
 use crate::notices::check_leaving;
 use crate::notices::check_turn_aways;
+use crate::overlap::check_overlap;
 use crate::plan::Action;
 use crate::rate_limits::check_rate_limits;
 use crate::replica_node::ReplicaNode;
@@ -128,6 +129,7 @@
     violations.extend(check_retry_budget(&arrivals, &nodes, record.requests));
     violations.extend(check_rate_limits(record, &arrivals, &nodes, &by_id));
     violations.extend(check_lost(record, &arrivals, &nodes));
+    violations.extend(check_overlap(record, &arrivals, &nodes, &by_id));
     violations.extend(check_leaving(record, &arrivals, &nodes, &by_id));
     violations.extend(check_turn_aways(record, &arrivals, &nodes, &by_id));
     violations.extend(check_versions(record, &arrivals, &nodes));
--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -47,6 +47,7 @@
             | Action::Stop(entry)
             | Action::Kill(entry)
             | Action::Pause(entry, _)
+            | Action::Starve(entry, _)
             | Action::ReloadSettings(entry) => Some(entry),
             _ => None,
         }
@@ -54,7 +55,7 @@
 
     /// True for an action that leaves everything sound, though requests may wait or be turned away.
     pub fn leaves_all_sound(&self) -> bool {
-        matches!(self.action, Action::PauseReplicas(..) | Action::TurnAway(..))
+        matches!(self.action, Action::PauseReplicas(..) | Action::TurnAway(..) | Action::Starve(..))
     }
 
     /// True for planned changes, as operators make them in normal operation.
@@ -96,6 +97,9 @@
 }
 
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Parts of an interval in which an entry with 0.09 of a core stands still and runs.
+const STARVED_TIME: Duration = Duration::from_millis(91);
+const RUNNING_TIME: Duration = Duration::from_millis(9);
 /// Time between two streams of a replica that break off.
 const BREAK_INTERVAL: Duration = Duration::from_millis(300);
 /// Time after which a one-time fault is switched off: the replica may get no request that shows
@@ -224,6 +228,7 @@
                 tokio::time::sleep(duration).await;
                 fleet.entries[entry].signal("CONT");
             }
+            Action::Starve(entry, duration) => self.starve(entry, duration).await,
             Action::DeadlyRequests(kind, duration) => {
                 self.callers.send_deadly_requests(kind, duration).await;
             }
@@ -236,6 +241,19 @@
         None
     }
 
+    /// Lets an entry run for a small part of each interval, as one that has used up its processor
+    /// time.
+    async fn starve(&self, entry: usize, duration: Duration) {
+        let entry = &self.fleet.entries[entry];
+        let started_at = Instant::now();
+        while started_at.elapsed() < duration {
+            entry.signal("STOP");
+            tokio::time::sleep(STARVED_TIME).await;
+            entry.signal("CONT");
+            tokio::time::sleep(RUNNING_TIME).await;
+        }
+    }
+
     async fn pause_replicas(&self, position: usize, scope: Scope, duration: Duration) {
         let target = self.fleet.node(position);
         let beside = self.fleet.nodes_beside(position).into_iter();
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -12,6 +12,7 @@
 mod inject;
 mod lost;
 mod notices;
+mod overlap;
 pub mod plan;
 pub mod proxy;
 mod rate_limits;
--- a/soak/src/lost.rs
+++ b/soak/src/lost.rs
@@ -83,7 +83,9 @@
     relevant.all(|node| !has_fault(record, request, node) && !is_gone(request, node))
 }
 
-fn has_fault(record: &RunRecord, request: &CallerRequest, node: &ReplicaNode) -> bool {
+/// True if a replica or its connections had a fault of their own, from shortly before the request was
+/// sent until it ended.
+pub(crate) fn has_fault(record: &RunRecord, request: &CallerRequest, node: &ReplicaNode) -> bool {
     record.applied_actions.iter().any(|applied| {
         let is_fault = matches!(
             applied.action,
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -91,6 +91,8 @@
     KillAll,
     /// An entry is paused with SIGSTOP, and resumed with SIGCONT.
     Pause(usize, Duration),
+    /// An entry gets processor time for a small part of each interval only.
+    Starve(usize, Duration),
     /// An entry reloads its settings file after a change in a comment.
     ReloadSettings(usize),
     /// Requests come that crash each replica that runs them: lookups, or bookings.
@@ -158,6 +160,8 @@
 /// First seed with late copies of responses, and replicas that reject what is beyond their
 /// capacity.
 pub const FIRST_LATE_COPY_SEED: u64 = 6_000;
+/// First seed in which half of the entries have little processor time, each for a time.
+pub const FIRST_STARVED_SEED: u64 = 7_000;
 /// Longest time between the starts of two times of late copies, and of rejections for capacity.
 const MAX_LATE_COPY_INTERVAL_MS: u64 = 600;
 /// Longest time between two configurations that withdraw a key.
@@ -213,6 +217,12 @@
     if seed >= FIRST_LATE_COPY_SEED {
         actions.extend(draw_late_copies(&mut rng, size));
     }
+    if seed >= FIRST_STARVED_SEED {
+        let starved = (0..size.entries).step_by(2);
+        let action = |entry| Action::Starve(entry, size.fault_duration);
+        let at = Duration::from_millis(500);
+        actions.extend(starved.map(|entry| ScheduledAction { at, action: action(entry) }));
+    }
     actions.sort_by_key(|action| action.at);
     actions
 }
--- a/standins/src/platform/replica.rs
+++ b/standins/src/platform/replica.rs
@@ -86,6 +86,8 @@
     pub streams_closed_early: AtomicU64,
     /// Number of streams that are open now.
     pub open_streams: AtomicU64,
+    /// Ids of the requests whose streams have ended, whole or not, with the time.
+    pub stream_ends: Mutex<Vec<(String, Instant)>>,
     /// Number in the next name of a reservation or prefill result.
     next_number: AtomicU64,
     /// Gives reservations and prefill results names that a path cannot contain as they are.
@@ -147,6 +149,7 @@
             released_paths: Mutex::default(),
             streams_closed_early: AtomicU64::default(),
             open_streams: AtomicU64::default(),
+            stream_ends: Mutex::default(),
             next_number: AtomicU64::default(),
             reserved_characters: Switch::default(),
             full: Switch::default(),
@@ -210,6 +213,12 @@
         executed.iter().filter(|received| received.id == id).count()
     }
 
+    /// When the stream that the request began at `begun_at` ended; `None` if it is open.
+    pub fn stream_end(&self, id: &str, begun_at: Instant) -> Option<Instant> {
+        let ends = self.stream_ends.lock().expect("the mutex is not poisoned");
+        ends.iter().find(|(ended, at)| ended == id && *at >= begun_at).map(|(_, at)| *at)
+    }
+
     /// Sets the version of its software in its next records.
     pub fn set_version(&self, version: &str) {
         *self.version.lock().expect("the mutex is not poisoned") = version.to_string();
@@ -399,7 +408,12 @@
             received.headers.get("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
         let break_midway = self.break_next_stream.take();
         self.open_streams.fetch_add(1, Ordering::SeqCst);
-        let open = OpenStream { replica: self.clone(), next_event: last_seen + 1, finished: false };
+        let open = OpenStream {
+            replica: self.clone(),
+            request_id: received.id.clone(),
+            next_event: last_seen + 1,
+            finished: false,
+        };
         let events = stream::unfold(open, move |mut open| async move {
             if open.next_event > EVENTS_PER_STREAM {
                 open.replica.pause.wait().await;
@@ -444,6 +458,7 @@
 
 struct OpenStream {
     replica: Arc<Replica>,
+    request_id: String,
     next_event: u64,
     finished: bool,
 }
@@ -451,6 +466,8 @@
 impl Drop for OpenStream {
     fn drop(&mut self) {
         self.replica.open_streams.fetch_sub(1, Ordering::SeqCst);
+        let end = (std::mem::take(&mut self.request_id), Instant::now());
+        self.replica.stream_ends.lock().expect("the mutex is not poisoned").push(end);
         if !self.finished {
             self.replica.streams_closed_early.fetch_add(1, Ordering::SeqCst);
         }
