--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -58,14 +58,14 @@
 }
 
 impl OpenStream {
-    fn new(response: UpstreamResponse) -> Self {
+    fn new(response: UpstreamResponse, first_frame: Option<Frame<Bytes>>) -> Self {
         Self {
             response,
             splitter: EventSplitter::default(),
             last_event: None,
             has_events: false,
             repeated_events: 0,
-            unread: None,
+            unread: first_frame.map(|frame| Some(Ok(frame))),
             kept_logged: false,
         }
     }
@@ -169,13 +169,14 @@
                 }
                 None
             }
-            ReadyResponse::Streamed(response) => {
+            ReadyResponse::Streamed { response, first_frame } => {
                 let status = response.status;
                 let Some(parts) = self.send_response_head(status, &response.headers) else {
                     self.log_request_ending(RequestEnding::CallerGone, status);
                     return None;
                 };
-                self.relay_stream(OpenStream::new(response), &parts, idle_timeout).await
+                let stream = OpenStream::new(response, first_frame);
+                self.relay_stream(stream, &parts, idle_timeout).await
             }
         }
     }
--- a/src/edge/direct/request_task.rs
+++ b/src/edge/direct/request_task.rs
@@ -7,8 +7,10 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
+use http_body_util::BodyExt;
 use hyper::HeaderMap;
 use hyper::body::Body;
+use hyper::body::Frame;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -71,8 +73,25 @@
 pub(super) enum ReadyResponse {
     /// Complete response in memory.
     Buffered { status: u16, headers: HeaderMap, body: Bytes },
-    /// Response whose body is still to be read.
-    Streamed(UpstreamResponse),
+    /// Response whose body is still to be read, beyond its first frame if that was awaited.
+    Streamed { response: UpstreamResponse, first_frame: Option<Frame<Bytes>> },
+}
+
+impl ReadyResponse {
+    /// Waits until a stream has begun, for as long as the run that it replaces is kept.
+    ///
+    /// # Errors
+    /// `Broken` if the stream ends or breaks off before its first event.
+    async fn await_first_frame(&mut self) -> Result<(), Failure> {
+        let Self::Streamed { response, first_frame } = self else { return Ok(()) };
+        match timeout(MAX_RUN_OVERLAP, response.body.frame()).await {
+            Ok(Some(Ok(frame))) => *first_frame = Some(frame),
+            Ok(Some(Err(_)) | None) => return Err(Failure::Broken),
+            // It may be slow; the run that it replaces has ended.
+            Err(_) => {}
+        }
+        Ok(())
+    }
 }
 
 /// State of the task of one request in flight.
@@ -356,10 +375,19 @@
             });
             return Err(Failure::NoContinuation);
         }
-        let ready = self.buffer_if_small(response).await?;
+        let mut ready = self.buffer_if_small(response).await?;
+        if self.has_paused_run() {
+            ready.await_first_frame().await?;
+        }
         Ok(self.store_response(ready))
     }
 
+    /// True if the stream has paused and its run is kept until another one has begun.
+    fn has_paused_run(&self) -> bool {
+        let router = self.dispatcher.router.borrow();
+        router.request(self.key).is_some_and(|request| request.paused_engine().is_some())
+    }
+
     /// True if the head of the response, and mostly events of it, were passed on.
     fn has_response_started(&self) -> bool {
         let router = self.dispatcher.router.borrow();
@@ -370,7 +398,7 @@
     fn store_response(&mut self, ready: ReadyResponse) -> Event {
         let status = match &ready {
             ReadyResponse::Buffered { status, .. } => *status,
-            ReadyResponse::Streamed(response) => response.status,
+            ReadyResponse::Streamed { response, .. } => response.status,
         };
         self.response = Some(ready);
         Event::ResponseStarted { status }
@@ -386,11 +414,11 @@
         let length = response.body.size_hint().exact();
         let small = length.is_none_or(|bytes| bytes <= MAX_BUFFERED_BYTES);
         if response.is_event_stream || !small {
-            return Ok(ReadyResponse::Streamed(response));
+            return Ok(ReadyResponse::Streamed { response, first_frame: None });
         }
         let length = length.unwrap_or(0) as usize;
         let Some(mut memory) = self.dispatcher.response_memory.reserve(length) else {
-            return Ok(ReadyResponse::Streamed(response));
+            return Ok(ReadyResponse::Streamed { response, first_frame: None });
         };
         let UpstreamResponse { status, headers, body, connection, keep_alive, .. } = response;
         let body = read_body(&connection, body, MAX_UNSIZED_BYTES, |bytes| memory.grow_to(bytes));
--- a/standins/src/platform/replica.rs
+++ b/standins/src/platform/replica.rs
@@ -112,6 +112,8 @@
     pub mismatch_next_id: Switch,
     /// Breaks the connection of the next stream in the middle of event 4.
     pub break_next_stream: Switch,
+    /// Breaks the connection of the next stream after its head, before the first event.
+    pub break_next_before_event: Switch,
     /// Marks the end of its responses to executed requests only by the end of the connection.
     pub end_with_connection: Switch,
     /// Delay before each request is executed or prefilled, and before each event of a stream.
@@ -162,6 +164,7 @@
             reject_next: Switch::default(),
             mismatch_next_id: Switch::default(),
             break_next_stream: Switch::default(),
+            break_next_before_event: Switch::default(),
             end_with_connection: Switch::default(),
             response_delay: Delay::default(),
             pause: Pause::default(),
@@ -407,6 +410,7 @@
         let last_seen =
             received.headers.get("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
         let break_midway = self.break_next_stream.take();
+        let break_at_start = self.break_next_before_event.take();
         self.open_streams.fetch_add(1, Ordering::SeqCst);
         let open = OpenStream {
             replica: self.clone(),
@@ -423,6 +427,7 @@
             let id = open.next_event;
             let part = match (break_midway, id) {
                 (true, 4) => Err(server::broken_connection()),
+                _ if break_at_start => Err(server::broken_connection()),
                 (true, 3) => Ok(Bytes::from(format!("{}id: 4\nda", event(id)))),
                 _ => Ok(Bytes::from(event(id))),
             };
