--- a/src/edge/problem.rs
+++ b/src/edge/problem.rs
@@ -64,9 +64,8 @@
     }
 }
 
-/// Builds the problem JSON of a refusal, without a status line or headers.
-pub fn body(refusal: &Refusal, request_id: &str) -> Bytes {
-    let status = status_of(refusal.reason);
+/// Builds the problem JSON of a refusal with this status, without a status line or headers.
+pub fn body(status: StatusCode, refusal: &Refusal, request_id: &str) -> Bytes {
     let reason = refusal.reason.to_string();
     let problem = Problem {
         r#type: format!("urn:bamboodoor:refusal:{reason}"),
@@ -84,8 +83,9 @@
 /// Builds the complete HTTP response of a refusal. Sets `retry-after`, in whole
 /// seconds rounded up, if the refusal has a retry time.
 pub fn response(refusal: &Refusal, request_id: &str) -> Response<ResponseBody> {
-    let mut response = Response::new(full_body(body(refusal, request_id)));
-    *response.status_mut() = status_of(refusal.reason);
+    let status = status_of(refusal.reason);
+    let mut response = Response::new(full_body(body(status, refusal, request_id)));
+    *response.status_mut() = status;
     let headers = response.headers_mut();
     headers
         .insert("content-type", "application/problem+json".parse().expect("the header is valid"));
--- a/src/edge/responses.rs
+++ b/src/edge/responses.rs
@@ -139,7 +139,8 @@
             encode_sse(None, &formatter.stream_event("", Some(&finish_reason)), true)
         }
         ResponsePart::Refused(refusal) => {
-            let problem = problem::body(&refusal, &formatter.request_id);
+            let problem =
+                problem::body(problem::status_of(refusal.reason), &refusal, &formatter.request_id);
             encode_sse(Some("error"), &problem, false)
         }
         ResponsePart::Reply(_) => unreachable!("the core sends a reply for calls only"),
