--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -17,6 +17,7 @@
 pub mod metrics;
 pub mod origin_log;
 pub mod quota_log;
+mod ready_response;
 mod relay;
 mod request_log;
 mod request_task;
--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -13,6 +13,7 @@
 use crate::edge::direct::body_framing::BodyFraming;
 use crate::edge::direct::bounded_read::MAX_PART_READ_BYTES;
 use crate::edge::direct::bounded_read::ResponsePlace;
+use crate::edge::direct::ready_response::ReadyResponse;
 use crate::edge::direct::request_log::RequestEnding;
 use crate::edge::direct::request_log::StreamEnd;
 use crate::edge::direct::request_log::log_kept_run;
@@ -20,7 +21,6 @@
 use crate::edge::direct::request_log::log_request_ending;
 use crate::edge::direct::request_log::log_stream_end;
 use crate::edge::direct::request_task::CallerChannel;
-use crate::edge::direct::request_task::ReadyResponse;
 use crate::edge::direct::request_task::RequestTask;
 use crate::edge::direct::response::CallerResponse;
 use crate::edge::direct::response::ResponseBody;
@@ -58,14 +58,14 @@
 }
 
 impl OpenStream {
-    fn new(response: UpstreamResponse, first_frame: Option<Frame<Bytes>>) -> Self {
+    fn new(response: UpstreamResponse, first_part: Option<Bytes>) -> Self {
         Self {
             response,
             splitter: EventSplitter::default(),
             last_event: None,
             has_events: false,
             repeated_events: 0,
-            unread: first_frame.map(|frame| Some(Ok(frame))),
+            unread: first_part.map(|part| Some(Ok(Frame::data(part)))),
             kept_logged: false,
         }
     }
@@ -169,13 +169,13 @@
                 }
                 None
             }
-            ReadyResponse::Streamed { response, first_frame } => {
+            ReadyResponse::Streamed { response, first_part } => {
                 let status = response.status;
                 let Some(parts) = self.send_response_head(status, &response.headers) else {
                     self.log_request_ending(RequestEnding::CallerGone, status);
                     return None;
                 };
-                let stream = OpenStream::new(response, first_frame);
+                let stream = OpenStream::new(response, first_part);
                 self.relay_stream(stream, &parts, idle_timeout).await
             }
         }
--- a/src/edge/direct/request_task.rs
+++ b/src/edge/direct/request_task.rs
@@ -5,20 +5,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use compact_str::CompactString;
-use http_body_util::BodyExt;
-use hyper::HeaderMap;
-use hyper::body::Body;
-use hyper::body::Frame;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
-use crate::edge::direct::bounded_read::read_body;
 use crate::edge::direct::dispatch::Dispatcher;
+use crate::edge::direct::ready_response::ReadyResponse;
 use crate::edge::direct::relay::OpenStream;
 use crate::edge::direct::request_log::RequestEnding;
 use crate::edge::direct::request_log::failure_reason;
@@ -42,13 +37,6 @@
 use crate::router::request::RequestKey;
 use crate::router::stream_origins::OriginLookup;
 
-/// Responses with a `Content-Length` up to this are read completely before they are passed
-/// on, so that the request can be retried if the upstream fails in the middle of one.
-const MAX_BUFFERED_BYTES: u64 = 256 << 10;
-/// Maximum size of a response without `Content-Length` that is no event stream. It is read
-/// completely as well; a larger one counts as failed.
-const MAX_UNSIZED_BYTES: usize = 1 << 20;
-
 /// Channel that carries the response to the task that serves the caller's connection.
 pub(super) enum CallerChannel {
     /// No head has been sent yet. Holds `None` while `execute_until_deadline` watches the
@@ -69,31 +57,6 @@
     }
 }
 
-/// Response of an upstream that can be relayed to the caller.
-pub(super) enum ReadyResponse {
-    /// Complete response in memory.
-    Buffered { status: u16, headers: HeaderMap, body: Bytes },
-    /// Response whose body is still to be read, beyond its first frame if that was awaited.
-    Streamed { response: UpstreamResponse, first_frame: Option<Frame<Bytes>> },
-}
-
-impl ReadyResponse {
-    /// Waits until a stream has begun, for as long as the run that it replaces is kept.
-    ///
-    /// # Errors
-    /// `Broken` if the stream ends or breaks off before its first event.
-    async fn await_first_frame(&mut self) -> Result<(), Failure> {
-        let Self::Streamed { response, first_frame } = self else { return Ok(()) };
-        match timeout(MAX_RUN_OVERLAP, response.body.frame()).await {
-            Ok(Some(Ok(frame))) => *first_frame = Some(frame),
-            Ok(Some(Err(_)) | None) => return Err(Failure::Broken),
-            // It may be slow; the run that it replaces has ended.
-            Err(_) => {}
-        }
-        Ok(())
-    }
-}
-
 /// State of the task of one request in flight.
 pub(super) struct RequestTask<U> {
     pub(super) dispatcher: Rc<Dispatcher<U>>,
@@ -293,7 +256,7 @@
                         remaining_time,
                         fresh_connection,
                     );
-                    self.buffer_if_small(call.await?).await
+                    self.read_response(call.await?).await
                 };
                 let abandon = |router: &mut Router, now| router.abandon_call(now, self.key);
                 let ready = self.wait_or_abandon(exchange, limit, abandon).await;
@@ -375,9 +338,9 @@
             });
             return Err(Failure::NoContinuation);
         }
-        let mut ready = self.buffer_if_small(response).await?;
+        let mut ready = self.read_response(response).await?;
         if self.has_paused_run() {
-            ready.await_first_frame().await?;
+            ready.await_first_part().await?;
         }
         Ok(self.store_response(ready))
     }
@@ -396,35 +359,20 @@
 
     /// Stores a response for `Step::Relay` and returns the event for the router.
     fn store_response(&mut self, ready: ReadyResponse) -> Event {
-        let status = match &ready {
-            ReadyResponse::Buffered { status, .. } => *status,
-            ReadyResponse::Streamed { response, .. } => response.status,
-        };
+        let status = ready.status();
         self.response = Some(ready);
         Event::ResponseStarted { status }
     }
 
-    /// Reads a response completely, unless it is an event stream, announces a length above
-    /// [`MAX_BUFFERED_BYTES`], or announces one for which there is no memory.
+    /// Reads a response completely if it is short and no stream.
     ///
     /// # Errors
-    /// `Broken` if the body ends early, exceeds [`MAX_UNSIZED_BYTES`], or has no length and
-    /// grows beyond the memory of all buffered responses.
-    async fn buffer_if_small(&self, response: UpstreamResponse) -> Result<ReadyResponse, Failure> {
-        let length = response.body.size_hint().exact();
-        let small = length.is_none_or(|bytes| bytes <= MAX_BUFFERED_BYTES);
-        if response.is_event_stream || !small {
-            return Ok(ReadyResponse::Streamed { response, first_frame: None });
-        }
-        let length = length.unwrap_or(0) as usize;
-        let Some(mut memory) = self.dispatcher.response_memory.reserve(length) else {
-            return Ok(ReadyResponse::Streamed { response, first_frame: None });
-        };
-        let UpstreamResponse { status, headers, body, connection, keep_alive, .. } = response;
-        let body = read_body(&connection, body, MAX_UNSIZED_BYTES, |bytes| memory.grow_to(bytes));
-        let body = body.await.map_err(|_| Failure::Broken)?;
-        self.dispatcher.upstream_client.release_connection(connection, keep_alive);
-        Ok(ReadyResponse::Buffered { status, headers, body: memory.attach_to(body) })
+    /// Those of [`ReadyResponse::read`].
+    async fn read_response(&self, response: UpstreamResponse) -> Result<ReadyResponse, Failure> {
+        let upstream_client = &self.dispatcher.upstream_client;
+        let release =
+            |connection, keep_alive| upstream_client.release_connection(connection, keep_alive);
+        ReadyResponse::read(response, &self.dispatcher.response_memory, release).await
     }
 
     /// Waits until the router reports the request as runnable, at most until `until`.
