--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -26,8 +26,8 @@
 
 use crate::accounts::ACCOUNT_HEADER;
 use crate::accounts::CallerKey;
+use crate::action::DeadlyKind;
 use crate::fleet::Fleet;
-use crate::plan::DeadlyKind;
 
 /// Time for which a caller waits, according to its requests (`bamboodoor-deadline-ms`).
 pub const CALLER_TIMEOUT: Duration = Duration::from_secs(8);
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -13,6 +13,7 @@
 use standins::platform::replica::event;
 
 use crate::accounts::check_account;
+use crate::action::Action;
 use crate::callers::CallerRequest;
 use crate::callers::RequestOutcome;
 use crate::deadly::check_deadly;
@@ -28,7 +29,6 @@
 use crate::notices::check_leaving;
 use crate::notices::check_turn_aways;
 use crate::overlap::check_overlap;
-use crate::plan::Action;
 use crate::rate_limits::check_rate_limits;
 use crate::replica_node::ReplicaNode;
 use crate::retry_budget::check_retry_budget;
--- a/soak/src/deadly.rs
+++ b/soak/src/deadly.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::action::Action;
 use crate::callers::CallerRequest;
 use crate::callers::RequestOutcome;
 use crate::checks::RunRecord;
 use crate::checks::Violation;
-use crate::plan::Action;
 use crate::replica_node::ReplicaNode;
 
 /// Crashed replicas after which the entries must know the request.
--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -11,13 +11,13 @@
 
 use tokio::task::JoinSet;
 
+use crate::action::Action;
+use crate::action::OneTimeFault;
+use crate::action::Scope;
 use crate::callers::Callers;
 use crate::fleet::Fleet;
 use crate::fleet::STOP_GRACE;
-use crate::plan::Action;
-use crate::plan::OneTimeFault;
 use crate::plan::ScheduledAction;
-use crate::plan::Scope;
 use crate::proxy::LinkFault;
 use crate::proxy::Proxy;
 
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -5,6 +5,7 @@
 //! machine, so the checks must allow for any timing.
 
 pub mod accounts;
+pub mod action;
 pub mod callers;
 pub mod checks;
 mod deadly;
--- a/soak/src/lost.rs
+++ b/soak/src/lost.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::action::Action;
 use crate::callers::CALLER_TIMEOUT;
 use crate::callers::CallerRequest;
 use crate::callers::RequestOutcome;
@@ -12,7 +13,6 @@
 use crate::checks::Violation;
 use crate::fleet::STOP_GRACE;
 use crate::inject::AppliedAction;
-use crate::plan::Action;
 use crate::replica_node::ReplicaNode;
 
 /// Time after a fault of a replica or its connections, or after its end, during which requests may
--- a/soak/src/notices.rs
+++ b/soak/src/notices.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::action::Action;
 use crate::callers::CallerRequest;
 use crate::callers::RequestOutcome;
 use crate::checks::Arrival;
@@ -13,7 +14,6 @@
 use crate::checks::Violation;
 use crate::checks::is_served;
 use crate::fleet::DRAIN_BOUND;
-use crate::plan::Action;
 use crate::replica_node::ReplicaNode;
 use crate::replica_node::TurnAway;
 
--- a/soak/src/overlap.rs
+++ b/soak/src/overlap.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::action::Action;
 use crate::callers::CallerRequest;
 use crate::checks::Arrival;
 use crate::checks::ArrivalKind;
@@ -12,7 +13,6 @@
 use crate::fleet::ENGINE_SERVICE;
 use crate::inject::AppliedAction;
 use crate::lost::has_fault;
-use crate::plan::Action;
 use crate::replica_node::ReplicaNode;
 
 /// Time for which the replica before may still work on a stream that goes on at another one. The
