--- a/src/edge/direct/ready_response.rs
+++ b/src/edge/direct/ready_response.rs
@@ -68,17 +68,18 @@
         Ok(Self::Buffered { status, headers, body: memory.attach_to(body) })
     }
 
-    /// Waits until a stream has begun, for as long as the run that it replaces is kept.
+    /// Waits for the first bytes of a stream, for [`MAX_RUN_OVERLAP`] at most: until then the run
+    /// that it replaces has ended.
     ///
     /// # Errors
-    /// `Broken` if the stream ends or breaks off before its first event.
+    /// `Broken` if the stream ends or breaks off before its first bytes.
     pub(super) async fn await_first_part(&mut self) -> Result<(), Failure> {
         let Self::Streamed { response, first_part } = self else { return Ok(()) };
         response.connection.limit_reads(MAX_PART_READ_BYTES);
         match timeout(MAX_RUN_OVERLAP, response.body.frame()).await {
             Ok(Some(Ok(frame))) => *first_part = Some(frame.into_data().unwrap_or_default()),
             Ok(Some(Err(_)) | None) => return Err(Failure::Broken),
-            // It may be slow; the run that it replaces has ended.
+            // A slow stream is relayed all the same.
             Err(_) => {}
         }
         Ok(())
