--- a/src/edge/direct/dispatch.rs
+++ b/src/edge/direct/dispatch.rs
@@ -1,6 +1,7 @@
 //! Serves requests: hands each one to the router, which decides on its steps, and spawns
 //! the task that executes them.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -17,8 +18,10 @@
 use crate::edge::direct::metrics::Metrics;
 use crate::edge::direct::origin_log::OriginLog;
 use crate::edge::direct::quota_log::QuotaLog;
+use crate::edge::direct::request_log::GivenUpBecause;
 use crate::edge::direct::request_log::log_budget_notice;
 use crate::edge::direct::request_log::log_cut_request;
+use crate::edge::direct::request_log::log_given_up_run;
 use crate::edge::direct::request_log::log_refusal;
 use crate::edge::direct::request_task::CallerChannel;
 use crate::edge::direct::request_task::RequestTask;
@@ -63,6 +66,8 @@
     /// Cancelled when the graceful shutdown ends: requests whose response has not started get
     /// a final answer.
     pub exiting: CancellationToken,
+    /// Number of responses that were aborted since the graceful shutdown has started.
+    pub(super) aborted_while_leaving: Cell<u32>,
     /// Signal that the store came back from an older copy.
     pub(super) era_risen: Notify,
     /// Wake-up signals of the requests that execute `Step::Wait`.
@@ -91,6 +96,7 @@
             quota_log: QuotaLog::default(),
             response_memory: ResponseMemory::default(),
             exiting: CancellationToken::new(),
+            aborted_while_leaving: Cell::default(),
             era_risen: Notify::new(),
             waiting: RefCell::default(),
         }
@@ -236,6 +242,20 @@
         });
     }
 
+    /// Counts and logs that the connection of a paused run is closed, though it is open.
+    pub(super) fn record_given_up_run(&self, key: RequestKey, because: GivenUpBecause) {
+        self.metrics.count_given_up_run();
+        let router = self.router.borrow();
+        if let Some(request) = router.request(key) {
+            log_given_up_run(&self.name, self.now(), request, because);
+        }
+    }
+
+    /// Number of responses that were aborted since the graceful shutdown has started.
+    pub fn aborted_while_leaving(&self) -> u32 {
+        self.aborted_while_leaving.get()
+    }
+
     /// Logs the requests that the exit of the process cuts.
     pub fn log_cut_requests(&self) {
         let router = self.router.borrow();
--- a/src/edge/direct/metrics.rs
+++ b/src/edge/direct/metrics.rs
@@ -116,6 +116,7 @@
     retried: Family<ReasonLabels, Counter>,
     failed: Family<ReasonLabels, Counter>,
     aborted: Family<ReasonLabels, Counter>,
+    given_up_runs: Counter,
     answered: Family<StatusLabels, Counter>,
     steps: Family<KindLabels, Counter>,
     store_reads: Family<StoreReadLabels, Counter>,
@@ -144,6 +145,7 @@
             retried: Family::default(),
             failed: Family::default(),
             aborted: Family::default(),
+            given_up_runs: Counter::default(),
             answered: Family::default(),
             steps: Family::default(),
             store_reads: Family::default(),
@@ -180,6 +182,8 @@
         registry.register("failed", "Steps that came to nothing", self.failed.clone());
         let help = "Responses aborted after their head was sent, by the last failure";
         registry.register("aborted", help, self.aborted.clone());
+        let help = "Runs whose open connection was closed for a replacement";
+        registry.register("given_up_runs", help, self.given_up_runs.clone());
         registry.register("answered", "Answers of upstreams passed on", self.answered.clone());
         registry.register("steps", "Exchanges with upstreams begun", self.steps.clone());
         registry.register("store_reads", "Reads of the platform's store", self.store_reads.clone());
@@ -240,6 +244,11 @@
         self.aborted.get_or_create(&ReasonLabels { reason: reason.to_string() }).inc();
     }
 
+    /// Counts a run whose open connection is closed for a replacement.
+    pub fn count_given_up_run(&self) {
+        self.given_up_runs.inc();
+    }
+
     /// Records a response of an upstream whose head is relayed `elapsed` after the
     /// arrival of the request. `kind` is `generated` or `plain`.
     pub fn record_response(&self, status: u16, kind: &'static str, elapsed: Duration) {
--- a/src/edge/direct/request_log.rs
+++ b/src/edge/direct/request_log.rs
@@ -182,9 +182,15 @@
 }
 
 /// Logs that a response is aborted after its head was sent. `cause` is the event that led to
-/// it, as in the metrics of failures.
-pub(super) fn log_aborted(instance: &str, now: Duration, request: &Request, cause: &str) {
-    spdlog::info!("aborted", kv: {
+/// it, as in the metrics of failures; `leaving_since` is the start of the graceful shutdown.
+pub(super) fn log_aborted(
+    instance: &str,
+    now: Duration,
+    request: &Request,
+    cause: &str,
+    leaving_since: Option<Duration>,
+) {
+    spdlog::warn!("aborted", kv: {
         instance: = instance,
         request_id: = request.id,
         route: = request.route().name,
@@ -192,10 +198,41 @@
         generation = request.version(),
         age_ms = as_ms(now.saturating_sub(request.arrived_at)),
         remaining_ms = as_ms(request.remaining_time(now)),
+        runs = request.runs(),
+        leaving_ms = leaving_since.map_or(0, |since| as_ms(now.saturating_sub(since))),
         detail: = cause
     });
 }
 
+/// Why the entry closes the connection of a paused run; logged under these names in kebab case.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub(super) enum GivenUpBecause {
+    /// The response of its replacement has begun.
+    Replaced,
+    /// Its replacement has had the request for as long as both may work on it.
+    OverlapEnded,
+}
+
+/// Logs that the entry closes the connection of a run that paused, though it is open.
+pub(super) fn log_given_up_run(
+    instance: &str,
+    now: Duration,
+    request: &Request,
+    because: GivenUpBecause,
+) {
+    let Some(engine) = request.paused_engine() else { return };
+    let paused_since = request.last_event_at().unwrap_or(request.arrived_at);
+    spdlog::info!("run-given-up", kv: {
+        instance: = instance,
+        request_id: = request.id,
+        upstream: = engine.id,
+        replacement: = request.upstream_id(),
+        silent_ms = as_ms(now.saturating_sub(paused_since)),
+        detail: = because
+    });
+}
+
 /// Logs that the exit of the process cuts a request. `arrived_ms` is the time from the start of
 /// the graceful shutdown to its arrival, negative before it.
 pub(super) fn log_cut_request(
--- a/src/edge/direct/request_task.rs
+++ b/src/edge/direct/request_task.rs
@@ -15,6 +15,7 @@
 use crate::edge::direct::dispatch::Dispatcher;
 use crate::edge::direct::ready_response::ReadyResponse;
 use crate::edge::direct::relay::OpenStream;
+use crate::edge::direct::request_log::GivenUpBecause;
 use crate::edge::direct::request_log::RequestEnding;
 use crate::edge::direct::request_log::failure_reason;
 use crate::edge::direct::request_log::log_aborted;
@@ -136,8 +137,12 @@
         self.dispatcher.metrics.count_aborted(cause);
         let now = self.dispatcher.now();
         let router = self.dispatcher.router.borrow();
+        let leaving_since = router.shutdown().map(|shutdown| shutdown.started_at);
+        if leaving_since.is_some() {
+            self.dispatcher.aborted_while_leaving.update(|count| count + 1);
+        }
         if let Some(request) = router.request(self.key) {
-            log_aborted(&self.dispatcher.name, now, request, cause);
+            log_aborted(&self.dispatcher.name, now, request, cause, leaving_since);
         }
     }
 
@@ -187,7 +192,10 @@
                         break Some(Event::EntryExits);
                     }
                     // Closes the connection, so that the engine of the paused run stops.
-                    () = overlap.as_mut(), if replaces && paused.is_some() => paused = None,
+                    () = overlap.as_mut(), if replaces && paused.is_some() => {
+                        dispatcher.record_given_up_run(key, GivenUpBecause::OverlapEnded);
+                        paused = None;
+                    }
                     resumed = OpenStream::resumed(&mut paused), if !replaces => {
                         if resumed {
                             break Some(Event::ResponseResumed);
@@ -199,7 +207,11 @@
             }
         };
         self.caller = caller;
-        self.paused = paused.filter(|_| !matches!(event, Some(Event::ResponseStarted { .. })));
+        let begun = matches!(event, Some(Event::ResponseStarted { .. }));
+        if begun && paused.is_some() {
+            self.dispatcher.record_given_up_run(self.key, GivenUpBecause::Replaced);
+        }
+        self.paused = paused.filter(|_| !begun);
         if event.is_none() {
             self.log_request_ending(RequestEnding::CallerGone, 0);
         }
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -316,6 +316,16 @@
         self.paused_run.as_ref()
     }
 
+    /// Number of runs: attempts that were executed or may have been.
+    pub fn runs(&self) -> u32 {
+        self.runs
+    }
+
+    /// When the last event of the stream was received from its engine.
+    pub fn last_event_at(&self) -> Option<Duration> {
+        self.last_event_at
+    }
+
     /// Id of the upstream of the last step; empty before the first one.
     pub fn upstream_id(&self) -> CompactString {
         self.current.as_ref().map(|target| target.id.clone()).unwrap_or_default()
