Failing tests: a paused stream whose replacement fails after the first run was closed

One entry process, stand-ins, a resumable stream whose engine pauses it for 1.6 s and answers its own calls meanwhile. The engine that is to replace it fails 0.35 s after it got the request, or midway: an error, no stream, a broken connection, a rejection; before and around SIGTERM.

--- a/standins/src/platform/replica.rs
+++ b/standins/src/platform/replica.rs
@@ -108,6 +108,8 @@
     pub lose_next_response: Switch,
     /// Rejects the next request or prefill with status 503 as not executed.
     pub reject_next: Switch,
+    /// Rejects the next request as not executed, after the delay of a response.
+    pub reject_next_late: Switch,
     /// Names another request id in the headers of the next response to an executed request.
     pub mismatch_next_id: Switch,
     /// Breaks the connection of the next stream in the middle of event 4.
@@ -162,6 +164,7 @@
             complete_next: Switch::default(),
             lose_next_response: Switch::default(),
             reject_next: Switch::default(),
+            reject_next_late: Switch::default(),
             mismatch_next_id: Switch::default(),
             break_next_stream: Switch::default(),
             break_next_before_event: Switch::default(),
@@ -309,6 +312,9 @@
         if received.headers.get("bamboodoor-stage").is_some_and(|stage| stage == "prefill") {
             return Ok(self.prefill(received));
         }
+        if self.reject_next_late.take() {
+            return Ok(self.reject(&received, StatusCode::SERVICE_UNAVAILABLE));
+        }
         self.execute(received)
     }
 
