Ask a silent engine for a sign of life before its stream is moved (LOST around SIGTERM)

Callers saw resumable streams cut seconds before their deadline, though the engine that had begun them was sound and connected.

Cause: silence of one stream for 0.6 s was taken for a failure of its engine. The stream was sent to another engine, the first run was closed 0.2 s later, and a replacement that failed after that left nothing to return to: the runs that the route allows were used up. Engines preempt streams for lack of memory for about a second without any fault.

Change: the engine is asked with a call of the entry's own, at most once in 0.6 s for all of its streams. Answers and events of its other streams are signs of life; only an engine without one for 2.5 s, and at least two calls, counts as lost, and what followed a pause before follows then. Nothing is closed for a silence alone, so that no failure elsewhere can end such a stream.

--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -12,6 +12,7 @@
 pub mod crash_log;
 mod crash_records;
 pub mod dispatch;
+mod engine_check;
 mod key_report;
 pub mod lease_task;
 pub mod metrics;
--- a/src/edge/direct/metrics.rs
+++ b/src/edge/direct/metrics.rs
@@ -104,6 +104,11 @@
     reason: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AnswerLabels {
+    answered: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct BudgetLabels {
     decision: &'static str,
@@ -117,6 +122,7 @@
     failed: Family<ReasonLabels, Counter>,
     aborted: Family<ReasonLabels, Counter>,
     given_up_runs: Counter,
+    asked_engines: Family<AnswerLabels, Counter>,
     answered: Family<StatusLabels, Counter>,
     steps: Family<KindLabels, Counter>,
     store_reads: Family<StoreReadLabels, Counter>,
@@ -146,6 +152,7 @@
             failed: Family::default(),
             aborted: Family::default(),
             given_up_runs: Counter::default(),
+            asked_engines: Family::default(),
             answered: Family::default(),
             steps: Family::default(),
             store_reads: Family::default(),
@@ -184,6 +191,8 @@
         registry.register("aborted", help, self.aborted.clone());
         let help = "Runs whose open connection was closed for a replacement";
         registry.register("given_up_runs", help, self.given_up_runs.clone());
+        let help = "Engines with a silent stream that were asked for a sign of life";
+        registry.register("asked_engines", help, self.asked_engines.clone());
         registry.register("answered", "Answers of upstreams passed on", self.answered.clone());
         registry.register("steps", "Exchanges with upstreams begun", self.steps.clone());
         registry.register("store_reads", "Reads of the platform's store", self.store_reads.clone());
@@ -244,6 +253,12 @@
         self.aborted.get_or_create(&ReasonLabels { reason: reason.to_string() }).inc();
     }
 
+    /// Counts an engine that was asked for a sign of life, and whether it answered.
+    pub fn count_asked_engine(&self, answered: bool) {
+        let answered = if answered { "yes" } else { "no" };
+        self.asked_engines.get_or_create(&AnswerLabels { answered }).inc();
+    }
+
     /// Counts a run whose open connection is closed for a replacement.
     pub fn count_given_up_run(&self) {
         self.given_up_runs.inc();
--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -265,19 +265,18 @@
             if remaining_time.is_zero() {
                 return RelayResult::Failed(Event::DeadlinePassed);
             }
-            let limit = idle_timeout.unwrap_or(remaining_time).min(remaining_time);
             stream.response.connection.limit_reads(MAX_PART_READ_BYTES);
+            let last_event = stream.last_event;
             let frame = tokio::select! {
                 biased;
                 () = parts.closed() => return RelayResult::Ended(RequestEnding::CallerGone),
-                frame = timeout(limit, stream.next_frame()) => frame,
+                frame = timeout(remaining_time, stream.next_frame()) => frame,
+                () = self.engine_lost(idle_timeout) => {
+                    return RelayResult::Failed(Event::ResponsePaused { last_event });
+                }
             };
-            let last_event = stream.last_event;
             let data = match frame {
-                Err(_) if self.remaining_time().is_zero() => {
-                    return RelayResult::Failed(Event::DeadlinePassed);
-                }
-                Err(_) => return RelayResult::Failed(Event::ResponsePaused { last_event }),
+                Err(_) => return RelayResult::Failed(Event::DeadlinePassed),
                 Ok(Some(Err(_))) => {
                     stream.response.connection.log_if_exceeded(ResponsePlace::Body);
                     return RelayResult::Failed(Event::ResponseInterrupted { last_event });
--- a/src/edge/direct/request_log.rs
+++ b/src/edge/direct/request_log.rs
@@ -204,6 +204,17 @@
     });
 }
 
+/// Logs that the engine of a silent stream was asked for a sign of life.
+pub(super) fn log_asked_engine(instance: &str, now: Duration, request: &Request, answered: bool) {
+    spdlog::info!("engine-asked", kv: {
+        instance: = instance,
+        request_id: = request.id,
+        upstream: = request.upstream_id(),
+        silent_ms = as_ms(request.silence(now)),
+        answered = answered
+    });
+}
+
 /// Why the entry closes the connection of a paused run; logged under these names in kebab case.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
@@ -222,13 +233,12 @@
     because: GivenUpBecause,
 ) {
     let Some(engine) = request.paused_engine() else { return };
-    let paused_since = request.last_event_at().unwrap_or(request.arrived_at);
     spdlog::info!("run-given-up", kv: {
         instance: = instance,
         request_id: = request.id,
         upstream: = engine.id,
         replacement: = request.upstream_id(),
-        silent_ms = as_ms(now.saturating_sub(paused_since)),
+        silent_ms = as_ms(request.silence(now)),
         detail: = because
     });
 }
--- a/src/edge/direct/upstream_client.rs
+++ b/src/edge/direct/upstream_client.rs
@@ -184,6 +184,9 @@
     /// answer may also be unreachable.
     async fn refuses_connections(&self, target: &Target) -> bool;
 
+    /// True if an engine answers a call of this entry, which takes none of its capacity.
+    async fn answers(&self, target: &Target) -> bool;
+
     /// Reads the state of an engine: its role, and how many orders it has accepted.
     async fn engine_state(&self, target: &Target) -> Result<EngineState, Failure>;
 
--- a/src/router.rs
+++ b/src/router.rs
@@ -19,6 +19,7 @@
 pub mod instance_list;
 pub mod key_certainty;
 pub mod lease;
+pub mod liveness;
 pub mod output_margin;
 pub mod pace;
 pub mod pauses;
--- a/src/router/event_times.rs
+++ b/src/router/event_times.rs
@@ -22,6 +22,11 @@
         }
     }
 
+    /// When the last event of any stream was received.
+    pub fn last_at(&self) -> Option<Duration> {
+        self.last_at
+    }
+
     /// True if a stream whose last event before `now` was at `previous` would not have paused
     /// for longer than `max_interval` but for a silence of all streams.
     pub fn silence_explains(
--- a/src/router/flow.rs
+++ b/src/router/flow.rs
@@ -108,9 +108,9 @@
     },
     /// Relay the response whose head was just received.
     Relay {
-        /// Pause between two parts of the response after which the router decides
-        /// whether to look for another upstream, with [`Event::ResponsePaused`];
-        /// `None` waits until the deadline of the request.
+        /// Pause between two parts of the response after which
+        /// [`Router::judge_silence`](crate::router::Router::judge_silence) decides whether the
+        /// upstream counts as lost; `None` waits until the deadline of the request.
         idle_timeout: Option<Duration>,
     },
     /// Refuse the request with a final response.
@@ -191,9 +191,9 @@
         /// Id of the last event that was relayed to the caller, if any.
         last_event: Option<u64>,
     },
-    /// No part of the response was received for the idle timeout of
-    /// [`Step::Relay`], while its connection stayed open. It stays open until another
-    /// engine responds to [`Step::Decode`].
+    /// The response paused for the idle timeout of [`Step::Relay`], and its upstream counts as
+    /// lost, while its connection stayed open. It stays open until another engine responds to
+    /// [`Step::Decode`].
     ResponsePaused {
         /// Id of the last event that was relayed to the caller, if any.
         last_event: Option<u64>,
--- a/src/router/pauses.rs
+++ b/src/router/pauses.rs
@@ -1,9 +1,9 @@
-//! Streams whose engine is silent while its connection stays open.
+//! Streams whose engine counts as lost while its connection stays open; see
+//! [`liveness`](crate::router::liveness).
 //!
-//! A sound engine may pause and go on, and so may many streams at once. The paused run is
-//! therefore kept while another engine is sought, until that engine responds. The stream
-//! goes on with whichever is ready first; without a replacement it waits for the paused run,
-//! until its deadline.
+//! It may still go on, and so may many streams at once. The paused run is therefore kept while
+//! another engine is sought, until that engine responds. The stream goes on with whichever is
+//! ready first; without a replacement it waits for the paused run, until its deadline.
 //!
 //! The search is one round of reservation requests outside the queue, so that streams that
 //! wait for silent engines do not keep new requests waiting.
@@ -18,8 +18,8 @@
 use crate::router::request::RequestKey;
 use crate::router::reserving::STARTED_REQUEST_MAX_WAIT;
 
-/// Idle timeout of a stream that another engine may resume, as a multiple of
-/// the route's longest interval between two events.
+/// Silence after which the engine of a stream is asked for a sign of life, if another one may
+/// resume the stream, as a multiple of the route's longest interval between two events.
 const RESUME_IDLE_INTERVALS: u32 = 2;
 /// Pause between two searches for a replacement of the same paused run.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(200);
@@ -28,7 +28,7 @@
 pub const MAX_RUN_OVERLAP: Duration = Duration::from_millis(200);
 
 impl Request {
-    /// Pause after which a replacement of the run is sought; `None` if the stream may
+    /// Pause after which the engine is asked for a sign of life; `None` if the stream may
     /// not have another run.
     fn idle_timeout(&self) -> Option<Duration> {
         let replaceable =
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -15,6 +15,7 @@
 use crate::router::fingerprint::Fingerprint;
 use crate::router::flow::Cleanup;
 use crate::router::flow::Target;
+use crate::router::liveness::Liveness;
 use crate::router::poison::CrashedRun;
 use crate::router::poison::Suspect;
 use crate::router::retry_budgets::BudgetedSends;
@@ -219,6 +220,8 @@
     pub(super) sends: BudgetedSends,
     /// True once a replacement of a paused run has been sought, until the stream goes on.
     pub(super) replacement_sought: bool,
+    /// Signs of life of its engine, if that is no longer listed.
+    pub(super) engine_liveness: Liveness,
 }
 
 impl Request {
@@ -281,6 +284,7 @@
             is_trial: false,
             sends: BudgetedSends::default(),
             replacement_sought: false,
+            engine_liveness: Liveness::default(),
         }
     }
 
@@ -321,11 +325,6 @@
         self.runs
     }
 
-    /// When the last event of the stream was received from its engine.
-    pub fn last_event_at(&self) -> Option<Duration> {
-        self.last_event_at
-    }
-
     /// Id of the upstream of the last step; empty before the first one.
     pub fn upstream_id(&self) -> CompactString {
         self.current.as_ref().map(|target| target.id.clone()).unwrap_or_default()
--- a/src/router/upstreams.rs
+++ b/src/router/upstreams.rs
@@ -14,6 +14,7 @@
 use crate::policy::ejection::Health;
 use crate::router::engine_time::PrefillWaitEstimate;
 use crate::router::event_times::EventTimes;
+use crate::router::liveness::Liveness;
 use crate::router::pace::Pace;
 use crate::router::rate_limit::RateLimit;
 use crate::router::slow_start::SlowStart;
@@ -95,6 +96,8 @@
     pub rate_limit: Option<RateLimit>,
     /// When this entry received events of the upstream's streams.
     pub event_times: EventTimes,
+    /// Calls by which an engine with silent streams was asked for a sign of life.
+    pub liveness: Liveness,
 }
 
 impl Upstream {
@@ -222,6 +225,7 @@
             turned_away_until: Duration::ZERO,
             rate_limit: None,
             event_times: EventTimes::default(),
+            liveness: Liveness::default(),
         });
         self.by_id.insert(id, key);
         self.by_service.entry(service).or_default().push(key);
--- a/tests/router/ended_tasks.rs
+++ b/tests/router/ended_tasks.rs
@@ -84,6 +84,10 @@
         Err(Failure::Broken)
     }
 
+    async fn answers(&self, _: &Target) -> bool {
+        false
+    }
+
     async fn refuses_connections(&self, _: &Target) -> bool {
         false
     }
--- a/tests/router/harness.rs
+++ b/tests/router/harness.rs
@@ -101,7 +101,7 @@
     ]
 }
 
-pub fn ms(ms: u64) -> Duration {
+pub const fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
 
--- /dev/null
+++ b/tests/router/liveness.rs
@@ -0,0 +1,168 @@
+//! Silent streams, and what their engines answer when they are asked for a sign of life.
+
+use std::time::Duration;
+
+use bamboodoor::router::Event;
+use bamboodoor::router::flow::Target;
+use bamboodoor::router::instance_list::InstanceState;
+use bamboodoor::router::liveness::SilenceStep;
+use bamboodoor::router::request::RequestKey;
+use bamboodoor::router::upstream_notice::UpstreamNotice;
+
+use crate::harness::Harness;
+use crate::harness::default_upstreams;
+use crate::harness::ms;
+
+/// Silence of an engine that sound ones keep below.
+const SOUND_SILENCE: Duration = ms(2_000);
+/// Callers have left a silent stream by then.
+const PATIENCE: Duration = ms(3_600);
+
+/// How an engine responds when it is asked.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Engine {
+    Answers,
+    IsSilent,
+}
+
+/// Starts a resumable stream, which receives one event. Returns its key and its engine.
+fn start_stream(harness: &mut Harness) -> (RequestKey, Target) {
+    let (key, _) = harness.start_decode("/resumable/1");
+    harness.report(key, Event::ResponseStarted { status: 200 });
+    harness.router.record_event(harness.now, key);
+    let request = harness.router.request(key).expect("the request is in flight");
+    (key, request.upstream().expect("it is at an engine").clone())
+}
+
+/// Lets a stream be silent for `duration`. Returns the number of calls to its engine and, if it
+/// counts as lost, after what time.
+fn be_silent(
+    harness: &mut Harness,
+    key: RequestKey,
+    duration: Duration,
+    engine: Engine,
+) -> (usize, Option<Duration>) {
+    let started_at = harness.now;
+    let mut calls = 0;
+    while harness.now < started_at + duration {
+        match harness.router.judge_silence(harness.now, key) {
+            SilenceStep::Wait(wait) => harness.now += wait.max(ms(1)),
+            SilenceStep::Ask(target) if engine == Engine::Answers => {
+                calls += 1;
+                harness.now += ms(5);
+                harness.router.record_engine_answer(harness.now, key, &target);
+            }
+            SilenceStep::Ask(_) => {
+                calls += 1;
+                harness.now += ms(500);
+            }
+            SilenceStep::EngineLost => return (calls, Some(harness.now - started_at)),
+        }
+    }
+    (calls, None)
+}
+
+#[test]
+fn an_engine_that_answers_is_not_lost_however_long_its_stream_is_silent() {
+    let mut harness = Harness::new(default_upstreams());
+    let (key, _) = start_stream(&mut harness);
+    let (calls, lost_after) = be_silent(&mut harness, key, ms(10_000), Engine::Answers);
+    assert_eq!(lost_after, None);
+    assert!((10..=20).contains(&calls), "{calls}");
+}
+
+#[test]
+fn an_engine_without_a_sign_of_life_is_lost_before_its_callers_leave() {
+    let mut harness = Harness::new(default_upstreams());
+    let (key, _) = start_stream(&mut harness);
+    let (_, lost_after) = be_silent(&mut harness, key, PATIENCE, Engine::IsSilent);
+    let lost_after = lost_after.expect("the engine is lost");
+    assert!(lost_after > SOUND_SILENCE && lost_after < PATIENCE, "{lost_after:?}");
+}
+
+#[test]
+fn an_engine_that_answered_once_is_lost_as_late_as_any() {
+    let mut harness = Harness::new(default_upstreams());
+    let (key, _) = start_stream(&mut harness);
+    be_silent(&mut harness, key, ms(1_000), Engine::Answers);
+    let (_, lost_after) = be_silent(&mut harness, key, SOUND_SILENCE, Engine::IsSilent);
+    assert_eq!(lost_after, None);
+}
+
+#[test]
+fn events_of_another_stream_are_signs_of_life() {
+    let mut harness = Harness::new(default_upstreams());
+    let (silent, engine) = start_stream(&mut harness);
+    let other = loop {
+        let (key, target) = start_stream(&mut harness);
+        if target == engine {
+            break key;
+        }
+    };
+    for _ in 0..50 {
+        harness.now += ms(100);
+        harness.router.record_event(harness.now, other);
+        let step = harness.router.judge_silence(harness.now, silent);
+        assert!(matches!(step, SilenceStep::Wait(_)), "{step:?}");
+    }
+}
+
+#[test]
+fn an_entry_that_stood_still_asks_before_it_judges() {
+    let mut harness = Harness::new(default_upstreams());
+    let (key, _) = start_stream(&mut harness);
+    harness.now += ms(700);
+    assert!(matches!(harness.router.judge_silence(harness.now, key), SilenceStep::Ask(_)));
+    // The answer lies in the socket.
+    harness.now += ms(10_000);
+    assert!(matches!(harness.router.judge_silence(harness.now, key), SilenceStep::Ask(_)));
+}
+
+#[test]
+fn streams_of_an_engine_share_its_answers() {
+    let mut harness = Harness::new(default_upstreams());
+    let mut streams: Vec<_> = (0..20).map(|_| start_stream(&mut harness)).collect();
+    let engine = streams[0].1.clone();
+    streams.retain(|(_, target)| *target == engine);
+    harness.now += ms(700);
+    let asked = streams
+        .iter()
+        .filter(|(key, _)| {
+            matches!(harness.router.judge_silence(harness.now, *key), SilenceStep::Ask(_))
+        })
+        .count();
+    assert!(streams.len() > 1);
+    assert_eq!(asked, 1);
+    harness.router.record_engine_answer(harness.now, streams[0].0, &engine);
+    for (key, _) in streams {
+        let step = harness.router.judge_silence(harness.now, key);
+        assert!(matches!(step, SilenceStep::Wait(_)), "{step:?}");
+    }
+}
+
+#[test]
+fn an_engine_that_turns_this_entry_away_is_neither_asked_nor_lost() {
+    let mut harness = Harness::new(default_upstreams());
+    let (key, engine) = start_stream(&mut harness);
+    let notice = UpstreamNotice {
+        upstream: engine.key,
+        sent_at: harness.now,
+        rate_limit: None,
+        leaving: false,
+        retry_after: Some(ms(5_000)),
+    };
+    harness.router.record_notice(harness.now, &notice);
+    assert_eq!(be_silent(&mut harness, key, ms(4_000), Engine::IsSilent), (0, None));
+}
+
+#[test]
+fn an_engine_that_is_no_longer_listed_is_asked_and_lost_like_any() {
+    let mut harness = Harness::new(default_upstreams());
+    let (key, engine) = start_stream(&mut harness);
+    harness.apply_record(&engine.id, InstanceState::Removed);
+    be_silent(&mut harness, key, ms(4_000), Engine::Answers);
+    assert!(harness.router.upstreams().get(engine.key).is_none());
+    let (calls, lost_after) = be_silent(&mut harness, key, PATIENCE, Engine::IsSilent);
+    assert!(calls > 1);
+    assert!(lost_after.is_some_and(|after| after > SOUND_SILENCE), "{lost_after:?}");
+}
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -18,6 +18,7 @@
 mod instance_list;
 mod key_certainty;
 mod lease;
+mod liveness;
 mod output_margin;
 mod pace;
 mod pauses;
