--- a/src/edge/direct/connections.rs
+++ b/src/edge/direct/connections.rs
@@ -30,6 +30,7 @@
 use crate::edge::direct::bounded_read::ReadAllowance;
 use crate::edge::direct::bounded_read::ResponsePlace;
 use crate::router::flow::Failure;
+use crate::router::liveness::EngineAnswer;
 
 /// Probes without a response after which a connection is closed.
 const KEEPALIVE_PROBES: u32 = 2;
@@ -66,6 +67,30 @@
     }
 }
 
+/// What a peer does with a new connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionProbe {
+    /// Its host accepts it, or resets it.
+    Accepted,
+    /// Its host runs, but no process listens.
+    Refused,
+    /// It does not answer.
+    Silent,
+    /// This process could not open a connection.
+    NotTried,
+}
+
+impl From<ConnectionProbe> for EngineAnswer {
+    fn from(probe: ConnectionProbe) -> Self {
+        match probe {
+            ConnectionProbe::Accepted => Self::Alive,
+            ConnectionProbe::Refused => Self::Gone,
+            ConnectionProbe::Silent => Self::Silent,
+            ConnectionProbe::NotTried => Self::NotAsked,
+        }
+    }
+}
+
 /// Which connections may carry a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConnectionUse {
@@ -201,12 +226,20 @@
         None
     }
 
-    /// True if the peer refuses a connection within `limit`: its host runs, but no process
-    /// listens. False if it accepts one or does not answer.
-    pub async fn refuses_connections(&self, address: SocketAddr, limit: Duration) -> bool {
+    /// Tries to open a connection to a peer, within `limit`.
+    pub async fn probe(&self, address: SocketAddr, limit: Duration) -> ConnectionProbe {
         let connecting = TcpStream::connect(address);
-        let connected = tokio::time::timeout(limit, connecting).await;
-        matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+        let Ok(connected) = tokio::time::timeout(limit, connecting).await else {
+            return ConnectionProbe::Silent;
+        };
+        match connected.map_err(|error| error.kind()) {
+            Ok(_) | Err(ErrorKind::ConnectionReset) => ConnectionProbe::Accepted,
+            Err(ErrorKind::ConnectionRefused) => ConnectionProbe::Refused,
+            Err(
+                ErrorKind::TimedOut | ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable,
+            ) => ConnectionProbe::Silent,
+            Err(_) => ConnectionProbe::NotTried,
+        }
     }
 
     /// Probes that close a connection whose peer has become unresponsive.
--- a/src/edge/direct/engine_check.rs
+++ b/src/edge/direct/engine_check.rs
@@ -1,6 +1,7 @@
 //! Asks engines whose streams are silent for a sign of life.
 
 use std::future::pending;
+use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::time::sleep;
@@ -11,11 +12,14 @@
 use crate::edge::direct::request_task::RequestTask;
 use crate::edge::direct::upstream_client::UpstreamClient;
 use crate::router::Target;
+use crate::router::liveness::ANSWER_TIMEOUT;
+use crate::router::liveness::EngineAnswer;
 use crate::router::liveness::SilenceStep;
 use crate::router::request::RequestKey;
 
-/// Time within which an engine that runs answers a call that takes none of its capacity.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for which the answer to a call is waited for. One that comes late shows that the engine
+/// runs again.
+const LATE_ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 
 impl<U: UpstreamClient> RequestTask<U> {
     /// Completes once the stream has been silent for `idle_timeout` and its engine counts as
@@ -29,7 +33,7 @@
             wait = match step {
                 SilenceStep::Wait(wait) => wait,
                 SilenceStep::Ask(engine) => {
-                    self.dispatcher.ask_engine(self.key, &engine).await;
+                    self.dispatcher.ask_engine(self.key, engine).await;
                     Duration::ZERO
                 }
                 SilenceStep::EngineLost => return,
@@ -39,17 +43,28 @@
 }
 
 impl<U: UpstreamClient> Dispatcher<U> {
-    async fn ask_engine(&self, key: RequestKey, engine: &Target) {
-        let answer = timeout(ANSWER_TIMEOUT, self.upstream_client.answers(engine)).await;
-        let answered = answer.unwrap_or(false);
-        self.metrics.count_asked_engine(answered);
+    /// Asks an engine, and waits for the answer. The call goes on if the wait is cancelled or
+    /// over: its answer tells all streams of the engine.
+    async fn ask_engine(self: &Rc<Self>, key: RequestKey, engine: Target) {
+        let (dispatcher, asked) = (self.clone(), engine.clone());
+        let call = tokio::task::spawn_local(async move {
+            let answer = dispatcher.upstream_client.ask(&asked);
+            if let Ok(answer) = timeout(LATE_ANSWER_TIMEOUT, answer).await {
+                dispatcher.record_engine_answer(key, &asked, answer);
+            }
+        });
+        if timeout(ANSWER_TIMEOUT, call).await.is_err() {
+            self.record_engine_answer(key, &engine, EngineAnswer::Silent);
+        }
+    }
+
+    fn record_engine_answer(&self, key: RequestKey, engine: &Target, answer: EngineAnswer) {
+        self.metrics.count_asked_engine(answer);
         let now = self.now();
         let mut router = self.router.borrow_mut();
-        if answered {
-            router.record_engine_answer(now, key, engine);
-        }
+        router.record_engine_answer(now, key, engine, answer);
         if let Some(request) = router.request(key) {
-            log_asked_engine(&self.name, now, request, answered);
+            log_asked_engine(&self.name, now, request, engine, answer);
         }
     }
 }
--- a/src/edge/direct/metrics.rs
+++ b/src/edge/direct/metrics.rs
@@ -17,6 +17,7 @@
 use crate::router::Target;
 use crate::router::connection_limits::CallerWait;
 use crate::router::follow::Feed;
+use crate::router::liveness::EngineAnswer;
 use crate::router::retry_budgets::BudgetNotice;
 use crate::router::slow_start::SlowStartCause;
 use crate::router::upstream_notice::RateLimitNotice;
@@ -106,7 +107,7 @@
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct AnswerLabels {
-    answered: &'static str,
+    answer: &'static str,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -253,10 +254,9 @@
         self.aborted.get_or_create(&ReasonLabels { reason: reason.to_string() }).inc();
     }
 
-    /// Counts an engine that was asked for a sign of life, and whether it answered.
-    pub fn count_asked_engine(&self, answered: bool) {
-        let answered = if answered { "yes" } else { "no" };
-        self.asked_engines.get_or_create(&AnswerLabels { answered }).inc();
+    /// Counts a call that asked an engine for a sign of life, by what came of it.
+    pub fn count_asked_engine(&self, answer: EngineAnswer) {
+        self.asked_engines.get_or_create(&AnswerLabels { answer: answer.into() }).inc();
     }
 
     /// Counts a run whose open connection is closed for a replacement.
--- a/src/edge/direct/request_log.rs
+++ b/src/edge/direct/request_log.rs
@@ -9,6 +9,7 @@
 use crate::router::Event;
 use crate::router::Step;
 use crate::router::Target;
+use crate::router::liveness::EngineAnswer;
 use crate::router::request::Request;
 use crate::router::retry_budgets::BudgetNotice;
 
@@ -205,13 +206,19 @@
 }
 
 /// Logs that the engine of a silent stream was asked for a sign of life.
-pub(super) fn log_asked_engine(instance: &str, now: Duration, request: &Request, answered: bool) {
+pub(super) fn log_asked_engine(
+    instance: &str,
+    now: Duration,
+    request: &Request,
+    engine: &Target,
+    answer: EngineAnswer,
+) {
     spdlog::info!("engine-asked", kv: {
         instance: = instance,
         request_id: = request.id,
-        upstream: = request.upstream_id(),
+        upstream: = engine.id,
         silent_ms = as_ms(request.silence(now)),
-        answered = answered
+        answer: = answer
     });
 }
 
--- a/src/edge/direct/upstream_client.rs
+++ b/src/edge/direct/upstream_client.rs
@@ -21,6 +21,7 @@
 use crate::router::accounts::Caller;
 use crate::router::flow::Failure;
 use crate::router::flow::KvSource;
+use crate::router::liveness::EngineAnswer;
 use crate::router::upstream_notice::UpstreamNotice;
 use crate::router::upstreams::PoolRole;
 
@@ -184,8 +185,9 @@
     /// answer may also be unreachable.
     async fn refuses_connections(&self, target: &Target) -> bool;
 
-    /// True if an engine answers a call of this entry, which takes none of its capacity.
-    async fn answers(&self, target: &Target) -> bool;
+    /// Asks an engine for a sign of life, with a call that takes none of its capacity. Waits for
+    /// an answer.
+    async fn ask(&self, target: &Target) -> EngineAnswer;
 
     /// Reads the state of an engine: its role, and how many orders it has accepted.
     async fn engine_state(&self, target: &Target) -> Result<EngineState, Failure>;
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -101,6 +101,9 @@
         if let Some(end) = self.end_if_poisonous(now, key) {
             return end;
         }
+        if self.has_paused_engine_answered(key) {
+            return self.return_to_paused_run(now, key);
+        }
         let Some(reservation) = self.requests[key].reservation.take() else {
             return self.return_to_paused_run(now, key);
         };
--- a/src/router/liveness.rs
+++ b/src/router/liveness.rs
@@ -14,18 +14,38 @@
 /// Time without a sign of life after which an engine counts as lost. A process may stand still
 /// for a second or two; callers leave a silent stream after about three.
 const MAX_SILENCE: Duration = Duration::from_millis(2_500);
-/// Time without a sign of life after which an engine is asked, and after which it is asked again.
-const ASK_INTERVAL: Duration = Duration::from_millis(600);
+/// Time within which an engine that runs answers, and after which it is asked again.
+pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Calls without an answer after which an engine may count as lost: this process may have stood
 /// still during one of them.
 const MIN_UNANSWERED: u32 = 2;
+/// Time for which a call without an answer tells that the engine is silent now.
+const VERDICT_VALIDITY: Duration = Duration::from_millis(100);
+
+/// What came of a call that asked an engine for a sign of life; logged under these names in kebab
+/// case.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum EngineAnswer {
+    /// The engine has answered, or its host has accepted or reset a connection.
+    Alive,
+    /// Nothing came.
+    Silent,
+    /// The host refuses connections, or another instance has the address.
+    Gone,
+    /// The call could not be made.
+    NotAsked,
+}
 
 /// Calls by which an engine was asked for a sign of life.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Liveness {
     answered_at: Option<Duration>,
     asked_at: Option<Duration>,
-    /// Calls since the last sign of life, the one in flight included.
+    gone_at: Option<Duration>,
+    /// When the last call without an answer was given up.
+    unanswered_at: Option<Duration>,
+    /// Calls without an answer since the last sign of life.
     unanswered: u32,
 }
 
@@ -34,7 +54,7 @@
 pub enum SilenceStep {
     /// Wait this long, as the engine has shown a sign of life or is being asked.
     Wait(Duration),
-    /// Ask the engine, and report an answer with [`Router::record_engine_answer`].
+    /// Ask the engine, and report what came of it with [`Router::record_engine_answer`].
     Ask(Target),
     /// The engine counts as lost to the stream.
     EngineLost,
@@ -50,43 +70,58 @@
             return SilenceStep::EngineLost;
         };
         let last_sign_at = self.last_sign_at(key, &engine);
+        let liveness = *self.liveness(key, &engine);
         let silence = now.saturating_sub(last_sign_at);
-        if silence < ASK_INTERVAL {
-            return SilenceStep::Wait(ASK_INTERVAL - silence);
-        }
-        let liveness = self.liveness(key, &engine);
-        let asked_at = liveness.asked_at.filter(|at| *at >= last_sign_at);
-        if asked_at.is_none() {
-            liveness.unanswered = 0;
+        let is_gone = liveness.gone_at.is_some_and(|at| at >= last_sign_at);
+        if is_gone || (silence >= MAX_SILENCE && liveness.tells_silence(now, last_sign_at)) {
+            self.requests[key].engine_lost_at = Some(now);
+            return SilenceStep::EngineLost;
         }
-        let next_ask_at = asked_at.map_or(now, |at| at + ASK_INTERVAL);
+        let asked_at = liveness.asked_at.unwrap_or_default();
+        let next_ask_at = last_sign_at.max(asked_at) + ANSWER_TIMEOUT;
         if now < next_ask_at {
             return SilenceStep::Wait(next_ask_at - now);
         }
-        if silence >= MAX_SILENCE && liveness.unanswered >= MIN_UNANSWERED {
-            return SilenceStep::EngineLost;
+        if self.upstreams.get(engine.key).is_some_and(|listed| !listed.permits(now)) {
+            return SilenceStep::Wait(ANSWER_TIMEOUT);
         }
-        self.ask(now, key, engine)
+        self.upstreams.take_permits(now, engine.key, 1);
+        self.liveness(key, &engine).asked_at = Some(now);
+        SilenceStep::Ask(engine)
     }
 
-    /// Records that an engine has answered a call, which shows that it is alive.
-    pub fn record_engine_answer(&mut self, now: Duration, key: RequestKey, engine: &Target) {
-        if self.requests.contains_key(key) {
-            self.liveness(key, engine).answered_at = Some(now);
+    /// Records what came of a call to an engine.
+    pub fn record_engine_answer(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        engine: &Target,
+        answer: EngineAnswer,
+    ) {
+        if !self.requests.contains_key(key) {
+            return;
+        }
+        let last_sign_at = self.last_sign_at(key, engine);
+        let liveness = self.liveness(key, engine);
+        match answer {
+            EngineAnswer::Alive => liveness.answered_at = Some(now),
+            EngineAnswer::Gone => liveness.gone_at = Some(now),
+            EngineAnswer::Silent => {
+                let is_first = liveness.unanswered_at.is_none_or(|at| at < last_sign_at);
+                liveness.unanswered = if is_first { 1 } else { liveness.unanswered + 1 };
+                liveness.unanswered_at = Some(now);
+            }
+            EngineAnswer::NotAsked => {}
         }
     }
 
-    fn ask(&mut self, now: Duration, key: RequestKey, engine: Target) -> SilenceStep {
-        if self.upstreams.get(engine.key).is_some_and(|listed| !listed.permits(now)) {
-            // An engine at its rate limit has answered lately.
-            self.record_engine_answer(now, key, &engine);
-            return SilenceStep::Wait(ASK_INTERVAL);
-        }
-        self.upstreams.take_permits(now, engine.key, 1);
-        let liveness = self.liveness(key, &engine);
-        liveness.asked_at = Some(now);
-        liveness.unanswered += 1;
-        SilenceStep::Ask(engine)
+    /// True if the engine of the paused run has answered since it was taken for lost.
+    pub(super) fn has_paused_engine_answered(&mut self, key: RequestKey) -> bool {
+        let request = &self.requests[key];
+        let Some((engine, lost_at)) = request.paused_run.clone().zip(request.engine_lost_at) else {
+            return false;
+        };
+        self.liveness(key, &engine).answered_at.is_some_and(|at| at > lost_at)
     }
 
     /// When the engine last sent an event of any stream or answered a call, or got the request.
@@ -107,6 +142,14 @@
     }
 }
 
+impl Liveness {
+    /// True if the engine has just left a call unanswered, and others before it.
+    fn tells_silence(&self, now: Duration, last_sign_at: Duration) -> bool {
+        let valid_from = last_sign_at.max(now.saturating_sub(VERDICT_VALIDITY));
+        self.unanswered >= MIN_UNANSWERED && self.unanswered_at.is_some_and(|at| at >= valid_from)
+    }
+}
+
 impl Request {
     /// Time since the last event of the stream, or since the request was sent.
     pub fn silence(&self, now: Duration) -> Duration {
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -220,6 +220,8 @@
     pub(super) sends: BudgetedSends,
     /// True once a replacement of a paused run has been sought, until the stream goes on.
     pub(super) replacement_sought: bool,
+    /// When the engine of the present run was taken for lost.
+    pub(super) engine_lost_at: Option<Duration>,
     /// Signs of life of its engine, if that is no longer listed.
     pub(super) engine_liveness: Liveness,
 }
@@ -284,6 +286,7 @@
             is_trial: false,
             sends: BudgetedSends::default(),
             replacement_sought: false,
+            engine_lost_at: None,
             engine_liveness: Liveness::default(),
         }
     }
--- a/standins/src/faults.rs
+++ b/standins/src/faults.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use tokio::sync::Notify;
+
 /// Switch of a fault, initially off.
 #[derive(Debug, Default)]
 pub struct Switch(AtomicBool);
@@ -49,21 +51,34 @@
 
 /// Pause of a stand-in, initially none. It may be started again while it lasts.
 #[derive(Debug, Default)]
-pub struct Pause(Mutex<Option<Instant>>);
+pub struct Pause {
+    until: Mutex<Option<Instant>>,
+    ended: Notify,
+}
 
 impl Pause {
     /// Pauses from `now` on for `duration`, but never shortens a pause.
     pub fn start(&self, now: Instant, duration: Duration) {
-        let mut until = self.0.lock().expect("the mutex is not poisoned");
+        let mut until = self.until.lock().expect("the mutex is not poisoned");
         *until = (*until).max(Some(now + duration));
     }
 
+    /// Ends the pause.
+    pub fn end(&self) {
+        *self.until.lock().expect("the mutex is not poisoned") = None;
+        self.ended.notify_waiters();
+    }
+
     /// Waits until no pause is left, also not one that starts during the wait.
     pub async fn wait(&self) {
         loop {
-            let until = *self.0.lock().expect("the mutex is not poisoned");
+            let ended = self.ended.notified();
+            let until = *self.until.lock().expect("the mutex is not poisoned");
             let Some(until) = until.filter(|until| Instant::now() < *until) else { return };
-            tokio::time::sleep_until(until.into()).await;
+            tokio::select! {
+                () = tokio::time::sleep_until(until.into()) => {}
+                () = ended => {}
+            }
         }
     }
 }
--- a/standins/src/platform/replica.rs
+++ b/standins/src/platform/replica.rs
@@ -110,6 +110,8 @@
     pub reject_next: Switch,
     /// Rejects the next request as not executed, after the delay of a response.
     pub reject_next_late: Switch,
+    /// Breaks the connections on which a report is asked, as a replica does that has too many.
+    pub break_reports: Switch,
     /// Names another request id in the headers of the next response to an executed request.
     pub mismatch_next_id: Switch,
     /// Breaks the connection of the next stream in the middle of event 4.
@@ -165,6 +167,7 @@
             lose_next_response: Switch::default(),
             reject_next: Switch::default(),
             reject_next_late: Switch::default(),
+            break_reports: Switch::default(),
             mismatch_next_id: Switch::default(),
             break_next_stream: Switch::default(),
             break_next_before_event: Switch::default(),
@@ -294,6 +297,7 @@
         }
         match path.as_str() {
             "/api/hold-take" => return Ok(self.reserve()),
+            "/api/report" if self.break_reports.is_on() => return Err(server::broken_connection()),
             "/api/report" => return Ok(self.report_stage()),
             "/api/order" => return Ok(self.receive_order(&received)),
             _ => {}
--- a/tests/router/ended_tasks.rs
+++ b/tests/router/ended_tasks.rs
@@ -21,6 +21,7 @@
 use bamboodoor::router::Target;
 use bamboodoor::router::accounts::Caller;
 use bamboodoor::router::flow::Failure;
+use bamboodoor::router::liveness::EngineAnswer;
 use bamboodoor::router::upstream_notice::UpstreamNotice;
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -84,8 +85,8 @@
         Err(Failure::Broken)
     }
 
-    async fn answers(&self, _: &Target) -> bool {
-        false
+    async fn ask(&self, _: &Target) -> EngineAnswer {
+        EngineAnswer::NotAsked
     }
 
     async fn refuses_connections(&self, _: &Target) -> bool {
--- a/tests/router/liveness.rs
+++ b/tests/router/liveness.rs
@@ -3,8 +3,10 @@
 use std::time::Duration;
 
 use bamboodoor::router::Event;
+use bamboodoor::router::Step;
 use bamboodoor::router::flow::Target;
 use bamboodoor::router::instance_list::InstanceState;
+use bamboodoor::router::liveness::EngineAnswer;
 use bamboodoor::router::liveness::SilenceStep;
 use bamboodoor::router::request::RequestKey;
 use bamboodoor::router::upstream_notice::UpstreamNotice;
@@ -12,19 +14,13 @@
 use crate::harness::Harness;
 use crate::harness::default_upstreams;
 use crate::harness::ms;
+use crate::harness::reserved;
 
 /// Silence of an engine that sound ones keep below.
 const SOUND_SILENCE: Duration = ms(2_000);
 /// Callers have left a silent stream by then.
 const PATIENCE: Duration = ms(3_600);
 
-/// How an engine responds when it is asked.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Engine {
-    Answers,
-    IsSilent,
-}
-
 /// Starts a resumable stream, which receives one event. Returns its key and its engine.
 fn start_stream(harness: &mut Harness) -> (RequestKey, Target) {
     let (key, _) = harness.start_decode("/resumable/1");
@@ -40,21 +36,17 @@
     harness: &mut Harness,
     key: RequestKey,
     duration: Duration,
-    engine: Engine,
+    answer: EngineAnswer,
 ) -> (usize, Option<Duration>) {
     let started_at = harness.now;
     let mut calls = 0;
     while harness.now < started_at + duration {
         match harness.router.judge_silence(harness.now, key) {
             SilenceStep::Wait(wait) => harness.now += wait.max(ms(1)),
-            SilenceStep::Ask(target) if engine == Engine::Answers => {
+            SilenceStep::Ask(target) => {
                 calls += 1;
-                harness.now += ms(5);
-                harness.router.record_engine_answer(harness.now, key, &target);
-            }
-            SilenceStep::Ask(_) => {
-                calls += 1;
-                harness.now += ms(500);
+                harness.now += if answer == EngineAnswer::Silent { ms(500) } else { ms(5) };
+                harness.router.record_engine_answer(harness.now, key, &target, answer);
             }
             SilenceStep::EngineLost => return (calls, Some(harness.now - started_at)),
         }
@@ -66,7 +58,7 @@
 fn an_engine_that_answers_is_not_lost_however_long_its_stream_is_silent() {
     let mut harness = Harness::new(default_upstreams());
     let (key, _) = start_stream(&mut harness);
-    let (calls, lost_after) = be_silent(&mut harness, key, ms(10_000), Engine::Answers);
+    let (calls, lost_after) = be_silent(&mut harness, key, ms(10_000), EngineAnswer::Alive);
     assert_eq!(lost_after, None);
     assert!((10..=20).contains(&calls), "{calls}");
 }
@@ -75,7 +67,7 @@
 fn an_engine_without_a_sign_of_life_is_lost_before_its_callers_leave() {
     let mut harness = Harness::new(default_upstreams());
     let (key, _) = start_stream(&mut harness);
-    let (_, lost_after) = be_silent(&mut harness, key, PATIENCE, Engine::IsSilent);
+    let (_, lost_after) = be_silent(&mut harness, key, PATIENCE, EngineAnswer::Silent);
     let lost_after = lost_after.expect("the engine is lost");
     assert!(lost_after > SOUND_SILENCE && lost_after < PATIENCE, "{lost_after:?}");
 }
@@ -83,9 +75,10 @@
 #[test]
 fn an_engine_that_answered_once_is_lost_as_late_as_any() {
     let mut harness = Harness::new(default_upstreams());
-    let (key, _) = start_stream(&mut harness);
-    be_silent(&mut harness, key, ms(1_000), Engine::Answers);
-    let (_, lost_after) = be_silent(&mut harness, key, SOUND_SILENCE, Engine::IsSilent);
+    let (key, engine) = start_stream(&mut harness);
+    be_silent(&mut harness, key, ms(1_000), EngineAnswer::Alive);
+    harness.router.record_engine_answer(harness.now, key, &engine, EngineAnswer::Alive);
+    let (_, lost_after) = be_silent(&mut harness, key, SOUND_SILENCE, EngineAnswer::Silent);
     assert_eq!(lost_after, None);
 }
 
@@ -133,7 +126,7 @@
         .count();
     assert!(streams.len() > 1);
     assert_eq!(asked, 1);
-    harness.router.record_engine_answer(harness.now, streams[0].0, &engine);
+    harness.router.record_engine_answer(harness.now, streams[0].0, &engine, EngineAnswer::Alive);
     for (key, _) in streams {
         let step = harness.router.judge_silence(harness.now, key);
         assert!(matches!(step, SilenceStep::Wait(_)), "{step:?}");
@@ -152,7 +145,7 @@
         retry_after: Some(ms(5_000)),
     };
     harness.router.record_notice(harness.now, &notice);
-    assert_eq!(be_silent(&mut harness, key, ms(4_000), Engine::IsSilent), (0, None));
+    assert_eq!(be_silent(&mut harness, key, ms(4_000), EngineAnswer::Silent), (0, None));
 }
 
 #[test]
@@ -160,9 +153,88 @@
     let mut harness = Harness::new(default_upstreams());
     let (key, engine) = start_stream(&mut harness);
     harness.apply_record(&engine.id, InstanceState::Removed);
-    be_silent(&mut harness, key, ms(4_000), Engine::Answers);
+    be_silent(&mut harness, key, ms(4_000), EngineAnswer::Alive);
     assert!(harness.router.upstreams().get(engine.key).is_none());
-    let (calls, lost_after) = be_silent(&mut harness, key, PATIENCE, Engine::IsSilent);
+    harness.router.record_engine_answer(harness.now, key, &engine, EngineAnswer::Alive);
+    let (calls, lost_after) = be_silent(&mut harness, key, PATIENCE, EngineAnswer::Silent);
     assert!(calls > 1);
     assert!(lost_after.is_some_and(|after| after > SOUND_SILENCE), "{lost_after:?}");
 }
+
+macro_rules! calls_that_prove_no_silence {
+    ($($name:ident: $answer:ident;)*) => {$(
+        /// Guards against an engine that is taken for lost though nothing shows that it is silent.
+        #[test]
+        fn $name() {
+            let mut harness = Harness::new(default_upstreams());
+            let (key, _) = start_stream(&mut harness);
+            let (_, lost_after) = be_silent(&mut harness, key, ms(10_000), EngineAnswer::$answer);
+            assert_eq!(lost_after, None);
+        }
+    )*};
+}
+
+calls_that_prove_no_silence! {
+    an_engine_whose_host_resets_connections_is_not_lost: Alive;
+    an_engine_that_could_not_be_asked_is_not_lost: NotAsked;
+}
+
+#[test]
+fn an_engine_that_is_gone_is_lost_with_the_first_call() {
+    let mut harness = Harness::new(default_upstreams());
+    let (key, _) = start_stream(&mut harness);
+    let (calls, lost_after) = be_silent(&mut harness, key, PATIENCE, EngineAnswer::Gone);
+    assert_eq!(calls, 1);
+    assert!(lost_after.is_some_and(|after| after < ms(1_000)), "{lost_after:?}");
+}
+
+/// Guards against a verdict that is used again when the engine may run again.
+#[test]
+fn a_lost_engine_is_asked_again_after_a_search_in_vain() {
+    let mut harness = Harness::new(default_upstreams());
+    let (key, _) = start_stream(&mut harness);
+    let (_, lost_after) = be_silent(&mut harness, key, PATIENCE, EngineAnswer::Silent);
+    assert!(lost_after.is_some());
+    let mut step = harness.report(key, Event::ResponsePaused { last_event: Some(1) });
+    while matches!(step, Step::Reserve { .. }) {
+        step = harness.report(key, Event::ReservationRejected);
+    }
+    assert!(matches!(step, Step::Relay { .. }), "{step:?}");
+    harness.now += ms(200);
+    let (calls, lost_after) = be_silent(&mut harness, key, ms(2_000), EngineAnswer::Alive);
+    assert_eq!(lost_after, None, "after {calls} calls");
+}
+
+/// Guards against a run that is given up for a replacement though its engine has answered since.
+#[test]
+fn a_lost_engine_that_answers_before_the_decode_keeps_its_stream() {
+    let mut harness = Harness::new(default_upstreams());
+    let (key, engine) = start_stream(&mut harness);
+    be_silent(&mut harness, key, PATIENCE, EngineAnswer::Silent);
+    harness.report(key, Event::ResponsePaused { last_event: Some(1) });
+    harness.report(key, reserved());
+    harness.now += ms(50);
+    harness.router.record_engine_answer(harness.now, key, &engine, EngineAnswer::Alive);
+    let step = harness.report(key, Event::Prefilled { handle: "next".into() });
+    assert!(matches!(step, Step::Relay { .. }), "{step:?}");
+}
+
+/// Guards against a search that ends with the replacement that is about to begin, and leaves it
+/// counted.
+#[test]
+fn a_stream_that_goes_on_during_the_decode_of_its_replacement_stays_at_its_engine() {
+    let mut harness = Harness::new(default_upstreams());
+    let (key, engine) = start_stream(&mut harness);
+    harness.report(key, Event::ResponsePaused { last_event: Some(1) });
+    harness.report(key, reserved());
+    let step = harness.report(key, Event::Prefilled { handle: "next".into() });
+    assert!(matches!(step, Step::Decode { .. }), "{step:?}");
+    let step = harness.report(key, Event::ResponseResumed);
+    assert_eq!(step, Step::Relay { idle_timeout: None });
+    let request = harness.router.request(key).expect("the request is in flight");
+    assert_eq!(request.upstream(), Some(&engine));
+    let open = |id: &str| {
+        harness.router.upstreams().get_by_id(id).map_or(0, |upstream| upstream.open_requests)
+    };
+    assert_eq!(open("d1") + open("d2"), 1);
+}
