--- a/src/edge/direct/request_task.rs
+++ b/src/edge/direct/request_task.rs
@@ -196,7 +196,7 @@
                         dispatcher.record_given_up_run(key, GivenUpBecause::OverlapEnded);
                         paused = None;
                     }
-                    resumed = OpenStream::resumed(&mut paused), if !replaces => {
+                    resumed = OpenStream::resumed(&mut paused) => {
                         if resumed {
                             break Some(Event::ResponseResumed);
                         }
