A leaving entry keeps its share of the retry budgets (LOST around SIGTERM)

Callers saw a resumable stream cut in the seconds after the SIGTERM of its entry, when its engine broke it off, though other engines had room. Two streams of one engine end so at the same moment, before the exit and without a line cut-at-exit, which is what the users' record shows.

Cause: the task that renews the membership in the group of entries, and with it the share of the allowance for retries, ended with SIGTERM. The share lapses 3 s later; from then on every retry of this entry is denied, and an interrupted stream is aborted. Class of fault: an entry gives up what its open requests still need.

The task now runs until the exit. A leaving holder of the lease goes on with its duty; the takeover begins at the exit, as after a kill.

--- a/src/edge/direct/lease_task.rs
+++ b/src/edge/direct/lease_task.rs
@@ -28,7 +28,7 @@
 const ENGINE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Renews the lease and, while the entry holds it, sends due role orders. Runs until `stop`
-/// is cancelled or the entry is leaving.
+/// is cancelled; a leaving entry needs its share for the streams that it finishes.
 pub async fn run<S: Store, U: UpstreamClient>(
     name: CompactString,
     settings: LeaseSettings,
@@ -38,7 +38,7 @@
 ) {
     let lease = Lease::new(settings);
     let mut task = LeaseTask { name, store, dispatcher, lease };
-    while !stop.is_cancelled() && !task.dispatcher.router.borrow().is_leaving() {
+    while !stop.is_cancelled() {
         task.renew_lease().await;
         let until = task.dispatcher.now() + task.lease.settings().renewal_interval;
         while task.dispatcher.now() < until && !stop.is_cancelled() && !task.is_era_over() {
