Silent attempts on the own interface are waited for unless a retry may follow

Callers of the own interface got a refusal, or a response that ended early, though the agent that worked on it was sound and connected and only said nothing for a while: 5 s in a stream, a second after the eviction in a transfer, or longer than four times the prediction in a prefill.

Cause: a timer counted silence as a failure. It cancelled the attempt first and only then asked whether another one may follow. If the generation may run only once, or its attempts or the retry budget were used up, nothing was left.

Evidence: tests/core/silences.rs plays prefill, transfer and stream with each of these three obstacles; the agent goes on after 20 s. All nine failed (refused as upstream-lost, attempts-exhausted or retry-budget), and so did a stream that stays silent (it ended before its deadline) and one whose retry the budget earns meanwhile.

Why it works: the obstacle to a retry is looked up before anything is cancelled. With one, the attempt stays, its agent's messages are accepted as before, and the entry looks again every second, until the deadline. `attempt-kept` says why.

The timers of a generation move to entry/silence.rs; those that did not change are as they were.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -14,6 +14,7 @@
 mod generate;
 pub mod membership;
 pub mod request;
+mod silence;
 mod slots;
 mod timers;
 
--- a/src/entry/action.rs
+++ b/src/entry/action.rs
@@ -199,6 +199,8 @@
     /// Another attempt of the request follows.
     #[strum(to_string = "retry-{0}")]
     Retried(RetryReason),
+    /// An attempt is silent and goes on, as no other one may follow; the detail says why.
+    AttemptKept,
     /// A manifest of a newer generation came into force.
     ManifestAdopted,
     /// A manifest record or copy was not accepted.
--- a/src/entry/decoding.rs
+++ b/src/entry/decoding.rs
@@ -23,11 +23,11 @@
 use crate::schema::wire::to_agent::Kind as ToAgent;
 
 /// A transfer of which the decode agent has reported neither success nor failure
-/// counts as failed this long after the eviction of the prefill result, or after the
+/// is retried this long after the eviction of the prefill result, or after the
 /// time at which the slot is expected to be free if that is later.
 const TRANSFER_TIMEOUT_MARGIN: Duration = Duration::from_secs(1);
-/// Idle timeout of a token stream, after which it counts as failed.
-const STREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Idle timeout of a token stream, after which it is retried at another agent.
+pub(super) const STREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Weight of a new sample in the moving average of a model's output share.
 const OUTPUT_SHARE_SMOOTHING: f64 = 0.05;
 /// Reason in `StreamFailed` that agents give for a failed transfer.
@@ -62,7 +62,9 @@
         });
         let slot_free_at = generate.slot_free_at.max(now);
         out.push(EntryAction::Send { agent: decode.agent, message });
-        self.generate_mut(key).phase = GeneratePhase::Transferring;
+        let generate = self.generate_mut(key);
+        generate.phase = GeneratePhase::Transferring;
+        generate.is_kept = false;
         self.set_timer(key, result.evicted_at.max(slot_free_at) + TRANSFER_TIMEOUT_MARGIN);
     }
 
@@ -74,6 +76,7 @@
         }
         generate.phase = GeneratePhase::Decoding;
         generate.last_token_at = now;
+        generate.is_kept = false;
         generate.prefill_result = None;
         if let Some(prefill) = generate.prefill_attempt.take() {
             let used = wire::PrefillUsed { id: Some(self.attempt_id(key, prefill.number)) };
@@ -113,6 +116,7 @@
         generate.phase = GeneratePhase::Decoding;
         generate.next_index += 1;
         generate.last_token_at = now;
+        generate.is_kept = false;
         generate.output_text.extend_from_slice(&chunk.text);
         let part = ResponsePart::Token { index: chunk.index, text: chunk.text };
         out.push(EntryAction::Respond { request: key, part });
@@ -173,6 +177,22 @@
         }
     }
 
+    /// Why no other attempt may follow if the newest one fails at `now`; `None` if one may.
+    pub(super) fn retry_obstacle(&self, now: Duration, key: RequestKey) -> Option<RefusalReason> {
+        let request = &self.requests[key];
+        let max_attempts = policy_of(&request.snapshot()).max_attempts;
+        let budget = self.retry_budgets.get(&self.retry_budget_name(key));
+        if now >= request.deadline {
+            Some(RefusalReason::DeadlineExceeded)
+        } else if request.failures + 1 >= max_attempts {
+            Some(RefusalReason::AttemptsExhausted)
+        } else if budget.is_some_and(|budget| !budget.allows_retry()) {
+            Some(RefusalReason::RetryBudget)
+        } else {
+            None
+        }
+    }
+
     /// Counts a failed attempt. True if another one may follow; otherwise the
     /// request was refused and removed.
     pub(super) fn may_retry(
@@ -182,22 +202,14 @@
         reason: RetryReason,
         out: &mut Vec<EntryAction>,
     ) -> bool {
-        let max_attempts = policy_of(&self.requests[key].snapshot()).max_attempts;
-        let budget_name = self.retry_budget_name(key);
-        let request = &mut self.requests[key];
-        request.failures += 1;
-        if now >= request.deadline {
-            self.refuse_with_outcome(key, RefusalReason::DeadlineExceeded, out);
-            return false;
-        }
-        if request.failures >= max_attempts {
-            self.refuse_with_outcome(key, RefusalReason::AttemptsExhausted, out);
-            return false;
-        }
-        if !self.retry_budgets.entry(budget_name).or_default().try_spend() {
-            self.refuse_with_outcome(key, RefusalReason::RetryBudget, out);
+        let obstacle = self.retry_obstacle(now, key);
+        self.requests[key].failures += 1;
+        if let Some(obstacle) = obstacle {
+            self.refuse_with_outcome(key, obstacle, out);
             return false;
         }
+        let budget_name = self.retry_budget_name(key);
+        self.retry_budgets.entry(budget_name).or_default().try_spend();
         self.record_decision(key, Decision::Retried(reason), None, String::new(), out);
         true
     }
@@ -345,71 +357,4 @@
         let message = ToAgent::Resume(wire::Resume { points });
         out.push(EntryAction::Send { agent, message });
     }
-
-    pub(super) fn on_generate_timer(
-        &mut self,
-        now: Duration,
-        key: RequestKey,
-        out: &mut Vec<EntryAction>,
-    ) {
-        if now >= self.requests[key].deadline {
-            self.refuse_with_outcome(key, RefusalReason::DeadlineExceeded, out);
-            return;
-        }
-        let generate = self.generate(key);
-        let (decode, prefill) = (generate.decode_attempt, generate.prefill_attempt);
-        match generate.phase {
-            GeneratePhase::Reserving => self.on_reserve_timer(now, key, out),
-            GeneratePhase::Waiting => self.check_slot_wait(now, key, out),
-            GeneratePhase::Prefilling => {
-                if let Some(attempt) = prefill {
-                    self.prefill_failed(now, key, attempt.agent, RetryReason::AgentSilent, out);
-                }
-            }
-            GeneratePhase::Transferring => self.retry(now, key, RetryReason::TransferFailed, out),
-            GeneratePhase::Decoding => self.check_stream_idle(now, key, out),
-            GeneratePhase::Resuming => {
-                if let Some(attempt) = decode {
-                    self.generate_mut(key).excluded_decode.push(attempt.agent);
-                }
-                self.retry(now, key, RetryReason::AgentLost, out);
-            }
-        }
-    }
-
-    /// Handles the timer while reserving: an agent did not reply in time, or the
-    /// delay before another attempt is over.
-    fn on_reserve_timer(&mut self, now: Duration, key: RequestKey, out: &mut Vec<EntryAction>) {
-        let generate = self.generate(key);
-        let unresponsive: Vec<AgentKey> = generate
-            .pending_reservations
-            .iter()
-            .chain(&generate.decode_attempt)
-            .map(|attempt| attempt.agent)
-            .collect();
-        if unresponsive.is_empty() {
-            self.start_attempt(now, key, out);
-            return;
-        }
-        for agent in unresponsive {
-            self.record_failure(now, agent);
-            self.generate_mut(key).excluded_decode.push(agent);
-        }
-        self.retry(now, key, RetryReason::AgentSilent, out);
-    }
-
-    /// Retries the generation elsewhere if its stream was idle for too long.
-    fn check_stream_idle(&mut self, now: Duration, key: RequestKey, out: &mut Vec<EntryAction>) {
-        let generate = self.generate(key);
-        let times_out_at = generate.last_token_at + STREAM_IDLE_TIMEOUT;
-        if now < times_out_at {
-            self.set_timer(key, times_out_at);
-            return;
-        }
-        if let Some(attempt) = generate.decode_attempt {
-            self.record_failure(now, attempt.agent);
-            self.generate_mut(key).excluded_decode.push(attempt.agent);
-        }
-        self.retry(now, key, RetryReason::StreamFailed, out);
-    }
 }
--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -299,6 +299,7 @@
         self.requests[key].mark_work_sent();
         let generate = self.generate_mut(key);
         generate.phase = GeneratePhase::Prefilling;
+        generate.is_kept = false;
         generate.prefill_attempt = Some(Attempt { agent: candidate.agent, number });
         let prefill = wire::Prefill {
             id: None,
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -32,9 +32,14 @@
         self.retries = (self.retries + f64::from(percent) / PERCENT).min(MAX_RETRIES);
     }
 
+    /// True if the budget has a retry left.
+    pub fn allows_retry(&self) -> bool {
+        self.retries >= 1.0
+    }
+
     /// Takes one retry out of the budget. Returns false if there is none.
     pub fn try_spend(&mut self) -> bool {
-        let allowed = self.retries >= 1.0;
+        let allowed = self.allows_retry();
         if allowed {
             self.retries -= 1.0;
         }
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -15,5 +15,6 @@
 mod policies;
 mod replays;
 mod reservations;
+mod silences;
 mod simulation;
 mod traces;
