A stream without a retry waits for its lost link until the lease has expired

Callers of the own interface got a response that ended early 0.4 s after the link to the agent of their stream was lost, though the engine went on, the agent kept what it made, and the link was back within the lease.

Why it works: the agent keeps the stream and its tokens for lease_ttl after the entry's last message, which is no later than the entry's notice of the loss. Until then the entry waits if no retry may follow, and takes the stream up when the agent is back. After it the run is certainly gone, and the response ends as before. With a retry nothing changes: it is made after 0.4 s.

--- a/src/entry/decoding.rs
+++ b/src/entry/decoding.rs
@@ -309,7 +309,10 @@
         let is_streaming =
             matches!(generate.phase, GeneratePhase::Transferring | GeneratePhase::Decoding);
         if is_decode && is_streaming {
-            self.generate_mut(key).phase = GeneratePhase::Resuming;
+            let generate = self.generate_mut(key);
+            generate.phase = GeneratePhase::Resuming;
+            generate.is_kept = false;
+            generate.disconnected_at = now;
             self.set_timer(key, now + self.config.resume_timeout);
         } else if is_decode {
             self.generate_mut(key).excluded_decode.push(agent);
@@ -350,6 +353,7 @@
                     points.push(wire::ResumePoint { id, next_index, max_tokens, rank });
                     self.generate_mut(key).phase = GeneratePhase::Decoding;
                     self.generate_mut(key).last_token_at = now;
+                    self.generate_mut(key).is_kept = false;
                     self.set_timer(key, now + STREAM_IDLE_TIMEOUT);
                 }
             }
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -173,6 +173,8 @@
     /// Text passed to the caller so far. Another attempt continues after it.
     pub(super) output_text: Vec<u8>,
     pub(super) last_token_at: Duration,
+    /// When the connection to the decode agent was last lost in the stream.
+    pub(super) disconnected_at: Duration,
     /// True while a silent attempt is waited for, as no other one may follow.
     pub(super) is_kept: bool,
 }
@@ -331,6 +333,7 @@
         next_index: 0,
         output_text: Vec::new(),
         last_token_at: Duration::ZERO,
+        disconnected_at: Duration::ZERO,
         is_kept: false,
     };
     (Work::Generate(Box::new(generate)), time_limit)
--- a/src/entry/silence.rs
+++ b/src/entry/silence.rs
@@ -30,7 +30,7 @@
             return;
         }
         let generate = self.generate(key);
-        let (decode, prefill) = (generate.decode_attempt, generate.prefill_attempt);
+        let prefill = generate.prefill_attempt;
         match generate.phase {
             GeneratePhase::Reserving => self.on_reserve_timer(now, key, out),
             GeneratePhase::Waiting => self.check_slot_wait(now, key, out),
@@ -46,12 +46,7 @@
                 }
             }
             GeneratePhase::Decoding => self.check_stream_idle(now, key, out),
-            GeneratePhase::Resuming => {
-                if let Some(attempt) = decode {
-                    self.generate_mut(key).excluded_decode.push(attempt.agent);
-                }
-                self.retry(now, key, RetryReason::AgentLost, out);
-            }
+            GeneratePhase::Resuming => self.check_lost_agent(now, key, out),
         }
     }
 
@@ -117,4 +112,19 @@
         }
         self.retry(now, key, RetryReason::StreamFailed, out);
     }
+
+    /// Retries the generation elsewhere if its agent has not reconnected in time. If no retry may
+    /// follow, waits until the entry's lease at the agent has expired, as the agent then cancels
+    /// the stream.
+    fn check_lost_agent(&mut self, now: Duration, key: RequestKey, out: &mut Vec<EntryAction>) {
+        let generate = self.generate(key);
+        let agent = generate.decode_attempt.map(|attempt| attempt.agent);
+        let expires_at = generate.disconnected_at + self.config.lease_ttl;
+        if now < expires_at && self.keeps_attempt(now, key, None, out) {
+            self.set_timer(key, expires_at.min(now + KEPT_CHECK_INTERVAL));
+            return;
+        }
+        self.generate_mut(key).excluded_decode.extend(agent);
+        self.retry(now, key, RetryReason::AgentLost, out);
+    }
 }
--- a/tests/core/silences.rs
+++ b/tests/core/silences.rs
@@ -36,6 +36,8 @@
 const DEADLINE: Duration = Duration::from_secs(60);
 /// Longer than `resume_timeout`, shorter than `lease_ttl`.
 const SHORT_OUTAGE: Duration = Duration::from_secs(2);
+/// Time after which the agent has cancelled what an entry without a connection had sent it.
+const LEASE_TTL: Duration = Duration::from_secs(3);
 
 /// Step at which an attempt falls silent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -342,6 +344,9 @@
     a_silent_stream_that_may_not_run_twice_is_waited_for: Stream, NotIdempotent;
     a_silent_stream_without_attempts_left_is_waited_for: Stream, Attempts;
     a_silent_stream_without_a_retry_in_the_budget_is_waited_for: Stream, Budget;
+    a_stream_out_of_touch_that_may_not_run_twice_is_waited_for: Link, NotIdempotent;
+    a_stream_out_of_touch_without_attempts_left_is_waited_for: Link, Attempts;
+    a_stream_out_of_touch_without_a_retry_in_the_budget_is_waited_for: Link, Budget;
 }
 
 /// An attempt that stays silent ends the response at its deadline, not before, and its memory
@@ -356,6 +361,16 @@
     assert!(trial.is_cancelled(decode.1));
 }
 
+/// Past the lease the agent has cancelled the stream, so there is nothing to wait for.
+#[test]
+fn a_stream_whose_agent_stays_out_of_touch_ends_with_the_lease() {
+    let (mut trial, _) = without_retry(Phase::Link, Obstacle::Budget);
+    trial.pass(LEASE_TTL - STEP);
+    assert_eq!(trial.refusal(), None);
+    trial.pass(STEP * 2);
+    assert_eq!(trial.refusal(), Some(RefusalReason::RetryBudget));
+}
+
 /// Plays an attempt that is silent while the budget allows a retry.
 fn replaced(phase: Phase) {
     let mut trial = Trial::new(true);
