Plays of sound attempts that are given up before their replacement answers

No loss was found where a prefill on the platform is given up and its replacement is rejected at once or late, breaks or is not sent, or where two are silent: the stream goes on (five cells pass). What is lost is the first result.

--- a/tests/core/silences.rs
+++ b/tests/core/silences.rs
@@ -218,6 +218,12 @@
         self.deliver(agent, ToEntry::StreamFailed(failed));
     }
 
+    fn fail_prefill(&mut self) {
+        let (agent, id) = self.last_prefill();
+        let failed = wire::StreamFailed { id: Some(id), reason: "prefill-failed".to_string() };
+        self.deliver(agent, ToEntry::StreamFailed(failed));
+    }
+
     /// Leaves no retry for the generation that is started next.
     fn use_up_budget(&mut self) {
         for number in 1..=RETRY_BUDGET {
@@ -414,3 +420,62 @@
         trial.sent[requests..].iter().any(|(_, message)| matches!(message, ToAgent::Reserve(_)));
     assert!(asked, "another agent is asked");
 }
+
+/// Longest silence before another agent is asked.
+fn silence_before_retry(phase: Phase) -> Duration {
+    match phase {
+        Phase::Prefill | Phase::Transfer => Duration::from_secs(2),
+        Phase::Stream => Duration::from_secs(5),
+        Phase::Link => Duration::from_millis(400),
+    }
+}
+
+/// Plays an attempt that is silent until another agent is asked, whose attempts all fail, and that
+/// then goes on.
+fn outlives_replacements(phase: Phase) {
+    let mut trial = Trial::new(true);
+    trial.request(0);
+    let decode = trial.advance_to(phase);
+    let first_prefill = trial.last_prefill();
+    trial.pass(silence_before_retry(phase));
+    for _ in 1..MAX_ATTEMPTS {
+        if phase == Phase::Prefill {
+            assert_ne!(trial.last_prefill(), first_prefill, "another agent is asked");
+            trial.fail_prefill();
+        } else {
+            assert_ne!(trial.last_reserve(), decode, "another agent is asked");
+            trial.grant();
+            trial.fail_transfer();
+        }
+    }
+    assert_eq!(trial.refusal(), None, "the response ends though its first agent is sound");
+    if phase == Phase::Prefill {
+        let (agent, id) = first_prefill;
+        let reply =
+            wire::PrefillReply { id: Some(id), lives_ms: 800, ..wire::PrefillReply::default() };
+        trial.deliver(agent, ToEntry::PrefillReply(reply));
+        trial.import(decode);
+        trial.token(decode, true);
+    } else {
+        trial.go_on(phase, decode);
+    }
+    assert!(trial.is_complete(), "{:?}", trial.parts);
+}
+
+macro_rules! failed_replacements {
+    ($($name:ident: $phase:ident;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                outlives_replacements(Phase::$phase);
+            }
+        )+
+    };
+}
+
+failed_replacements! {
+    a_silent_prefill_outlives_its_replacements: Prefill;
+    a_silent_transfer_outlives_its_replacements: Transfer;
+    a_silent_stream_outlives_its_replacements: Stream;
+    a_stream_out_of_touch_outlives_its_replacements: Link;
+}
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -14,6 +14,7 @@
 mod fleet;
 mod follow;
 mod generate;
+mod given_up_prefills;
 mod harness;
 mod instance_list;
 mod key_certainty;
