A silent attempt on the own interface is set aside until its replacement answers

Callers of the own interface got attempts-exhausted, or a response that ended early, though the first agent of their generation was sound and went on: it had been silent, its retry was paid for, and the attempts that followed failed.

Cause: the silent attempt was cancelled when its retry was held, not when the replacement had begun; what the first agent then sent was dropped.

Why it works: the attempt stays with its agent while one newer attempt is tried. The newer one's first token cancels it. If it speaks first it goes on, and the newer one is cancelled; if no other attempt may follow the newer one, the entry waits for it again. A resume message names it, so that its agent keeps it, and all that ends the request cancels both.

Cost: the slot and the memory of the silent stream stay in use while its replacement reserves, prefills and transfers.

The trial of one generation moves to a file of its own.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -15,6 +15,7 @@
 pub mod membership;
 pub mod request;
 mod silence;
+mod silent_attempt;
 mod slots;
 mod timers;
 
@@ -432,6 +433,7 @@
             generate.pending_reservations.clear();
             generate.decode_attempt = None;
             generate.prefill_attempt = None;
+            generate.silent_attempt = None;
         }
     }
 
--- a/src/entry/action.rs
+++ b/src/entry/action.rs
@@ -199,7 +199,8 @@
     /// Another attempt of the request follows.
     #[strum(to_string = "retry-{0}")]
     Retried(RetryReason),
-    /// An attempt is silent and goes on, as no other one may follow; the detail says why.
+    /// An attempt that was silent is waited for, as no other one may follow or its replacement
+    /// was given up; the detail says which.
     AttemptKept,
     /// A manifest of a newer generation came into force.
     ManifestAdopted,
--- a/src/entry/decoding.rs
+++ b/src/entry/decoding.rs
@@ -69,6 +69,7 @@
     }
 
     pub(super) fn on_imported(&mut self, now: Duration, id: AttemptId, out: &mut Vec<EntryAction>) {
+        self.take_up_silent_attempt(now, id, out);
         let Some(key) = self.find_by_decode_attempt(id) else { return };
         let generate = self.generate_mut(key);
         if generate.phase != GeneratePhase::Transferring {
@@ -97,6 +98,7 @@
         out: &mut Vec<EntryAction>,
     ) {
         let id = chunk.id.unwrap_or_default();
+        self.take_up_silent_attempt(now, id, out);
         let Some(key) = self.find_by_decode_attempt(id) else {
             if self.find_request(id).is_none()
                 && !self.pending_cancels.contains_key(&id)
@@ -112,6 +114,7 @@
             self.record_decision(key, Decision::ChunkDropped, Some(agent), detail, out);
             return;
         }
+        self.cancel_silent_attempt(key, out);
         let generate = self.generate_mut(key);
         generate.phase = GeneratePhase::Decoding;
         generate.next_index += 1;
@@ -193,8 +196,8 @@
         }
     }
 
-    /// Counts a failed attempt. True if another one may follow; otherwise the
-    /// request was refused and removed.
+    /// Counts a failed attempt. True if another one may follow; otherwise the request
+    /// waits for an earlier attempt that is silent, or was refused and removed.
     pub(super) fn may_retry(
         &mut self,
         now: Duration,
@@ -205,7 +208,9 @@
         let obstacle = self.retry_obstacle(now, key);
         self.requests[key].failures += 1;
         if let Some(obstacle) = obstacle {
-            self.refuse_with_outcome(key, obstacle, out);
+            if !self.return_to_silent_attempt(now, key, out) {
+                self.refuse_with_outcome(key, obstacle, out);
+            }
             return false;
         }
         let budget_name = self.retry_budget_name(key);
@@ -214,7 +219,7 @@
         true
     }
 
-    /// Cancels all attempts of a generation and starts another, which continues after the
+    /// Cancels the newest attempts of a generation and starts another, which continues after the
     /// text generated so far. Refuses instead if that may run the request twice
     /// although it is not idempotent.
     pub(super) fn retry(
@@ -232,7 +237,7 @@
             let detail = format!("tokens {}", self.generate(key).tokens_to_prefill());
             self.record_decision(key, Decision::PrefillWasted, None, detail, out);
         }
-        self.cancel_attempts(key, out);
+        self.cancel_newest_attempts(key, out);
         if self.may_retry(now, key, reason, out) {
             self.start_attempt(now, key, out);
         }
@@ -247,6 +252,9 @@
     ) {
         let id = failed.id.unwrap_or_default();
         self.pending_cancels.remove(&id);
+        if self.drop_silent_attempt(id, out) {
+            return;
+        }
         if let Some(key) = self.find_by_decode_attempt(id) {
             let generate = self.generate_mut(key);
             generate.decode_attempt = None;
@@ -303,6 +311,7 @@
         agent: AgentKey,
         out: &mut Vec<EntryAction>,
     ) {
+        self.silent_agent_disconnected(now, key, agent, out);
         let generate = self.generate(key);
         let is_decode = generate.decode_attempt.is_some_and(|attempt| attempt.agent == agent);
         let is_prefill = generate.prefill_attempt.is_some_and(|attempt| attempt.agent == agent);
@@ -339,7 +348,9 @@
                 Work::Call(_) => {
                     self.call_agent_reconnected(now, key, agent, same_incarnation, out)
                 }
-                Work::Generate(generate) => {
+                Work::Generate(_) => {
+                    points.extend(self.resume_silent_attempt(key, agent));
+                    let generate = self.generate(key);
                     let on_this_agent =
                         generate.decode_attempt.filter(|attempt| attempt.agent == agent);
                     let Some(attempt) =
--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -259,6 +259,9 @@
         // A policy that prefills first has no reservation to wait for, so it refuses.
         let refuses =
             !self.config.policy.reserves_before_prefill() && self.generate(key).next_index == 0;
+        if refuses && self.return_to_silent_attempt(now, key, out) {
+            return;
+        }
         if self.is_new(key) || refuses {
             let retry_after = Some(with_jitter(wait, &mut self.rng));
             let outcome = self.requests[key].outcome();
@@ -348,6 +351,7 @@
     ) {
         self.update_load(now, agent, reply.load.as_ref());
         let id = reply.id.unwrap_or_default();
+        self.take_up_silent_prefill(id, out);
         let Some(key) = self.find_by_prefill_attempt(id) else {
             let used = wire::PrefillUsed { id: Some(id) };
             out.push(EntryAction::Send { agent, message: ToAgent::PrefillUsed(used) });
@@ -356,6 +360,7 @@
         if self.generate(key).phase != GeneratePhase::Prefilling {
             return;
         }
+        self.cancel_silent_prefill(key, out);
         self.record_success(agent);
         let prefixes = std::mem::take(&mut self.generate_mut(key).prefixes);
         self.prefix_index.correct(&prefixes, agent, reply.cached_tokens);
@@ -387,6 +392,9 @@
     ) {
         self.update_load(now, agent, rejected.load.as_ref());
         let id = rejected.id.unwrap_or_default();
+        if self.drop_silent_attempt(id, out) {
+            return;
+        }
         if let Some(key) = self.find_by_prefill_attempt(id) {
             self.prefill_rejected(now, key, agent, rejected, out);
         } else if let Some(key) = self.find_by_slot_attempt(id) {
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -137,6 +137,18 @@
     pub(super) evicted_at: Duration,
 }
 
+/// Attempt of a generation that is silent, while another one is tried. It goes on if that one
+/// fails or if it says something first.
+#[derive(Debug, Clone)]
+pub(super) struct SilentAttempt {
+    pub(super) phase: GeneratePhase,
+    /// `None` in the prefill, as its replacement uses the same slot.
+    pub(super) decode: Option<Attempt>,
+    pub(super) prefill: Option<Attempt>,
+    pub(super) prefill_result: Option<PrefillResult>,
+    pub(super) disconnected_at: Duration,
+}
+
 /// State of a generation.
 #[derive(Debug)]
 pub(super) struct Generate {
@@ -158,6 +170,8 @@
     /// Attempt whose prefill runs, or whose result is not imported yet.
     pub(super) prefill_attempt: Option<Attempt>,
     pub(super) prefill_result: Option<PrefillResult>,
+    /// Earlier attempt that is silent, until the newer ones bring a token.
+    pub(super) silent_attempt: Option<SilentAttempt>,
     /// Decode agent to ask if the first choice does not grant a slot.
     pub(super) alternate_agent: Option<AgentKey>,
     /// Decode agents that failed or rejected work, avoided by further attempts.
@@ -180,6 +194,13 @@
 }
 
 impl Generate {
+    /// Attempts for which agents may still hold resources, without those of a silent attempt that
+    /// was set aside.
+    pub(super) fn newest_attempts(&self) -> impl Iterator<Item = Attempt> + '_ {
+        let pending_reservations = self.pending_reservations.iter().copied();
+        pending_reservations.chain(self.decode_attempt).chain(self.prefill_attempt)
+    }
+
     /// Number of tokens to prefill: the prompt and the tokens already passed to the
     /// caller.
     pub(super) fn tokens_to_prefill(&self) -> u32 {
@@ -294,12 +315,10 @@
         let with_id = |attempt: Attempt| (attempt.agent, attempt_id(entry, key, attempt.number));
         match &self.work {
             Work::Generate(generate) => {
-                let pending_reservations = generate.pending_reservations.iter().copied();
-                pending_reservations
-                    .chain(generate.decode_attempt)
-                    .chain(generate.prefill_attempt)
-                    .map(with_id)
-                    .collect()
+                let silent = generate.silent_attempt.iter();
+                let silent =
+                    silent.flat_map(|silent| silent.decode.into_iter().chain(silent.prefill));
+                generate.newest_attempts().chain(silent).map(with_id).collect()
             }
             Work::Call(call) => call.sent_attempt.into_iter().map(with_id).collect(),
         }
@@ -325,6 +344,7 @@
         decode_attempt: None,
         prefill_attempt: None,
         prefill_result: None,
+        silent_attempt: None,
         alternate_agent: None,
         excluded_decode: Vec::new(),
         excluded_prefill: Vec::new(),
--- a/src/entry/silence.rs
+++ b/src/entry/silence.rs
@@ -1,7 +1,8 @@
 //! Timers of a generation: what the entry does if an attempt is silent.
 //!
-//! Silence proves nothing: the agent may be slow and about to go on. An attempt is given up only
-//! if another one may follow; otherwise the entry waits for it until the request's deadline.
+//! Silence proves nothing: the agent may be slow and about to go on. If another attempt may
+//! follow, the silent one is set aside until the newer one brings a token (see
+//! [`crate::entry::silent_attempt`]); otherwise the entry waits for it until the request's deadline.
 
 use std::time::Duration;
 
@@ -16,7 +17,7 @@
 use crate::policy::agents::AgentKey;
 
 /// Interval at which the entry checks whether an attempt that it keeps may be retried.
-const KEPT_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+pub(super) const KEPT_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
 impl EntryCore {
     pub(super) fn on_generate_timer(
@@ -37,11 +38,13 @@
             GeneratePhase::Prefilling => {
                 let Some(attempt) = prefill else { return };
                 if !self.keeps_attempt(now, key, Some(attempt.agent), out) {
+                    self.set_prefill_aside(key);
                     self.prefill_failed(now, key, attempt.agent, RetryReason::AgentSilent, out);
                 }
             }
             GeneratePhase::Transferring => {
                 if !self.keeps_attempt(now, key, None, out) {
+                    self.set_stream_aside(key);
                     self.retry(now, key, RetryReason::TransferFailed, out);
                 }
             }
@@ -110,6 +113,7 @@
             self.record_failure(now, agent);
             self.generate_mut(key).excluded_decode.push(agent);
         }
+        self.set_stream_aside(key);
         self.retry(now, key, RetryReason::StreamFailed, out);
     }
 
@@ -125,6 +129,9 @@
             return;
         }
         self.generate_mut(key).excluded_decode.extend(agent);
+        if now < expires_at {
+            self.set_stream_aside(key);
+        }
         self.retry(now, key, RetryReason::AgentLost, out);
     }
 }
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -9,6 +9,7 @@
 mod claims;
 mod event_splitter;
 mod fold;
+mod generation_trial;
 mod messages;
 mod orders;
 mod parsing;
