A generation that has run waits for a late reservation if none may follow

Callers of the own interface got attempts-exhausted although the agent that was asked for a slot was sound and about to grant it: it replied later than 0.25 s to the last attempt of a generation whose earlier ones had run and failed.

Cause: no reply within the limit counted as a failed attempt, and the reservation was cancelled before the entry asked whether another may follow.

Why it works: as for the other steps; the reservation stays, a reply is taken whenever it comes, and a lost link still ends it. A new request is refused at once, as not run, as before.

--- a/src/entry/silence.rs
+++ b/src/entry/silence.rs
@@ -90,6 +90,10 @@
             self.start_attempt(now, key, out);
             return;
         }
+        // A new request is refused at once, as not run.
+        if !self.is_new(key) && self.keeps_attempt(now, key, None, out) {
+            return;
+        }
         for agent in unresponsive {
             self.record_failure(now, agent);
             self.generate_mut(key).excluded_decode.push(agent);
--- a/src/entry/slots.rs
+++ b/src/entry/slots.rs
@@ -86,6 +86,7 @@
         };
         let generate = self.generate_mut(key);
         generate.phase = GeneratePhase::Reserving;
+        generate.is_kept = false;
         generate.slot_free_at = Duration::MAX;
         generate.alternate_agent = candidates.get(1).map(|candidate| candidate.agent);
         if first.expected_time.is_zero() || self.config.policy != PolicyKind::Reserve {
--- a/tests/core/silences.rs
+++ b/tests/core/silences.rs
@@ -291,3 +291,20 @@
     trial.token(newer, true);
     assert!(trial.is_complete() && !trial.is_cancelled(newer.1));
 }
+
+/// The agent that is asked for a slot replies later than usual, and no other one may be asked.
+#[test]
+fn a_late_reservation_of_a_generation_that_has_run_is_waited_for() {
+    let mut trial = Trial::new(true);
+    trial.request(0);
+    for _ in 1..MAX_ATTEMPTS {
+        trial.advance_to(Phase::Transfer);
+        trial.fail_transfer();
+    }
+    let decode = trial.last_reserve();
+    trial.pass(SHORT_OUTAGE);
+    assert_eq!(trial.refusal(), None, "the request is refused though its agent is sound");
+    assert_eq!(trial.advance_to(Phase::Stream), decode);
+    trial.token(decode, true);
+    assert!(trial.is_complete(), "{:?}", trial.parts);
+}
