Plays of streams whose engine vanishes from the instance list: they go on

Two cells of router vanished_records, its own engine and all engines, with an event, a pause and the return of the engine after the removal; both pass, nothing is mended.

--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -39,3 +39,4 @@
 mod software_versions;
 mod store_era;
 mod upstream_notice;
+mod vanished_records;
