A call that its agent has started is waited for unless a retry may follow

Callers of the own interface got upstream-lost, outcome unknown, for a booking that its agent had started and was about to reply to: 0.3 s after the service's timeout the entry asks the agent to fence the call, and took "it has started", or no answer to that within 0.25 s, for the loss of the reply.

A call that may not run again has nothing to replace it.

Why it works: without a retry the entry waits for the reply until the deadline, and `attempt-kept` says why. If the agent reports later that it has fenced the call, that counts as before. After a lost connection nothing changes, as the reply may be lost with it. An idempotent call with a retry goes elsewhere as before.

--- a/src/entry/calls.rs
+++ b/src/entry/calls.rs
@@ -297,7 +297,12 @@
         let id = reply.id.unwrap_or_default();
         if let Some(key) = self.find_by_call_attempt(id) {
             let Some(attempt) = self.call(key).sent_attempt else { return };
-            if self.call(key).phase != CallPhase::Abandoning {
+            let reconnected = match self.call(key).phase {
+                CallPhase::Abandoning { reconnected } => reconnected,
+                CallPhase::Overdue if reply.fenced => false,
+                _ => return,
+            };
+            if !reply.fenced && !reconnected && self.keeps_call(now, key, out) {
                 return;
             }
             self.decrement_open_calls(attempt.agent);
@@ -362,7 +367,7 @@
             self.call_failed(now, key, agent, RefusalReason::UpstreamLost, out);
             return;
         }
-        self.abandon(now, key, attempt, out);
+        self.abandon(now, key, attempt, true, out);
     }
 
     /// Asks the agent to fence the call unless it has started.
@@ -371,16 +376,32 @@
         now: Duration,
         key: RequestKey,
         attempt: Attempt,
+        reconnected: bool,
         out: &mut Vec<EntryAction>,
     ) {
         let id = self.attempt_id(key, attempt.number);
         let call = self.call_mut(key);
-        call.phase = CallPhase::Abandoning;
+        call.phase = CallPhase::Abandoning { reconnected };
         let abandon = wire::Abandon { id: Some(id), incarnation: call.agent_incarnation };
         out.push(EntryAction::Send { agent: attempt.agent, message: ToAgent::Abandon(abandon) });
         self.set_timer(key, now + self.config.reply_timeout);
     }
 
+    /// Decides about a call that its agent has not abandoned and not replied to. Returns false if
+    /// another attempt may follow it. Returns true if not: the entry then waits for its reply.
+    fn keeps_call(&mut self, now: Duration, key: RequestKey, out: &mut Vec<EntryAction>) -> bool {
+        let obstacle = self.retry_obstacle(now, key).map(|reason| reason.to_string());
+        let may_run_again = self.call(key).idempotent;
+        let obstacle = if may_run_again { obstacle } else { Some("not-idempotent".to_string()) };
+        let deadline = self.requests[key].deadline;
+        let Some(detail) = obstacle.filter(|_| now < deadline) else { return false };
+        let agent = self.call(key).sent_attempt.map(|attempt| attempt.agent);
+        self.call_mut(key).phase = CallPhase::Overdue;
+        self.record_decision(key, Decision::AttemptKept, agent, detail, out);
+        self.set_timer(key, deadline);
+        true
+    }
+
     pub(super) fn on_call_timer(
         &mut self,
         now: Duration,
@@ -395,7 +416,9 @@
                 self.refuse(key, Refusal::not_run(RefusalReason::LogUnavailable, retry_after), out);
             }
             (CallPhase::FencingOwner { .. }, _) => self.refuse_in_progress(key, out),
-            (CallPhase::Sent, Some(attempt)) => self.abandon(now, key, attempt, out),
+            (CallPhase::Sent, Some(attempt)) => self.abandon(now, key, attempt, false, out),
+            (CallPhase::Abandoning { reconnected: false }, Some(_))
+                if self.keeps_call(now, key, out) => {}
             (_, Some(attempt)) => {
                 self.record_failure(now, attempt.agent);
                 self.call_failed(now, key, attempt.agent, RefusalReason::UpstreamLost, out);
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -222,7 +222,13 @@
     /// The call was sent to an agent.
     Sent,
     /// The agent was asked to abandon the call unless it has started.
-    Abandoning,
+    Abandoning {
+        /// True if the connection was lost since the call was sent: a reply may be lost too.
+        reconnected: bool,
+    },
+    /// The agent has not abandoned the call, and no other attempt may follow: its reply is waited
+    /// for until the deadline.
+    Overdue,
     /// The connection to the agent is lost; it may reconnect.
     Resuming,
 }
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -10,6 +10,7 @@
 mod event_splitter;
 mod fold;
 mod generation_trial;
+mod late_replies;
 mod messages;
 mod orders;
 mod parsing;
