--- a/src/entry.rs
+++ b/src/entry.rs
@@ -14,6 +14,8 @@
 mod generate;
 pub mod membership;
 pub mod request;
+mod silence;
+mod silent_attempt;
 mod slots;
 mod timers;
 
@@ -431,6 +433,7 @@
             generate.pending_reservations.clear();
             generate.decode_attempt = None;
             generate.prefill_attempt = None;
+            generate.silent_attempt = None;
         }
     }
 
--- a/src/entry/action.rs
+++ b/src/entry/action.rs
@@ -199,6 +199,9 @@
     /// Another attempt of the request follows.
     #[strum(to_string = "retry-{0}")]
     Retried(RetryReason),
+    /// An attempt that was silent is waited for, as no other one may follow or its replacement
+    /// was given up; the detail says which.
+    AttemptKept,
     /// A manifest of a newer generation came into force.
     ManifestAdopted,
     /// A manifest record or copy was not accepted.
--- a/src/entry/decoding.rs
+++ b/src/entry/decoding.rs
@@ -23,11 +23,11 @@
 use crate::schema::wire::to_agent::Kind as ToAgent;
 
 /// A transfer of which the decode agent has reported neither success nor failure
-/// counts as failed this long after the eviction of the prefill result, or after the
+/// is retried this long after the eviction of the prefill result, or after the
 /// time at which the slot is expected to be free if that is later.
 const TRANSFER_TIMEOUT_MARGIN: Duration = Duration::from_secs(1);
-/// Idle timeout of a token stream, after which it counts as failed.
-const STREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Idle timeout of a token stream, after which it is retried at another agent.
+pub(super) const STREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Weight of a new sample in the moving average of a model's output share.
 const OUTPUT_SHARE_SMOOTHING: f64 = 0.05;
 /// Reason in `StreamFailed` that agents give for a failed transfer.
@@ -62,11 +62,14 @@
         });
         let slot_free_at = generate.slot_free_at.max(now);
         out.push(EntryAction::Send { agent: decode.agent, message });
-        self.generate_mut(key).phase = GeneratePhase::Transferring;
+        let generate = self.generate_mut(key);
+        generate.phase = GeneratePhase::Transferring;
+        generate.is_kept = false;
         self.set_timer(key, result.evicted_at.max(slot_free_at) + TRANSFER_TIMEOUT_MARGIN);
     }
 
     pub(super) fn on_imported(&mut self, now: Duration, id: AttemptId, out: &mut Vec<EntryAction>) {
+        self.take_up_silent_attempt(now, id, out);
         let Some(key) = self.find_by_decode_attempt(id) else { return };
         let generate = self.generate_mut(key);
         if generate.phase != GeneratePhase::Transferring {
@@ -74,6 +77,7 @@
         }
         generate.phase = GeneratePhase::Decoding;
         generate.last_token_at = now;
+        generate.is_kept = false;
         generate.prefill_result = None;
         if let Some(prefill) = generate.prefill_attempt.take() {
             let used = wire::PrefillUsed { id: Some(self.attempt_id(key, prefill.number)) };
@@ -94,6 +98,7 @@
         out: &mut Vec<EntryAction>,
     ) {
         let id = chunk.id.unwrap_or_default();
+        self.take_up_silent_attempt(now, id, out);
         let Some(key) = self.find_by_decode_attempt(id) else {
             if self.find_request(id).is_none()
                 && !self.pending_cancels.contains_key(&id)
@@ -109,10 +114,12 @@
             self.record_decision(key, Decision::ChunkDropped, Some(agent), detail, out);
             return;
         }
+        self.cancel_silent_attempt(key, out);
         let generate = self.generate_mut(key);
         generate.phase = GeneratePhase::Decoding;
         generate.next_index += 1;
         generate.last_token_at = now;
+        generate.is_kept = false;
         generate.output_text.extend_from_slice(&chunk.text);
         let part = ResponsePart::Token { index: chunk.index, text: chunk.text };
         out.push(EntryAction::Respond { request: key, part });
@@ -173,8 +180,24 @@
         }
     }
 
-    /// Counts a failed attempt. True if another one may follow; otherwise the
-    /// request was refused and removed.
+    /// Why no other attempt may follow if the newest one fails at `now`; `None` if one may.
+    pub(super) fn retry_obstacle(&self, now: Duration, key: RequestKey) -> Option<RefusalReason> {
+        let request = &self.requests[key];
+        let max_attempts = policy_of(&request.snapshot()).max_attempts;
+        let budget = self.retry_budgets.get(&self.retry_budget_name(key));
+        if now >= request.deadline {
+            Some(RefusalReason::DeadlineExceeded)
+        } else if request.failures + 1 >= max_attempts {
+            Some(RefusalReason::AttemptsExhausted)
+        } else if budget.is_some_and(|budget| !budget.allows_retry()) {
+            Some(RefusalReason::RetryBudget)
+        } else {
+            None
+        }
+    }
+
+    /// Counts a failed attempt. True if another one may follow; otherwise the request
+    /// waits for an earlier attempt that is silent, or was refused and removed.
     pub(super) fn may_retry(
         &mut self,
         now: Duration,
@@ -182,27 +205,21 @@
         reason: RetryReason,
         out: &mut Vec<EntryAction>,
     ) -> bool {
-        let max_attempts = policy_of(&self.requests[key].snapshot()).max_attempts;
-        let budget_name = self.retry_budget_name(key);
-        let request = &mut self.requests[key];
-        request.failures += 1;
-        if now >= request.deadline {
-            self.refuse_with_outcome(key, RefusalReason::DeadlineExceeded, out);
-            return false;
-        }
-        if request.failures >= max_attempts {
-            self.refuse_with_outcome(key, RefusalReason::AttemptsExhausted, out);
-            return false;
-        }
-        if !self.retry_budgets.entry(budget_name).or_default().try_spend() {
-            self.refuse_with_outcome(key, RefusalReason::RetryBudget, out);
+        let obstacle = self.retry_obstacle(now, key);
+        self.requests[key].failures += 1;
+        if let Some(obstacle) = obstacle {
+            if !self.return_to_silent_attempt(now, key, out) {
+                self.refuse_with_outcome(key, obstacle, out);
+            }
             return false;
         }
+        let budget_name = self.retry_budget_name(key);
+        self.retry_budgets.entry(budget_name).or_default().try_spend();
         self.record_decision(key, Decision::Retried(reason), None, String::new(), out);
         true
     }
 
-    /// Cancels all attempts of a generation and starts another, which continues after the
+    /// Cancels the newest attempts of a generation and starts another, which continues after the
     /// text generated so far. Refuses instead if that may run the request twice
     /// although it is not idempotent.
     pub(super) fn retry(
@@ -220,7 +237,7 @@
             let detail = format!("tokens {}", self.generate(key).tokens_to_prefill());
             self.record_decision(key, Decision::PrefillWasted, None, detail, out);
         }
-        self.cancel_attempts(key, out);
+        self.cancel_newest_attempts(key, out);
         if self.may_retry(now, key, reason, out) {
             self.start_attempt(now, key, out);
         }
@@ -235,6 +252,9 @@
     ) {
         let id = failed.id.unwrap_or_default();
         self.pending_cancels.remove(&id);
+        if self.drop_silent_attempt(id, out) {
+            return;
+        }
         if let Some(key) = self.find_by_decode_attempt(id) {
             let generate = self.generate_mut(key);
             generate.decode_attempt = None;
@@ -291,13 +311,17 @@
         agent: AgentKey,
         out: &mut Vec<EntryAction>,
     ) {
+        self.silent_agent_disconnected(now, key, agent, out);
         let generate = self.generate(key);
         let is_decode = generate.decode_attempt.is_some_and(|attempt| attempt.agent == agent);
         let is_prefill = generate.prefill_attempt.is_some_and(|attempt| attempt.agent == agent);
         let is_streaming =
             matches!(generate.phase, GeneratePhase::Transferring | GeneratePhase::Decoding);
         if is_decode && is_streaming {
-            self.generate_mut(key).phase = GeneratePhase::Resuming;
+            let generate = self.generate_mut(key);
+            generate.phase = GeneratePhase::Resuming;
+            generate.is_kept = false;
+            generate.disconnected_at = now;
             self.set_timer(key, now + self.config.resume_timeout);
         } else if is_decode {
             self.generate_mut(key).excluded_decode.push(agent);
@@ -324,7 +348,9 @@
                 Work::Call(_) => {
                     self.call_agent_reconnected(now, key, agent, same_incarnation, out)
                 }
-                Work::Generate(generate) => {
+                Work::Generate(_) => {
+                    points.extend(self.resume_silent_attempt(key, agent));
+                    let generate = self.generate(key);
                     let on_this_agent =
                         generate.decode_attempt.filter(|attempt| attempt.agent == agent);
                     let Some(attempt) =
@@ -338,6 +364,7 @@
                     points.push(wire::ResumePoint { id, next_index, max_tokens, rank });
                     self.generate_mut(key).phase = GeneratePhase::Decoding;
                     self.generate_mut(key).last_token_at = now;
+                    self.generate_mut(key).is_kept = false;
                     self.set_timer(key, now + STREAM_IDLE_TIMEOUT);
                 }
             }
@@ -345,71 +372,4 @@
         let message = ToAgent::Resume(wire::Resume { points });
         out.push(EntryAction::Send { agent, message });
     }
-
-    pub(super) fn on_generate_timer(
-        &mut self,
-        now: Duration,
-        key: RequestKey,
-        out: &mut Vec<EntryAction>,
-    ) {
-        if now >= self.requests[key].deadline {
-            self.refuse_with_outcome(key, RefusalReason::DeadlineExceeded, out);
-            return;
-        }
-        let generate = self.generate(key);
-        let (decode, prefill) = (generate.decode_attempt, generate.prefill_attempt);
-        match generate.phase {
-            GeneratePhase::Reserving => self.on_reserve_timer(now, key, out),
-            GeneratePhase::Waiting => self.check_slot_wait(now, key, out),
-            GeneratePhase::Prefilling => {
-                if let Some(attempt) = prefill {
-                    self.prefill_failed(now, key, attempt.agent, RetryReason::AgentSilent, out);
-                }
-            }
-            GeneratePhase::Transferring => self.retry(now, key, RetryReason::TransferFailed, out),
-            GeneratePhase::Decoding => self.check_stream_idle(now, key, out),
-            GeneratePhase::Resuming => {
-                if let Some(attempt) = decode {
-                    self.generate_mut(key).excluded_decode.push(attempt.agent);
-                }
-                self.retry(now, key, RetryReason::AgentLost, out);
-            }
-        }
-    }
-
-    /// Handles the timer while reserving: an agent did not reply in time, or the
-    /// delay before another attempt is over.
-    fn on_reserve_timer(&mut self, now: Duration, key: RequestKey, out: &mut Vec<EntryAction>) {
-        let generate = self.generate(key);
-        let unresponsive: Vec<AgentKey> = generate
-            .pending_reservations
-            .iter()
-            .chain(&generate.decode_attempt)
-            .map(|attempt| attempt.agent)
-            .collect();
-        if unresponsive.is_empty() {
-            self.start_attempt(now, key, out);
-            return;
-        }
-        for agent in unresponsive {
-            self.record_failure(now, agent);
-            self.generate_mut(key).excluded_decode.push(agent);
-        }
-        self.retry(now, key, RetryReason::AgentSilent, out);
-    }
-
-    /// Retries the generation elsewhere if its stream was idle for too long.
-    fn check_stream_idle(&mut self, now: Duration, key: RequestKey, out: &mut Vec<EntryAction>) {
-        let generate = self.generate(key);
-        let times_out_at = generate.last_token_at + STREAM_IDLE_TIMEOUT;
-        if now < times_out_at {
-            self.set_timer(key, times_out_at);
-            return;
-        }
-        if let Some(attempt) = generate.decode_attempt {
-            self.record_failure(now, attempt.agent);
-            self.generate_mut(key).excluded_decode.push(attempt.agent);
-        }
-        self.retry(now, key, RetryReason::StreamFailed, out);
-    }
 }
