--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -21,6 +21,9 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use standins::platform::replica::DEADLY_PATH;
+use standins::platform::replica::EVENTS_PER_STREAM;
+use standins::platform::stream_shape::STREAM_SHAPE_HEADER;
+use standins::platform::stream_shape::StreamShape;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -28,11 +31,17 @@
 use crate::accounts::CallerKey;
 use crate::action::DeadlyKind;
 use crate::fleet::Fleet;
+use crate::stop_plan::draw_shape;
 
-/// Time for which a caller waits, according to its requests (`bamboodoor-deadline-ms`).
-pub const CALLER_TIMEOUT: Duration = Duration::from_secs(8);
-/// Time after which a caller really stops waiting, a little later than its requests say.
-const RESPONSE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time for which a caller really waits beyond what its requests say.
+const RESPONSE_TIMEOUT_MARGIN: Duration = Duration::from_secs(2);
+/// Prompt tokens, and most output tokens.
+const TOKEN_COUNT: &str = "100,700";
+/// The same in runs whose streams outlast a stop: half of the output is expected.
+const LONG_STREAM_TOKEN_COUNT: &str = "100,144";
+/// Shape of the streams of other runs, and of probes.
+const SHORT_STREAM: StreamShape =
+    StreamShape { events: EVENTS_PER_STREAM, interval: Duration::from_millis(40), pause: None };
 /// Time between two requests that crash replicas.
 const DEADLY_INTERVAL: Duration = Duration::from_millis(300);
 /// Pause of a caller after a refusal.
@@ -81,6 +90,8 @@
     pub key: Option<CallerKey>,
     /// Stream that it takes up, if it does.
     pub resumed: Option<ResumedStream>,
+    /// Shape of the stream, if it asks for one.
+    pub shape: StreamShape,
     /// Outcome that the caller saw.
     pub outcome: RequestOutcome,
 }
@@ -151,7 +162,7 @@
     /// response came, with any status, and any recorded request for this route at this entry was
     /// served.
     pub async fn probe(&self, entry: usize, route: &'static str) -> bool {
-        self.send(None, entry, route, None).await.is_some()
+        self.send(None, entry, route, SHORT_STREAM, None).await.is_some()
             && self.requests.lock().expect("the mutex is not poisoned").iter().rev().any(
                 |request| {
                     request.entry == entry
@@ -166,15 +177,21 @@
     pub async fn run_caller(self: Arc<Self>, seed: u64) {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let mut connection = None;
+        let outlasts_stops = self.fleet.features.stop_seed.is_some();
+        // Some send the next request as soon as a response has ended.
+        let is_eager = outlasts_stops && seed.is_multiple_of(2);
         loop {
             let route = ROUTES[rng.random_range(0..ROUTES.len())];
             let disconnects = rng.random_ratio(1, DISCONNECT_ONE_IN);
             let disconnect_after =
                 disconnects.then(|| Duration::from_millis(rng.random_range(1..150)));
             let entry = rng.random_range(0..self.fleet.entries.len());
-            connection = self.send(connection, entry, route, disconnect_after).await;
+            let shape = if outlasts_stops { draw_shape(&mut rng) } else { SHORT_STREAM };
+            connection = self.send(connection, entry, route, shape, disconnect_after).await;
             let pause = Duration::from_millis(rng.random_range(5..60));
-            tokio::time::sleep(pause).await;
+            if !is_eager || connection.is_none() {
+                tokio::time::sleep(pause).await;
+            }
         }
     }
 
@@ -185,6 +202,7 @@
         open: Option<Connection>,
         entry: usize,
         route: &'static str,
+        shape: StreamShape,
         disconnect_after: Option<Duration>,
     ) -> Option<Connection> {
         let reusable = open.filter(|open| open.sender.is_ready());
@@ -192,7 +210,7 @@
             Some(open) => open,
             None => self.connect(entry).await?,
         };
-        let record = self.exchange(&mut connection, route, disconnect_after, None).await;
+        let record = self.exchange(&mut connection, route, shape, disconnect_after, None).await;
         let complete = matches!(record.outcome, RequestOutcome::Complete { .. });
         let broke_off = matches!(record.outcome, RequestOutcome::Incomplete { .. });
         if self.fleet.features.several_versions && route == "resumable" && broke_off {
@@ -216,7 +234,8 @@
         }
         let Some(mut connection) = self.connect(next_entry).await else { return };
         let resumed = ResumedStream { first_id: broken.id.clone(), after_event };
-        let record = self.exchange(&mut connection, broken.route, None, Some(resumed)).await;
+        let (route, shape) = (broken.route, broken.shape);
+        let record = self.exchange(&mut connection, route, shape, None, Some(resumed)).await;
         self.requests.lock().expect("the mutex is not poisoned").push(record);
     }
 
@@ -225,20 +244,42 @@
         &self,
         connection: &mut Connection,
         route: &'static str,
+        shape: StreamShape,
         disconnect_after: Option<Duration>,
         resumed: Option<ResumedStream>,
     ) -> CallerRequest {
         let (id, key) = self.next_id_and_key();
         let (sent_at, entry) = (Instant::now(), connection.entry);
         let path = format!("/{route}/{id}");
-        let request = build_request(&id, route, &path, &id, key, resumed.as_ref());
+        let mut request = build_request(&id, route, &path, &id, key, resumed.as_ref());
+        self.adapt_request(&mut request, shape);
         let exchange = exchange(&mut connection.sender, request);
-        let outcome = match timeout(disconnect_after.unwrap_or(RESPONSE_TIMEOUT), exchange).await {
+        let response_timeout = disconnect_after.unwrap_or(self.response_timeout());
+        let outcome = match timeout(response_timeout, exchange).await {
             Ok(outcome) => outcome,
             Err(_) if disconnect_after.is_some() => RequestOutcome::Disconnected,
             Err(_) => RequestOutcome::Incomplete { body: Bytes::new() },
         };
-        CallerRequest { id, route, entry, sent_at, ended_at: Instant::now(), key, resumed, outcome }
+        let ended_at = Instant::now();
+        CallerRequest { id, route, entry, sent_at, ended_at, key, resumed, shape, outcome }
+    }
+
+    /// Time after which a caller really stops waiting, a little later than its requests say.
+    fn response_timeout(&self) -> Duration {
+        self.fleet.features.caller_timeout() + RESPONSE_TIMEOUT_MARGIN
+    }
+
+    /// Names the deadline of a request, and the output that it asks for.
+    fn adapt_request(&self, request: &mut Request<Full<Bytes>>, shape: StreamShape) {
+        let mut set = |name, value: &str| {
+            request.headers_mut().insert(name, value.parse().expect("the header is valid"));
+        };
+        let features = &self.fleet.features;
+        set("bamboodoor-deadline-ms", &features.caller_timeout().as_millis().to_string());
+        if features.stop_seed.is_some() {
+            set("bamboodoor-token-count", LONG_STREAM_TOKEN_COUNT);
+            set(STREAM_SHAPE_HEADER, &shape.to_string());
+        }
     }
 
     /// Sends requests of the same content, which crash replicas, to the entries by turns.
@@ -256,13 +297,16 @@
             let Some(mut connection) = self.connect(entry).await else { continue };
             let (id, key) = self.next_id_and_key();
             let (path, sent_at) = (format!("/{route}{DEADLY_PATH}"), Instant::now());
-            let request = build_request(&id, route, &path, "deadly", key, None);
+            let mut request = build_request(&id, route, &path, "deadly", key, None);
+            let shape = SHORT_STREAM;
+            self.adapt_request(&mut request, shape);
             let exchange = exchange(&mut connection.sender, request);
-            let outcome = timeout(RESPONSE_TIMEOUT, exchange).await;
+            let outcome = timeout(self.response_timeout(), exchange).await;
             let outcome = outcome.unwrap_or(RequestOutcome::Incomplete { body: Bytes::new() });
             let ended_at = Instant::now();
+            let resumed = None;
             let request =
-                CallerRequest { id, route, entry, sent_at, ended_at, key, resumed: None, outcome };
+                CallerRequest { id, route, entry, sent_at, ended_at, key, resumed, shape, outcome };
             self.deadly_requests.lock().expect("the mutex is not poisoned").push(request);
         }
     }
@@ -335,9 +379,8 @@
         .uri(path)
         .header("host", "service.example")
         .header("bamboodoor-request-id", id)
-        .header("bamboodoor-deadline-ms", CALLER_TIMEOUT.as_millis().to_string())
         .header("bamboodoor-model", "m")
-        .header("bamboodoor-token-count", "100,700")
+        .header("bamboodoor-token-count", TOKEN_COUNT)
         .header("bamboodoor-prompt-prefix", "5c1e07a2:100");
     if let Some(key) = key {
         // The caller claims to be another account.
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -8,7 +8,6 @@
 
 use bytes::Bytes;
 use standins::platform::orders::Order;
-use standins::platform::replica::EVENTS_PER_STREAM;
 use standins::platform::replica::ReceivedRequest;
 use standins::platform::replica::event;
 
@@ -33,6 +32,7 @@
 use crate::replica_node::ReplicaNode;
 use crate::retry_budget::check_retry_budget;
 use crate::versions::check_versions;
+use crate::whole::check_whole;
 
 /// Time after the last action within which every entry must serve every route again.
 pub const RECOVERY_TIMEOUT: Duration = Duration::from_secs(15);
@@ -42,7 +42,7 @@
 const TIMING_SLACK: Duration = Duration::from_millis(1_000);
 /// Time within which an entry closes a connection whose request it refuses without reading it. The
 /// users of the entry set this bound.
-const UNREAD_REFUSAL_BOUND: Duration = Duration::from_millis(200);
+pub(crate) const UNREAD_REFUSAL_BOUND: Duration = Duration::from_millis(200);
 /// Calls of an entry to an engine that belong to no request.
 const CALL_LINES: [&str; 3] = ["POST /api/hold-take", "GET /api/report", "POST /api/order"];
 
@@ -128,7 +128,11 @@
     }
     violations.extend(check_retry_budget(&arrivals, &nodes, record.requests));
     violations.extend(check_rate_limits(record, &arrivals, &nodes, &by_id));
-    violations.extend(check_lost(record, &arrivals, &nodes));
+    if record.fleet.features.stop_seed.is_some() {
+        violations.extend(check_whole(record, &arrivals, &nodes));
+    } else {
+        violations.extend(check_lost(record, &arrivals, &nodes));
+    }
     violations.extend(check_overlap(record, &arrivals, &nodes, &by_id));
     violations.extend(check_leaving(record, &arrivals, &nodes, &by_id));
     violations.extend(check_turn_aways(record, &arrivals, &nodes, &by_id));
@@ -165,7 +169,7 @@
 fn expected_body(request: &CallerRequest) -> Bytes {
     if request.route == "stream" || request.route == "resumable" {
         let first_event = request.resumed.as_ref().map_or(0, |resumed| resumed.after_event) + 1;
-        return (first_event..=EVENTS_PER_STREAM).map(event).collect::<String>().into();
+        return (first_event..=request.shape.events).map(event).collect::<String>().into();
     }
     format!("{{\"echo\":\"{}\"}}", request.line()).into()
 }
@@ -300,6 +304,10 @@
         request: &CallerRequest,
         reached_replica: bool,
     ) -> Option<Violation> {
+        if self.fleet.features.stop_seed.is_some() {
+            // A stop may cut what outlasts it: `check_whole` judges these runs.
+            return None;
+        }
         let may_break_off = |applied: &AppliedAction| {
             !applied.is_planned() && !applied.affects_store() && !applied.leaves_all_sound()
         };
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -17,6 +17,7 @@
 use serde_json::json;
 use standins::address::unused_address;
 use standins::platform::replica::Kind;
+use standins::platform::replica::Replica;
 use standins::platform::store::OPERATOR_TOPIC;
 use standins::platform::store::REPLICAS_TOPIC;
 use standins::platform::store::Store;
@@ -27,6 +28,7 @@
 use crate::proxy::LinkFault;
 use crate::proxy::Proxy;
 use crate::replica_node::ReplicaNode;
+use crate::stop_plan::failed_replacements_one_in;
 
 /// Name of the service of the model engines.
 pub const ENGINE_SERVICE: &str = "engines";
@@ -200,6 +202,31 @@
     pub accounts: bool,
     /// True if rejections do not name the request.
     pub anonymous_rejections: bool,
+    /// Seed of a run whose streams outlast a stop, and in which engines fail requests that take up a
+    /// stream; `None` for other runs.
+    pub stop_seed: Option<u64>,
+}
+
+/// Timeout of the routes and deadline of the callers (`timeoutMs` and `bamboodoor-deadline-ms`).
+const CALLER_TIMEOUT: Duration = Duration::from_secs(8);
+/// The same in runs whose streams outlast a stop.
+const LONG_CALLER_TIMEOUT: Duration = Duration::from_secs(14);
+
+impl Features {
+    /// Time for which a caller waits, according to its requests, and timeout of the routes.
+    pub fn caller_timeout(&self) -> Duration {
+        if self.stop_seed.is_some() { LONG_CALLER_TIMEOUT } else { CALLER_TIMEOUT }
+    }
+
+    /// Sets on a replica what the run has beside the rest; replicas count up from 0.
+    fn apply_to(&self, replica: &Replica, number: usize) {
+        if self.several_versions {
+            replica.set_version(VERSIONS[number % VERSIONS.len()]);
+        }
+        replica.anonymous_rejections.set(self.anonymous_rejections);
+        let one_in = self.stop_seed.map_or(0, |seed| failed_replacements_one_in(seed, number));
+        replica.replacement_faults.set_one_in(one_in);
+    }
 }
 
 /// Software versions of the replicas, if there are several.
@@ -220,10 +247,7 @@
         let mut nodes = Vec::new();
         for (number, (service, kind)) in shape.initial_replicas().enumerate() {
             let node = ReplicaNode::start(&format!("replica-{number}"), service, kind).await;
-            if features.several_versions {
-                node.replica.set_version(VERSIONS[number % VERSIONS.len()]);
-            }
-            node.replica.anonymous_rejections.set(features.anonymous_rejections);
+            features.apply_to(&node.replica, number);
             nodes.push(node);
         }
         let mut started = Vec::new();
@@ -294,10 +318,7 @@
         let number = self.nodes.lock().expect("the mutex is not poisoned").len();
         let id = format!("replica-{number}");
         let new = ReplicaNode::start(&id, old.service, old.replica.kind).await;
-        if self.features.several_versions {
-            new.replica.set_version(VERSIONS[number % VERSIONS.len()]);
-        }
-        new.replica.anonymous_rejections.set(self.features.anonymous_rejections);
+        self.features.apply_to(&new.replica, number);
         self.nodes.lock().expect("the mutex is not poisoned").push(new.clone());
         self.current.lock().expect("the mutex is not poisoned")[position] = new.clone();
         self.publish_replica(&new, "ready");
@@ -311,7 +332,7 @@
 
     /// Publishes the configuration of a version.
     pub fn publish_configuration(&self, version: u64) {
-        let mut configuration = configuration(version);
+        let mut configuration = configuration(version, self.features.caller_timeout());
         if self.features.accounts {
             configuration["tenants"] = accounts(version);
         }
@@ -326,11 +347,12 @@
     if version.is_multiple_of(2) { OTHER_DESK_SERVICE } else { DESK_SERVICE }
 }
 
-fn configuration(version: u64) -> Value {
+fn configuration(version: u64, timeout: Duration) -> Value {
+    let timeout_ms = timeout.as_millis() as u64;
     let route = |name: &str, kind: &str, service: &str| {
         json!({
             "name": name, "host": "service.example", "pathPrefix": format!("/{name}/"),
-            "kind": kind, "timeoutMs": 8000, "sloMs": 1000, "priority": 1, "service": service,
+            "kind": kind, "timeoutMs": timeout_ms, "sloMs": 1000, "priority": 1, "service": service,
             "attempts": MAX_RUNS, "sticky": service == ENGINE_SERVICE,
             "canResume": name == "resumable", "gapTargetMs": 300
         })
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -19,7 +19,9 @@
 mod rate_limits;
 pub mod replica_node;
 mod retry_budget;
+pub mod stop_plan;
 mod versions;
+mod whole;
 
 use std::collections::BTreeMap;
 use std::path::Path;
@@ -105,8 +107,9 @@
 pub async fn run(seed: u64, program: &Path, dir: &Path, settings: RunSettings) -> Report {
     let features = Features {
         several_versions: seed >= plan::FIRST_EXTENDED_SEED,
-        accounts: seed >= plan::FIRST_ACCOUNT_SEED,
+        accounts: (plan::FIRST_ACCOUNT_SEED..stop_plan::FIRST_STOP_SEED).contains(&seed),
         anonymous_rejections: plan::has_anonymous_rejections(seed),
+        stop_seed: (seed >= stop_plan::FIRST_STOP_SEED).then_some(seed),
     };
     let fleet = Fleet::start(program, dir, settings.entries, settings.shape, features).await;
     let publisher = fleet.clone();
--- a/soak/src/lost.rs
+++ b/soak/src/lost.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use crate::action::Action;
-use crate::callers::CALLER_TIMEOUT;
 use crate::callers::CallerRequest;
 use crate::callers::RequestOutcome;
 use crate::checks::Arrival;
@@ -19,7 +18,7 @@
 /// still break off.
 const FAULT_AFTEREFFECT_TIME: Duration = Duration::from_millis(500);
 /// Time before the deadline of a request from which it may break off.
-const DEADLINE_MARGIN: Duration = Duration::from_millis(200);
+pub(crate) const DEADLINE_MARGIN: Duration = Duration::from_millis(200);
 
 /// A request that an entry has passed on to a sound replica ends in a complete response, or in a
 /// refusal before the first byte. A replica is sound unless it or its connections have a fault of
@@ -39,9 +38,10 @@
     arrivals: &[Arrival],
     nodes: &[Arc<ReplicaNode>],
 ) -> Vec<Violation> {
+    let timeout = record.fleet.features.caller_timeout();
     let broke_off = record.requests.iter().filter(|request| {
         matches!(request.outcome, RequestOutcome::Incomplete { .. })
-            && request.ended_at + DEADLINE_MARGIN < request.sent_at + CALLER_TIMEOUT
+            && request.ended_at + DEADLINE_MARGIN < request.sent_at + timeout
             && record.is_unaffected(request, excuses_entry)
     });
     let lost = broke_off.filter_map(|request| {
--- a/soak/src/overlap.rs
+++ b/soak/src/overlap.rs
@@ -38,6 +38,11 @@
     let mut violations = Vec::new();
     for (id, mut runs) in runs {
         let Some(request) = by_id.get(id) else { continue };
+        // The stream does not go on at a replica that failed to take it up.
+        runs.retain(|run| {
+            let faults = &nodes[run.node].replica.replacement_faults;
+            !faults.has_failed(id, run.request.received_at)
+        });
         runs.sort_by_key(|run| run.request.received_at);
         for pair in runs.windows(2) {
             let (before, next) = (pair[0], pair[1]);
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -2,5 +2,7 @@
 
 pub mod groups;
 pub mod orders;
+pub mod replacement_faults;
 pub mod replica;
 pub mod store;
+pub mod stream_shape;
--- a/standins/src/platform/replica.rs
+++ b/standins/src/platform/replica.rs
@@ -29,12 +29,18 @@
 use crate::faults::Pause;
 use crate::faults::Switch;
 use crate::platform::orders::Orders;
+use crate::platform::replacement_faults::EVENTS_BEFORE_BREAK;
+use crate::platform::replacement_faults::LATE_REJECTION_TIME;
+use crate::platform::replacement_faults::ReplacementFault;
+use crate::platform::replacement_faults::ReplacementFaults;
+use crate::platform::stream_shape::STREAM_SHAPE_HEADER;
+use crate::platform::stream_shape::StreamShape;
 use crate::server;
 use crate::server::Body;
 
 /// End of the path of requests that crash the replica that runs them.
 pub const DEADLY_PATH: &str = "/deadly";
-/// Number of events in each stream of a decode engine.
+/// Number of events in each stream of a decode engine whose request names no other shape.
 pub const EVENTS_PER_STREAM: u64 = 6;
 
 /// Request as it reached the replica.
@@ -114,6 +120,8 @@
     pub break_next_stream: Switch,
     /// Breaks the connection of the next stream after its head, before the first event.
     pub break_next_before_event: Switch,
+    /// Faults of the requests that take up a stream.
+    pub replacement_faults: ReplacementFaults,
     /// Marks the end of its responses to executed requests only by the end of the connection.
     pub end_with_connection: Switch,
     /// Delay before each request is executed or prefilled, and before each event of a stream.
@@ -165,6 +173,7 @@
             mismatch_next_id: Switch::default(),
             break_next_stream: Switch::default(),
             break_next_before_event: Switch::default(),
+            replacement_faults: ReplacementFaults::default(),
             end_with_connection: Switch::default(),
             response_delay: Delay::default(),
             pause: Pause::default(),
@@ -309,7 +318,15 @@
         if received.headers.get("bamboodoor-stage").is_some_and(|stage| stage == "prefill") {
             return Ok(self.prefill(received));
         }
-        self.execute(received)
+        let takes_up = received.headers.contains_key("last-event-id");
+        let fault = takes_up
+            .then(|| self.replacement_faults.next(&received.id, received.received_at))
+            .flatten();
+        if fault == Some(ReplacementFault::RejectLate) {
+            tokio::time::sleep(LATE_REJECTION_TIME).await;
+            return Ok(self.reject(&received, StatusCode::SERVICE_UNAVAILABLE));
+        }
+        self.execute(received, fault)
     }
 
     /// Takes a place for a request that is executed; `None` if all are taken.
@@ -365,6 +382,7 @@
     fn execute(
         self: &Arc<Self>,
         received: ReceivedRequest,
+        fault: Option<ReplacementFault>,
     ) -> Result<Response<Body>, std::io::Error> {
         if received.line.ends_with(DEADLY_PATH) {
             self.deadly_requests.lock().expect("the mutex is not poisoned").push(received);
@@ -372,14 +390,19 @@
             return Err(server::broken_connection());
         }
         self.executed_requests.lock().expect("the mutex is not poisoned").push(received.clone());
-        if self.lose_next_response.take() {
+        if self.lose_next_response.take() || fault == Some(ReplacementFault::LoseResponse) {
             return Err(server::broken_connection());
         }
-        let mut response = match (self.kind, self.fail_next.take()) {
+        let fails = self.fail_next.take() || fault == Some(ReplacementFault::ServerError);
+        let mut response = match (self.kind, fails) {
             (_, true) => server::json(StatusCode::INTERNAL_SERVER_ERROR, &json!({"error": "x"})),
             (Kind::Plain, false) => server::json(StatusCode::OK, &json!({"echo": received.line})),
-            (_, false) if self.complete_next.take() => server::json(StatusCode::OK, &json!({})),
-            (_, false) => self.stream(&received),
+            (_, false)
+                if self.complete_next.take() || fault == Some(ReplacementFault::NoStream) =>
+            {
+                server::json(StatusCode::OK, &json!({}))
+            }
+            (_, false) => self.stream(&received, fault == Some(ReplacementFault::BreakOff)),
         };
         let id = if self.mismatch_next_id.take() { "another" } else { &received.id };
         let head = response.headers_mut();
@@ -406,7 +429,10 @@
         response
     }
 
-    fn stream(self: &Arc<Self>, received: &ReceivedRequest) -> Response<Body> {
+    fn stream(self: &Arc<Self>, received: &ReceivedRequest, breaks_off: bool) -> Response<Body> {
+        let shape: Option<StreamShape> =
+            received.headers.get(STREAM_SHAPE_HEADER).and_then(|text| text.parse().ok());
+        let event_count = shape.map_or(EVENTS_PER_STREAM, |shape| shape.events);
         let last_seen =
             received.headers.get("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
         let break_midway = self.break_next_stream.take();
@@ -419,13 +445,22 @@
             finished: false,
         };
         let events = stream::unfold(open, move |mut open| async move {
-            if open.next_event > EVENTS_PER_STREAM {
+            if open.next_event > event_count {
                 open.replica.pause.wait().await;
                 return None;
             }
-            open.replica.response_delay.wait().await;
             let id = open.next_event;
+            match shape {
+                Some(shape) => {
+                    let pause = shape.pause_before(id, last_seen + 1).unwrap_or_default();
+                    tokio::time::sleep(shape.interval + pause).await;
+                }
+                None => open.replica.response_delay.wait().await,
+            }
             let part = match (break_midway, id) {
+                _ if breaks_off && id > last_seen + EVENTS_BEFORE_BREAK => {
+                    Err(server::broken_connection())
+                }
                 (true, 4) => Err(server::broken_connection()),
                 _ if break_at_start => Err(server::broken_connection()),
                 (true, 3) => Ok(Bytes::from(format!("{}id: 4\nda", event(id)))),
@@ -437,7 +472,7 @@
             }
             open.replica.pause.wait().await;
             open.next_event += 1;
-            open.finished = part.is_err() || open.next_event > EVENTS_PER_STREAM;
+            open.finished = part.is_err() || open.next_event > event_count;
             Some((part, open))
         });
         let mut response = server::stream(events);
