--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -17,7 +17,6 @@
 use serde_json::json;
 use standins::address::unused_address;
 use standins::platform::replica::Kind;
-use standins::platform::replica::Replica;
 use standins::platform::store::OPERATOR_TOPIC;
 use standins::platform::store::REPLICAS_TOPIC;
 use standins::platform::store::Store;
@@ -25,10 +24,10 @@
 use crate::accounts::Published;
 use crate::accounts::REVOKE_BOUND;
 use crate::accounts::accounts;
+use crate::features::Features;
 use crate::proxy::LinkFault;
 use crate::proxy::Proxy;
 use crate::replica_node::ReplicaNode;
-use crate::stop_plan::failed_replacements_one_in;
 
 /// Name of the service of the model engines.
 pub const ENGINE_SERVICE: &str = "engines";
@@ -193,45 +192,6 @@
     pub published: Mutex<Vec<Published>>,
 }
 
-/// What a run has only with some seeds.
-#[derive(Debug, Clone, Copy)]
-pub struct Features {
-    /// True if the replicas have two software versions, and callers take up broken streams.
-    pub several_versions: bool,
-    /// True if the configurations have client accounts.
-    pub accounts: bool,
-    /// True if rejections do not name the request.
-    pub anonymous_rejections: bool,
-    /// Seed of a run whose streams outlast a stop, and in which engines fail requests that take up a
-    /// stream; `None` for other runs.
-    pub stop_seed: Option<u64>,
-}
-
-/// Timeout of the routes and deadline of the callers (`timeoutMs` and `bamboodoor-deadline-ms`).
-const CALLER_TIMEOUT: Duration = Duration::from_secs(8);
-/// The same in runs whose streams outlast a stop.
-const LONG_CALLER_TIMEOUT: Duration = Duration::from_secs(14);
-
-impl Features {
-    /// Time for which a caller waits, according to its requests, and timeout of the routes.
-    pub fn caller_timeout(&self) -> Duration {
-        if self.stop_seed.is_some() { LONG_CALLER_TIMEOUT } else { CALLER_TIMEOUT }
-    }
-
-    /// Sets on a replica what the run has beside the rest; replicas count up from 0.
-    fn apply_to(&self, replica: &Replica, number: usize) {
-        if self.several_versions {
-            replica.set_version(VERSIONS[number % VERSIONS.len()]);
-        }
-        replica.anonymous_rejections.set(self.anonymous_rejections);
-        let one_in = self.stop_seed.map_or(0, |seed| failed_replacements_one_in(seed, number));
-        replica.replacement_faults.set_one_in(one_in);
-    }
-}
-
-/// Software versions of the replicas, if there are several.
-const VERSIONS: [&str; 2] = ["v1", "v2"];
-
 impl Fleet {
     /// Starts the store with its first configuration, the replicas, and `entries` processes of
     /// `program`, whose settings files and logs go to `dir`. The replicas may have two software
--- a/soak/src/whole.rs
+++ b/soak/src/whole.rs
@@ -53,10 +53,10 @@
     fn describe(&self, request: &CallerRequest) -> String {
         let from = self.received_at.saturating_duration_since(request.sent_at).as_secs_f64();
         let end = self.ended_at.map(|end| end.saturating_duration_since(request.sent_at));
-        let until = end.map_or("open".to_string(), |end| format!("{:.2}", end.as_secs_f64()));
+        let until = end.map_or(String::new(), |end| format!(" to {:.2}", end.as_secs_f64()));
         let failed = if self.failed { " failed" } else { "" };
         let open = if self.is_open_at_end(request) { " still open" } else { "" };
-        format!("{} {from:.2} to {until}{failed}{open}", self.node.replica.id)
+        format!("{} from {from:.2}{until}{failed}{open}", self.node.replica.id)
     }
 }
 
--- a/standins/src/platform/replica.rs
+++ b/standins/src/platform/replica.rs
@@ -3,6 +3,8 @@
 //! It records the requests and orders that it receives, and tests switch its faults on while it
 //! runs.
 
+mod events;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -13,7 +15,6 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use futures_util::stream;
 use http_body_util::BodyExt;
 use hyper::Method;
 use hyper::Request;
@@ -29,12 +30,9 @@
 use crate::faults::Pause;
 use crate::faults::Switch;
 use crate::platform::orders::Orders;
-use crate::platform::replacement_faults::EVENTS_BEFORE_BREAK;
 use crate::platform::replacement_faults::LATE_REJECTION_TIME;
 use crate::platform::replacement_faults::ReplacementFault;
 use crate::platform::replacement_faults::ReplacementFaults;
-use crate::platform::stream_shape::STREAM_SHAPE_HEADER;
-use crate::platform::stream_shape::StreamShape;
 use crate::server;
 use crate::server::Body;
 
@@ -402,7 +400,9 @@
             {
                 server::json(StatusCode::OK, &json!({}))
             }
-            (_, false) => self.stream(&received, fault == Some(ReplacementFault::BreakOff)),
+            (_, false) => {
+                events::stream(self, &received, fault == Some(ReplacementFault::BreakOff))
+            }
         };
         let id = if self.mismatch_next_id.take() { "another" } else { &received.id };
         let head = response.headers_mut();
@@ -428,58 +428,6 @@
         head.insert("bamboodoor-instance-id", self.id.parse().expect("the header is valid"));
         response
     }
-
-    fn stream(self: &Arc<Self>, received: &ReceivedRequest, breaks_off: bool) -> Response<Body> {
-        let shape: Option<StreamShape> =
-            received.headers.get(STREAM_SHAPE_HEADER).and_then(|text| text.parse().ok());
-        let event_count = shape.map_or(EVENTS_PER_STREAM, |shape| shape.events);
-        let last_seen =
-            received.headers.get("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
-        let break_midway = self.break_next_stream.take();
-        let break_at_start = self.break_next_before_event.take();
-        self.open_streams.fetch_add(1, Ordering::SeqCst);
-        let open = OpenStream {
-            replica: self.clone(),
-            request_id: received.id.clone(),
-            next_event: last_seen + 1,
-            finished: false,
-        };
-        let events = stream::unfold(open, move |mut open| async move {
-            if open.next_event > event_count {
-                open.replica.pause.wait().await;
-                return None;
-            }
-            let id = open.next_event;
-            match shape {
-                Some(shape) => {
-                    let pause = shape.pause_before(id, last_seen + 1).unwrap_or_default();
-                    tokio::time::sleep(shape.interval + pause).await;
-                }
-                None => open.replica.response_delay.wait().await,
-            }
-            let part = match (break_midway, id) {
-                _ if breaks_off && id > last_seen + EVENTS_BEFORE_BREAK => {
-                    Err(server::broken_connection())
-                }
-                (true, 4) => Err(server::broken_connection()),
-                _ if break_at_start => Err(server::broken_connection()),
-                (true, 3) => Ok(Bytes::from(format!("{}id: 4\nda", event(id)))),
-                _ => Ok(Bytes::from(event(id))),
-            };
-            if part.is_err() {
-                // Lets the bytes sent so far reach the reader before the connection breaks.
-                tokio::time::sleep(BREAK_DELAY).await;
-            }
-            open.replica.pause.wait().await;
-            open.next_event += 1;
-            open.finished = part.is_err() || open.next_event > event_count;
-            Some((part, open))
-        });
-        let mut response = server::stream(events);
-        let media_type = "text/event-stream".parse().expect("the header is valid");
-        response.headers_mut().insert("content-type", media_type);
-        response
-    }
 }
 
 /// Text of the event with this id; ids start at 1, and all streams have the same events.
@@ -496,24 +444,6 @@
     }
 }
 
-struct OpenStream {
-    replica: Arc<Replica>,
-    request_id: String,
-    next_event: u64,
-    finished: bool,
-}
-
-impl Drop for OpenStream {
-    fn drop(&mut self) {
-        self.replica.open_streams.fetch_sub(1, Ordering::SeqCst);
-        let end = (std::mem::take(&mut self.request_id), Instant::now());
-        self.replica.stream_ends.lock().expect("the mutex is not poisoned").push(end);
-        if !self.finished {
-            self.replica.streams_closed_early.fetch_add(1, Ordering::SeqCst);
-        }
-    }
-}
-
 async fn receive(request: Request<Incoming>) -> ReceivedRequest {
     let line = format!("{} {}", request.method(), request.uri());
     let to_text = |(name, value): (&hyper::header::HeaderName, &hyper::header::HeaderValue)| {
@@ -526,7 +456,5 @@
     ReceivedRequest { received_at: Instant::now(), id, line, headers, body }
 }
 
-const BREAK_DELAY: Duration = Duration::from_millis(50);
-
 /// Time for which a test waits for a condition before it fails.
 pub const TEST_TIMEOUT: Duration = Duration::from_secs(20);
