--- a/soak/src/features.rs
+++ b/soak/src/features.rs
@@ -15,8 +15,8 @@
     pub accounts: bool,
     /// True if rejections do not name the request.
     pub anonymous_rejections: bool,
-    /// Seed of a run whose streams outlast a stop, and in which engines fail requests that take up a
-    /// stream; `None` for other runs.
+    /// Seed of a run whose streams outlast a stop, and in which engines fail requests that were
+    /// moved to them; `None` for other runs.
     pub stop_seed: Option<u64>,
 }
 
--- a/soak/src/stop_plan.rs
+++ b/soak/src/stop_plan.rs
@@ -36,10 +36,10 @@
 /// One in so many streams pauses once, in the middle half of its events.
 const PAUSED_ONE_IN: u32 = 6;
 const STREAM_PAUSE_MS: std::ops::RangeInclusive<u64> = 700..=2_500;
-/// Engines fail every request that takes up a stream, or one in up to this many, or none.
+/// Engines fail every request that was moved to them, or one in up to this many, or none.
 const MAX_FAILED_ONE_IN: u64 = 3;
 
-/// One in how many requests that take up a stream an engine fails; 0 for none.
+/// One in how many requests that were moved to it an engine fails; 0 for none.
 pub fn failed_replacements_one_in(seed: u64, engine: usize) -> u64 {
     let mut rng = ChaCha8Rng::seed_from_u64(seed ^ ((engine as u64) << 32));
     rng.random_range(0..=MAX_FAILED_ONE_IN)
--- a/standins/src/platform/replacement_faults.rs
+++ b/standins/src/platform/replacement_faults.rs
@@ -1,4 +1,5 @@
-//! Faults that a replica shows only to requests that take up a stream (`Last-Event-Id`).
+//! Faults that a replica shows only to requests that an entry has moved to it: they have
+//! `Last-Event-Id`, and their caller takes up no stream itself (`Resumes`).
 
 use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
@@ -11,7 +12,7 @@
 /// Number of events after which a run breaks off.
 pub const EVENTS_BEFORE_BREAK: u64 = 2;
 
-/// How a request that takes up a stream fails.
+/// How a moved request fails.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReplacementFault {
     /// Rejected as not executed after [`LATE_REJECTION_TIME`].
@@ -34,7 +35,7 @@
     ReplacementFault::NoStream,
 ];
 
-/// Faults of requests that take up a stream, initially none.
+/// Faults of moved requests, initially none.
 #[derive(Debug, Default)]
 pub struct ReplacementFaults {
     one_in: AtomicU64,
@@ -44,12 +45,12 @@
 }
 
 impl ReplacementFaults {
-    /// Fails one in this many requests that take up a stream, each in the next way; 0 fails none.
+    /// Fails one in this many moved requests, each in the next way; 0 fails none.
     pub fn set_one_in(&self, one_in: u64) {
         self.one_in.store(one_in, Ordering::SeqCst);
     }
 
-    /// Fault of the next request that takes up a stream; `None` if it is served.
+    /// Fault of the next moved request; `None` if it is served.
     pub(crate) fn next(&self, id: &str, received_at: Instant) -> Option<ReplacementFault> {
         let one_in = self.one_in.load(Ordering::SeqCst);
         if one_in == 0 {
--- a/standins/src/platform/replica.rs
+++ b/standins/src/platform/replica.rs
@@ -118,7 +118,7 @@
     pub break_next_stream: Switch,
     /// Breaks the connection of the next stream after its head, before the first event.
     pub break_next_before_event: Switch,
-    /// Faults of the requests that take up a stream.
+    /// Faults of the requests that an entry has moved to it.
     pub replacement_faults: ReplacementFaults,
     /// Marks the end of its responses to executed requests only by the end of the connection.
     pub end_with_connection: Switch,
@@ -316,8 +316,9 @@
         if received.headers.get("bamboodoor-stage").is_some_and(|stage| stage == "prefill") {
             return Ok(self.prefill(received));
         }
-        let takes_up = received.headers.contains_key("last-event-id");
-        let fault = takes_up
+        let has = |name| received.headers.contains_key(name);
+        let was_moved = has("last-event-id") && !has("resumes");
+        let fault = was_moved
             .then(|| self.replacement_faults.next(&received.id, received.received_at))
             .flatten();
         if fault == Some(ReplacementFault::RejectLate) {
