--- a/soak/src/whole.rs
+++ b/soak/src/whole.rs
@@ -119,10 +119,9 @@
 
 /// True if a stop of the entry may have cut the response.
 fn is_cut_in_time(record: &RunRecord, request: &CallerRequest, runs: &[Run]) -> bool {
-    let is_cut = stops_of(record, request).any(|(from, until)| {
+    let is_cut = stops_of(record, request).any(|(from, _)| {
         request.sent_at <= from + LATEST_CUT_ARRIVAL
-            && request.ended_at >= from + EARLIEST_CUT
-            && request.ended_at <= until
+            && (from + EARLIEST_CUT..=from + STOP_GRACE).contains(&request.ended_at)
     });
     is_cut && runs.iter().any(|run| run.is_open_at_end(request))
 }
