--- a/soak/src/features.rs
+++ b/soak/src/features.rs
@@ -38,7 +38,8 @@
         }
         replica.anonymous_rejections.set(self.anonymous_rejections);
         let one_in = self.stop_seed.map_or(0, |seed| failed_replacements_one_in(seed, number));
-        replica.replacement_faults.set_one_in(one_in);
+        // Each replica starts with another fault.
+        replica.replacement_faults.set_one_in(one_in, number as u64);
     }
 }
 
--- a/standins/src/platform/replacement_faults.rs
+++ b/standins/src/platform/replacement_faults.rs
@@ -45,9 +45,11 @@
 }
 
 impl ReplacementFaults {
-    /// Fails one in this many moved requests, each in the next way; 0 fails none.
-    pub fn set_one_in(&self, one_in: u64) {
+    /// Fails one in this many moved requests, each in the next way from the one with the number
+    /// `first_fault` on, modulo their number; 0 fails none.
+    pub fn set_one_in(&self, one_in: u64, first_fault: u64) {
         self.one_in.store(one_in, Ordering::SeqCst);
+        self.requests.store(one_in * first_fault, Ordering::SeqCst);
     }
 
     /// Fault of the next moved request; `None` if it is served.
--- a/standins/tests/replica.rs
+++ b/standins/tests/replica.rs
@@ -121,7 +121,7 @@
 async fn moved_requests_fail_in_turn_and_no_others() {
     let (replica, address) = Replica::start("replica-1", Kind::Decode).await;
     let mut sender = connect(address).await;
-    replica.replacement_faults.set_one_in(1);
+    replica.replacement_faults.set_one_in(1, 0);
     for _ in 0..5 {
         let response = post_shaped(&mut sender, None).await.expect("it responds");
         let body = response.into_body().collect().await.expect("the stream is whole");
