--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -213,11 +213,11 @@
         let record = self.exchange(&mut connection, route, shape, disconnect_after, None).await;
         let complete = matches!(record.outcome, RequestOutcome::Complete { .. });
         let broke_off = matches!(record.outcome, RequestOutcome::Incomplete { .. });
+        let refused = matches!(record.outcome, RequestOutcome::Complete { status: 503, .. });
+        self.requests.lock().expect("the mutex is not poisoned").push(record.clone());
         if self.fleet.features.several_versions && route == "resumable" && broke_off {
             self.take_up(&record).await;
         }
-        let refused = matches!(record.outcome, RequestOutcome::Complete { status: 503, .. });
-        self.requests.lock().expect("the mutex is not poisoned").push(record);
         if refused && self.fleet.features.accounts {
             // An entry that is not certain of its keys asks for this pause.
             tokio::time::sleep(REFUSED_PAUSE).await;
