--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -24,6 +24,7 @@
 use crate::accounts::Published;
 use crate::accounts::REVOKE_BOUND;
 use crate::accounts::accounts;
+use crate::features::Features;
 use crate::proxy::LinkFault;
 use crate::proxy::Proxy;
 use crate::replica_node::ReplicaNode;
@@ -191,20 +192,6 @@
     pub published: Mutex<Vec<Published>>,
 }
 
-/// What a run has only with some seeds.
-#[derive(Debug, Clone, Copy)]
-pub struct Features {
-    /// True if the replicas have two software versions, and callers take up broken streams.
-    pub several_versions: bool,
-    /// True if the configurations have client accounts.
-    pub accounts: bool,
-    /// True if rejections do not name the request.
-    pub anonymous_rejections: bool,
-}
-
-/// Software versions of the replicas, if there are several.
-const VERSIONS: [&str; 2] = ["v1", "v2"];
-
 impl Fleet {
     /// Starts the store with its first configuration, the replicas, and `entries` processes of
     /// `program`, whose settings files and logs go to `dir`. The replicas may have two software
@@ -220,10 +207,7 @@
         let mut nodes = Vec::new();
         for (number, (service, kind)) in shape.initial_replicas().enumerate() {
             let node = ReplicaNode::start(&format!("replica-{number}"), service, kind).await;
-            if features.several_versions {
-                node.replica.set_version(VERSIONS[number % VERSIONS.len()]);
-            }
-            node.replica.anonymous_rejections.set(features.anonymous_rejections);
+            features.apply_to(&node.replica, number);
             nodes.push(node);
         }
         let mut started = Vec::new();
@@ -294,10 +278,7 @@
         let number = self.nodes.lock().expect("the mutex is not poisoned").len();
         let id = format!("replica-{number}");
         let new = ReplicaNode::start(&id, old.service, old.replica.kind).await;
-        if self.features.several_versions {
-            new.replica.set_version(VERSIONS[number % VERSIONS.len()]);
-        }
-        new.replica.anonymous_rejections.set(self.features.anonymous_rejections);
+        self.features.apply_to(&new.replica, number);
         self.nodes.lock().expect("the mutex is not poisoned").push(new.clone());
         self.current.lock().expect("the mutex is not poisoned")[position] = new.clone();
         self.publish_replica(&new, "ready");
@@ -311,7 +292,7 @@
 
     /// Publishes the configuration of a version.
     pub fn publish_configuration(&self, version: u64) {
-        let mut configuration = configuration(version);
+        let mut configuration = configuration(version, self.features.caller_timeout());
         if self.features.accounts {
             configuration["tenants"] = accounts(version);
         }
@@ -326,11 +307,12 @@
     if version.is_multiple_of(2) { OTHER_DESK_SERVICE } else { DESK_SERVICE }
 }
 
-fn configuration(version: u64) -> Value {
+fn configuration(version: u64, timeout: Duration) -> Value {
+    let timeout_ms = timeout.as_millis() as u64;
     let route = |name: &str, kind: &str, service: &str| {
         json!({
             "name": name, "host": "service.example", "pathPrefix": format!("/{name}/"),
-            "kind": kind, "timeoutMs": 8000, "sloMs": 1000, "priority": 1, "service": service,
+            "kind": kind, "timeoutMs": timeout_ms, "sloMs": 1000, "priority": 1, "service": service,
             "attempts": MAX_RUNS, "sticky": service == ENGINE_SERVICE,
             "canResume": name == "resumable", "gapTargetMs": 300
         })
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod callers;
 pub mod checks;
 mod deadly;
+pub mod features;
 pub mod fleet;
 mod inject;
 mod lost;
@@ -19,7 +20,9 @@
 mod rate_limits;
 pub mod replica_node;
 mod retry_budget;
+pub mod stop_plan;
 mod versions;
+mod whole;
 
 use std::collections::BTreeMap;
 use std::path::Path;
@@ -32,7 +35,7 @@
 use crate::callers::Callers;
 use crate::checks::RunRecord;
 use crate::checks::Violation;
-use crate::fleet::Features;
+use crate::features::Features;
 use crate::fleet::Fleet;
 use crate::fleet::FleetShape;
 use crate::inject::Injector;
@@ -105,8 +108,9 @@
 pub async fn run(seed: u64, program: &Path, dir: &Path, settings: RunSettings) -> Report {
     let features = Features {
         several_versions: seed >= plan::FIRST_EXTENDED_SEED,
-        accounts: seed >= plan::FIRST_ACCOUNT_SEED,
+        accounts: (plan::FIRST_ACCOUNT_SEED..stop_plan::FIRST_STOP_SEED).contains(&seed),
         anonymous_rejections: plan::has_anonymous_rejections(seed),
+        stop_seed: (seed >= stop_plan::FIRST_STOP_SEED).then_some(seed),
     };
     let fleet = Fleet::start(program, dir, settings.entries, settings.shape, features).await;
     let publisher = fleet.clone();
--- a/standins/src/platform/replica.rs
+++ b/standins/src/platform/replica.rs
@@ -3,6 +3,8 @@
 //! It records the requests and orders that it receives, and tests switch its faults on while it
 //! runs.
 
+mod events;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -13,7 +15,6 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use futures_util::stream;
 use http_body_util::BodyExt;
 use hyper::Method;
 use hyper::Request;
@@ -29,12 +30,15 @@
 use crate::faults::Pause;
 use crate::faults::Switch;
 use crate::platform::orders::Orders;
+use crate::platform::replacement_faults::LATE_REJECTION_TIME;
+use crate::platform::replacement_faults::ReplacementFault;
+use crate::platform::replacement_faults::ReplacementFaults;
 use crate::server;
 use crate::server::Body;
 
 /// End of the path of requests that crash the replica that runs them.
 pub const DEADLY_PATH: &str = "/deadly";
-/// Number of events in each stream of a decode engine.
+/// Number of events in each stream of a decode engine whose request names no other shape.
 pub const EVENTS_PER_STREAM: u64 = 6;
 
 /// Request as it reached the replica.
@@ -118,6 +122,8 @@
     pub break_next_stream: Switch,
     /// Breaks the connection of the next stream after its head, before the first event.
     pub break_next_before_event: Switch,
+    /// Faults of the requests that an entry has moved to it.
+    pub replacement_faults: ReplacementFaults,
     /// Marks the end of its responses to executed requests only by the end of the connection.
     pub end_with_connection: Switch,
     /// Delay before each request is executed or prefilled, and before each event of a stream.
@@ -171,6 +177,7 @@
             mismatch_next_id: Switch::default(),
             break_next_stream: Switch::default(),
             break_next_before_event: Switch::default(),
+            replacement_faults: ReplacementFaults::default(),
             end_with_connection: Switch::default(),
             response_delay: Delay::default(),
             pause: Pause::default(),
@@ -319,7 +326,16 @@
         if self.reject_next_late.take() {
             return Ok(self.reject(&received, StatusCode::SERVICE_UNAVAILABLE));
         }
-        self.execute(received)
+        let has = |name| received.headers.contains_key(name);
+        let was_moved = has("last-event-id") && !has("resumes");
+        let fault = was_moved
+            .then(|| self.replacement_faults.next(&received.id, received.received_at))
+            .flatten();
+        if fault == Some(ReplacementFault::RejectLate) {
+            tokio::time::sleep(LATE_REJECTION_TIME).await;
+            return Ok(self.reject(&received, StatusCode::SERVICE_UNAVAILABLE));
+        }
+        self.execute(received, fault)
     }
 
     /// Takes a place for a request that is executed; `None` if all are taken.
@@ -375,6 +391,7 @@
     fn execute(
         self: &Arc<Self>,
         received: ReceivedRequest,
+        fault: Option<ReplacementFault>,
     ) -> Result<Response<Body>, std::io::Error> {
         if received.line.ends_with(DEADLY_PATH) {
             self.deadly_requests.lock().expect("the mutex is not poisoned").push(received);
@@ -382,14 +399,21 @@
             return Err(server::broken_connection());
         }
         self.executed_requests.lock().expect("the mutex is not poisoned").push(received.clone());
-        if self.lose_next_response.take() {
+        if self.lose_next_response.take() || fault == Some(ReplacementFault::LoseResponse) {
             return Err(server::broken_connection());
         }
-        let mut response = match (self.kind, self.fail_next.take()) {
+        let fails = self.fail_next.take() || fault == Some(ReplacementFault::ServerError);
+        let mut response = match (self.kind, fails) {
             (_, true) => server::json(StatusCode::INTERNAL_SERVER_ERROR, &json!({"error": "x"})),
             (Kind::Plain, false) => server::json(StatusCode::OK, &json!({"echo": received.line})),
-            (_, false) if self.complete_next.take() => server::json(StatusCode::OK, &json!({})),
-            (_, false) => self.stream(&received),
+            (_, false)
+                if self.complete_next.take() || fault == Some(ReplacementFault::NoStream) =>
+            {
+                server::json(StatusCode::OK, &json!({}))
+            }
+            (_, false) => {
+                events::stream(self, &received, fault == Some(ReplacementFault::BreakOff))
+            }
         };
         let id = if self.mismatch_next_id.take() { "another" } else { &received.id };
         let head = response.headers_mut();
@@ -415,46 +439,6 @@
         head.insert("bamboodoor-instance-id", self.id.parse().expect("the header is valid"));
         response
     }
-
-    fn stream(self: &Arc<Self>, received: &ReceivedRequest) -> Response<Body> {
-        let last_seen =
-            received.headers.get("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
-        let break_midway = self.break_next_stream.take();
-        let break_at_start = self.break_next_before_event.take();
-        self.open_streams.fetch_add(1, Ordering::SeqCst);
-        let open = OpenStream {
-            replica: self.clone(),
-            request_id: received.id.clone(),
-            next_event: last_seen + 1,
-            finished: false,
-        };
-        let events = stream::unfold(open, move |mut open| async move {
-            if open.next_event > EVENTS_PER_STREAM {
-                open.replica.pause.wait().await;
-                return None;
-            }
-            open.replica.response_delay.wait().await;
-            let id = open.next_event;
-            let part = match (break_midway, id) {
-                (true, 4) => Err(server::broken_connection()),
-                _ if break_at_start => Err(server::broken_connection()),
-                (true, 3) => Ok(Bytes::from(format!("{}id: 4\nda", event(id)))),
-                _ => Ok(Bytes::from(event(id))),
-            };
-            if part.is_err() {
-                // Lets the bytes sent so far reach the reader before the connection breaks.
-                tokio::time::sleep(BREAK_DELAY).await;
-            }
-            open.replica.pause.wait().await;
-            open.next_event += 1;
-            open.finished = part.is_err() || open.next_event > EVENTS_PER_STREAM;
-            Some((part, open))
-        });
-        let mut response = server::stream(events);
-        let media_type = "text/event-stream".parse().expect("the header is valid");
-        response.headers_mut().insert("content-type", media_type);
-        response
-    }
 }
 
 /// Text of the event with this id; ids start at 1, and all streams have the same events.
@@ -471,24 +455,6 @@
     }
 }
 
-struct OpenStream {
-    replica: Arc<Replica>,
-    request_id: String,
-    next_event: u64,
-    finished: bool,
-}
-
-impl Drop for OpenStream {
-    fn drop(&mut self) {
-        self.replica.open_streams.fetch_sub(1, Ordering::SeqCst);
-        let end = (std::mem::take(&mut self.request_id), Instant::now());
-        self.replica.stream_ends.lock().expect("the mutex is not poisoned").push(end);
-        if !self.finished {
-            self.replica.streams_closed_early.fetch_add(1, Ordering::SeqCst);
-        }
-    }
-}
-
 async fn receive(request: Request<Incoming>) -> ReceivedRequest {
     let line = format!("{} {}", request.method(), request.uri());
     let to_text = |(name, value): (&hyper::header::HeaderName, &hyper::header::HeaderValue)| {
@@ -501,7 +467,5 @@
     ReceivedRequest { received_at: Instant::now(), id, line, headers, body }
 }
 
-const BREAK_DELAY: Duration = Duration::from_millis(50);
-
 /// Time for which a test waits for a condition before it fails.
 pub const TEST_TIMEOUT: Duration = Duration::from_secs(20);
