--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -108,9 +108,9 @@
 pub async fn run(seed: u64, program: &Path, dir: &Path, settings: RunSettings) -> Report {
     let features = Features {
         several_versions: seed >= plan::FIRST_EXTENDED_SEED,
-        accounts: (plan::FIRST_ACCOUNT_SEED..stop_plan::FIRST_STOP_SEED).contains(&seed),
+        accounts: seed >= plan::FIRST_ACCOUNT_SEED && !stop_plan::STOP_SEEDS.contains(&seed),
         anonymous_rejections: plan::has_anonymous_rejections(seed),
-        stop_seed: (seed >= stop_plan::FIRST_STOP_SEED).then_some(seed),
+        stop_seed: stop_plan::STOP_SEEDS.contains(&seed).then_some(seed),
     };
     let fleet = Fleet::start(program, dir, settings.entries, settings.shape, features).await;
     let publisher = fleet.clone();
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -16,7 +16,7 @@
 use crate::action::OneTimeFault;
 use crate::action::Scope;
 use crate::proxy::LinkFault;
-use crate::stop_plan::FIRST_STOP_SEED;
+use crate::stop_plan::STOP_SEEDS;
 use crate::stop_plan::plan_stops;
 
 /// Action and the time at which it starts.
@@ -77,9 +77,9 @@
 
 /// Returns the plan of a seed, ordered by time. An action starts once, or two or three times
 /// 400 ms apart. The next action starts less than 1.5 s after the first of these starts, so that
-/// actions overlap. From [`FIRST_STOP_SEED`] on, only planned work is drawn.
+/// actions overlap. For [`STOP_SEEDS`], only planned work is drawn.
 pub fn plan(seed: u64, size: RunSize) -> Vec<ScheduledAction> {
-    if seed >= FIRST_STOP_SEED {
+    if STOP_SEEDS.contains(&seed) {
         return plan_stops(seed, size);
     }
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
@@ -131,7 +131,7 @@
 
 /// True if the replicas do not name the request in their rejections.
 pub fn has_anonymous_rejections(seed: u64) -> bool {
-    (FIRST_LATE_COPY_SEED..FIRST_STOP_SEED).contains(&seed) && !seed.is_multiple_of(2)
+    seed >= FIRST_LATE_COPY_SEED && !STOP_SEEDS.contains(&seed) && !seed.is_multiple_of(2)
 }
 
 /// Late copies of responses of replicas, most of which also lack capacity in that time. Half of
--- a/soak/src/stop_plan.rs
+++ b/soak/src/stop_plan.rs
@@ -1,6 +1,7 @@
 //! Plan of the seeds with planned work only: the entries stop one after the other all the time, under
 //! streams that outlast a stop.
 
+use std::ops::Range;
 use std::time::Duration;
 
 use rand::RngExt;
@@ -15,8 +16,8 @@
 use crate::plan::RunSize;
 use crate::plan::ScheduledAction;
 
-/// First seed whose streams outlast a stop, beside planned work only.
-pub const FIRST_STOP_SEED: u64 = 8_000;
+/// Seeds whose streams outlast a stop, beside planned work only.
+pub const STOP_SEEDS: Range<u64> = 8_000..9_000;
 /// Most time between the end of the grace time of a stop and the next stop.
 const MAX_STOP_PAUSE_MS: u64 = 1_000;
 /// Share of the stops beside which another entry stops.
