Entry of the own interface: prefills and candidates are modules of their own

generate.rs had 534 lines and three jobs: admission, prefills, and which agents a generation may go to. Checked by the tests of the core.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -7,12 +7,14 @@
 
 mod action;
 pub mod calls;
+mod candidates;
 mod claiming;
 pub mod claims;
 mod configuration;
 mod decoding;
 mod generate;
 pub mod membership;
+mod prefilling;
 pub mod request;
 mod silence;
 mod silent_attempt;
