Soak: a proxy whose run has ended ends too

Callers saw nothing. The proxies of the entries of an ended run opened a listener on a random port, and closed it, again and again without a pause, for as long as the process lived: a dropped sender looked like a crash, and then like its end, as the last value was still "listening".

Now the task of a proxy returns when its run has ended.

--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -78,7 +78,11 @@
             loop {
                 tokio::select! {
                     biased;
-                    _ = listening_watch.wait_for(|listening| !listening) => {}
+                    stopped = listening_watch.wait_for(|listening| !listening) => {
+                        if stopped.is_err() {
+                            return;
+                        }
+                    }
                     accepted = listener.accept() => {
                         let Ok((client, _)) = accepted else { return };
                         let (fault, counter) = (fault_watch.clone(), counter.clone());
