Soak: no other run gets the port of a crashed replica

Suspected cause: a proxy that crashes dropped its listener, and the kernel gave the port to a listener of another run, while the entries of the first run still listed it, for 3 s. Ids of replicas were the same in all runs, so that nobody answered 421.

A port with an open connection is not given away, but a crash resets them.

Now a proxy keeps a socket bound to each of its ports, which never listens, until it is dropped with its run. The kernel then gives the port to no listener on port 0, of any process. Entries end before the proxies of their run are dropped; the servers of replicas and stores listen until the runtime ends, behind proxies.

--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -8,9 +8,9 @@
 use std::time::Duration;
 
 use socket2::SockRef;
+use standins::address::ReservedPort;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::net::tcp::ReadHalf;
 use tokio::net::tcp::WriteHalf;
@@ -65,10 +65,13 @@
 
 impl Proxy {
     /// Listens on a free loopback port and forwards connections to `server`, without a fault at
-    /// first.
+    /// first. No other listener gets a port of the proxy before it is dropped.
     pub async fn start(server: SocketAddr) -> Arc<Self> {
-        let mut listener = listen().await;
-        let (address, _) = watch::channel(address_of(&listener));
+        // Entries list a port for a while after the proxy has left it: another run that got it would
+        // get their requests.
+        let mut ports = vec![ReservedPort::reserve()];
+        let mut listener = ports[0].listen().await;
+        let (address, _) = watch::channel(ports[0].address());
         let (fault, fault_watch) = watch::channel(LinkFault::None);
         let (listening, mut listening_watch) = watch::channel(true);
         let new_address = address.clone();
@@ -94,8 +97,10 @@
                 if listening_watch.wait_for(|listening| *listening).await.is_err() {
                     return;
                 }
-                listener = listen().await;
-                new_address.send_replace(address_of(&listener));
+                let port = ReservedPort::reserve();
+                listener = port.listen().await;
+                new_address.send_replace(port.address());
+                ports.push(port);
             }
         });
         Arc::new(Self { address, fault, listening, responses })
@@ -128,14 +133,6 @@
     }
 }
 
-async fn listen() -> TcpListener {
-    TcpListener::bind("127.0.0.1:0").await.expect("loopback has free ports")
-}
-
-fn address_of(listener: &TcpListener) -> SocketAddr {
-    listener.local_addr().expect("a listener has an address")
-}
-
 async fn forward_connection(
     mut client: TcpStream,
     server: SocketAddr,
--- a/standins/src/address.rs
+++ b/standins/src/address.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 
+use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 
 /// Ports that Linux by default gives neither to outgoing connections nor to listeners on port
@@ -31,6 +32,34 @@
     }
 }
 
+/// Port on loopback that the kernel gives to no other listener on port 0, whether anything listens
+/// on it or not, until it is dropped.
+#[derive(Debug)]
+pub struct ReservedPort {
+    /// Bound, but never listens: another socket may listen on the port if it asks for it.
+    socket: TcpSocket,
+}
+
+impl ReservedPort {
+    /// Reserves a port that the kernel chooses.
+    pub fn reserve() -> Self {
+        let socket = TcpSocket::new_v4().expect("sockets can be opened");
+        socket.set_reuseaddr(true).expect("the option can be set");
+        socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("loopback has free ports");
+        Self { socket }
+    }
+
+    /// Address of the port.
+    pub fn address(&self) -> SocketAddr {
+        self.socket.local_addr().expect("a bound socket has an address")
+    }
+
+    /// Listens on the port.
+    pub async fn listen(&self) -> TcpListener {
+        TcpListener::bind(self.address()).await.expect("a reserved port is free")
+    }
+}
+
 /// Returns whether nothing listens on an address. The socket for the check is bound but does
 /// not listen: if another thread starts a process meanwhile, that process holds a copy of the
 /// socket until it executes its program, and a copy that listens would block the address.
