--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -177,7 +177,7 @@
     pub async fn run_caller(self: Arc<Self>, seed: u64) {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let mut connection = None;
-        let outlasts_stops = self.fleet.features.stop_seed.is_some();
+        let outlasts_stops = self.fleet.features.outlasts_stops;
         // Some send the next request as soon as a response has ended.
         let is_eager = outlasts_stops && seed.is_multiple_of(2);
         loop {
@@ -276,7 +276,7 @@
         };
         let features = &self.fleet.features;
         set("bamboodoor-deadline-ms", &features.caller_timeout().as_millis().to_string());
-        if features.stop_seed.is_some() {
+        if features.outlasts_stops {
             set("bamboodoor-token-count", LONG_STREAM_TOKEN_COUNT);
             set(STREAM_SHAPE_HEADER, &shape.to_string());
         }
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -128,7 +128,7 @@
     }
     violations.extend(check_retry_budget(&arrivals, &nodes, record.requests));
     violations.extend(check_rate_limits(record, &arrivals, &nodes, &by_id));
-    if record.fleet.features.stop_seed.is_some() {
+    if record.fleet.features.outlasts_stops {
         violations.extend(check_whole(record, &arrivals, &nodes));
     } else {
         violations.extend(check_lost(record, &arrivals, &nodes));
@@ -304,7 +304,7 @@
         request: &CallerRequest,
         reached_replica: bool,
     ) -> Option<Violation> {
-        if self.fleet.features.stop_seed.is_some() {
+        if self.fleet.features.outlasts_stops {
             // A stop may cut what outlasts it: `check_whole` judges these runs.
             return None;
         }
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -206,7 +206,7 @@
         let (store, address) = Store::start().await;
         let mut nodes = Vec::new();
         for (number, (service, kind)) in shape.initial_replicas().enumerate() {
-            let node = ReplicaNode::start(&format!("replica-{number}"), service, kind).await;
+            let node = ReplicaNode::start(&features.replica_id(number), service, kind).await;
             features.apply_to(&node.replica, number);
             nodes.push(node);
         }
@@ -276,7 +276,7 @@
     pub async fn replace_replica(self: Arc<Self>, position: usize) {
         let old = self.node(position);
         let number = self.nodes.lock().expect("the mutex is not poisoned").len();
-        let id = format!("replica-{number}");
+        let id = self.features.replica_id(number);
         let new = ReplicaNode::start(&id, old.service, old.replica.kind).await;
         self.features.apply_to(&new.replica, number);
         self.nodes.lock().expect("the mutex is not poisoned").push(new.clone());
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -106,12 +106,7 @@
 /// `seed` plans, and checks the guarantees. The settings files and logs of the entries go to `dir`,
 /// which must exist.
 pub async fn run(seed: u64, program: &Path, dir: &Path, settings: RunSettings) -> Report {
-    let features = Features {
-        several_versions: seed >= plan::FIRST_EXTENDED_SEED,
-        accounts: seed >= plan::FIRST_ACCOUNT_SEED && !stop_plan::STOP_SEEDS.contains(&seed),
-        anonymous_rejections: plan::has_anonymous_rejections(seed),
-        stop_seed: stop_plan::STOP_SEEDS.contains(&seed).then_some(seed),
-    };
+    let features = Features::of_seed(seed);
     let fleet = Fleet::start(program, dir, settings.entries, settings.shape, features).await;
     let publisher = fleet.clone();
     let heartbeat = tokio::spawn(async move {
