A leaving entry that noticed SIGTERM late counts the grace period from when it may have been sent

Callers whose request had no response got a closed connection in place of a final answer, or the process was killed before its exit, if it stood still for 1.5 s or more when SIGTERM was sent. Cause: one estimate served both as the earliest time of SIGTERM and as the latest, so it was capped at 0.7 s, lest streams be cut too early.

Now there are two. Final answers and admission count from the earliest time, the last moment at which the process is known to have run, without a cap; the cut of streams comes no earlier than 5/6 of the grace period after the latest, when the signal was noticed. The listener closes 2.5 s after the balancer is told, and model requests are refused in between. Margins shrink with a grace period under 4.8 s, so that the cut is in its last sixth.

--- a/src/router/shutdown.rs
+++ b/src/router/shutdown.rs
@@ -22,17 +22,103 @@
 /// it at once.
 const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
-/// Times of a graceful shutdown.
+/// Time for which a leaving entry still accepts connections: the load balancer polls
+/// readiness once a second and removes an instance after the second negative response.
+const BALANCER_REMOVAL_DELAY: Duration = Duration::from_millis(2_500);
+/// Largest part of the grace period that is reserved for the exit of the process.
+const MAX_EXIT_MARGIN: Duration = Duration::from_millis(600);
+/// The same as a divisor of the grace period, for a short one.
+const EXIT_MARGIN_DIVISOR: u32 = 8;
+/// Longest time before the exit at which requests whose response has not started get a final
+/// answer.
+const MAX_FINAL_ANSWER_TIME: Duration = Duration::from_millis(200);
+/// The same as a divisor of the grace period, for a short one.
+const FINAL_ANSWER_DIVISOR: u32 = 24;
+/// Divisor of the part at the end of the grace period in which a stream may be cut whose engine is
+/// at work.
+const CUT_PART_DIVISOR: u32 = 6;
+/// Time within which a process that runs notices a signal or a timer.
+const NOTICE_TIME: Duration = Duration::from_millis(100);
+
+/// When SIGTERM may have been sent: a process that stands still notices it late.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SignalTime {
+    /// Earliest time. The grace period may end so long after it.
+    pub earliest: Duration,
+    /// When the signal was noticed.
+    pub latest: Duration,
+}
+
+/// The last time in which the process stood still.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Standstill {
+    since: Duration,
+    until: Duration,
+}
+
+impl Standstill {
+    /// Records that the process runs now and ran at `last`, with a timer that was due at `due`
+    /// between them.
+    pub fn note_run(&mut self, last: Duration, due: Duration, now: Duration) {
+        if now > due + NOTICE_TIME {
+            *self = Self { since: last, until: now };
+        }
+    }
+
+    /// Returns when a signal may have been sent that was noticed now.
+    pub fn signal_time(&self, now: Duration) -> SignalTime {
+        let stood_still = now <= self.until + NOTICE_TIME;
+        SignalTime { earliest: if stood_still { self.since } else { now }, latest: now }
+    }
+}
+
+/// Times of a graceful shutdown by which requests are accepted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Shutdown {
     /// When it started.
     pub started_at: Duration,
-    /// When the listener closes.
+    /// When the listener closes, if SIGTERM was noticed at once.
     pub listener_closes_at: Duration,
     /// When requests whose response has not started get a final answer, shortly before the exit.
     pub ends_at: Duration,
 }
 
+/// Steps of a graceful shutdown. What must come before the process is killed counts from the
+/// earliest time of SIGTERM; what must not come too early, from the latest one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DrainTimes {
+    /// Times by which requests are accepted.
+    pub shutdown: Shutdown,
+    /// When the listener closes: the load balancer is told when SIGTERM is noticed.
+    pub listener_closes_at: Duration,
+    /// Time after `ends_at` for which final answers are sent at least.
+    pub final_answer_time: Duration,
+    /// When streams are cut whose engine is at work.
+    pub cut_at: Duration,
+}
+
+impl DrainTimes {
+    /// Returns the steps of the shutdown after a signal. The process is killed `grace` after it.
+    pub fn new(signal: SignalTime, grace: Duration) -> Self {
+        let SignalTime { earliest, latest } = signal;
+        let exit_margin = MAX_EXIT_MARGIN.min(grace / EXIT_MARGIN_DIVISOR);
+        let final_answer_time = MAX_FINAL_ANSWER_TIME.min(grace / FINAL_ANSWER_DIVISOR);
+        let exits_at = earliest + grace - exit_margin;
+        let ends_at = exits_at - final_answer_time;
+        let excused_at = latest + grace - grace / CUT_PART_DIVISOR;
+        Self {
+            shutdown: Shutdown {
+                started_at: earliest,
+                listener_closes_at: ends_at.min(earliest + BALANCER_REMOVAL_DELAY),
+                ends_at,
+            },
+            listener_closes_at: ends_at.min(latest + BALANCER_REMOVAL_DELAY),
+            final_answer_time,
+            cut_at: exits_at.max(excused_at),
+        }
+    }
+}
+
 impl Router {
     /// True once the graceful shutdown has started.
     pub fn is_leaving(&self) -> bool {
--- a/tests/router/shutdown.rs
+++ b/tests/router/shutdown.rs
@@ -9,7 +9,10 @@
 use bamboodoor::router::Step;
 use bamboodoor::router::request::IncomingRequest;
 use bamboodoor::router::request::Prompt;
+use bamboodoor::router::shutdown::DrainTimes;
 use bamboodoor::router::shutdown::Shutdown;
+use bamboodoor::router::shutdown::SignalTime;
+use bamboodoor::router::shutdown::Standstill;
 
 use crate::harness::HOST;
 use crate::harness::Harness;
@@ -129,3 +132,60 @@
     harness.report(key, Event::ResponseStarted { status: 200 });
     assert_eq!(harness.report(key, Event::EntryExits), Step::Abort);
 }
+
+macro_rules! drain_times {
+    ($($name:ident: $grace_ms:literal, $late_ms:literal;)*) => {$(
+        /// Guards against final answers after the process may be killed, and against streams that
+        /// are cut before the last sixth of the grace period.
+        #[test]
+        fn $name() {
+            let (earliest, grace) = (ms(60_000), ms($grace_ms));
+            let latest = earliest + ms($late_ms);
+            let times = DrainTimes::new(SignalTime { earliest, latest }, grace);
+            let killed_at = earliest + grace;
+            assert!(times.shutdown.ends_at + times.final_answer_time < killed_at, "{times:?}");
+            assert!(times.shutdown.ends_at > earliest + grace * 5 / 6 - ms(100), "{times:?}");
+            assert!(times.cut_at >= latest + grace * 5 / 6, "{times:?}");
+            assert!(times.cut_at < latest + grace, "{times:?}");
+            assert!(times.cut_at < killed_at || $late_ms > 0, "{times:?}");
+            assert!(times.shutdown.listener_closes_at <= times.listener_closes_at, "{times:?}");
+            assert!(times.listener_closes_at <= times.shutdown.ends_at, "{times:?}");
+        }
+    )*};
+}
+
+drain_times! {
+    times_of_a_grace_period_of_1_s: 1_000, 0;
+    times_of_a_grace_period_of_4_s: 4_000, 0;
+    times_of_a_grace_period_of_4_s_if_sigterm_is_noticed_1_5_s_late: 4_000, 1_500;
+    times_of_a_grace_period_of_8_s: 8_000, 0;
+    times_of_a_grace_period_of_8_s_if_sigterm_is_noticed_0_5_s_late: 8_000, 500;
+    times_of_a_grace_period_of_8_s_if_sigterm_is_noticed_3_s_late: 8_000, 3_000;
+    times_of_a_grace_period_of_8_s_if_sigterm_is_noticed_20_s_late: 8_000, 20_000;
+    times_of_a_grace_period_of_12_s: 12_000, 0;
+    times_of_a_grace_period_of_12_s_if_sigterm_is_noticed_3_s_late: 12_000, 3_000;
+}
+
+macro_rules! signal_times {
+    ($($name:ident: $run_after_ms:literal, $signal_after_ms:literal => $late_ms:literal;)*) => {$(
+        /// Guards against a delay that is taken for shorter than it may be. The process ran at
+        /// 10 s, with a timer 250 ms later, and then after so long again.
+        #[test]
+        fn $name() {
+            let mut standstill = Standstill::default();
+            let (last, run_at) = (ms(10_000), ms(10_000 + $run_after_ms));
+            standstill.note_run(last, last + ms(250), run_at);
+            let latest = run_at + ms($signal_after_ms);
+            let signal = standstill.signal_time(latest);
+            assert_eq!(signal, SignalTime { earliest: latest - ms($late_ms), latest });
+        }
+    )*};
+}
+
+signal_times! {
+    a_signal_to_a_process_that_runs_was_just_sent: 251, 0 => 0;
+    a_signal_noticed_with_the_end_of_a_standstill_may_be_as_old_as_it: 1_500, 0 => 1_500;
+    a_signal_noticed_right_after_a_standstill_may_be_as_old_as_it: 1_500, 50 => 1_550;
+    a_signal_long_after_a_standstill_was_just_sent: 1_500, 400 => 0;
+    the_delay_after_a_long_standstill_is_not_capped: 9_000, 0 => 9_000;
+}
