A third silent prefill is given up, and the decode engine prefills the prompt

Callers of a stream saw no event until they lost patience: two prefills at silent engines were given up, and the third one was waited for until the deadline, as the request had used up its prefills.

The last silent prefill is now given up as the earlier ones, by the same times and only while its caller still waits, and the decode is sent without a source: the decode engine prefills the prompt itself. The prefill given up costs one send, the decode none; without a send left the prefill is waited for as before. A paused run keeps its search, as it may go on.

--- a/src/router/prefill_limits.rs
+++ b/src/router/prefill_limits.rs
@@ -103,22 +103,26 @@
     }
 
     /// Decides whether a prefill that exceeded its timeout is abandoned.
-    /// Returns true if so; the retry budget has paid for it then and holds a send for
-    /// another prefill. Returns false if the waits of other prefills explain how long it takes, if another one could
-    /// not end before the caller gives up, or if the request has used up its prefills or the
-    /// budget is spent: it then keeps waiting, for [`Router::prefill_check_after`].
+    /// Returns true if so; the retry budget has paid for it then. It holds a send for another
+    /// prefill, or the decode engine prefills the prompt itself if the request has used up its
+    /// prefills. Returns false if the waits of other prefills explain how long it takes, if
+    /// another one could not end before the caller gives up, or if the budget is spent: it then
+    /// keeps waiting, for [`Router::prefill_check_after`].
     ///
     /// # Panics
     /// If no request with this key is in flight.
     pub fn abandon_prefill(&mut self, now: Duration, key: RequestKey) -> bool {
         let request = &self.requests[key];
         let below_max_prefills = request.prefills < MAX_PREFILLS;
+        // A paused run may go on before another engine has prefilled the prompt by itself.
+        let replaces_run = request.paused_run.is_some();
         let overdue = now >= request.step_started_at + self.prefill_timeout(now, key);
-        below_max_prefills
-            && overdue
-            && self.prefill_fits_patience(now, key)
-            && !self.may_crash_upstreams(key)
-            && self.replace_prefill(now, key)
+        let abandonable =
+            overdue && self.prefill_fits_patience(now, key) && !self.may_crash_upstreams(key);
+        if below_max_prefills {
+            return abandonable && self.replace_prefill(now, key);
+        }
+        abandonable && !replaces_run && self.pay_for_abandoned_prefill(now, key)
     }
 
     /// Time after which a prefill that was not abandoned is checked again.
--- a/src/router/prefilling.rs
+++ b/src/router/prefilling.rs
@@ -18,8 +18,8 @@
 /// How long an engine that rejected a prefill is avoided: it is full or
 /// changing its role.
 const PREFILL_REJECTION_BACKOFF: Duration = Duration::from_millis(1_500);
-/// Largest number of prefills of one request; after a failure of the last one
-/// the decode engine prefills the prompt itself.
+/// Largest number of prefills of one request; if the last one fails or is silent, the decode
+/// engine prefills the prompt itself.
 pub(super) const MAX_PREFILLS: u32 = 3;
 
 impl Router {
--- a/src/router/retry_budgets.rs
+++ b/src/router/retry_budgets.rs
@@ -277,6 +277,24 @@
         true
     }
 
+    /// Takes the send that the prefill in flight costs if it is abandoned and no other one
+    /// follows. Returns false if the budget has none left.
+    pub(super) fn pay_for_abandoned_prefill(&mut self, now: Duration, key: RequestKey) -> bool {
+        let sends = self.requests[key].sends;
+        if sends.prefill_accepted && !sends.prefill_held {
+            // It was paid when it was sent.
+            return true;
+        }
+        if !sends.prefill_held && !self.try_hold(now, key) {
+            return false;
+        }
+        let sends = &mut self.requests[key].sends;
+        sends.prefill_held = false;
+        sends.arrivals += 1;
+        self.spend_held(now, key, BudgetDecision::PrefillFailed);
+        true
+    }
+
     /// Gives back what is held for a request that has ended. A prefill that is still in flight
     /// may be rejected, which makes it an extra send unless it is the first one.
     pub(super) fn settle_sends(&mut self, now: Duration, key: RequestKey) {
--- a/tests/router/given_up_prefills.rs
+++ b/tests/router/given_up_prefills.rs
@@ -5,10 +5,12 @@
 
 use bamboodoor::router::Event;
 use bamboodoor::router::Step;
+use bamboodoor::router::budget::BudgetLimits;
 use bamboodoor::router::flow::Failure;
 use bamboodoor::router::request::RequestKey;
 use bamboodoor::router::upstreams::PoolRole;
 
+use crate::harness::BUDGET_SHARE;
 use crate::harness::ENGINES;
 use crate::harness::Harness;
 use crate::harness::default_upstreams;
@@ -91,3 +93,49 @@
     let (prefills, step) = give_up_prefills(&mut Harness::new(upstreams));
     assert!(step.as_ref().is_some_and(goes_on), "after {prefills}: {step:?}");
 }
+
+/// The engines that are silent may have rejected their prefills; the decode is the run itself.
+#[test]
+fn three_silent_prefills_cost_three_sends_and_the_decode_costs_none() {
+    let mut harness = three_prefill_engines(3.0);
+    let (key, step) = give_up_all_prefills(&mut harness);
+    assert!(matches!(step, Some(Step::Reserve { .. })), "{step:?}");
+    let step = harness.report(key, reserved());
+    assert!(matches!(step, Step::Decode { source: None, .. }), "{step:?}");
+    harness.router.finish(harness.now, key);
+    let notices = harness.router.take_budget_notices();
+    let balance = notices.last().expect("the budget was asked").balance;
+    assert_eq!((balance.spent, balance.held), (3, 0));
+}
+
+/// Without a send left, a prefill that is given up could not be paid for.
+#[test]
+fn a_silent_prefill_is_waited_for_without_a_send_in_the_retry_budget() {
+    let mut harness = three_prefill_engines(2.0);
+    let (_, step) = give_up_all_prefills(&mut harness);
+    assert_eq!(step, None);
+}
+
+/// Returns a router with three prefill engines, whose budgets have this number of sends.
+fn three_prefill_engines(sends: f64) -> Harness {
+    let mut upstreams = default_upstreams();
+    upstreams.push(upstream("p3", ENGINES, PoolRole::Prefill));
+    let budget = BudgetLimits {
+        ratio: 0.0,
+        allowance: sends / BUDGET_SHARE,
+        share_settling: Duration::ZERO,
+        ..BudgetLimits::default()
+    };
+    Harness::with_budget(upstreams, 0, budget)
+}
+
+/// Gives up prefills at silent engines. Returns the key of their stream, and the step that
+/// follows; `None` if the entry waits on.
+fn give_up_all_prefills(harness: &mut Harness) -> (RequestKey, Option<Step>) {
+    let (key, mut step) = start_prefill(harness);
+    while let Step::Prefill { .. } = &step {
+        let Some(next) = stay_silent(harness, key, &step) else { return (key, None) };
+        step = next;
+    }
+    (key, Some(step))
+}
