An idempotent call goes on at its slow upstream beside its retry

If the second upstream rejected it, broke its connection, had an error or was silent, nothing was left. Beside SIGTERM the same.

Now the first exchange goes on. The first good answer is passed on, whichever upstream it is from, and the other exchange is closed at once, as both are when the caller leaves. A failure leaves the call to the other upstream; an error that an upstream responds with is passed on only if nothing better comes, also at the deadline and at the exit. What the call costs is as before: one send of the retry budget, an attempt and a run each, and no third upstream beyond the limits of the route, nor while the second one is in time. The failure of a slow upstream is recorded once. 429, 503, 408 and 421 are passed on only if no other upstream may have run the call, and a refusal names it as not run only if both have rejected it.

The decisions are in router::parallel_calls, the exchanges in open_calls. Tests that report a slow call now do so as the entry does (CallOverdue).

--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -16,6 +16,7 @@
 mod key_report;
 pub mod lease_task;
 pub mod metrics;
+mod open_calls;
 pub mod origin_log;
 pub mod quota_log;
 mod ready_response;
--- a/src/edge/direct/dispatch.rs
+++ b/src/edge/direct/dispatch.rs
@@ -16,6 +16,7 @@
 use crate::clock::Clock;
 use crate::edge::direct::crash_log::CrashLog;
 use crate::edge::direct::metrics::Metrics;
+use crate::edge::direct::open_calls::OpenCalls;
 use crate::edge::direct::origin_log::OriginLog;
 use crate::edge::direct::quota_log::QuotaLog;
 use crate::edge::direct::request_log::GivenUpBecause;
@@ -143,8 +144,9 @@
         let task = RequestTask {
             dispatcher: self.clone(),
             key,
-            request,
+            request: Rc::new(request),
             response: None,
+            calls: OpenCalls::default(),
             caller: CallerChannel::AwaitingHead(Some(head)),
             paused: None,
         };
--- a/src/edge/direct/request_log.rs
+++ b/src/edge/direct/request_log.rs
@@ -20,6 +20,7 @@
         Step::Prefill { .. } => "prefill",
         Step::Decode { .. } => "decode",
         Step::Call { .. } => "call",
+        Step::AwaitCall { .. } => "await-call",
         Step::LookUpOrigin { .. } => "look-up-origin",
         Step::Wait { .. } => "wait",
         Step::Relay { .. } => "relay",
@@ -32,6 +33,7 @@
 pub(super) fn failure_reason(event: &Event) -> Option<String> {
     match event {
         Event::Failed(failure) => Some(failure.to_string()),
+        Event::CallOverdue => Some("overdue".to_string()),
         Event::ResponseInterrupted { .. } => Some("broke-off".to_string()),
         Event::UpstreamCrashed { .. } => Some("upstream-crashed".to_string()),
         Event::ResponsePaused { .. } => Some("paused".to_string()),
@@ -65,7 +67,9 @@
             let source = source.as_ref().map(|source| source.address);
             (&target.id, format!("source {source:?} after {after_event:?}"))
         }
-        Step::Call { target, timeout, .. } => (&target.id, format!("timeout {timeout:?}")),
+        Step::Call { target, timeout, .. } | Step::AwaitCall { target, timeout } => {
+            (&target.id, format!("timeout {timeout:?}"))
+        }
         Step::LookUpOrigin { .. }
         | Step::Wait { .. }
         | Step::Relay { .. }
@@ -100,6 +104,7 @@
 pub(super) fn log_failure_event(instance: &str, now: Duration, request: &Request, event: &Event) {
     let (what, detail) = match event {
         Event::Failed(failure) => ("failed", failure.to_string()),
+        Event::CallOverdue => ("call-overdue", String::new()),
         Event::ResponseInterrupted { last_event } => ("broke-off", format!("after {last_event:?}")),
         Event::UpstreamCrashed { last_event } => {
             ("upstream-crashed", format!("after {last_event:?}"))
--- a/src/edge/direct/request_task.rs
+++ b/src/edge/direct/request_task.rs
@@ -13,6 +13,7 @@
 use tokio::time::timeout;
 
 use crate::edge::direct::dispatch::Dispatcher;
+use crate::edge::direct::open_calls::OpenCalls;
 use crate::edge::direct::ready_response::ReadyResponse;
 use crate::edge::direct::relay::OpenStream;
 use crate::edge::direct::request_log::GivenUpBecause;
@@ -30,7 +31,6 @@
 use crate::edge::direct::upstream_client::UpstreamClient;
 use crate::edge::direct::upstream_client::UpstreamResponse;
 use crate::router::Event;
-use crate::router::Router;
 use crate::router::Step;
 use crate::router::Target;
 use crate::router::flow::Failure;
@@ -62,9 +62,11 @@
 pub(super) struct RequestTask<U> {
     pub(super) dispatcher: Rc<Dispatcher<U>>,
     pub(super) key: RequestKey,
-    pub(super) request: ForwardedRequest,
+    pub(super) request: Rc<ForwardedRequest>,
     /// Response of the upstream, from its head on until `Step::Relay` passes it on.
     pub(super) response: Option<ReadyResponse>,
+    /// Exchanges of a call that have not ended.
+    pub(super) calls: OpenCalls,
     pub(super) caller: CallerChannel,
     /// Stream that paused, while the router looks for another engine.
     pub(super) paused: Option<OpenStream>,
@@ -108,7 +110,11 @@
     fn count_failure(&self, failure: &Option<String>, step: &Step) {
         let Some(reason) = failure else { return };
         self.dispatcher.metrics.count_failure(reason);
-        if !matches!(step, Step::Refuse(_) | Step::Abort | Step::Relay { .. }) {
+        let sends_nothing = matches!(
+            step,
+            Step::Refuse(_) | Step::Abort | Step::Relay { .. } | Step::AwaitCall { .. }
+        );
+        if !sends_nothing {
             self.dispatcher.metrics.count_retry(reason);
         }
     }
@@ -127,7 +133,10 @@
             // The channel closes without `ResponsePart::End`, so the caller sees that the
             // response is incomplete.
             Step::Abort => None,
-            Step::Relay { idle_timeout } => self.relay_response(idle_timeout).await,
+            Step::Relay { idle_timeout } => {
+                self.calls.close();
+                self.relay_response(idle_timeout).await
+            }
             step => self.execute_until_deadline(step).await,
         }
     }
@@ -260,23 +269,10 @@
                 }
             }
             Step::Call { target, remaining_time, timeout: limit, fresh_connection } => {
-                let upstream_client = &self.dispatcher.upstream_client;
-                let exchange = async {
-                    let call = upstream_client.call(
-                        &self.request,
-                        &target,
-                        remaining_time,
-                        fresh_connection,
-                    );
-                    self.read_response(call.await?).await
-                };
-                let abandon = |router: &mut Router, now| router.abandon_call(now, self.key);
-                let ready = self.wait_or_abandon(exchange, limit, abandon).await;
-                match ready {
-                    Ok(ready) => self.store_response(ready),
-                    Err(failure) => self.dispatcher.failed(failure, &target).await,
-                }
+                self.start_call(target, remaining_time, fresh_connection);
+                self.await_call(limit).await
             }
+            Step::AwaitCall { timeout: limit, .. } => self.await_call(limit).await,
             Step::LookUpOrigin { request_id, timeout: limit } => {
                 let lookup = self.dispatcher.origin_log.read(limit).await;
                 self.log_origin(request_id.as_deref().unwrap_or_default(), lookup);
@@ -315,24 +311,6 @@
         }
     }
 
-    /// Waits for an exchange with an upstream. After `limit`, `abandon` decides whether it
-    /// is abandoned; otherwise the wait continues until the deadline of the request.
-    async fn wait_or_abandon<T>(
-        &self,
-        exchange: impl Future<Output = Result<T, Failure>>,
-        limit: Duration,
-        abandon: impl FnOnce(&mut Router, Duration) -> bool,
-    ) -> Result<T, Failure> {
-        let mut exchange = std::pin::pin!(exchange);
-        if let Ok(result) = timeout(limit, exchange.as_mut()).await {
-            return result;
-        }
-        if abandon(&mut self.dispatcher.router.borrow_mut(), self.dispatcher.now()) {
-            return Err(Failure::Silent);
-        }
-        exchange.await
-    }
-
     /// Receives the response to a decode.
     ///
     /// # Errors
@@ -350,7 +328,7 @@
             });
             return Err(Failure::NoContinuation);
         }
-        let mut ready = self.read_response(response).await?;
+        let mut ready = self.dispatcher.read_response(response).await?;
         if self.has_paused_run() {
             ready.await_first_part().await?;
         }
@@ -370,23 +348,12 @@
     }
 
     /// Stores a response for `Step::Relay` and returns the event for the router.
-    fn store_response(&mut self, ready: ReadyResponse) -> Event {
+    pub(super) fn store_response(&mut self, ready: ReadyResponse) -> Event {
         let status = ready.status();
         self.response = Some(ready);
         Event::ResponseStarted { status }
     }
 
-    /// Reads a response completely if it is short and no stream.
-    ///
-    /// # Errors
-    /// Those of [`ReadyResponse::read`].
-    async fn read_response(&self, response: UpstreamResponse) -> Result<ReadyResponse, Failure> {
-        let upstream_client = &self.dispatcher.upstream_client;
-        let release =
-            |connection, keep_alive| upstream_client.release_connection(connection, keep_alive);
-        ReadyResponse::read(response, &self.dispatcher.response_memory, release).await
-    }
-
     /// Waits until the router reports the request as runnable, at most until `until`.
     async fn wait_until_runnable(&self, until: Duration) {
         let wakeup = Rc::new(Notify::new());
--- a/src/router.rs
+++ b/src/router.rs
@@ -22,6 +22,7 @@
 pub mod liveness;
 pub mod output_margin;
 pub mod pace;
+mod parallel_calls;
 pub mod pauses;
 mod plain;
 pub mod poison;
@@ -429,6 +430,7 @@
         self.record_steady_stream(key);
         self.report_crashed_runs(key);
         self.have_run_checked(key);
+        self.end_parallel_calls(key);
         if self.requests.contains_key(key) {
             self.settle_sends(now, key);
         }
--- a/src/router/flow.rs
+++ b/src/router/flow.rs
@@ -83,14 +83,21 @@
         /// Time left until the request's deadline, sent to the upstream.
         remaining_time: Duration,
         /// Time limit for the response. Once it is exceeded,
-        /// [`Router::abandon_call`](crate::router::Router::abandon_call) decides whether
-        /// the wait continues.
+        /// [`Router::repeat_call`](crate::router::Router::repeat_call) decides whether
+        /// another upstream gets the call as well.
         timeout: Duration,
         /// True if the call must not use a connection that has been idle for
         /// long: the upstream may be closing it, and this call must not be
         /// retried once the upstream may have received it.
         fresh_connection: bool,
     },
+    /// Wait for the response to a call that was sent before: the last one has ended.
+    AwaitCall {
+        /// Upstream that is expected to respond.
+        target: Target,
+        /// Time limit for the response, as that of [`Step::Call`].
+        timeout: Duration,
+    },
     /// Read from the store at which software version a stream began that the caller takes
     /// up.
     LookUpOrigin {
@@ -177,6 +184,9 @@
     },
     /// The exchange of the step failed.
     Failed(Failure),
+    /// The call exceeded its timeout and another upstream is to get it as well. Its exchange goes
+    /// on.
+    CallOverdue,
     /// The wait is over, or the request became runnable before its end.
     WaitEnded,
     /// The whole response was relayed to the caller.
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -63,7 +63,7 @@
             Event::ResponseResumed => self.stream_resumed(now, key),
             Event::DeadlinePassed => self.generate_deadline_passed(now, key),
             Event::EntryExits => self.entry_exits(now, key),
-            Event::ResponseRelayed => Step::Abort,
+            Event::ResponseRelayed | Event::CallOverdue => Step::Abort,
         }
     }
 
--- a/src/router/plain.rs
+++ b/src/router/plain.rs
@@ -25,7 +25,7 @@
 pub(super) const RETRY_AFTER_DIVISOR: u32 = 3;
 /// `Retry-After` of a call that was refused because no upstream could serve it,
 /// before jitter and the limit by the caller's remaining time.
-const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_millis(400);
+pub(super) const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// Largest number of attempts of one call.
 const MAX_ATTEMPTS: u32 = 4;
 /// Lowest HTTP status by which an upstream reports a failure of its own.
@@ -45,8 +45,11 @@
             Event::Started | Event::WaitEnded => self.call(now, key),
             Event::ResponseStarted { status } => self.call_response_started(now, key, status),
             Event::Failed(failure) => self.call_failed(now, key, failure),
+            Event::CallOverdue => self.call_overdue(now, key),
             Event::DeadlinePassed => self.call_deadline_passed(now, key),
-            Event::EntryExits => self.entry_exits(now, key),
+            Event::EntryExits => {
+                self.kept_error_step(now, key).unwrap_or_else(|| self.entry_exits(now, key))
+            }
             Event::ResponseInterrupted { .. } => Step::Abort,
             Event::UpstreamCrashed { .. } => {
                 self.record_crashed_run(now, key);
@@ -56,7 +59,7 @@
         }
     }
 
-    fn call(&mut self, now: Duration, key: RequestKey) -> Step {
+    pub(super) fn call(&mut self, now: Duration, key: RequestKey) -> Step {
         let booked = self.requests[key].booked_upstream.take();
         if let Some(end) = self.end_if_poisonous(now, key) {
             booked.into_iter().for_each(|upstream| self.upstreams.give_back_permit(upstream));
@@ -77,6 +80,12 @@
     /// Books the next permit of an upstream that is at its rate limit and waits for it. If
     /// it comes too late or there is no upstream, refuses the request.
     fn wait_for_permit(&mut self, now: Duration, key: RequestKey) -> Step {
+        if let Some(step) = self.await_parallel_call(now, key) {
+            return step;
+        }
+        if let Some(step) = self.kept_error_step(now, key) {
+            return step;
+        }
         let service = self.requests[key].service.clone();
         let role = self.call_role(now, &service);
         let next = self.upstreams.next_sendable(&service, role, None, now);
@@ -101,15 +110,27 @@
         let request = &mut self.requests[key];
         request.attempts += 1;
         request.runs += 1;
+        request.step_started_at = now;
+        request.is_overdue = false;
         request.current = Some(target.clone());
         request.open_run = Some(target.clone());
         let remaining_time = request.remaining_time(now);
+        let fresh_connection = !request.route().idempotent;
+        let timeout = self.call_timeout(now, key);
+        Step::Call { target, remaining_time, timeout, fresh_connection }
+    }
+
+    /// Time after which the current call may go to another upstream as well; the remaining time
+    /// if it may not.
+    pub(super) fn call_timeout(&self, now: Duration, key: RequestKey) -> Duration {
+        let request = &self.requests[key];
+        let remaining_time = request.remaining_time(now);
         let route = request.route();
-        let may_repeat = route.idempotent && request.runs < route.max_runs;
+        if request.is_overdue || !route.idempotent || request.runs >= route.max_runs {
+            return remaining_time;
+        }
         let early_timeout = route.latency_target.mul_f64(CALL_TIMEOUT_SHARE).max(MIN_CALL_TIMEOUT);
-        let timeout = if may_repeat { early_timeout.min(remaining_time) } else { remaining_time };
-        let fresh_connection = !route.idempotent;
-        Step::Call { target, remaining_time, timeout, fresh_connection }
+        (request.step_started_at + early_timeout).saturating_sub(now).min(remaining_time)
     }
 
     fn call_response_started(&mut self, now: Duration, key: RequestKey, status: u16) -> Step {
@@ -117,18 +138,22 @@
         if promises_not_run(status) && !self.requests[key].route().idempotent {
             return self.refuse_unproven_rejection(now, key);
         }
-        if status < MIN_SERVER_ERROR_STATUS {
+        let is_rejection = promises_not_run(status) && self.may_have_run_elsewhere(key);
+        if status < MIN_SERVER_ERROR_STATUS && !is_rejection {
             self.upstreams.record_success(now, target.key);
-            return Step::Relay { idle_timeout: None };
+            return self.pass_on(now, key, status);
         }
         // Its upstream has survived the request.
         self.requests[key].open_run = None;
         self.record_sound_run(now, key);
         self.requests[key].excluded.push(target.key);
+        if let Some(step) = self.keep_error(now, key, status) {
+            return step;
+        }
         if self.try_hold_retry(now, key) {
             return self.call(now, key);
         }
-        Step::Relay { idle_timeout: None }
+        self.await_parallel_call(now, key).unwrap_or_else(|| self.pass_on(now, key, status))
     }
 
     /// Refuses a request that its upstream may have run, in place of a response whose status would
@@ -140,24 +165,6 @@
         Step::Refuse(self.refusal(now, key, reason, Duration::ZERO))
     }
 
-    /// Decides whether a call that exceeded its timeout is abandoned. Returns true if it
-    /// can be retried at another upstream, and holds the retry in the retry budget.
-    /// Returns false if not: it then keeps waiting, as its upstream may still respond.
-    ///
-    /// # Panics
-    /// If no request with this key is in flight.
-    pub fn abandon_call(&mut self, now: Duration, key: RequestKey) -> bool {
-        if self.may_crash_upstreams(key) {
-            return false;
-        }
-        let Some(target) = self.requests[key].current.clone() else { return false };
-        let excluded = self.requests[key].excluded.len();
-        self.requests[key].excluded.push(target.key);
-        let abandoned = self.try_hold_retry(now, key);
-        self.requests[key].excluded.truncate(excluded);
-        abandoned
-    }
-
     fn call_failed(&mut self, now: Duration, key: RequestKey, failure: Failure) -> Step {
         self.record_step_failure(now, key, failure);
         if failure == Failure::Crashed {
@@ -174,6 +181,9 @@
         if let Some(end) = self.end_if_poisonous(now, key) {
             return end;
         }
+        if let Some(step) = self.await_timely_call(now, key) {
+            return step;
+        }
         let repeatable = failure.proves_not_run() || self.requests[key].route().idempotent;
         let held = self.requests[key].sends.is_retry_held();
         let unsent = failure == Failure::NotSent && self.requests[key].attempts < MAX_ATTEMPTS;
@@ -188,7 +198,7 @@
                 RefusalReason::UpstreamLost
             }
         };
-        Step::Refuse(self.refusal(now, key, reason, NO_UPSTREAM_RETRY_AFTER))
+        self.end_call(now, key, reason)
     }
 
     fn call_deadline_passed(&mut self, now: Duration, key: RequestKey) -> Step {
@@ -199,18 +209,14 @@
             self.record_step_failure(now, key, Failure::Silent);
             self.requests[key].may_have_run = true;
         }
-        Step::Refuse(self.refusal(
-            now,
-            key,
-            RefusalReason::DeadlineExceeded,
-            NO_UPSTREAM_RETRY_AFTER,
-        ))
+        self.end_parallel_calls(key);
+        self.end_call(now, key, RefusalReason::DeadlineExceeded)
     }
 
     /// Holds one send in the retry budget for another attempt. Returns false, and
     /// holds none, if the limits of the request or the budget forbid one, or if
     /// there is no upstream for it.
-    fn try_hold_retry(&mut self, now: Duration, key: RequestKey) -> bool {
+    pub(super) fn try_hold_retry(&mut self, now: Duration, key: RequestKey) -> bool {
         let request = &self.requests[key];
         let route = request.route();
         let allowed = request.runs < route.max_runs
@@ -225,7 +231,8 @@
     pub(super) fn record_step_failure(&mut self, now: Duration, key: RequestKey, failure: Failure) {
         let Some(target) = self.requests[key].current.clone() else { return };
         self.requests[key].excluded.push(target.key);
-        if failure != Failure::NotRun {
+        // One that is overdue has been recorded.
+        if failure != Failure::NotRun && !self.requests[key].is_overdue {
             self.upstreams.record_failure(now, target.key);
             self.instance_list.record_failure(&target.id, &mut self.upstreams);
         }
@@ -240,7 +247,9 @@
         reason: RefusalReason,
         retry_after: Duration,
     ) -> Refusal {
-        let outcome = self.requests[key].outcome();
+        let request = &mut self.requests[key];
+        request.may_have_run |= !request.parallel_calls.is_empty();
+        let outcome = request.outcome();
         let retry_after = (outcome == Outcome::NotRun)
             .then(|| crate::policy::retry::with_jitter(retry_after, &mut self.rng))
             .map(|wait| wait.min(self.requests[key].remaining_time(now) / RETRY_AFTER_DIVISOR));
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -16,6 +16,8 @@
 use crate::router::flow::Cleanup;
 use crate::router::flow::Target;
 use crate::router::liveness::Liveness;
+use crate::router::parallel_calls::KeptError;
+use crate::router::parallel_calls::ParallelCall;
 use crate::router::poison::CrashedRun;
 use crate::router::poison::Suspect;
 use crate::router::retry_budgets::BudgetedSends;
@@ -182,6 +184,12 @@
     /// Upstream of the last step. Before another prefill it is set back to the
     /// decode engine of the reservation.
     pub(super) current: Option<Target>,
+    /// Exchanges of a call beside that at `current`, which go on.
+    pub(super) parallel_calls: Vec<ParallelCall>,
+    /// True once the call at `current` has exceeded its timeout.
+    pub(super) is_overdue: bool,
+    /// Error that is passed on if no upstream has a better answer to the call.
+    pub(super) kept_error: Option<KeptError>,
     /// Upstream whose permit a waiting call has taken in advance.
     pub(super) booked_upstream: Option<UpstreamKey>,
     /// Upstream whose `open_requests` and `open_tokens` include this request.
@@ -268,6 +276,9 @@
             step_started_at: now,
             excluded: Vec::new(),
             current: None,
+            parallel_calls: Vec::new(),
+            is_overdue: false,
+            kept_error: None,
             booked_upstream: None,
             counted_upstream: None,
             prefilling_engine: None,
--- a/tests/router/crash_fleet.rs
+++ b/tests/router/crash_fleet.rs
@@ -179,10 +179,10 @@
         self.report(request, Event::ResponseStarted { status: 200 });
     }
 
-    /// Has the entry decide whether a call that exceeded its timeout is abandoned.
-    pub fn abandon_call(&mut self, request: InFlight) -> bool {
+    /// Has the entry decide whether a call that exceeded its timeout is sent to another upstream as well.
+    pub fn repeat_call(&mut self, request: InFlight) -> bool {
         let entry = &mut self.entries[request.entry];
-        entry.router.abandon_call(entry.now, request.key)
+        entry.router.repeat_call(entry.now, request.key)
     }
 
     pub fn report(&mut self, request: InFlight, event: Event) -> Step {
--- a/tests/router/deadly_requests.rs
+++ b/tests/router/deadly_requests.rs
@@ -232,8 +232,8 @@
         let entry = arrival % 3;
         let (request, step) = fleet.arrive(entry, LOOKUP, "deadly");
         if matches!(step, Step::Call { .. }) {
-            assert!(fleet.abandon_call(request));
-            let step = fleet.report(request, Event::Failed(Failure::Silent));
+            assert!(fleet.repeat_call(request));
+            let step = fleet.report(request, Event::CallOverdue);
             assert!(matches!(step, Step::Call { .. }), "{step:?}");
             fleet.report(request, Event::DeadlinePassed);
         }
@@ -284,9 +284,9 @@
     let mut fleet = Fleet::new(2);
     fleet.deadly(0, BOOKING);
     let (request, _) = fleet.arrive(0, LOOKUP, "deadly");
-    assert!(!fleet.abandon_call(request));
+    assert!(!fleet.repeat_call(request));
     let (request, _) = fleet.arrive(0, LOOKUP, "another");
-    assert!(fleet.abandon_call(request));
+    assert!(fleet.repeat_call(request));
 }
 
 /// Upstreams crash now and then for other reasons.
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -22,6 +22,7 @@
 mod liveness;
 mod output_margin;
 mod pace;
+mod parallel_calls;
 mod pauses;
 mod plain;
 mod poison;
--- a/tests/router/plain.rs
+++ b/tests/router/plain.rs
@@ -125,8 +125,8 @@
 /// Reports that a call exceeded its timeout. Returns the next step, or `None` if the entry
 /// keeps waiting for the upstream.
 fn exceed_timeout(harness: &mut Harness, key: RequestKey) -> Option<Step> {
-    let abandoned = harness.router.abandon_call(harness.now, key);
-    abandoned.then(|| harness.report(key, Event::Failed(Failure::Silent)))
+    let repeats = harness.router.repeat_call(harness.now, key);
+    repeats.then(|| harness.report(key, Event::CallOverdue))
 }
 
 #[test]
--- a/tests/router/retry_fleet.rs
+++ b/tests/router/retry_fleet.rs
@@ -359,6 +359,8 @@
                 let pause = until.saturating_sub(self.now);
                 self.after(pause, request, number, Event::WaitEnded);
             }
+            // Only an upstream that is silent for good was slow.
+            Step::AwaitCall { .. } => {}
             Step::Relay { idle_timeout } => self.relay(request, number, idle_timeout),
             Step::LookUpOrigin { .. } => panic!("no caller takes a stream up"),
             Step::Refuse(_) => {
@@ -465,8 +467,8 @@
             return;
         };
         let (key, router) = (in_flight.key, &mut self.entries[in_flight.entry].router);
-        if router.abandon_call(self.now, key) {
-            self.report(request, step, Event::Failed(Failure::Silent));
+        if router.repeat_call(self.now, key) {
+            self.report(request, step, Event::CallOverdue);
         }
     }
 
