Tests: engines that refuse new connections and finish their streams, or break them off as they leave

Callers lose a resumable stream whose engine stops in order. The engine closes its listener and finishes the streams that it has. If one of them pauses, the engine is asked, refuses the new connection and counts as gone. The stream is moved, its run is closed 0.2 s later, and it is cut if the engine that replaces it fails after that.

Stand-ins can stop now: in order, or breaking their responses off.

--- a/standins/src/platform/replica.rs
+++ b/standins/src/platform/replica.rs
@@ -25,6 +25,7 @@
 use serde_json::json;
 
 use tokio::sync::Notify;
+use tokio::sync::watch;
 
 use crate::faults::Delay;
 use crate::faults::Pause;
@@ -35,6 +36,7 @@
 use crate::platform::replacement_faults::ReplacementFaults;
 use crate::server;
 use crate::server::Body;
+use crate::server::Stop;
 
 /// End of the path of requests that crash the replica that runs them.
 pub const DEADLY_PATH: &str = "/deadly";
@@ -145,6 +147,8 @@
     pub crashed: Notify,
     /// Times at which requests and calls of any kind arrived, in this order.
     pub arrivals: Mutex<Vec<Instant>>,
+    /// How it stops, once it does.
+    stop: watch::Sender<Option<Stop>>,
 }
 
 impl Replica {
@@ -187,9 +191,12 @@
             deadly_requests: Mutex::default(),
             crashed: Notify::default(),
             arrivals: Mutex::default(),
+            stop: watch::Sender::new(None),
         });
         let served = replica.clone();
-        let address = server::serve(move |request| served.clone().handle(request)).await;
+        let free_port = "127.0.0.1:0".parse().expect("the address is valid");
+        let handle = move |request| served.clone().handle(request);
+        let address = server::serve_until(free_port, replica.stop.subscribe(), handle).await;
         (replica, address)
     }
 
@@ -257,6 +264,11 @@
         *retry_after = seconds.map(str::to_string);
     }
 
+    /// Stops: it listens no more.
+    pub fn stop(&self, stop: Stop) {
+        self.stop.send_replace(Some(stop));
+    }
+
     /// Number of requests and calls of any kind that arrived.
     pub fn arrival_count(&self) -> usize {
         self.arrivals.lock().expect("the mutex is not poisoned").len()
--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -1,7 +1,9 @@
 //! Small HTTP/1.1 server on loopback that passes each request to a closure.
 
 use std::convert::Infallible;
+use std::future::pending;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -20,6 +22,8 @@
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
 
 /// Response body; an error in it breaks the connection.
 pub type Body = UnsyncBoxBody<Bytes, std::io::Error>;
@@ -41,6 +45,32 @@
 ///
 /// Panics if the address cannot be bound.
 pub async fn serve_on<F, R>(address: SocketAddr, handle: F) -> SocketAddr
+where
+    F: Fn(Request<Incoming>) -> R + Send + Sync + 'static,
+    R: Future<Output = Result<Response<Body>, std::io::Error>> + Send + 'static,
+{
+    serve_until(address, watch::channel(None).1, handle).await
+}
+
+/// How a server stops; new connections are refused either way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stop {
+    /// It finishes its responses.
+    InOrder,
+    /// It breaks its responses off.
+    BreakingOff,
+}
+
+/// The same, until it is told to stop; it goes on if the sender of `stop` is dropped.
+///
+/// # Panics
+///
+/// Panics if the address cannot be bound.
+pub async fn serve_until<F, R>(
+    address: SocketAddr,
+    mut stop: watch::Receiver<Option<Stop>>,
+    handle: F,
+) -> SocketAddr
 where
     F: Fn(Request<Incoming>) -> R + Send + Sync + 'static,
     R: Future<Output = Result<Response<Body>, std::io::Error>> + Send + 'static,
@@ -49,19 +79,51 @@
     let address = listener.local_addr().expect("a listener has an address");
     let handle = Arc::new(handle);
     tokio::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
+        let connection_stop = stop.clone();
+        let mut stopped = pin!(stopped(&mut stop));
+        loop {
+            let stream = tokio::select! {
+                _ = stopped.as_mut() => return,
+                accepted = listener.accept() => accepted,
+            };
+            let Ok((stream, _)) = stream else { return };
             let _ = stream.set_nodelay(true);
-            let handle = handle.clone();
-            let service = service_fn(move |request| handle(request));
-            tokio::spawn(async move {
-                let http = hyper::server::conn::http1::Builder::new();
-                let _ = http.serve_connection(TokioIo::new(stream), service).await;
-            });
+            tokio::spawn(serve_connection(stream, connection_stop.clone(), handle.clone()));
         }
     });
     address
 }
 
+async fn serve_connection<F, R>(
+    stream: TcpStream,
+    mut stop: watch::Receiver<Option<Stop>>,
+    handle: Arc<F>,
+) where
+    F: Fn(Request<Incoming>) -> R,
+    R: Future<Output = Result<Response<Body>, std::io::Error>>,
+{
+    let service = service_fn(move |request| handle(request));
+    let http = hyper::server::conn::http1::Builder::new();
+    let mut connection = pin!(http.serve_connection(TokioIo::new(stream), service));
+    let stop = tokio::select! {
+        _ = connection.as_mut() => return,
+        stop = stopped(&mut stop) => stop,
+    };
+    if stop == Stop::InOrder {
+        connection.as_mut().graceful_shutdown();
+        let _ = connection.await;
+    }
+}
+
+/// Completes once the server is told to stop.
+async fn stopped(stop: &mut watch::Receiver<Option<Stop>>) -> Stop {
+    let told = stop.wait_for(Option::is_some).await.ok().and_then(|stop| *stop);
+    match told {
+        Some(stop) => stop,
+        None => pending().await,
+    }
+}
+
 /// Response with the given status and `value` as JSON body.
 pub fn json(status: StatusCode, value: &impl Serialize) -> Response<Body> {
     let bytes = serde_json::to_vec(value).expect("a response can be serialized as JSON");
