An engine that refuses new connections is not given up at once (LOST around SIGTERM)

Callers lost a resumable stream whose engine stopped in order: it closed its listener and finished its streams, one of which paused for 1.6 s. The refused connection counted as proof that the engine was gone, so the stream was moved after 0.6 s, its run closed, and the stream cut if the engine that replaced it failed later than 0.2 s.

What proves that a run is over is its own connection, or another instance at the address of its engine. A refused new connection is an answer of its own now (`refused`). Of an engine that is known to be leaving it tells nothing: it, its record or an earlier one of the same incarnation has said so, or its record was removed. Of any other engine it counts like a call without an answer, so that the engine is lost after 2.5 s. `gone` is left for another instance at the address. `engine-asked` says whether the engine is leaving.

--- a/src/edge/direct/connections.rs
+++ b/src/edge/direct/connections.rs
@@ -84,7 +84,7 @@
     fn from(probe: ConnectionProbe) -> Self {
         match probe {
             ConnectionProbe::Accepted => Self::Alive,
-            ConnectionProbe::Refused => Self::Gone,
+            ConnectionProbe::Refused => Self::Refused,
             ConnectionProbe::Silent => Self::Silent,
             ConnectionProbe::NotTried => Self::NotAsked,
         }
--- a/src/edge/direct/engine_check.rs
+++ b/src/edge/direct/engine_check.rs
@@ -64,7 +64,8 @@
         let mut router = self.router.borrow_mut();
         router.record_engine_answer(now, key, engine, answer);
         if let Some(request) = router.request(key) {
-            log_asked_engine(&self.name, now, request, engine, answer);
+            let is_leaving = router.is_upstream_leaving(engine);
+            log_asked_engine(&self.name, now, request, engine, is_leaving, answer);
         }
     }
 }
--- a/src/edge/direct/request_log.rs
+++ b/src/edge/direct/request_log.rs
@@ -211,6 +211,7 @@
     now: Duration,
     request: &Request,
     engine: &Target,
+    is_leaving: bool,
     answer: EngineAnswer,
 ) {
     spdlog::info!("engine-asked", kv: {
@@ -218,6 +219,7 @@
         request_id: = request.id,
         upstream: = engine.id,
         silent_ms = as_ms(request.silence(now)),
+        leaving = is_leaving,
         answer: = answer
     });
 }
--- a/src/router/liveness.rs
+++ b/src/router/liveness.rs
@@ -3,6 +3,10 @@
 //! A sound engine may keep a stream waiting for seconds, as when it preempts it for lack of
 //! memory. Silence of a stream is therefore no failure: the engine is asked with a call of its
 //! own, and counts as lost to the stream only once it has answered none for a while.
+//!
+//! Proof that a run is over comes from its own connection, or from another instance at the
+//! address of its engine. Refused new connections show no more than that nothing listens: a
+//! process that stops in order closes its listener and finishes the streams that it has.
 
 use std::time::Duration;
 
@@ -31,7 +35,9 @@
     Alive,
     /// Nothing came.
     Silent,
-    /// The host refuses connections, or another instance has the address.
+    /// The host refuses new connections.
+    Refused,
+    /// Another instance has the address.
     Gone,
     /// The call could not be made.
     NotAsked,
@@ -101,12 +107,15 @@
         if !self.requests.contains_key(key) {
             return;
         }
+        if answer == EngineAnswer::Refused && self.is_upstream_leaving(engine) {
+            return;
+        }
         let last_sign_at = self.last_sign_at(key, engine);
         let liveness = self.liveness(key, engine);
         match answer {
             EngineAnswer::Alive => liveness.answered_at = Some(now),
             EngineAnswer::Gone => liveness.gone_at = Some(now),
-            EngineAnswer::Silent => {
+            EngineAnswer::Silent | EngineAnswer::Refused => {
                 let is_first = liveness.unanswered_at.is_none_or(|at| at < last_sign_at);
                 liveness.unanswered = if is_first { 1 } else { liveness.unanswered + 1 };
                 liveness.unanswered_at = Some(now);
@@ -115,6 +124,12 @@
         }
     }
 
+    /// True if an upstream is known to be leaving: it or its record has said so, or its record was
+    /// removed.
+    pub fn is_upstream_leaving(&self, upstream: &Target) -> bool {
+        self.upstreams.is_leaving(upstream.key, &upstream.id)
+    }
+
     /// True if the engine of the paused run has answered since it was taken for lost.
     pub(super) fn has_paused_engine_answered(&mut self, key: RequestKey) -> bool {
         let request = &self.requests[key];
--- a/tests/router/liveness.rs
+++ b/tests/router/liveness.rs
@@ -179,6 +179,88 @@
     an_engine_that_could_not_be_asked_is_not_lost: NotAsked;
 }
 
+/// Has an engine be known as leaving.
+type Leave = fn(&mut Harness, &Target);
+
+macro_rules! leaving_engines_that_refuse_connections {
+    ($($name:ident: $leave:expr;)*) => {$(
+        /// Guards against a stream that is given up though its engine finishes it, as the engine
+        /// listens no more.
+        #[test]
+        fn $name() {
+            let mut harness = Harness::new(default_upstreams());
+            let (key, engine) = start_stream(&mut harness);
+            let leave: Leave = $leave;
+            leave(&mut harness, &engine);
+            let (calls, lost_after) =
+                be_silent(&mut harness, key, ms(7_000), EngineAnswer::Refused);
+            assert!(calls > 5, "{calls}");
+            assert_eq!(lost_after, None);
+        }
+    )*};
+}
+
+leaving_engines_that_refuse_connections! {
+    an_engine_whose_record_says_that_it_leaves_may_refuse_connections:
+        |harness, engine| mark_draining(harness, &engine.id);
+    an_engine_that_says_that_it_leaves_may_refuse_connections: |harness, engine| {
+        let notice = UpstreamNotice {
+            upstream: engine.key,
+            sent_at: harness.now,
+            rate_limit: None,
+            leaving: true,
+            retry_after: None,
+        };
+        harness.router.record_notice(harness.now, &notice);
+    };
+    an_engine_whose_record_is_removed_may_refuse_connections:
+        |harness, engine| harness.apply_record(&engine.id, InstanceState::Removed);
+    an_engine_that_has_said_that_it_leaves_and_is_replaced_may_refuse_connections:
+        |harness, engine| {
+            mark_draining(harness, &engine.id);
+            replace(harness, &engine.id);
+        };
+}
+
+/// Has the record of an upstream say that it is leaving.
+fn mark_draining(harness: &mut Harness, id: &str) {
+    let mut listed = harness.router.upstreams().get_by_id(id).expect("is listed").listed.clone();
+    listed.leaving = true;
+    harness.apply_record(id, InstanceState::Present(listed));
+}
+
+/// Lists another incarnation of an upstream, at another address.
+fn replace(harness: &mut Harness, id: &str) {
+    let mut listed = harness.router.upstreams().get_by_id(id).expect("is listed").listed.clone();
+    listed.leaving = false;
+    listed.started_ms += 1;
+    listed.address.set_port(listed.address.port() + 1_000);
+    harness.apply_record(id, InstanceState::Present(listed));
+}
+
+macro_rules! engines_that_refuse_connections_without_a_word {
+    ($($name:ident: $change:expr;)*) => {$(
+        /// A process that stops in order may not say so; one that is gone leaves its connections
+        /// without an end at times.
+        #[test]
+        fn $name() {
+            let mut harness = Harness::new(default_upstreams());
+            let (key, engine) = start_stream(&mut harness);
+            let change: Leave = $change;
+            change(&mut harness, &engine);
+            let (_, lost_after) = be_silent(&mut harness, key, PATIENCE, EngineAnswer::Refused);
+            let lost_after = lost_after.expect("the engine is lost");
+            assert!(lost_after > SOUND_SILENCE && lost_after < PATIENCE, "{lost_after:?}");
+        }
+    )*};
+}
+
+engines_that_refuse_connections_without_a_word! {
+    an_engine_that_refuses_connections_is_lost_as_late_as_a_silent_one: |_, _| {};
+    an_engine_that_is_replaced_without_a_word_is_lost_as_late_as_a_silent_one:
+        |harness, engine| replace(harness, &engine.id);
+}
+
 #[test]
 fn an_engine_that_is_gone_is_lost_with_the_first_call() {
     let mut harness = Harness::new(default_upstreams());
