An engine that was known to be leaving has not crashed when it refuses connections

A caller whose resumable stream lost two engines that left was refused at its next attempt (503, poisonous-request): an engine that stops breaks its streams off and closes its listener, as a crashed process does, and each counted as crashed under the request.

An upstream that was known to be leaving before the check (it or its record has said so, or its record was removed) has stopped in order; its refused connections prove no crash. A crash leaves the record in the instance list for three heartbeats, longer than the check takes.

--- a/src/edge/direct/crash_check.rs
+++ b/src/edge/direct/crash_check.rs
@@ -1,5 +1,6 @@
 //! Checks whether an upstream whose connection was lost has crashed: its host then refuses new
-//! ones. An upstream that does not answer may be unreachable, which a request cannot cause.
+//! ones. An upstream that does not answer may be unreachable, which a request cannot cause. One
+//! that is known to be leaving has stopped, and may have broken its responses off.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -21,7 +22,7 @@
     /// Returns the event of a failed exchange, after a check of the upstream if the exchange was
     /// interrupted.
     pub(super) async fn failed(&self, failure: Failure, target: &Target) -> Event {
-        if failure == Failure::Broken && self.upstream_client.refuses_connections(target).await {
+        if failure == Failure::Broken && self.has_crashed(target).await {
             return Event::Failed(Failure::Crashed);
         }
         Event::Failed(failure)
@@ -30,13 +31,13 @@
     /// True if the upstream of the current run of a request has crashed.
     pub(super) async fn has_upstream_crashed(&self, key: RequestKey) -> bool {
         let Some(target) = self.target_of(key, Request::upstream) else { return false };
-        self.upstream_client.refuses_connections(&target).await
+        self.has_crashed(&target).await
     }
 
     /// Checks the engine of a paused run whose connection was lost, and records its crash.
     pub(super) async fn check_paused_engine(&self, key: RequestKey) {
         let Some(target) = self.target_of(key, Request::paused_engine) else { return };
-        if self.upstream_client.refuses_connections(&target).await {
+        if self.has_crashed(&target).await {
             self.router.borrow_mut().record_crash_of_paused_run(self.now(), key);
         }
     }
@@ -52,7 +53,7 @@
 
     async fn check_run(&self, unchecked: UncheckedRun) {
         tokio::time::sleep(LATE_CHECK_DELAY).await;
-        if !self.upstream_client.refuses_connections(&unchecked.target).await {
+        if !self.has_crashed(&unchecked.target).await {
             return;
         }
         spdlog::info!("upstream-crashed-late", kv: {
@@ -63,6 +64,12 @@
         self.crash_log.wake(&self.router.borrow());
     }
 
+    /// True if an upstream refuses connections and was not known to be leaving before.
+    async fn has_crashed(&self, upstream: &Target) -> bool {
+        let is_leaving = self.router.borrow().is_upstream_leaving(upstream);
+        !is_leaving && self.upstream_client.refuses_connections(upstream).await
+    }
+
     fn target_of(
         &self,
         key: RequestKey,
