--- a/soak/src/features.rs
+++ b/soak/src/features.rs
@@ -5,6 +5,7 @@
 use standins::platform::replica::Replica;
 
 use crate::plan;
+use crate::stop_plan::CROSSING_SEEDS;
 use crate::stop_plan::STOP_SEEDS;
 use crate::stop_plan::failed_replacements_one_in;
 
@@ -21,6 +22,8 @@
     pub anonymous_rejections: bool,
     /// True if streams outlast a stop, and engines fail requests that were moved to them.
     pub outlasts_stops: bool,
+    /// True if requests also cross the close of connections and listeners.
+    pub crosses_closes: bool,
 }
 
 /// Timeout of the routes and deadline of the callers (`timeoutMs` and `bamboodoor-deadline-ms`).
@@ -38,6 +41,7 @@
             accounts: seed >= plan::FIRST_ACCOUNT_SEED && !outlasts_stops,
             anonymous_rejections: plan::has_anonymous_rejections(seed),
             outlasts_stops,
+            crosses_closes: CROSSING_SEEDS.contains(&seed),
         }
     }
 
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -10,6 +10,7 @@
 use std::process::Stdio;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -49,8 +50,9 @@
 /// Largest number of runs of a request, on every route (`attempts` in the configuration). It is
 /// the same for unsafe routes, so that only their kind keeps a request from being executed twice.
 pub const MAX_RUNS: usize = 2;
-/// Time for which a leaving replica goes on serving.
+/// Time for which a leaving replica goes on serving, or longer if it finishes its streams.
 const LEAVING_DURATION: Duration = Duration::from_secs(6);
+const STREAM_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Number of replicas of the second plain service.
 const OTHER_DESK_REPLICAS: usize = 2;
@@ -284,7 +286,14 @@
         self.publish_replica(&new, "ready");
         self.publish_replica(&old, "draining");
         old.leaving_since.lock().expect("the mutex is not poisoned").get_or_insert(Instant::now());
-        tokio::time::sleep(LEAVING_DURATION).await;
+        tokio::time::sleep(DRAIN_BOUND).await;
+        if self.features.crosses_closes {
+            old.proxy.close_listener();
+        }
+        tokio::time::sleep(LEAVING_DURATION - DRAIN_BOUND).await;
+        while self.features.crosses_closes && old.replica.open_streams.load(Ordering::SeqCst) > 0 {
+            tokio::time::sleep(STREAM_POLL_INTERVAL).await;
+        }
         old.gone_since.lock().expect("the mutex is not poisoned").get_or_insert(Instant::now());
         self.store.put(REPLICAS_TOPIC, &old.replica.id, None);
         old.proxy.set_fault(LinkFault::Reset);
--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -20,6 +20,7 @@
 use crate::plan::ScheduledAction;
 use crate::proxy::LinkFault;
 use crate::proxy::Proxy;
+use crate::stop_plan::second_signal;
 
 /// Action that was applied, and the time during which it lasted.
 #[derive(Debug, Clone)]
@@ -117,6 +118,8 @@
     callers: Arc<Callers>,
     program: PathBuf,
     version: AtomicU64,
+    /// Number of planned stops so far.
+    stops: AtomicU64,
     applied_actions: Mutex<Vec<AppliedAction>>,
 }
 
@@ -128,6 +131,7 @@
             callers,
             program,
             version: AtomicU64::new(1),
+            stops: AtomicU64::default(),
             applied_actions: Mutex::default(),
         })
     }
@@ -315,12 +319,17 @@
     async fn stop_entry(&self, entry: usize) -> Option<Option<i32>> {
         let target = &self.fleet.entries[entry];
         let process_id = target.process_id();
+        let stop = self.stops.fetch_add(1, Ordering::SeqCst);
+        let mut second = second_signal(self.fleet.features.seed, stop);
         target.signal("TERM");
         let requested_at = Instant::now();
         while target.exit_code().is_none() && requested_at.elapsed() < KILL_AFTER {
             if target.process_id() != process_id {
                 return None;
             }
+            if let Some((signal, _)) = second.take_if(|(_, at)| requested_at.elapsed() >= *at) {
+                target.signal(signal);
+            }
             tokio::time::sleep(POLL_INTERVAL).await;
         }
         let exit_code = target.exit_code().flatten();
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -3,6 +3,7 @@
 //! The seed and the size of the run fix the plan. The random draws and their order must not
 //! change, or known seeds give other plans.
 
+use std::ops::Range;
 use std::time::Duration;
 
 use rand::RngExt;
@@ -134,12 +135,27 @@
     seed >= FIRST_LATE_COPY_SEED && !STOP_SEEDS.contains(&seed) && !seed.is_multiple_of(2)
 }
 
+/// Actions that `draw` adds from `first_ms` on, each time after another interval.
+pub(crate) fn draw_repeatedly(
+    rng: &mut ChaCha8Rng,
+    size: RunSize,
+    first_ms: u64,
+    interval_ms: Range<u64>,
+    mut draw: impl FnMut(&mut ChaCha8Rng, Duration, &mut Vec<ScheduledAction>),
+) -> Vec<ScheduledAction> {
+    let mut actions = Vec::new();
+    let mut at = Duration::from_millis(first_ms);
+    while at < size.fault_duration {
+        draw(rng, at, &mut actions);
+        at += Duration::from_millis(rng.random_range(interval_ms.clone()));
+    }
+    actions
+}
+
 /// Late copies of responses of replicas, most of which also lack capacity in that time. Half of
 /// them are plain services, which come last.
 fn draw_late_copies(rng: &mut ChaCha8Rng, size: RunSize) -> Vec<ScheduledAction> {
-    let mut actions = Vec::new();
-    let mut at = Duration::ZERO;
-    while at < size.fault_duration {
+    draw_repeatedly(rng, size, 0, 0..MAX_LATE_COPY_INTERVAL_MS, |rng, at, actions| {
         let first = if rng.random_bool(0.5) { size.engines } else { 0 };
         let replica = rng.random_range(first..size.replicas);
         let duration = Duration::from_millis(rng.random_range(1_000..6_000));
@@ -152,17 +168,13 @@
             _ => Action::Shed(replica, capacity, duration),
         };
         actions.push(ScheduledAction { at, action });
-        at += Duration::from_millis(rng.random_range(0..MAX_LATE_COPY_INTERVAL_MS));
-    }
-    actions
+    })
 }
 
 /// Configurations that withdraw a key, each while one entry does not reach the store, and for longer
 /// than it may accept the key.
 fn draw_withdrawals(rng: &mut ChaCha8Rng, size: RunSize) -> Vec<ScheduledAction> {
-    let mut actions = Vec::new();
-    let mut at = Duration::from_millis(500);
-    while at < size.fault_duration {
+    draw_repeatedly(rng, size, 500, 1_000..MAX_WITHDRAWAL_INTERVAL_MS, |rng, at, actions| {
         let entry = rng.random_range(0..size.entries);
         let faults = [LinkFault::Reset, LinkFault::DropBoth];
         let fault = *faults.choose(rng).expect("the list is not empty");
@@ -172,9 +184,7 @@
         let at_withdrawal = at + Duration::from_millis(100);
         let action = Action::PublishConfiguration;
         actions.push(ScheduledAction { at: at_withdrawal, action });
-        at += Duration::from_millis(rng.random_range(1_000..MAX_WITHDRAWAL_INTERVAL_MS));
-    }
-    actions
+    })
 }
 
 /// One kind of deadly requests that come for at least half of the time.
@@ -187,24 +197,18 @@
 }
 
 fn draw_rate_limits(rng: &mut ChaCha8Rng, size: RunSize) -> Vec<ScheduledAction> {
-    let mut actions = Vec::new();
-    let mut at = Duration::ZERO;
-    while at < size.fault_duration {
+    draw_repeatedly(rng, size, 0, 0..MAX_RATE_LIMIT_PAUSE_MS, |rng, at, actions| {
         let replica = rng.random_range(0..size.replicas);
         let tenths_per_s = rng.random_range(5..60);
         let duration = Duration::from_millis(rng.random_range(6_000..12_000));
         let action = Action::RateLimit(replica, tenths_per_s, duration);
         actions.push(ScheduledAction { at, action });
-        at += Duration::from_millis(rng.random_range(0..MAX_RATE_LIMIT_PAUSE_MS));
-    }
-    actions
+    })
 }
 
 /// Series of one to three pauses of the same replicas, half of them beside a new configuration.
 fn draw_pauses(rng: &mut ChaCha8Rng, size: RunSize) -> Vec<ScheduledAction> {
-    let mut actions = Vec::new();
-    let mut at = Duration::from_millis(500);
-    while at < size.fault_duration {
+    draw_repeatedly(rng, size, 500, 300..MAX_PAUSE_SERIES_INTERVAL_MS, |rng, at, actions| {
         let replica = rng.random_range(0..size.replicas);
         let scopes = [Scope::One, Scope::Half, Scope::Service];
         let scope = *scopes.choose(rng).expect("the list is not empty");
@@ -219,9 +223,7 @@
             let at = at + Duration::from_millis(rng.random_range(0..600));
             actions.push(ScheduledAction { at, action: Action::PublishConfiguration });
         }
-        at += Duration::from_millis(rng.random_range(300..MAX_PAUSE_SERIES_INTERVAL_MS));
-    }
-    actions
+    })
 }
 
 /// Duration of a pause, often about a second.
@@ -233,9 +235,7 @@
 }
 
 fn draw_turn_aways(rng: &mut ChaCha8Rng, size: RunSize) -> Vec<ScheduledAction> {
-    let mut actions = Vec::new();
-    let mut at = Duration::ZERO;
-    while at < size.fault_duration {
+    draw_repeatedly(rng, size, 0, 0..MAX_TURN_AWAY_INTERVAL_MS, |rng, at, actions| {
         let retry_after = Duration::from_millis(rng.random_range(1_000..4_000));
         let duration = Duration::from_millis(rng.random_range(500..4_000));
         for _ in 0..rng.random_range(1..=2) {
@@ -243,36 +243,26 @@
             let action = Action::TurnAway(replica, retry_after, duration);
             actions.push(ScheduledAction { at, action });
         }
-        at += Duration::from_millis(rng.random_range(0..MAX_TURN_AWAY_INTERVAL_MS));
-    }
-    actions
+    })
 }
 
 fn draw_connection_ends(rng: &mut ChaCha8Rng, size: RunSize) -> Vec<ScheduledAction> {
-    let mut actions = Vec::new();
-    let mut at = Duration::ZERO;
-    while at < size.fault_duration {
+    draw_repeatedly(rng, size, 0, 0..MAX_CONNECTION_END_INTERVAL_MS, |rng, at, actions| {
         let replica = rng.random_range(0..size.replicas);
         let duration = Duration::from_millis(rng.random_range(500..5_000));
         actions.push(ScheduledAction { at, action: Action::EndWithConnection(replica, duration) });
-        at += Duration::from_millis(rng.random_range(0..MAX_CONNECTION_END_INTERVAL_MS));
-    }
-    actions
+    })
 }
 
 fn draw_leaves(rng: &mut ChaCha8Rng, size: RunSize) -> Vec<ScheduledAction> {
-    let mut actions = Vec::new();
-    let mut at = Duration::ZERO;
-    while at < size.fault_duration {
+    draw_repeatedly(rng, size, 0, 0..MAX_LEAVE_INTERVAL_MS, |rng, at, actions| {
         for _ in 0..rng.random_range(1..=2) {
             let replica = rng.random_range(0..size.replicas);
             let list_delay = Duration::from_millis(rng.random_range(0..5_000));
             let action = Action::LeaveWithNotice(replica, list_delay);
             actions.push(ScheduledAction { at, action });
         }
-        at += Duration::from_millis(rng.random_range(0..MAX_LEAVE_INTERVAL_MS));
-    }
-    actions
+    })
 }
 
 fn draw_action(rng: &mut ChaCha8Rng, size: RunSize) -> Action {
--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -126,6 +126,11 @@
         self.listening.send_replace(true);
     }
 
+    /// Refuses new connections from now on; open ones go on.
+    pub fn close_listener(&self) {
+        self.listening.send_replace(false);
+    }
+
     /// Sets the fault of all open and new connections. A connection that has dropped bytes in one
     /// direction forwards no more in that direction, whatever fault is set later.
     pub fn set_fault(&self, fault: LinkFault) {
--- a/soak/src/whole.rs
+++ b/soak/src/whole.rs
@@ -47,7 +47,8 @@
 
     /// True if the replica was still at work when the response ended.
     fn is_open_at_end(&self, request: &CallerRequest) -> bool {
-        !self.failed && self.ended_at.is_none_or(|end| end + CLOSE_TIME >= request.ended_at)
+        let seen_within = CLOSE_TIME + request.manner.read_pause;
+        !self.failed && self.ended_at.is_none_or(|end| end + seen_within >= request.ended_at)
     }
 
     fn describe(&self, request: &CallerRequest) -> String {
@@ -63,7 +64,9 @@
 /// A response ends incomplete only at the deadline of its request, if its caller left, if each replica
 /// that ran it failed, or if the exit of the entry cut it in the last sixth of the grace time: then the
 /// request was sent up to 3 s after SIGTERM, and a replica is still at work on it. A replacement
-/// that fails excuses nothing if the run before it was given up at a sound replica.
+/// that fails excuses nothing if the run before it was given up at a sound replica. A caller that
+/// pauses in its reading may see the end late by its pause; a connection that is closed before the body
+/// was sent loses nothing.
 ///
 /// The violation is of `whole around stops` if the request was open between a SIGTERM of its entry
 /// and the end of the start after it, and of `sound upstream` otherwise.
@@ -84,9 +87,10 @@
     let mut violations = Vec::new();
     for request in broke_off {
         let arrived = by_id.get(request.id.as_str()).map_or(&[][..], Vec::as_slice);
-        let refused_at_once = request.ended_at < request.sent_at + UNREAD_REFUSAL_BOUND;
-        if arrived.is_empty() && refused_at_once {
-            // The entry closed the connection without reading the request.
+        let body_sent_at = request.body_sent_at();
+        let refused_at_once = request.ended_at < body_sent_at + UNREAD_REFUSAL_BOUND;
+        if request.ended_at < body_sent_at || (arrived.is_empty() && refused_at_once) {
+            // The entry closed the connection without reading the whole request.
             continue;
         }
         let runs = runs(arrived, nodes);
@@ -121,7 +125,8 @@
 fn is_cut_in_time(record: &RunRecord, request: &CallerRequest, runs: &[Run]) -> bool {
     let is_cut = stops_of(record, request).any(|(from, _)| {
         request.sent_at <= from + LATEST_CUT_ARRIVAL
-            && (from + EARLIEST_CUT..=from + STOP_GRACE).contains(&request.ended_at)
+            && (from + EARLIEST_CUT..=from + STOP_GRACE + request.manner.read_pause)
+                .contains(&request.ended_at)
     });
     is_cut && runs.iter().any(|run| run.is_open_at_end(request))
 }
