What an entry has for a slow caller is sent on until shortly before the grace period ends

Callers that had not read all of their response 0.6 s before the end of the grace period got 3.5 of 4 or 5 MB, though the upstream had done its work, and no log line named them. Cause: the exit took place at one moment, whatever the entry had.

Now it has two. At the first, responses that wait for their upstream are cut: after 0.1 s of waiting in all, in which the process runs, they are named (`cut-at-exit`) and the connection to the engine is closed. The others go on until 0.15 s before the end of the grace period, counted from when SIGTERM was noticed; the process waits only while a request is open or a response is not in its socket in full. Each connection knows the request whose response it sends; what is unread at the end is named, with `phase` `unread` if its request has ended.

--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -14,6 +14,7 @@
 pub mod dispatch;
 mod engine_check;
 mod key_report;
+mod last_waits;
 pub mod lease_task;
 pub mod metrics;
 pub mod origin_log;
--- a/src/edge/direct/caller_stream.rs
+++ b/src/edge/direct/caller_stream.rs
@@ -18,6 +18,7 @@
 use std::task::Waker;
 use std::time::Duration;
 
+use compact_str::CompactString;
 use hyper::Version;
 use hyper::body::Body;
 use hyper::body::Frame;
@@ -73,6 +74,10 @@
     closing: Cell<bool>,
     /// True once the connection is to be reset instead of closed.
     reset: Cell<bool>,
+    /// Id of the request whose response is being sent, until its last bytes are in the socket.
+    unread: RefCell<Option<CompactString>>,
+    /// True once the body of the last response has ended or was dropped.
+    body_ended: Cell<bool>,
     /// Wakes the task of the connection.
     waker: RefCell<Option<Waker>>,
 }
@@ -88,6 +93,8 @@
             since,
             closing: Cell::default(),
             reset: Cell::default(),
+            unread: RefCell::default(),
+            body_ended: Cell::default(),
             waker: RefCell::default(),
         })
     }
@@ -99,6 +106,17 @@
         RequestInFlight(self.clone())
     }
 
+    /// Records that the response to this request is sent from now on.
+    pub(super) fn start_response(&self, request_id: CompactString) {
+        self.unread.replace(Some(request_id));
+        self.body_ended.set(false);
+    }
+
+    /// Returns the id of the request whose response is not in the socket yet in full, if any.
+    pub(super) fn unread_response(&self) -> Option<CompactString> {
+        self.unread.borrow().clone()
+    }
+
     /// Has the connection closed at its next wait for a request, or now if it waits for one.
     /// The task of the connection must be polled afterwards.
     pub(super) fn close_when_idle(&self) {
@@ -126,6 +144,13 @@
         }
     }
 
+    /// Records that all bytes that the HTTP library had are in the socket.
+    fn record_flush(&self) {
+        if self.body_ended.get() {
+            self.unread.take();
+        }
+    }
+
     /// Returns the time that is left of a wait.
     fn remaining(&self, (wait, since): (CallerWait, Duration)) -> Duration {
         let close_at = self.timeouts.limits.borrow().close_at(wait, since);
@@ -140,6 +165,7 @@
     fn drop(&mut self) {
         self.0.requests_in_flight.update(|requests| requests - 1);
         self.0.since.set(self.0.timeouts.clock.now());
+        self.0.body_ended.set(true);
         // The idle time starts when the connection is read again.
         if let Some(waker) = self.0.waker.take() {
             waker.wake();
@@ -354,7 +380,12 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_flush(context)
+        let this = self.get_mut();
+        let flushed = Pin::new(&mut this.stream).poll_flush(context);
+        if flushed.is_ready() {
+            this.activity.record_flush();
+        }
+        flushed
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/src/edge/direct/dispatch.rs
+++ b/src/edge/direct/dispatch.rs
@@ -4,6 +4,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,6 +16,7 @@
 
 use crate::clock::Clock;
 use crate::edge::direct::crash_log::CrashLog;
+use crate::edge::direct::last_waits::LastWaits;
 use crate::edge::direct::metrics::Metrics;
 use crate::edge::direct::origin_log::OriginLog;
 use crate::edge::direct::quota_log::QuotaLog;
@@ -23,6 +25,7 @@
 use crate::edge::direct::request_log::log_cut_request;
 use crate::edge::direct::request_log::log_given_up_run;
 use crate::edge::direct::request_log::log_refusal;
+use crate::edge::direct::request_log::log_unread_response;
 use crate::edge::direct::request_task::CallerChannel;
 use crate::edge::direct::request_task::RequestTask;
 use crate::edge::direct::response::CallerResponse;
@@ -36,7 +39,9 @@
 use crate::router::configuration::Configuration;
 use crate::router::connection_limits::ConnectionLimits;
 use crate::router::request::IncomingRequest;
+use crate::router::request::Request;
 use crate::router::request::RequestKey;
+use crate::router::shutdown::Shutdown;
 
 /// Shared state of all requests of an entry: router, client for upstreams, clock and
 /// metrics.
@@ -66,6 +71,10 @@
     /// Cancelled when the graceful shutdown ends: requests whose response has not started get
     /// a final answer.
     pub exiting: CancellationToken,
+    /// Cancelled after that: responses that wait for their upstream are cut.
+    pub cutting: CancellationToken,
+    /// Ids of the requests that the exit has cut.
+    cut_requests: RefCell<HashSet<CompactString>>,
     /// Number of responses that were aborted since the graceful shutdown has started.
     pub(super) aborted_while_leaving: Cell<u32>,
     /// Signal that the store came back from an older copy.
@@ -96,6 +105,8 @@
             quota_log: QuotaLog::default(),
             response_memory: ResponseMemory::default(),
             exiting: CancellationToken::new(),
+            cutting: CancellationToken::new(),
+            cut_requests: RefCell::default(),
             aborted_while_leaving: Cell::default(),
             era_risen: Notify::new(),
             waiting: RefCell::default(),
@@ -147,6 +158,7 @@
             response: None,
             caller: CallerChannel::AwaitingHead(Some(head)),
             paused: None,
+            last_waits: LastWaits::default(),
         };
         tokio::task::spawn_local(task.run());
         response.await.unwrap_or_else(|_| CallerResponse::Refused(task_ended_refusal()))
@@ -256,12 +268,34 @@
         self.aborted_while_leaving.get()
     }
 
-    /// Logs the requests that the exit of the process cuts.
-    pub fn log_cut_requests(&self) {
+    /// Number of requests that the exit has cut.
+    pub fn cut_requests(&self) -> usize {
+        self.cut_requests.borrow().len()
+    }
+
+    /// Logs and notes that the exit cuts a request.
+    pub(super) fn record_cut_request(&self, key: RequestKey) {
+        let router = self.router.borrow();
+        if let (Some(shutdown), Some(request)) = (router.shutdown(), router.request(key)) {
+            self.note_cut(shutdown, request);
+        }
+    }
+
+    fn note_cut(&self, shutdown: &Shutdown, request: &Request) {
+        self.cut_requests.borrow_mut().insert(request.id.clone());
+        log_cut_request(&self.name, self.now(), request, shutdown.started_at);
+    }
+
+    /// Logs the requests that the exit of the process cuts: those that are open, and those of
+    /// `unread` whose response is complete, but not read by its caller.
+    pub fn log_cut_requests(&self, unread: Vec<CompactString>) {
         let router = self.router.borrow();
         let Some(shutdown) = router.shutdown() else { return };
-        for request in router.requests() {
-            log_cut_request(&self.name, self.now(), request, shutdown.started_at);
+        router.requests().for_each(|request| self.note_cut(shutdown, request));
+        for id in unread {
+            if self.cut_requests.borrow_mut().insert(id.clone()) {
+                log_unread_response(&self.name, &id);
+            }
         }
     }
 
--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -13,6 +13,7 @@
 use crate::edge::direct::body_framing::BodyFraming;
 use crate::edge::direct::bounded_read::MAX_PART_READ_BYTES;
 use crate::edge::direct::bounded_read::ResponsePlace;
+use crate::edge::direct::last_waits::LastWaits;
 use crate::edge::direct::ready_response::ReadyResponse;
 use crate::edge::direct::request_log::RequestEnding;
 use crate::edge::direct::request_log::StreamEnd;
@@ -260,6 +261,7 @@
         idle_timeout: Option<Duration>,
     ) -> RelayResult {
         let resumed_after = self.last_event();
+        let mut last_waits = LastWaits::default();
         loop {
             let remaining_time = self.remaining_time();
             if remaining_time.is_zero() {
@@ -274,6 +276,9 @@
                 () = self.engine_lost(idle_timeout) => {
                     return RelayResult::Failed(Event::ResponsePaused { last_event });
                 }
+                () = last_waits.used_up(&self.dispatcher.cutting) => {
+                    return RelayResult::Failed(Event::EntryExits);
+                }
             };
             let data = match frame {
                 Err(_) => return RelayResult::Failed(Event::DeadlinePassed),
--- a/src/edge/direct/request_log.rs
+++ b/src/edge/direct/request_log.rs
@@ -273,6 +273,17 @@
     });
 }
 
+/// Logs that the exit of the process cuts a response whose request has ended, but whose caller has
+/// not read all of it.
+pub(super) fn log_unread_response(instance: &str, id: &str) {
+    spdlog::warn!("cut-at-exit", kv: {
+        instance: = instance,
+        request_id: = id,
+        phase = "unread",
+        response_started = true
+    });
+}
+
 /// How a request that was neither refused nor aborted ended; logged under these names in
 /// kebab case.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
--- a/src/edge/direct/request_task.rs
+++ b/src/edge/direct/request_task.rs
@@ -13,6 +13,7 @@
 use tokio::time::timeout;
 
 use crate::edge::direct::dispatch::Dispatcher;
+use crate::edge::direct::last_waits::LastWaits;
 use crate::edge::direct::ready_response::ReadyResponse;
 use crate::edge::direct::relay::OpenStream;
 use crate::edge::direct::request_log::GivenUpBecause;
@@ -68,6 +69,8 @@
     pub(super) caller: CallerChannel,
     /// Stream that paused, while the router looks for another engine.
     pub(super) paused: Option<OpenStream>,
+    /// Waits of a response that has begun, once the exit cuts.
+    pub(super) last_waits: LastWaits,
 }
 
 impl<U: UpstreamClient> RequestTask<U> {
@@ -89,7 +92,12 @@
             self.log_failure(now, &event);
             let reason = failure_reason(&event);
             dispatcher.record_notices();
+            let exits = event == Event::EntryExits;
             step = dispatcher.router.borrow_mut().advance(now, self.key, event);
+            if exits && step == Step::Abort {
+                dispatcher.record_cut_request(self.key);
+                break;
+            }
             self.count_failure(&reason, &step);
             last_failure = reason.or(last_failure);
             dispatcher.start_cleanups_and_wake();
@@ -174,6 +182,7 @@
         let remaining_time = self.remaining_time();
         let mut caller = std::mem::replace(&mut self.caller, CallerChannel::AwaitingHead(None));
         let mut paused = self.paused.take();
+        let mut last_waits = std::mem::take(&mut self.last_waits);
         let awaits_head = matches!(caller, CallerChannel::AwaitingHead(Some(_)));
         let replaces = matches!(step, Step::Decode { .. });
         let event = {
@@ -202,11 +211,15 @@
                         }
                         dispatcher.check_paused_engine(key).await;
                     }
+                    () = last_waits.used_up(&dispatcher.cutting), if !awaits_head => {
+                        break Some(Event::EntryExits);
+                    }
                 }
                 dispatcher.router.borrow_mut().end_paused_run(dispatcher.now(), key);
             }
         };
         self.caller = caller;
+        self.last_waits = last_waits;
         let begun = matches!(event, Some(Event::ResponseStarted { .. }));
         if begun && paused.is_some() {
             self.dispatcher.record_given_up_run(self.key, GivenUpBecause::Replaced);
--- a/src/edge/direct/server.rs
+++ b/src/edge/direct/server.rs
@@ -1,11 +1,13 @@
 //! HTTP/1.1 server for callers, with graceful shutdown.
 
-use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 
+use compact_str::CompactString;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -45,14 +47,38 @@
     }
 }
 
-/// Count of the connections that are open at one server; clones share the count.
-#[derive(Debug, Clone, Default)]
-pub struct OpenConnections(Rc<Cell<usize>>);
+/// Id of the request that a response answers, as an extension of the response.
+#[derive(Debug, Clone)]
+pub struct AnsweredRequest(pub CompactString);
+
+/// The connections that are open at one server; clones share them.
+#[derive(Clone, Default)]
+pub struct OpenConnections(Rc<RefCell<ConnectionMap>>);
+
+#[derive(Default)]
+struct ConnectionMap {
+    accepted: u64,
+    open: BTreeMap<u64, Rc<Activity>>,
+}
 
 impl OpenConnections {
     /// Returns the number of connections that are open now.
     pub fn count(&self) -> usize {
-        self.0.get()
+        self.0.borrow().open.len()
+    }
+
+    /// Ids of the requests whose responses are not in the sockets of their callers yet in full.
+    pub fn unread_responses(&self) -> Vec<CompactString> {
+        let connections = self.0.borrow();
+        connections.open.values().filter_map(|activity| activity.unread_response()).collect()
+    }
+
+    fn add(&self, activity: Rc<Activity>) -> OpenConnectionGuard {
+        let mut connections = self.0.borrow_mut();
+        connections.accepted += 1;
+        let number = connections.accepted;
+        connections.open.insert(number, activity);
+        OpenConnectionGuard { connections: self.clone(), number }
     }
 }
 
@@ -76,9 +102,11 @@
         };
         match accepted {
             Ok((stream, _)) => {
+                let activity = Activity::new(settings.timeouts.clone());
+                let guard = open.add(activity.clone());
+                let (max_header_bytes, stop) = (settings.max_header_bytes, stop.clone());
                 let connection =
-                    serve_connection(stream, settings.clone(), stop.clone(), service.clone());
-                let guard = OpenConnectionGuard::new(open.clone());
+                    serve_connection(stream, activity, max_header_bytes, stop, service.clone());
                 tokio::task::spawn_local(async move {
                     connection.await;
                     drop(guard);
@@ -98,25 +126,22 @@
     }
 }
 
-/// Counts its connection as open until it is dropped.
-struct OpenConnectionGuard(OpenConnections);
-
-impl OpenConnectionGuard {
-    fn new(connections: OpenConnections) -> Self {
-        connections.0.set(connections.count() + 1);
-        Self(connections)
-    }
+/// Its connection is open until it is dropped.
+struct OpenConnectionGuard {
+    connections: OpenConnections,
+    number: u64,
 }
 
 impl Drop for OpenConnectionGuard {
     fn drop(&mut self) {
-        self.0.0.set(self.0.count() - 1);
+        self.connections.0.borrow_mut().open.remove(&self.number);
     }
 }
 
 async fn serve_connection<S, F>(
     stream: TcpStream,
-    settings: ServerSettings,
+    activity: Rc<Activity>,
+    max_header_bytes: usize,
     stop: CancellationToken,
     service: S,
 ) where
@@ -126,20 +151,22 @@
     // Setting an option fails only on a socket that is already closed.
     let _ = stream.set_nodelay(true);
     let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(CALLER_TCP_USER_TIMEOUT));
-    let activity = Activity::new(settings.timeouts);
     let (requests, stopped) = (activity.clone(), activity.clone());
     let service = service_fn(move |request| {
         let (in_flight, version) = (requests.start_request(), request.version());
-        let response = service(request);
+        let (response, activity) = (service(request), requests.clone());
         async move {
-            let response = response.await;
+            let mut response = response.await;
+            if let Some(AnsweredRequest(id)) = response.extensions_mut().remove() {
+                activity.start_response(id);
+            }
             let tracked = response.map(|body| TrackedBody::new(body, in_flight, version));
             Ok::<_, Infallible>(tracked)
         }
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .header_read_timeout(None)
-        .max_buf_size(settings.max_header_bytes)
+        .max_buf_size(max_header_bytes)
         .serve_connection(TokioIo::new(CallerStream::new(stream, activity)), service);
     let mut connection = std::pin::pin!(connection);
     // An error means that the caller disconnected or sent invalid HTTP; hyper has
--- a/src/router/shutdown.rs
+++ b/src/router/shutdown.rs
@@ -37,6 +37,10 @@
 /// Divisor of the part at the end of the grace period in which a stream may be cut whose engine is
 /// at work.
 const CUT_PART_DIVISOR: u32 = 6;
+/// Part of the grace period that is left when the process stops waiting for callers that read.
+const MAX_LAST_MARGIN: Duration = Duration::from_millis(150);
+/// The same as a divisor of the grace period, for a short one.
+const LAST_MARGIN_DIVISOR: u32 = 24;
 /// Time within which a process that runs notices a signal or a timer.
 const NOTICE_TIME: Duration = Duration::from_millis(100);
 
@@ -93,8 +97,12 @@
     pub listener_closes_at: Duration,
     /// Time after `ends_at` for which final answers are sent at least.
     pub final_answer_time: Duration,
-    /// When streams are cut whose engine is at work.
+    /// When the process exits if no response is open; it may be killed soon after.
+    pub exits_at: Duration,
+    /// When responses are cut that wait for their upstream.
     pub cut_at: Duration,
+    /// When the process exits although callers have not read all of their responses.
+    pub gives_up_at: Duration,
 }
 
 impl DrainTimes {
@@ -114,7 +122,9 @@
             },
             listener_closes_at: ends_at.min(latest + BALANCER_REMOVAL_DELAY),
             final_answer_time,
+            exits_at,
             cut_at: exits_at.max(excused_at),
+            gives_up_at: latest + grace - MAX_LAST_MARGIN.min(grace / LAST_MARGIN_DIVISOR),
         }
     }
 }
--- a/tests/router/shutdown.rs
+++ b/tests/router/shutdown.rs
@@ -146,7 +146,9 @@
             assert!(times.shutdown.ends_at + times.final_answer_time < killed_at, "{times:?}");
             assert!(times.shutdown.ends_at > earliest + grace * 5 / 6 - ms(100), "{times:?}");
             assert!(times.cut_at >= latest + grace * 5 / 6, "{times:?}");
-            assert!(times.cut_at < latest + grace, "{times:?}");
+            assert!(times.cut_at < times.gives_up_at, "{times:?}");
+            assert!(times.gives_up_at < latest + grace, "{times:?}");
+            assert!(times.exits_at <= times.cut_at, "{times:?}");
             assert!(times.cut_at < killed_at || $late_ms > 0, "{times:?}");
             assert!(times.shutdown.listener_closes_at <= times.listener_closes_at, "{times:?}");
             assert!(times.listener_closes_at <= times.shutdown.ends_at, "{times:?}");
