The silence after which an engine is lost follows from the patience of its callers

A dark engine was left after 2.5 s on every route. Callers abandon a stream after a gap of two seconds, four times the latency target or eight times the longest gap, whichever is longest: with a target of 0.5 s and a gap of 0.25 s they had left by then; with a target of 2 s they would have waited for 8 s, and a run that was about to go on was given up.

An engine counts as lost after two thirds of that time, at least 1.5 s: two calls have been given up by then. With a target of 0.9 s and a gap of 0.3 s that is 2.4 s (2.5 s before). If the deadline comes before the callers leave, two thirds of the time to it count, so that a dark engine is still left on routes whose callers wait long.

--- a/src/router/liveness.rs
+++ b/src/router/liveness.rs
@@ -12,12 +12,15 @@
 
 use crate::router::Router;
 use crate::router::flow::Target;
+use crate::router::prefill_limits::caller_patience;
 use crate::router::request::Request;
 use crate::router::request::RequestKey;
 
-/// Time without a sign of life after which an engine counts as lost. A process may stand still
-/// for a second or two; callers leave a silent stream after about three.
-const MAX_SILENCE: Duration = Duration::from_millis(2_500);
+/// Part of the time after which a silent stream ends, as its caller leaves or its deadline passes,
+/// for which its engine may show no sign of life. The rest is for its replacement.
+const MAX_SILENCE_SHARE: f64 = 2.0 / 3.0;
+/// Shortest such silence, however soon callers leave: a sound process may stand still for a second.
+const MIN_LOST_SILENCE: Duration = Duration::from_millis(1_500);
 /// Time within which an engine that runs answers, and after which it is asked again.
 pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Calls without an answer after which an engine may count as lost: this process may have stood
@@ -79,7 +82,8 @@
         let liveness = *self.liveness(key, &engine);
         let silence = now.saturating_sub(last_sign_at);
         let is_gone = liveness.gone_at.is_some_and(|at| at >= last_sign_at);
-        if is_gone || (silence >= MAX_SILENCE && liveness.tells_silence(now, last_sign_at)) {
+        let max_silence = self.requests[key].max_engine_silence(last_sign_at);
+        if is_gone || (silence >= max_silence && liveness.tells_silence(now, last_sign_at)) {
             self.requests[key].engine_lost_at = Some(now);
             return SilenceStep::EngineLost;
         }
@@ -166,6 +170,13 @@
 }
 
 impl Request {
+    /// Time since the last sign of life after which the engine of the stream counts as lost.
+    fn max_engine_silence(&self, last_sign_at: Duration) -> Duration {
+        let time_left = self.deadline.saturating_sub(last_sign_at);
+        let stream_end = caller_patience(self).min(time_left);
+        stream_end.mul_f64(MAX_SILENCE_SHARE).max(MIN_LOST_SILENCE)
+    }
+
     /// Time since the last event of the stream, or since the request was sent.
     pub fn silence(&self, now: Duration) -> Duration {
         now.saturating_sub(self.last_event_at.unwrap_or(self.step_started_at))
--- a/src/router/prefill_limits.rs
+++ b/src/router/prefill_limits.rs
@@ -171,8 +171,8 @@
     }
 }
 
-/// How long the caller of a request waits for its first event.
-fn caller_patience(request: &Request) -> Duration {
+/// How long the caller of a request waits for its first event, and for each further one.
+pub(super) fn caller_patience(request: &Request) -> Duration {
     let targets = request.route().latency_target * PATIENCE_TARGETS;
     let intervals = request.max_event_interval() * PATIENCE_INTERVALS;
     MIN_CALLER_PATIENCE.max(targets).max(intervals)
--- a/tests/router/liveness.rs
+++ b/tests/router/liveness.rs
@@ -12,6 +12,7 @@
 use bamboodoor::router::upstream_notice::UpstreamNotice;
 
 use crate::harness::Harness;
+use crate::harness::default_configuration;
 use crate::harness::default_upstreams;
 use crate::harness::ms;
 use crate::harness::reserved;
@@ -72,6 +73,39 @@
     assert!(lost_after > SOUND_SILENCE && lost_after < PATIENCE, "{lost_after:?}");
 }
 
+/// Cases: latency target and longest interval of the route in milliseconds, and the shortest and
+/// the longest silence after which an engine is lost.
+macro_rules! silences_follow_from_the_patience_of_callers {
+    ($($name:ident: $target:literal, $interval:literal, $shortest:literal, $longest:literal;)*) =>
+    {$(
+        /// Guards against an engine that is left when its callers have left, or long before.
+        #[test]
+        fn $name() {
+            let mut harness = Harness::new(default_upstreams());
+            let mut configuration = default_configuration();
+            configuration.version += 1;
+            for route in &mut configuration.routes {
+                route.latency_target = ms($target);
+                route.max_event_interval = ms($interval);
+            }
+            assert!(harness.router.configure(configuration));
+            let (key, _) = start_stream(&mut harness);
+            let (_, lost_after) = be_silent(&mut harness, key, ms(12_000), EngineAnswer::Silent);
+            let lost_after = lost_after.expect("the engine is lost");
+            let expected = ms($shortest)..=ms($longest);
+            assert!(expected.contains(&lost_after), "{lost_after:?}");
+        }
+    )*};
+}
+
+silences_follow_from_the_patience_of_callers! {
+    an_engine_is_lost_before_impatient_callers_leave: 300, 150, 1_500, 1_800;
+    an_engine_is_lost_before_callers_of_the_usual_patience_leave: 900, 300, 2_400, 2_600;
+    an_engine_is_lost_later_if_the_latency_target_is_long: 2_000, 300, 5_300, 6_000;
+    an_engine_is_lost_later_if_the_gaps_are_long: 300, 1_000, 5_300, 6_000;
+    an_engine_is_lost_before_the_deadline_if_that_is_sooner: 9_000, 300, 9_000, 10_000;
+}
+
 #[test]
 fn an_engine_that_answered_once_is_lost_as_late_as_any() {
     let mut harness = Harness::new(default_upstreams());
