The silence after which an engine is lost follows from the route alone

A stream with little time left would have left a silent engine after 1.5 s, though its engine may stand still for that long and its callers do not leave sooner.

--- a/src/router/liveness.rs
+++ b/src/router/liveness.rs
@@ -16,8 +16,8 @@
 use crate::router::request::Request;
 use crate::router::request::RequestKey;
 
-/// Part of the time after which a silent stream ends, as its caller leaves or its deadline passes,
-/// for which its engine may show no sign of life. The rest is for its replacement.
+/// Part of the time after which the caller of a silent stream leaves for which its engine may show
+/// no sign of life. The rest is for its replacement.
 const MAX_SILENCE_SHARE: f64 = 2.0 / 3.0;
 /// Shortest such silence, however soon callers leave: a sound process may stand still for a second.
 const MIN_LOST_SILENCE: Duration = Duration::from_millis(1_500);
@@ -82,7 +82,7 @@
         let liveness = *self.liveness(key, &engine);
         let silence = now.saturating_sub(last_sign_at);
         let is_gone = liveness.gone_at.is_some_and(|at| at >= last_sign_at);
-        let max_silence = self.requests[key].max_engine_silence(last_sign_at);
+        let max_silence = self.requests[key].max_engine_silence();
         if is_gone || (silence >= max_silence && liveness.tells_silence(now, last_sign_at)) {
             self.requests[key].engine_lost_at = Some(now);
             return SilenceStep::EngineLost;
@@ -171,10 +171,9 @@
 
 impl Request {
     /// Time since the last sign of life after which the engine of the stream counts as lost.
-    fn max_engine_silence(&self, last_sign_at: Duration) -> Duration {
-        let time_left = self.deadline.saturating_sub(last_sign_at);
-        let stream_end = caller_patience(self).min(time_left);
-        stream_end.mul_f64(MAX_SILENCE_SHARE).max(MIN_LOST_SILENCE)
+    fn max_engine_silence(&self) -> Duration {
+        let patience = caller_patience(self).min(self.route().timeout);
+        patience.mul_f64(MAX_SILENCE_SHARE).max(MIN_LOST_SILENCE)
     }
 
     /// Time since the last event of the stream, or since the request was sent.
