--- a/tests/router/parallel_calls.rs
+++ b/tests/router/parallel_calls.rs
@@ -7,6 +7,7 @@
 use bamboodoor::router::Target;
 use bamboodoor::router::budget::BudgetLimits;
 use bamboodoor::router::flow::Failure;
+use bamboodoor::router::instance_list::InstanceState;
 use bamboodoor::router::request::RequestKey;
 use bamboodoor::router::upstreams::PoolRole;
 
@@ -242,3 +243,24 @@
         |upstream: &Target| harness.router.upstreams().get(upstream.key).unwrap().open_requests;
     assert_eq!(upstreams.iter().map(open).collect::<Vec<_>>(), [1, 0, 0]);
 }
+
+/// Guards against a rejection that is passed on as the error that was kept before it.
+#[test]
+fn an_error_that_was_kept_is_not_passed_on_after_a_later_rejection() {
+    let mut harness = Harness::new(default_upstreams());
+    let mut configuration = default_configuration();
+    configuration.version += 1;
+    configuration.routes.iter_mut().for_each(|route| route.max_runs = 3);
+    assert!(harness.router.configure(configuration));
+    let mut call = ParallelCall::start_at(harness);
+    let step = call.report(Report::Second(status(500)));
+    assert_eq!(call.next(&step), Next::AwaitsFirst);
+    let listed = upstream("s3", DESK, PoolRole::Service);
+    call.harness.apply_record("s3", InstanceState::Present(listed));
+    let step = call.report(Report::First(status(503)));
+    assert!(matches!(step, Step::Call { .. }), "{step:?}");
+    call.second = target(&step);
+    // The last response that the entry has is the 503.
+    let step = call.report(Report::Second(failed(Failure::Broken)));
+    assert_eq!(call.next(&step), Next::Refused(Outcome::Unknown));
+}
