Tests of a review: upstreams that are not listed, and have not said that they leave

An upstream that is not listed counts as leaving, also if the entry removed it itself: after a failure, as its record had expired around an outage of the store, or as its record cannot be read. A crash is then not found by the late check, and a silent stream at an engine that refuses connections waits for its deadline.

--- a/tests/router/liveness.rs
+++ b/tests/router/liveness.rs
@@ -4,6 +4,7 @@
 
 use bamboodoor::router::Event;
 use bamboodoor::router::Step;
+use bamboodoor::router::flow::Failure;
 use bamboodoor::router::flow::Target;
 use bamboodoor::router::instance_list::InstanceState;
 use bamboodoor::router::liveness::EngineAnswer;
@@ -15,6 +16,7 @@
 use crate::harness::default_upstreams;
 use crate::harness::ms;
 use crate::harness::reserved;
+use crate::harness::target;
 
 /// Silence of an engine that sound ones keep below.
 const SOUND_SILENCE: Duration = ms(2_000);
@@ -320,3 +322,30 @@
     };
     assert_eq!(open("d1") + open("d2"), 1);
 }
+
+/// Guards against an upstream that has crashed and is not found by the late check, as its record
+/// expired around an outage of the store and its failure removed it.
+#[test]
+fn a_retained_upstream_that_interrupts_a_call_has_not_said_that_it_leaves() {
+    let mut harness = Harness::new(default_upstreams());
+    let (key, step) = harness.start_request("/lookup/1");
+    let upstream = target(&step);
+    let now = harness.now;
+    harness.router.instance_list().0.mark_unavailable();
+    harness.router.instance_list().0.mark_available(now);
+    harness.apply_record(&upstream.id, InstanceState::Removed);
+    assert!(!harness.router.is_upstream_leaving(&upstream));
+    harness.report(key, Event::Failed(Failure::Broken));
+    assert_eq!(harness.router.take_unchecked_runs().len(), 1);
+    assert!(!harness.router.is_upstream_leaving(&upstream));
+}
+
+/// Guards against an engine that is taken for leaving, as its record cannot be read.
+#[test]
+fn an_engine_whose_record_cannot_be_read_has_not_said_that_it_leaves() {
+    let mut harness = Harness::new(default_upstreams());
+    let (key, engine) = start_stream(&mut harness);
+    harness.apply_record(&engine.id, InstanceState::Unreadable);
+    let (_, lost_after) = be_silent(&mut harness, key, PATIENCE, EngineAnswer::Refused);
+    assert!(lost_after.is_some());
+}
