Soak: a request that a replica has is not excused as unread

The check of whole responses excused each request that ended before the caller had sent its body, also one that had reached a replica. It keeps the condition of before: no replica has it.

--- a/soak/src/whole.rs
+++ b/soak/src/whole.rs
@@ -89,7 +89,7 @@
         let arrived = by_id.get(request.id.as_str()).map_or(&[][..], Vec::as_slice);
         let body_sent_at = request.body_sent_at();
         let refused_at_once = request.ended_at < body_sent_at + UNREAD_REFUSAL_BOUND;
-        if request.ended_at < body_sent_at || (arrived.is_empty() && refused_at_once) {
+        if arrived.is_empty() && refused_at_once {
             // The entry closed the connection without reading the whole request.
             continue;
         }
