A kept error ends when a later response takes its place

With three runs allowed, a call got 503, by which its caller takes it for not run, though three upstreams had had it. The router kept the status of an earlier 500, while the task that relays has the last response only, a plain 503: the 500 was passed on, and the 503 was sent. Now a response that is not kept ends the one before it.

--- a/src/router/parallel_calls.rs
+++ b/src/router/parallel_calls.rs
@@ -128,9 +128,10 @@
         status: u16,
     ) -> Option<Step> {
         let request = &mut self.requests[key];
-        if !request.parallel_calls.is_empty() {
-            request.kept_error = request.current.clone().map(|target| KeptError { target, status });
-        }
+        // The entry has the last response only.
+        let is_kept = !request.parallel_calls.is_empty();
+        let target = request.current.clone().filter(|_| is_kept);
+        request.kept_error = target.map(|target| KeptError { target, status });
         self.await_timely_call(now, key)
     }
 
