A leaving engine that refuses connections and hangs is left like any other

The fix of engines that stop in order had moved the fault: refused connections of a leaving engine counted as no sign at all, so that a stream which hung there was cut at its deadline, though another engine had room. Now each refused connection is a call without an answer, whoever refuses: a stream stays for two thirds of its callers' patience, longer than the pauses of a preempted stream that the cells play (1.6 s), and goes on elsewhere before they leave.

--- a/src/router/liveness.rs
+++ b/src/router/liveness.rs
@@ -111,9 +111,6 @@
         if !self.requests.contains_key(key) {
             return;
         }
-        if answer == EngineAnswer::Refused && self.is_upstream_leaving(engine) {
-            return;
-        }
         let last_sign_at = self.last_sign_at(key, engine);
         let liveness = self.liveness(key, engine);
         match answer {
