Only an upstream that the list has removed counts as leaving once it is not listed

An upstream that this entry removed itself, as its record had expired around an outage of the store and it failed, or whose record could not be read, counted as leaving: the late check of a crash did not ask it. The instance list tells now whether the record has vanished while it could be written.

--- a/src/router/instance_list.rs
+++ b/src/router/instance_list.rs
@@ -238,6 +238,12 @@
         standing.into_iter().map(|(id, _)| id).collect()
     }
 
+    /// True if the record of an instance has vanished while the list could be written, and it has
+    /// written no other one since.
+    pub fn has_vanished(&self, id: &str) -> bool {
+        self.removals.get(id).is_some_and(|removal| !removal.has_lapsed)
+    }
+
     /// True if a record may be older than what is known: the upstream is listed in a later
     /// incarnation, or this or a later one was removed.
     fn may_be_late(&self, now: Duration, listed: &ListedUpstream, upstreams: &Upstreams) -> bool {
--- a/src/router/liveness.rs
+++ b/src/router/liveness.rs
@@ -125,10 +125,16 @@
         }
     }
 
-    /// True if an upstream is known to be leaving: it or its record has said so, or its record was
-    /// removed.
+    /// True if an upstream is known to be leaving: it or its record has said so, or the instance
+    /// list lists it no more.
     pub fn is_upstream_leaving(&self, upstream: &Target) -> bool {
-        self.upstreams.is_leaving(upstream.key, &upstream.id)
+        match self.upstreams.get(upstream.key) {
+            Some(listed) => listed.is_leaving(),
+            None => {
+                self.upstreams.has_said_leaving(&upstream.id)
+                    || self.instance_list.has_vanished(&upstream.id)
+            }
+        }
     }
 
     /// True if the engine of the paused run has answered since it was taken for lost.
--- a/src/router/upstreams.rs
+++ b/src/router/upstreams.rs
@@ -246,16 +246,10 @@
         !was_leaving
     }
 
-    /// True if the upstream with this key and id is known to be leaving. One that is no longer
-    /// listed is, unless another incarnation is listed in its place and it had not said so.
-    pub fn is_leaving(&self, key: UpstreamKey, id: &str) -> bool {
-        let has_said_leaving = |successor: &Upstream| {
-            self.said_leaving.get(id).is_some_and(|at| *at != successor.listed.started_ms)
-        };
-        match self.upstreams.get(key) {
-            Some(upstream) => upstream.is_leaving(),
-            None => self.get_by_id(id).is_none_or(has_said_leaving),
-        }
+    /// True if an incarnation with this id that is not listed has said that it is leaving.
+    pub fn has_said_leaving(&self, id: &str) -> bool {
+        let listed = self.get_by_id(id).map(|upstream| upstream.listed.started_ms);
+        self.said_leaving.get(id).is_some_and(|said| Some(*said) != listed)
     }
 
     /// Ids of all listed upstreams.
