--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -6,7 +6,8 @@
 
 pub mod body_framing;
 pub mod bounded_read;
-pub mod caller_stream;
+mod caller_stream;
+pub mod connection_activity;
 pub mod connections;
 mod crash_check;
 pub mod crash_log;
--- a/src/edge/direct/server.rs
+++ b/src/edge/direct/server.rs
@@ -18,10 +18,10 @@
 use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
 
-use crate::edge::direct::caller_stream::Activity;
 use crate::edge::direct::caller_stream::CallerStream;
-use crate::edge::direct::caller_stream::ConnectionTimeouts;
-use crate::edge::direct::caller_stream::TrackedBody;
+use crate::edge::direct::connection_activity::Activity;
+use crate::edge::direct::connection_activity::ConnectionTimeouts;
+use crate::edge::direct::connection_activity::TrackedBody;
 use crate::edge::direct::response::ResponseBody;
 
 /// Pause after a failed accept, so that an error that persists, such as a lack of free file
