--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -14,6 +14,7 @@
 mod crash_records;
 pub mod dispatch;
 mod engine_check;
+pub mod event_check;
 mod key_report;
 mod last_waits;
 pub mod lease_task;
--- /dev/null
+++ b/src/edge/direct/event_check.rs
@@ -0,0 +1,67 @@
+//! Tells the events of a run from everything else that a stream can contain.
+
+use std::str::from_utf8;
+
+/// Fields of server-sent events.
+const ID_FIELD: &str = "id";
+const DATA_FIELD: &str = "data";
+const OTHER_FIELDS: [&str; 2] = ["event", "retry"];
+const COMMENT_START: char = ':';
+
+/// Why a block of a stream, which ends with a blank line, is no event of its run; logged and
+/// counted under these names in kebab case.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum InvalidEvent {
+    /// It is not UTF-8 text.
+    NotUtf8,
+    /// A line is neither a comment nor a field that events have.
+    UnknownField,
+    /// It has no id.
+    NoId,
+    /// Its id is no number.
+    InvalidId,
+    /// It has several ids.
+    SeveralIds,
+    /// It has an id, but no data.
+    NoData,
+}
+
+/// Returns the id of an event, or `None` for a block of comments and blank lines. Events may have
+/// the fields of server-sent events and those in `extension_fields`.
+///
+/// # Errors
+/// If the block is neither.
+pub fn check_block(block: &[u8], extension_fields: &[&str]) -> Result<Option<u64>, InvalidEvent> {
+    let text = from_utf8(block).map_err(|_| InvalidEvent::NotUtf8)?;
+    let mut id = None;
+    let (mut has_fields, mut has_data) = (false, false);
+    for line in text.split(['\n', '\r']) {
+        if line.is_empty() || line.starts_with(COMMENT_START) {
+            continue;
+        }
+        has_fields = true;
+        let (field, value) = line.split_once(':').unwrap_or((line, ""));
+        match field {
+            ID_FIELD if id.is_some() => return Err(InvalidEvent::SeveralIds),
+            ID_FIELD => id = Some(parse_id(value)?),
+            DATA_FIELD => has_data = true,
+            _ if OTHER_FIELDS.contains(&field) || extension_fields.contains(&field) => {}
+            _ => return Err(InvalidEvent::UnknownField),
+        }
+    }
+    match id {
+        None if has_fields => Err(InvalidEvent::NoId),
+        Some(_) if !has_data => Err(InvalidEvent::NoData),
+        id => Ok(id),
+    }
+}
+
+fn parse_id(value: &str) -> Result<u64, InvalidEvent> {
+    let digits = value.strip_prefix(' ').unwrap_or(value);
+    // `parse` also takes a sign.
+    if !digits.bytes().all(|byte| byte.is_ascii_digit()) {
+        return Err(InvalidEvent::InvalidId);
+    }
+    digits.parse().map_err(|_| InvalidEvent::InvalidId)
+}
--- a/src/edge/direct/metrics.rs
+++ b/src/edge/direct/metrics.rs
@@ -12,6 +12,7 @@
 use prometheus_client::registry::Registry;
 use prometheus_client::registry::Unit;
 
+use crate::edge::direct::event_check::InvalidEvent;
 use crate::edge::logs::dropped_lines;
 use crate::outcome::Refusal;
 use crate::router::Target;
@@ -123,6 +124,7 @@
     failed: Family<ReasonLabels, Counter>,
     aborted: Family<ReasonLabels, Counter>,
     given_up_runs: Counter,
+    invalid_events: Family<ReasonLabels, Counter>,
     asked_engines: Family<AnswerLabels, Counter>,
     answered: Family<StatusLabels, Counter>,
     steps: Family<KindLabels, Counter>,
@@ -153,6 +155,7 @@
             failed: Family::default(),
             aborted: Family::default(),
             given_up_runs: Counter::default(),
+            invalid_events: Family::default(),
             asked_engines: Family::default(),
             answered: Family::default(),
             steps: Family::default(),
@@ -192,6 +195,8 @@
         registry.register("aborted", help, self.aborted.clone());
         let help = "Runs whose open connection was closed for a replacement";
         registry.register("given_up_runs", help, self.given_up_runs.clone());
+        let help = "Parts of streams that are no event of their run, by reason";
+        registry.register("invalid_events", help, self.invalid_events.clone());
         let help = "Engines with a silent stream that were asked for a sign of life";
         registry.register("asked_engines", help, self.asked_engines.clone());
         registry.register("answered", "Answers of upstreams passed on", self.answered.clone());
@@ -264,6 +269,11 @@
         self.given_up_runs.inc();
     }
 
+    /// Counts a part of a stream that is no event of its run.
+    pub fn count_invalid_event(&self, invalid: InvalidEvent) {
+        self.invalid_events.get_or_create(&ReasonLabels { reason: invalid.to_string() }).inc();
+    }
+
     /// Records a response of an upstream whose head is relayed `elapsed` after the
     /// arrival of the request. `kind` is `generated` or `plain`.
     pub fn record_response(&self, status: u16, kind: &'static str, elapsed: Duration) {
--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -13,10 +13,13 @@
 use crate::edge::direct::body_framing::BodyFraming;
 use crate::edge::direct::bounded_read::MAX_PART_READ_BYTES;
 use crate::edge::direct::bounded_read::ResponsePlace;
+use crate::edge::direct::event_check::InvalidEvent;
+use crate::edge::direct::event_check::check_block;
 use crate::edge::direct::last_waits::LastWaits;
 use crate::edge::direct::ready_response::ReadyResponse;
 use crate::edge::direct::request_log::RequestEnding;
 use crate::edge::direct::request_log::StreamEnd;
+use crate::edge::direct::request_log::log_invalid_event;
 use crate::edge::direct::request_log::log_kept_run;
 use crate::edge::direct::request_log::log_refusal;
 use crate::edge::direct::request_log::log_request_ending;
@@ -50,6 +53,10 @@
     last_event: Option<u64>,
     /// True once an event was received.
     has_events: bool,
+    /// Number of events of the run that were received.
+    events: usize,
+    /// Number of received blocks that are no event of a run.
+    invalid_events: usize,
     /// Number of events that were not relayed, as the caller has had them.
     repeated_events: usize,
     /// Frame that was received while the stream was not relayed.
@@ -65,6 +72,8 @@
             splitter: EventSplitter::default(),
             last_event: None,
             has_events: false,
+            events: 0,
+            invalid_events: 0,
             repeated_events: 0,
             unread: first_part.map(|part| Some(Ok(Frame::data(part)))),
             kept_logged: false,
@@ -302,6 +311,10 @@
             stream.splitter.push(&data);
             while let Some(event) = stream.splitter.next_event() {
                 stream.has_events = true;
+                match check_block(&event.bytes, U::EVENT_EXTENSION_FIELDS) {
+                    Ok(id) => stream.events += usize::from(id.is_some()),
+                    Err(invalid) => self.record_invalid_event(stream, invalid, event.bytes.len()),
+                }
                 if event.id.is_some() && event.id <= stream.last_event.or(resumed_after) {
                     stream.repeated_events += 1;
                     continue;
@@ -326,6 +339,18 @@
         router.request(self.key).and_then(|request| request.last_event())
     }
 
+    /// Counts a block that is no event of a run, and logs the first one of the run.
+    fn record_invalid_event(&self, stream: &mut OpenStream, invalid: InvalidEvent, bytes: usize) {
+        stream.invalid_events += 1;
+        self.dispatcher.metrics.count_invalid_event(invalid);
+        let router = self.dispatcher.router.borrow();
+        let Some(request) = router.request(self.key) else { return };
+        if stream.invalid_events == 1 {
+            let last_event = stream.last_event;
+            log_invalid_event(&self.dispatcher.name, request, invalid, bytes, last_event);
+        }
+    }
+
     /// Logs that a stream ended before it was complete, and returns the event for the router.
     fn broken_off(&self, stream: &OpenStream) -> Event {
         self.log_stream_end(stream);
@@ -355,6 +380,8 @@
         let end = StreamEnd {
             framing: stream.response.framing,
             last_event: stream.last_event,
+            events: stream.events,
+            invalid_events: stream.invalid_events,
             repeated_events: stream.repeated_events,
             remainder_bytes: stream.splitter.pending_bytes(),
         };
--- a/src/edge/direct/request_log.rs
+++ b/src/edge/direct/request_log.rs
@@ -4,6 +4,7 @@
 
 use crate::clock::as_ms;
 use crate::edge::direct::body_framing::BodyFraming;
+use crate::edge::direct::event_check::InvalidEvent;
 use crate::outcome::Refusal;
 use crate::outcome::RefusalReason;
 use crate::router::Event;
@@ -168,6 +169,10 @@
     pub(super) framing: BodyFraming,
     /// Id of the last event that was relayed, if any.
     pub(super) last_event: Option<u64>,
+    /// Number of events of the run.
+    pub(super) events: usize,
+    /// Number of blocks that are no event of a run.
+    pub(super) invalid_events: usize,
     /// Number of events that were not relayed, as the caller has had them.
     pub(super) repeated_events: usize,
     /// Number of bytes after the end of the last event.
@@ -182,11 +187,33 @@
         upstream: = request.upstream_id(),
         framing: = end.framing,
         last_event = end.last_event.unwrap_or(0),
+        events = end.events,
+        invalid_events = end.invalid_events,
         repeated_events = end.repeated_events,
         remainder_bytes = end.remainder_bytes
     });
 }
 
+/// Logs that the upstream sent `bytes` in a stream that are no event of its run, after
+/// `last_event`.
+pub(super) fn log_invalid_event(
+    instance: &str,
+    request: &Request,
+    invalid: InvalidEvent,
+    bytes: usize,
+    last_event: Option<u64>,
+) {
+    spdlog::warn!("invalid-event", kv: {
+        instance: = instance,
+        request_id: = request.id,
+        route: = request.route().name,
+        upstream: = request.upstream_id(),
+        last_event = last_event.unwrap_or(0),
+        bytes = bytes,
+        detail: = invalid
+    });
+}
+
 /// Logs that a response is aborted after its head was sent. `cause` is the event that led to
 /// it, as in the metrics of failures; `leaving_since` is the start of the graceful shutdown.
 pub(super) fn log_aborted(
--- a/src/edge/direct/upstream_client.rs
+++ b/src/edge/direct/upstream_client.rs
@@ -144,6 +144,9 @@
 /// says whether the upstream may have run it.
 #[allow(async_fn_in_trait, reason = "entries run on one thread")]
 pub trait UpstreamClient: 'static {
+    /// Fields that the events of a stream may have beside those of server-sent events.
+    const EVENT_EXTENSION_FIELDS: &'static [&'static str];
+
     /// Reserves a decode slot and memory for `tokens` tokens, for `ttl`, and returns the
     /// identifier of the reservation, or `None` if the engine has too little free capacity.
     async fn reserve(
--- a/tests/router/ended_tasks.rs
+++ b/tests/router/ended_tasks.rs
@@ -37,6 +37,8 @@
 struct PanickingClient;
 
 impl UpstreamClient for PanickingClient {
+    const EVENT_EXTENSION_FIELDS: &'static [&'static str] = &[];
+
     async fn reserve(
         &self,
         _target: &Target,
