--- a/src/edge/direct/event_check.rs
+++ b/src/edge/direct/event_check.rs
@@ -17,6 +17,8 @@
     NotUtf8,
     /// A line is neither a comment nor a field that events have.
     UnknownField,
+    /// A blank line is inside it, so that readers take it for several events.
+    SeveralEvents,
     /// It has no id.
     NoId,
     /// Its id is no number.
@@ -25,6 +27,12 @@
     SeveralIds,
     /// It has an id, but no data.
     NoData,
+    /// Its id is not higher than that of the event before it.
+    IdNotIncreasing,
+    /// Events are missing between the one before it and it.
+    IdSkipped,
+    /// It has no end within the largest size of an event.
+    TooLarge,
 }
 
 /// Returns the id of an event, or `None` for a block of comments and blank lines. Events may have
@@ -35,11 +43,15 @@
 pub fn check_block(block: &[u8], extension_fields: &[&str]) -> Result<Option<u64>, InvalidEvent> {
     let text = from_utf8(block).map_err(|_| InvalidEvent::NotUtf8)?;
     let mut id = None;
-    let (mut has_fields, mut has_data) = (false, false);
-    for line in text.split(['\n', '\r']) {
+    let (mut has_fields, mut has_data, mut has_ended) = (false, false, false);
+    for line in lines(text) {
+        has_ended |= line.is_empty() && has_fields;
         if line.is_empty() || line.starts_with(COMMENT_START) {
             continue;
         }
+        if has_ended {
+            return Err(InvalidEvent::SeveralEvents);
+        }
         has_fields = true;
         let (field, value) = line.split_once(':').unwrap_or((line, ""));
         match field {
@@ -57,6 +69,11 @@
     }
 }
 
+/// Returns the lines, which end with LF, CR, or both.
+fn lines(text: &str) -> impl Iterator<Item = &str> {
+    text.split('\n').flat_map(|line| line.strip_suffix('\r').unwrap_or(line).split('\r'))
+}
+
 fn parse_id(value: &str) -> Result<u64, InvalidEvent> {
     let digits = value.strip_prefix(' ').unwrap_or(value);
     // `parse` also takes a sign.
--- a/src/edge/direct/open_calls.rs
+++ b/src/edge/direct/open_calls.rs
@@ -11,6 +11,7 @@
 use crate::edge::direct::dispatch::Dispatcher;
 use crate::edge::direct::ready_response::ReadyResponse;
 use crate::edge::direct::request_task::RequestTask;
+use crate::edge::direct::run_events::RunEvents;
 use crate::edge::direct::upstream_client::UpstreamClient;
 use crate::edge::direct::upstream_client::UpstreamResponse;
 use crate::router::Event;
@@ -41,11 +42,12 @@
         fresh_connection: bool,
     ) {
         let (dispatcher, request) = (self.dispatcher.clone(), self.request.clone());
+        let events = dispatcher.run_events(self.key);
         self.calls.0.push(Box::pin(async move {
             let client = &dispatcher.upstream_client;
             let response = client.call(&request, &target, remaining_time, fresh_connection).await;
             let result = match response {
-                Ok(response) => dispatcher.read_response(response).await,
+                Ok(response) => dispatcher.read_response(response, events).await,
                 Err(failure) => Err(failure),
             };
             (target, result)
@@ -76,17 +78,19 @@
 }
 
 impl<U: UpstreamClient> Dispatcher<U> {
-    /// Reads a response completely if it is short and no stream.
+    /// Reads a response completely if it is short and no stream. `events` are those of
+    /// [`Self::run_events`].
     ///
     /// # Errors
     /// Those of [`ReadyResponse::read`].
     pub(super) async fn read_response(
         &self,
         response: UpstreamResponse,
+        events: Option<RunEvents>,
     ) -> Result<ReadyResponse, Failure> {
         let release = |connection, keep_alive| {
             self.upstream_client.release_connection(connection, keep_alive);
         };
-        ReadyResponse::read(response, &self.response_memory, release).await
+        ReadyResponse::read(response, events, &self.response_memory, release).await
     }
 }
--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -1,25 +1,17 @@
 //! Passes responses of upstreams and refusals on to the caller of a request.
 
-use std::future::pending;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::BodyExt;
 use hyper::HeaderMap;
-use hyper::body::Frame;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use crate::edge::direct::body_framing::BodyFraming;
-use crate::edge::direct::bounded_read::MAX_PART_READ_BYTES;
-use crate::edge::direct::bounded_read::ResponsePlace;
-use crate::edge::direct::event_check::InvalidEvent;
-use crate::edge::direct::event_check::check_block;
 use crate::edge::direct::last_waits::LastWaits;
+use crate::edge::direct::open_stream::OpenStream;
+use crate::edge::direct::open_stream::StreamItem;
 use crate::edge::direct::ready_response::ReadyResponse;
 use crate::edge::direct::request_log::RequestEnding;
 use crate::edge::direct::request_log::StreamEnd;
-use crate::edge::direct::request_log::log_invalid_event;
 use crate::edge::direct::request_log::log_kept_run;
 use crate::edge::direct::request_log::log_refusal;
 use crate::edge::direct::request_log::log_request_ending;
@@ -30,86 +22,15 @@
 use crate::edge::direct::response::ResponseBody;
 use crate::edge::direct::response::ResponsePart;
 use crate::edge::direct::response::StreamedParts;
-use crate::edge::direct::sse::EventSplitter;
 use crate::edge::direct::upstream_client::UpstreamClient;
 use crate::edge::direct::upstream_client::UpstreamResponse;
 use crate::outcome::Refusal;
 use crate::router::Event;
+use crate::router::request::Request;
 
 /// Number of body parts that are buffered for the caller. While the buffer is full, the
 /// upstream's response is not read.
 const PART_CHANNEL_CAPACITY: usize = 16;
-/// Maximum size of an event, which is buffered until it is complete.
-const MAX_EVENT_BYTES: usize = 64 << 10;
-
-/// Frame of a body, its end, or an error of its connection.
-type BodyFrame = Option<Result<Frame<Bytes>, hyper::Error>>;
-
-/// Response of an upstream that is being relayed.
-pub(super) struct OpenStream {
-    response: UpstreamResponse,
-    splitter: EventSplitter,
-    /// Id of the last event that was relayed, if any.
-    last_event: Option<u64>,
-    /// True once an event was received.
-    has_events: bool,
-    /// Number of events of the run that were received.
-    events: usize,
-    /// Number of received blocks that are no event of a run.
-    invalid_events: usize,
-    /// Number of events that were not relayed, as the caller has had them.
-    repeated_events: usize,
-    /// Frame that was received while the stream was not relayed.
-    unread: Option<BodyFrame>,
-    /// True once it was logged that the entry waits for the paused stream, until it goes on.
-    kept_logged: bool,
-}
-
-impl OpenStream {
-    fn new(response: UpstreamResponse, first_part: Option<Bytes>) -> Self {
-        Self {
-            response,
-            splitter: EventSplitter::default(),
-            last_event: None,
-            has_events: false,
-            events: 0,
-            invalid_events: 0,
-            repeated_events: 0,
-            unread: first_part.map(|part| Some(Ok(Frame::data(part)))),
-            kept_logged: false,
-        }
-    }
-
-    /// True if the response is complete now that its body has ended. An engine that crashes may
-    /// end the connection before the first event, also of a stream that it continues.
-    fn is_complete(&self) -> bool {
-        if !self.response.is_event_stream {
-            return true;
-        }
-        let end_is_explicit = self.response.framing != BodyFraming::Connection;
-        (end_is_explicit || self.has_events) && !self.splitter.is_inside_event()
-    }
-
-    async fn next_frame(&mut self) -> BodyFrame {
-        match self.unread.take() {
-            Some(frame) => frame,
-            None => self.response.body.frame().await,
-        }
-    }
-
-    /// Waits until a paused stream goes on or ends; forever without a stream. Returns false,
-    /// and drops the stream, if its connection was lost.
-    pub(super) async fn resumed(paused: &mut Option<Self>) -> bool {
-        let Some(stream) = paused else { return pending().await };
-        let frame = stream.next_frame().await;
-        if matches!(frame, Some(Err(_))) {
-            *paused = None;
-            return false;
-        }
-        stream.unread = Some(frame);
-        true
-    }
-}
 
 /// Result of passing a response on.
 enum RelayResult {
@@ -179,14 +100,14 @@
                 }
                 None
             }
-            ReadyResponse::Streamed { response, first_part } => {
-                let status = response.status;
-                let Some(parts) = self.send_response_head(status, &response.headers) else {
+            ReadyResponse::Streamed(stream) => {
+                let status = stream.response.status;
+                let headers = &stream.response.headers;
+                let Some(parts) = self.send_response_head(status, headers) else {
                     self.log_request_ending(RequestEnding::CallerGone, status);
                     return None;
                 };
-                let stream = OpenStream::new(response, first_part);
-                self.relay_stream(stream, &parts, idle_timeout).await
+                self.relay_stream(*stream, &parts, idle_timeout).await
             }
         }
     }
@@ -260,28 +181,25 @@
         }
     }
 
-    /// Relays the body. An event stream is relayed event by event, so that it can be
-    /// resumed after the last complete one; a stream that ends inside an event was broken
-    /// off, whatever its framing says.
+    /// Relays the body. A stream is relayed event by event, so that it can be resumed after the
+    /// last one; what is no event of its run interrupts it.
     async fn relay_body(
         &mut self,
         stream: &mut OpenStream,
         parts: &mpsc::Sender<ResponsePart>,
         idle_timeout: Option<Duration>,
     ) -> RelayResult {
-        let resumed_after = self.last_event();
         let mut last_waits = LastWaits::default();
         loop {
             let remaining_time = self.remaining_time();
             if remaining_time.is_zero() {
                 return RelayResult::Failed(Event::DeadlinePassed);
             }
-            stream.response.connection.limit_reads(MAX_PART_READ_BYTES);
             let last_event = stream.last_event;
-            let frame = tokio::select! {
+            let item = tokio::select! {
                 biased;
                 () = parts.closed() => return RelayResult::Ended(RequestEnding::CallerGone),
-                frame = timeout(remaining_time, stream.next_frame()) => frame,
+                item = timeout(remaining_time, stream.next_item()) => item,
                 () = self.engine_lost(idle_timeout) => {
                     return RelayResult::Failed(Event::ResponsePaused { last_event });
                 }
@@ -289,65 +207,30 @@
                     return RelayResult::Failed(Event::EntryExits);
                 }
             };
-            let data = match frame {
-                Err(_) => return RelayResult::Failed(Event::DeadlinePassed),
-                Ok(Some(Err(_))) => {
-                    stream.response.connection.log_if_exceeded(ResponsePlace::Body);
+            let Ok(item) = item else { return RelayResult::Failed(Event::DeadlinePassed) };
+            stream.kept_logged = false;
+            let data = match item {
+                StreamItem::Event(event) => {
+                    stream.last_event = Some(event.id);
+                    event.bytes
+                }
+                StreamItem::Part(data) => data,
+                StreamItem::Complete => return RelayResult::Complete,
+                StreamItem::ConnectionLost => {
                     return RelayResult::Failed(Event::ResponseInterrupted { last_event });
                 }
-                Ok(None) if stream.is_complete() => {
-                    return RelayResult::Complete;
+                StreamItem::EndedEarly => return RelayResult::Failed(self.broken_off(stream)),
+                StreamItem::Invalid(invalid) => {
+                    self.dispatcher.record_invalid_event(self.key, Request::upstream, invalid);
+                    return RelayResult::Failed(self.broken_off(stream));
                 }
-                Ok(None) => return RelayResult::Failed(self.broken_off(stream)),
-                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             };
-            stream.kept_logged = false;
-            if !stream.response.is_event_stream {
-                if parts.send(ResponsePart::Data(data)).await.is_err() {
-                    return RelayResult::Ended(RequestEnding::CallerGone);
-                }
-                continue;
+            if parts.send(ResponsePart::Data(data)).await.is_err() {
+                return RelayResult::Ended(RequestEnding::CallerGone);
             }
-            stream.splitter.push(&data);
-            while let Some(event) = stream.splitter.next_event() {
-                stream.has_events = true;
-                match check_block(&event.bytes, U::EVENT_EXTENSION_FIELDS) {
-                    Ok(id) => stream.events += usize::from(id.is_some()),
-                    Err(invalid) => self.record_invalid_event(stream, invalid, event.bytes.len()),
-                }
-                if event.id.is_some() && event.id <= stream.last_event.or(resumed_after) {
-                    stream.repeated_events += 1;
-                    continue;
-                }
-                if parts.send(ResponsePart::Data(event.bytes)).await.is_err() {
-                    return RelayResult::Ended(RequestEnding::CallerGone);
-                }
-                stream.last_event = event.id.or(stream.last_event);
+            if stream.events.is_some() {
                 self.record_event();
             }
-            if stream.splitter.pending_bytes() > MAX_EVENT_BYTES {
-                stream.response.connection.log_too_large(ResponsePlace::Event);
-                let last_event = stream.last_event;
-                return RelayResult::Failed(Event::ResponseInterrupted { last_event });
-            }
-        }
-    }
-
-    /// Id of the last event that the caller had received when the present run began, if any.
-    fn last_event(&self) -> Option<u64> {
-        let router = self.dispatcher.router.borrow();
-        router.request(self.key).and_then(|request| request.last_event())
-    }
-
-    /// Counts a block that is no event of a run, and logs the first one of the run.
-    fn record_invalid_event(&self, stream: &mut OpenStream, invalid: InvalidEvent, bytes: usize) {
-        stream.invalid_events += 1;
-        self.dispatcher.metrics.count_invalid_event(invalid);
-        let router = self.dispatcher.router.borrow();
-        let Some(request) = router.request(self.key) else { return };
-        if stream.invalid_events == 1 {
-            let last_event = stream.last_event;
-            log_invalid_event(&self.dispatcher.name, request, invalid, bytes, last_event);
         }
     }
 
@@ -359,31 +242,23 @@
 
     /// Releases the connection of a stream that is complete and ends the response. Returns
     /// false if the caller has disconnected.
-    async fn end_response(
-        &self,
-        mut stream: OpenStream,
-        parts: &mpsc::Sender<ResponsePart>,
-    ) -> bool {
+    async fn end_response(&self, stream: OpenStream, parts: &mpsc::Sender<ResponsePart>) -> bool {
         self.log_stream_end(&stream);
-        // Comments or blank lines after the last event.
-        let remainder = stream.splitter.take_incomplete();
         let UpstreamResponse { connection, keep_alive, .. } = stream.response;
         self.dispatcher.upstream_client.release_connection(connection, keep_alive);
-        let remainder_sent =
-            remainder.is_empty() || parts.send(ResponsePart::Data(remainder)).await.is_ok();
-        remainder_sent && parts.send(ResponsePart::End).await.is_ok()
+        parts.send(ResponsePart::End).await.is_ok()
     }
 
     fn log_stream_end(&self, stream: &OpenStream) {
+        let Some(events) = &stream.events else { return };
         let router = self.dispatcher.router.borrow();
         let Some(request) = router.request(self.key) else { return };
         let end = StreamEnd {
             framing: stream.response.framing,
             last_event: stream.last_event,
-            events: stream.events,
-            invalid_events: stream.invalid_events,
-            repeated_events: stream.repeated_events,
-            remainder_bytes: stream.splitter.pending_bytes(),
+            events: events.count(),
+            repeated_events: events.repeated_events(),
+            remainder_bytes: events.remainder_bytes(),
         };
         log_stream_end(&self.dispatcher.name, request, &end);
     }
--- a/src/edge/direct/request_log.rs
+++ b/src/edge/direct/request_log.rs
@@ -171,8 +171,6 @@
     pub(super) last_event: Option<u64>,
     /// Number of events of the run.
     pub(super) events: usize,
-    /// Number of blocks that are no event of a run.
-    pub(super) invalid_events: usize,
     /// Number of events that were not relayed, as the caller has had them.
     pub(super) repeated_events: usize,
     /// Number of bytes after the end of the last event.
@@ -188,28 +186,24 @@
         framing: = end.framing,
         last_event = end.last_event.unwrap_or(0),
         events = end.events,
-        invalid_events = end.invalid_events,
         repeated_events = end.repeated_events,
         remainder_bytes = end.remainder_bytes
     });
 }
 
-/// Logs that the upstream sent `bytes` in a stream that are no event of its run, after
-/// `last_event`.
+/// Logs that an engine of a request sent something that is no event of its run.
 pub(super) fn log_invalid_event(
     instance: &str,
     request: &Request,
+    engine: &str,
     invalid: InvalidEvent,
-    bytes: usize,
-    last_event: Option<u64>,
 ) {
     spdlog::warn!("invalid-event", kv: {
         instance: = instance,
         request_id: = request.id,
         route: = request.route().name,
-        upstream: = request.upstream_id(),
-        last_event = last_event.unwrap_or(0),
-        bytes = bytes,
+        upstream: = engine,
+        run_events = request.run_events,
         detail: = invalid
     });
 }
--- a/src/edge/direct/request_task.rs
+++ b/src/edge/direct/request_task.rs
@@ -13,10 +13,12 @@
 use tokio::time::timeout;
 
 use crate::edge::direct::dispatch::Dispatcher;
+use crate::edge::direct::event_check::InvalidEvent;
 use crate::edge::direct::last_waits::LastWaits;
 use crate::edge::direct::open_calls::OpenCalls;
+use crate::edge::direct::open_stream::OpenStream;
+use crate::edge::direct::open_stream::PausedStreamLoss;
 use crate::edge::direct::ready_response::ReadyResponse;
-use crate::edge::direct::relay::OpenStream;
 use crate::edge::direct::request_log::GivenUpBecause;
 use crate::edge::direct::request_log::RequestEnding;
 use crate::edge::direct::request_log::failure_reason;
@@ -36,6 +38,7 @@
 use crate::router::Target;
 use crate::router::flow::Failure;
 use crate::router::pauses::MAX_RUN_OVERLAP;
+use crate::router::request::Request;
 use crate::router::request::RequestKey;
 use crate::router::stream_origins::OriginLookup;
 
@@ -215,10 +218,19 @@
                         paused = None;
                     }
                     resumed = OpenStream::resumed(&mut paused) => {
-                        if resumed {
-                            break Some(Event::ResponseResumed);
+                        match resumed {
+                            Ok(()) => break Some(Event::ResponseResumed),
+                            Err(PausedStreamLoss::Connection) => {
+                                dispatcher.check_paused_engine(key).await;
+                            }
+                            Err(PausedStreamLoss::Invalid(invalid)) => {
+                                dispatcher.record_invalid_event(
+                                    key,
+                                    Request::paused_engine,
+                                    invalid,
+                                );
+                            }
                         }
-                        dispatcher.check_paused_engine(key).await;
                     }
                     () = last_waits.used_up(&dispatcher.cutting), if !awaits_head => {
                         break Some(Event::EntryExits);
@@ -341,13 +353,22 @@
             });
             return Err(Failure::NoContinuation);
         }
-        let mut ready = self.dispatcher.read_response(response).await?;
+        let events = self.dispatcher.run_events(self.key);
+        let mut ready = self.dispatcher.read_response(response, events).await?;
         if self.has_paused_run() {
-            ready.await_first_part().await?;
+            ready.await_first_item().await.map_err(|invalid| self.unusable_start(invalid))?;
         }
         Ok(self.store_response(ready))
     }
 
+    /// Logs what a stream has begun with in place of its first event, if anything.
+    fn unusable_start(&self, invalid: Option<InvalidEvent>) -> Failure {
+        if let Some(invalid) = invalid {
+            self.dispatcher.record_invalid_event(self.key, Request::upstream, invalid);
+        }
+        Failure::Broken
+    }
+
     /// True if the stream has paused and its run is kept until another one has begun.
     fn has_paused_run(&self) -> bool {
         let router = self.dispatcher.router.borrow();
--- a/src/edge/direct/sse.rs
+++ b/src/edge/direct/sse.rs
@@ -1,4 +1,4 @@
-//! Splits a byte stream of server-sent events into complete events.
+//! Splits a byte stream of server-sent events into blocks that end with a blank line.
 
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -6,19 +6,9 @@
 /// Blank lines that end an event, by the kind of line end before them.
 const EVENT_ENDS: [&[u8]; 3] = [b"\n\n", b"\n\r\n", b"\r\r"];
 const MAX_EVENT_END_BYTES: usize = 3;
-const ID_FIELD: &[u8] = b"id:";
 const COMMENT_START: u8 = b':';
 
-/// One complete server-sent event.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct SseEvent {
-    /// Bytes of the event, including the blank line that ends it.
-    pub bytes: Bytes,
-    /// Value of the `id` field, if there is one and it is a number.
-    pub id: Option<u64>,
-}
-
-/// Buffers received bytes until an event is complete.
+/// Buffers received bytes until a block is complete: an event, or what is in its place.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     pending: BytesMut,
@@ -32,23 +22,15 @@
         self.pending.extend_from_slice(bytes);
     }
 
-    /// Removes and returns the next complete event, if there is one.
-    pub fn next_event(&mut self) -> Option<SseEvent> {
+    /// Removes and returns the next complete block with its blank line, if there is one.
+    pub fn next_block(&mut self) -> Option<Bytes> {
         let from = std::mem::take(&mut self.searched_bytes);
         let Some(event_bytes) = find_event_end(&self.pending[from..]) else {
             // The last bytes may be the first ones of the event's end.
             self.searched_bytes = self.pending.len().saturating_sub(MAX_EVENT_END_BYTES - 1);
             return None;
         };
-        let bytes = self.pending.split_to(from + event_bytes).freeze();
-        let id = event_id(&bytes);
-        Some(SseEvent { bytes, id })
-    }
-
-    /// Removes and returns the remaining bytes, which are no complete event.
-    pub fn take_incomplete(&mut self) -> Bytes {
-        self.searched_bytes = 0;
-        self.pending.split().freeze()
+        Some(self.pending.split_to(from + event_bytes).freeze())
     }
 
     /// Returns the number of bytes that are buffered.
@@ -61,11 +43,6 @@
     pub fn is_inside_event(&self) -> bool {
         lines(&self.pending).any(|line| line.first().is_some_and(|&byte| byte != COMMENT_START))
     }
-
-    /// Returns true if no bytes are buffered.
-    pub fn is_empty(&self) -> bool {
-        self.pending.is_empty()
-    }
 }
 
 /// Returns the number of bytes up to the end of the first event.
@@ -80,8 +57,3 @@
 fn lines(bytes: &[u8]) -> impl Iterator<Item = &[u8]> {
     bytes.split(|byte| matches!(byte, b'\n' | b'\r'))
 }
-
-fn event_id(event: &[u8]) -> Option<u64> {
-    let line = lines(event).find(|line| line.starts_with(ID_FIELD))?;
-    std::str::from_utf8(&line[ID_FIELD.len()..]).ok()?.trim().parse().ok()
-}
--- a/src/router/configuration.rs
+++ b/src/router/configuration.rs
@@ -62,6 +62,8 @@
     pub path_prefix: CompactString,
     /// True if a request may run more than once without harm.
     pub idempotent: bool,
+    /// True if its successful responses are streams of events, whose ids count up.
+    pub streams: bool,
     /// True if a stream that was interrupted may be resumed by another run.
     pub resumable: bool,
     /// Longest time from the arrival of a request to the end of its response.
