A success that is no stream of events is not passed on where a stream is due

Cause: the media type alone decided whether a body is a stream; the promise of the route was not asked.

Change: on a route with streams such a success counts as a broken exchange and is logged as no-stream; a resumable stream goes elsewhere, another one gets 502.

--- a/src/edge/direct/ready_response.rs
+++ b/src/edge/direct/ready_response.rs
@@ -1,10 +1,12 @@
 //! Response of an upstream that is ready to be relayed: read completely, or a stream.
 
+use std::ops::Range;
 use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::HeaderMap;
 use hyper::body::Body;
+use hyper::header::CONTENT_TYPE;
 use tokio::time::timeout;
 
 use crate::edge::direct::bounded_read::read_body;
@@ -25,6 +27,9 @@
 /// completely as well; a larger one counts as failed.
 const MAX_UNSIZED_BYTES: usize = 1 << 20;
 
+/// Statuses of successful responses.
+const SUCCESSES: Range<u16> = 200..300;
+
 /// Response of an upstream that can be relayed to the caller.
 pub(super) enum ReadyResponse {
     /// Complete response in memory.
@@ -48,7 +53,8 @@
     ///
     /// # Errors
     /// `Broken` if the body ends early, exceeds [`MAX_UNSIZED_BYTES`], or has no length and
-    /// grows beyond the memory of all buffered responses.
+    /// grows beyond the memory of all buffered responses, and if a success is no event stream
+    /// though the route has streams.
     pub(super) async fn read(
         response: UpstreamResponse,
         events: Option<RunEvents>,
@@ -58,6 +64,10 @@
         if response.is_event_stream {
             return Ok(Self::Streamed(Box::new(OpenStream::new(response, events))));
         }
+        if events.is_some() && SUCCESSES.contains(&response.status) {
+            log_no_stream(&response);
+            return Err(Failure::Broken);
+        }
         let length = response.body.size_hint().exact();
         let small = length.is_none_or(|bytes| bytes <= MAX_BUFFERED_BYTES);
         let length = length.unwrap_or(0) as usize;
@@ -89,3 +99,13 @@
         }
     }
 }
+
+/// Logs a success that is no stream of events where one is due.
+fn log_no_stream(response: &UpstreamResponse) {
+    let media_type = response.headers.get(CONTENT_TYPE).and_then(|it| it.to_str().ok());
+    spdlog::warn!("no-stream", kv: {
+        upstream: = response.connection.peer(),
+        status = response.status,
+        media_type: = media_type.unwrap_or_default()
+    });
+}
