Bound the memory of one line of a decode stream

Cause: the agent kept what an engine sent until a line end came, without a bound, and searched all of it again with each read.

Change: a line of more than 16 KiB ends the connection, as a line that is no token does. What is no token is logged as stream-invalid with its reason, and the engine is asked for the rest, as after a connection that broke.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -312,6 +312,9 @@
                 self.on_chunk(now, chunk, out);
             }
             UpstreamEvent::StreamDisconnected { id } => self.on_stream_disconnected(id, out),
+            UpstreamEvent::StreamInvalid { id, reason } => {
+                self.on_stream_invalid(id, &reason, out)
+            }
             UpstreamEvent::StreamFailed { id, reason } => {
                 self.on_stream_failed(now, id, reason, out)
             }
--- a/src/agent/decode.rs
+++ b/src/agent/decode.rs
@@ -234,6 +234,17 @@
         });
     }
 
+    /// Logs what an engine sent in place of a token, and asks for the rest of the stream.
+    pub(super) fn on_stream_invalid(
+        &mut self,
+        id: AttemptId,
+        reason: &str,
+        out: &mut Vec<AgentAction>,
+    ) {
+        record(out, Decision::StreamInvalid, Some(id), reason);
+        self.on_stream_disconnected(id, out);
+    }
+
     pub(super) fn on_stream_failed(
         &mut self,
         now: Duration,
--- a/src/agent/event.rs
+++ b/src/agent/event.rs
@@ -117,6 +117,14 @@
         /// Attempt that the event is about.
         id: AttemptId,
     },
+    /// The engine sent something that is not the next token of a stream, which was not
+    /// read on; the engine may still run it.
+    StreamInvalid {
+        /// Attempt that the event is about.
+        id: AttemptId,
+        /// What was received in place of the token.
+        reason: String,
+    },
     /// The engine does not know the stream or aborted it.
     StreamFailed {
         /// Attempt that the event is about.
@@ -259,6 +267,8 @@
     TransferRetried,
     /// A KV cache transfer failed for good.
     TransferFailed,
+    /// The engine sent something that is not the next token of a stream.
+    StreamInvalid,
     /// A granted reservation expired because no decode request came for it.
     ReservationLapsed,
     /// A manifest of a newer generation was put in force.
--- a/src/edge.rs
+++ b/src/edge.rs
@@ -19,4 +19,5 @@
 mod responses;
 pub mod telemetry;
 pub mod ticker;
+mod token_lines;
 pub mod upstream;
--- a/src/edge/upstream.rs
+++ b/src/edge/upstream.rs
@@ -23,6 +23,8 @@
 use crate::edge::http::HttpError;
 use crate::edge::http::json_request;
 use crate::edge::http::read_body;
+use crate::edge::token_lines::TokenError;
+use crate::edge::token_lines::TokenLines;
 use crate::schema::wire;
 use crate::schema::wire::AttemptId;
 
@@ -76,14 +78,6 @@
     priority: u32,
 }
 
-#[derive(Deserialize)]
-struct TokenLine {
-    index: u32,
-    text: String,
-    #[serde(default)]
-    finish_reason: Option<String>,
-}
-
 #[derive(Serialize)]
 struct CancelRequest {
     id: String,
@@ -181,7 +175,8 @@
     }
 
     /// Starts decoding at `from_index` and passes each token to `emit`. If the stream
-    /// cannot start or is cut off, `emit` gets an event for that instead of the end.
+    /// cannot start, is cut off or holds what is not the next token, `emit` gets an event
+    /// for that instead of the end.
     pub async fn read_stream(
         &self,
         id: AttemptId,
@@ -210,8 +205,11 @@
             emit(UpstreamEvent::StreamFailed { id, reason });
             return;
         }
-        if !read_tokens(id, response.into_body(), &emit).await {
-            emit(UpstreamEvent::StreamDisconnected { id });
+        let mut lines = TokenLines::default();
+        match read_tokens(id, response.into_body(), &mut lines, &emit).await {
+            Ok(true) => {}
+            Ok(false) => emit(UpstreamEvent::StreamDisconnected { id }),
+            Err(error) => emit(UpstreamEvent::StreamInvalid { id, reason: error.to_string() }),
         }
     }
 
@@ -318,19 +316,20 @@
 }
 
 /// Reads JSON lines with one token each and emits them. Returns true if the last
-/// token was received, false if the stream ended early or a line is malformed.
+/// token was received, false if the stream ended early.
+///
+/// # Errors
+/// Returns [`TokenError`] for the first line that is not the next token of the run.
 async fn read_tokens(
     id: AttemptId,
     mut body: hyper::body::Incoming,
+    lines: &mut TokenLines,
     emit: &impl Fn(UpstreamEvent),
-) -> bool {
-    let mut pending = Vec::new();
+) -> Result<bool, TokenError> {
     while let Some(Ok(frame)) = body.frame().await {
         let Ok(data) = frame.into_data() else { continue };
-        pending.extend_from_slice(&data);
-        while let Some(end) = pending.iter().position(|&byte| byte == b'\n') {
-            let line: Vec<u8> = pending.drain(..=end).collect();
-            let Ok(token) = serde_json::from_slice::<TokenLine>(&line) else { return false };
+        lines.push(&data);
+        while let Some(token) = lines.next_token()? {
             let last = token.finish_reason.is_some();
             emit(UpstreamEvent::Chunk {
                 id,
@@ -340,9 +339,9 @@
                 finish_reason: token.finish_reason.unwrap_or_default(),
             });
             if last {
-                return true;
+                return Ok(true);
             }
         }
     }
-    false
+    Ok(false)
 }
