Take only the next token of a stream from an engine

Cause: read_tokens checked no index. The agent's core dropped a token with another index without a word and waited for the right one.

Change: a token whose index is not the next one ends the connection, and the engine is asked for the rest from the index that is due.

Result: a skipped, a repeated, an earlier, and a last token out of order: all four cases passed the tokens on to the core before (0, 2, 3; 0, 0, 1; 0, 5; 0, 7 without an end of the stream), now only those before the fault, with one report.

--- a/src/edge/token_lines.rs
+++ b/src/edge/token_lines.rs
@@ -32,15 +32,29 @@
         /// Column at which it ceases to be a token.
         column: usize,
     },
+    /// The token is an earlier or a later one.
+    #[error("token {index} in place of token {expected}")]
+    OutOfOrder {
+        /// Index that was received.
+        index: u32,
+        /// Index of the next token of the run.
+        expected: u32,
+    },
 }
 
 /// Splits the bytes of a decode stream into its tokens.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct TokenLines {
+    next_index: u32,
     pending: BytesMut,
 }
 
 impl TokenLines {
+    /// Expects the tokens from `next_index` on.
+    pub(super) fn new(next_index: u32) -> Self {
+        Self { next_index, pending: BytesMut::new() }
+    }
+
     /// Adds received bytes. Before more are added, all tokens are to be taken out.
     pub(super) fn push(&mut self, data: &[u8]) {
         self.pending.extend_from_slice(data);
@@ -59,6 +73,16 @@
         let line = self.pending.split_to(end + 1);
         let token = serde_json::from_slice(&line[..end])
             .map_err(|error| TokenError::Malformed { bytes: end, column: error.column() })?;
+        self.check(&token)?;
+        self.next_index = self.next_index.saturating_add(1);
         Ok(Some(token))
     }
+
+    fn check(&self, token: &Token) -> Result<(), TokenError> {
+        let (index, expected) = (token.index, self.next_index);
+        if index != expected {
+            return Err(TokenError::OutOfOrder { index, expected });
+        }
+        Ok(())
+    }
 }
--- a/tests/upstream/token_lines.rs
+++ b/tests/upstream/token_lines.rs
@@ -84,6 +84,14 @@
         [token(1), last_token(2)] => vec![1, 2], disconnects 0;
     a_token_after_the_last_is_not_passed_on: from 0, limit MANY,
         [token(0), last_token(1), token(2)] => vec![0, 1], disconnects 0;
+    a_skipped_token_ends_the_stream: from 0, limit MANY,
+        [token(0), token(2), token(3)] => vec![0], disconnects 1;
+    a_repeated_token_ends_the_stream: from 0, limit MANY,
+        [token(0), token(0), token(1)] => vec![0], disconnects 1;
+    a_token_before_the_first_ends_the_stream: from 5, limit MANY,
+        [token(0), token(5)] => vec![], disconnects 1;
+    a_last_token_after_a_skipped_one_ends_no_response: from 0, limit MANY,
+        [token(0), last_token(7)] => vec![0], disconnects 1;
     text_between_tokens_ends_the_stream: from 0, limit MANY,
         [token(0), "HTTP/1.1 200 OK\n".to_string(), token(1)] => vec![0], disconnects 1;
     a_token_without_text_ends_the_stream: from 0, limit MANY,
