Hold an engine to the limit of tokens that it was given

Cause: nobody compared the index with max_tokens, so an engine that does not end a response was passed on to the caller beyond what it had asked for, and the agent and the entry kept all of it.

Change: the token before the limit must end the response. One that does not ends the connection and is not passed on, so that the engine, or another one, is asked for it again. 0 is still no limit: that is what the first connection of an adopted orphan has.

--- a/src/edge/token_lines.rs
+++ b/src/edge/token_lines.rs
@@ -40,19 +40,29 @@
         /// Index of the next token of the run.
         expected: u32,
     },
+    /// The token is the last one that the limit allows, but does not end the response.
+    #[error("token {index} does not end a response of at most {max_tokens} tokens")]
+    BeyondLimit {
+        /// Index that was received.
+        index: u32,
+        /// Limit on the tokens of the response.
+        max_tokens: u32,
+    },
 }
 
 /// Splits the bytes of a decode stream into its tokens.
 #[derive(Debug)]
 pub(super) struct TokenLines {
     next_index: u32,
+    max_tokens: u32,
     pending: BytesMut,
 }
 
 impl TokenLines {
-    /// Expects the tokens from `next_index` on.
-    pub(super) fn new(next_index: u32) -> Self {
-        Self { next_index, pending: BytesMut::new() }
+    /// Expects the tokens from `next_index` on, of a response of at most `max_tokens`; 0 is no
+    /// limit.
+    pub(super) fn new(next_index: u32, max_tokens: u32) -> Self {
+        Self { next_index, max_tokens, pending: BytesMut::new() }
     }
 
     /// Adds received bytes. Before more are added, all tokens are to be taken out.
@@ -79,10 +89,14 @@
     }
 
     fn check(&self, token: &Token) -> Result<(), TokenError> {
-        let (index, expected) = (token.index, self.next_index);
+        let (index, expected, max_tokens) = (token.index, self.next_index, self.max_tokens);
         if index != expected {
             return Err(TokenError::OutOfOrder { index, expected });
         }
+        let is_limit = max_tokens > 0 && index >= max_tokens - 1;
+        if is_limit && token.finish_reason.is_none() {
+            return Err(TokenError::BeyondLimit { index, max_tokens });
+        }
         Ok(())
     }
 }
--- a/src/edge/upstream.rs
+++ b/src/edge/upstream.rs
@@ -205,7 +205,7 @@
             emit(UpstreamEvent::StreamFailed { id, reason });
             return;
         }
-        let mut lines = TokenLines::new(from_index);
+        let mut lines = TokenLines::new(from_index, max_tokens);
         match read_tokens(id, response.into_body(), &mut lines, &emit).await {
             Ok(true) => {}
             Ok(false) => emit(UpstreamEvent::StreamDisconnected { id }),
--- a/tests/upstream/token_lines.rs
+++ b/tests/upstream/token_lines.rs
@@ -92,6 +92,10 @@
         [token(0), token(5)] => vec![], disconnects 1;
     a_last_token_after_a_skipped_one_ends_no_response: from 0, limit MANY,
         [token(0), last_token(7)] => vec![0], disconnects 1;
+    a_token_beyond_the_limit_ends_the_stream: from 0, limit 2,
+        [token(0), token(1), token(2), token(3)] => vec![0], disconnects 1;
+    a_response_without_end_at_the_limit_ends_the_stream: from 4, limit 5,
+        [token(4)] => vec![], disconnects 1;
     text_between_tokens_ends_the_stream: from 0, limit MANY,
         [token(0), "HTTP/1.1 200 OK\n".to_string(), token(1)] => vec![0], disconnects 1;
     a_token_without_text_ends_the_stream: from 0, limit MANY,
