Fail a stream that breaks off again and again without a token

Cause: after each broken connection the agent asked the engine for the rest at once and without a bound. An engine that answers with garbage, or with an empty body, was asked as fast as it answered until the entry cancelled.

Change: the fourth end in a row without a token fails the stream there (stream-given-up). The entry tries it elsewhere if it may run again, as after any failed stream. A token sets the count back.

Result: 9 ends in a row: asked 9 times and not failed before, now failed, and asked not more than 8 times (3 is the constant). After a token each, 20 ends still bring 20 resumes.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -311,9 +311,9 @@
                 let chunk = wire::Chunk { id: Some(id), index, text, last, finish_reason };
                 self.on_chunk(now, chunk, out);
             }
-            UpstreamEvent::StreamDisconnected { id } => self.on_stream_disconnected(id, out),
+            UpstreamEvent::StreamDisconnected { id } => self.on_stream_disconnected(now, id, out),
             UpstreamEvent::StreamInvalid { id, reason } => {
-                self.on_stream_invalid(id, &reason, out)
+                self.on_stream_invalid(now, id, &reason, out)
             }
             UpstreamEvent::StreamFailed { id, reason } => {
                 self.on_stream_failed(now, id, reason, out)
--- a/src/agent/decode.rs
+++ b/src/agent/decode.rs
@@ -23,6 +23,9 @@
 
 /// Imports started for one attempt, the first included.
 const MAX_IMPORT_ATTEMPTS: u32 = 2;
+/// Times in a row that an engine is asked for the rest of a stream without a token from it.
+const MAX_RESUMES_WITHOUT_TOKEN: u32 = 3;
+const REASON_BROKE_OFF: &str = "broke-off";
 const REASON_TRANSFER_FAILED: &str = "transfer-failed";
 const REASON_STOPPED: &str = "stopped";
 const REASON_ENGINE_UNKNOWN: &str = "engine-unknown";
@@ -189,6 +192,7 @@
             return;
         }
         reservation.sent_tokens.push(chunk.text.clone());
+        reservation.resumes_without_token = 0;
         let entry = reservation.entry;
         let step = reservation.last_token_at.replace(now).map(|before| now.saturating_sub(before));
         let last = chunk.last;
@@ -220,11 +224,24 @@
         self.tombstones.insert(id, now + self.config.lease_ttl);
     }
 
-    pub(super) fn on_stream_disconnected(&mut self, id: AttemptId, out: &mut Vec<AgentAction>) {
+    /// Asks the engine for the rest of a stream, or fails it if the last times brought no
+    /// token.
+    pub(super) fn on_stream_disconnected(
+        &mut self,
+        now: Duration,
+        id: AttemptId,
+        out: &mut Vec<AgentAction>,
+    ) {
         let Some(reservation) = self.reservations.get_mut(id) else { return };
         if reservation.stage != Stage::Decoding {
             return;
         }
+        if reservation.resumes_without_token >= MAX_RESUMES_WITHOUT_TOKEN {
+            record(out, Decision::StreamGivenUp, Some(id), "");
+            self.fail_stream(now, id, REASON_BROKE_OFF, out);
+            return;
+        }
+        reservation.resumes_without_token += 1;
         let Some(decode) = &reservation.decode else { return };
         out.push(AgentAction::Decode {
             id,
@@ -237,12 +254,13 @@
     /// Logs what an engine sent in place of a token, and asks for the rest of the stream.
     pub(super) fn on_stream_invalid(
         &mut self,
+        now: Duration,
         id: AttemptId,
         reason: &str,
         out: &mut Vec<AgentAction>,
     ) {
         record(out, Decision::StreamInvalid, Some(id), reason);
-        self.on_stream_disconnected(id, out);
+        self.on_stream_disconnected(now, id, out);
     }
 
     pub(super) fn on_stream_failed(
--- a/src/agent/event.rs
+++ b/src/agent/event.rs
@@ -269,6 +269,8 @@
     TransferFailed,
     /// The engine sent something that is not the next token of a stream.
     StreamInvalid,
+    /// A stream broke off again and again without a token, and was reported as failed.
+    StreamGivenUp,
     /// A granted reservation expired because no decode request came for it.
     ReservationLapsed,
     /// A manifest of a newer generation was put in force.
--- a/src/agent/reservations.rs
+++ b/src/agent/reservations.rs
@@ -74,6 +74,9 @@
     pub import_attempts: u32,
     /// Text of each token sent so far, kept to be sent again on a resume.
     pub sent_tokens: Vec<Bytes>,
+    /// Number of times that the engine was asked for the rest of the stream since its
+    /// latest token.
+    pub resumes_without_token: u32,
     /// When the latest token arrived; `None` before the first.
     pub last_token_at: Option<Duration>,
     arrival_seq: u64,
@@ -173,6 +176,7 @@
             evicted_at: Duration::MAX,
             import_attempts: 0,
             sent_tokens: Vec::new(),
+            resumes_without_token: 0,
             last_token_at: None,
             arrival_seq: self.next_arrival_seq,
         };
--- /dev/null
+++ b/tests/core/engine_results.rs
@@ -0,0 +1,132 @@
+//! Results of an engine that are out of range: they cost the work that they are about, and no
+//! other.
+
+use std::sync::Arc;
+
+use bamboodoor::agent::AgentAction;
+use bamboodoor::agent::AgentConfig;
+use bamboodoor::agent::AgentCore;
+use bamboodoor::agent::AgentEvent;
+use bamboodoor::agent::RunningStream;
+use bamboodoor::agent::UpstreamEvent;
+use bamboodoor::manifest::Snapshot;
+use bamboodoor::schema::wire;
+use bamboodoor::schema::wire::AttemptId;
+use bamboodoor::schema::wire::to_agent::Kind as ToAgent;
+use bamboodoor::schema::wire::to_entry::Kind as ToEntry;
+
+use crate::fleet;
+use crate::fleet::NOW;
+
+const ENTRY: u64 = 1;
+const ID: AttemptId = AttemptId { entry: ENTRY, request: 1, attempt: 1 };
+const ZONE: &str = "zone-0";
+/// Most times in a row that a stream is asked for again without a token from it.
+const MAX_RESUMES: usize = 8;
+
+fn snapshot() -> Arc<Snapshot> {
+    Arc::new(Snapshot::parse(1, &fleet::manifest(1, 1)).expect("the manifest is valid"))
+}
+
+/// Agent of a decode engine that runs these streams, with an entry connected.
+struct DecodeAgent {
+    core: AgentCore,
+    out: Vec<AgentAction>,
+}
+
+impl DecodeAgent {
+    fn new(streams: Vec<RunningStream>) -> Self {
+        let config = AgentConfig {
+            pool: "decode-0".into(),
+            zone: ZONE.into(),
+            incarnation: 7,
+            ..AgentConfig::default()
+        };
+        let mut agent = Self { core: AgentCore::new(config), out: Vec::new() };
+        agent.core.adopt(snapshot(), &mut agent.out);
+        let hello = wire::EntryHello { entry: ENTRY, ..wire::EntryHello::default() };
+        agent.core.handle(NOW, AgentEvent::EntryConnected(hello), &mut agent.out);
+        agent.engine(UpstreamEvent::RunningStreams { streams });
+        agent
+    }
+
+    fn engine(&mut self, event: UpstreamEvent) {
+        self.core.handle(NOW, AgentEvent::Upstream(event), &mut self.out);
+    }
+
+    fn entry(&mut self, message: ToAgent) {
+        let event = AgentEvent::FromEntry { entry: ENTRY, message };
+        self.core.handle(NOW, event, &mut self.out);
+    }
+
+    /// Starts a stream, of which the engine has sent no token yet.
+    fn start_stream(&mut self) {
+        self.entry(ToAgent::Reserve(wire::Reserve {
+            id: Some(ID),
+            blocks: 1,
+            max_wait_ms: 1_000,
+            ..wire::Reserve::default()
+        }));
+        self.entry(ToAgent::Decode(wire::Decode {
+            id: Some(ID),
+            max_tokens: 100,
+            lives_ms: 1_000,
+            ..wire::Decode::default()
+        }));
+        self.engine(UpstreamEvent::Imported { id: ID });
+        self.out.clear();
+    }
+
+    /// The engine sends the token at this index, which is not the last one.
+    fn token(&mut self, index: u32) {
+        let finish_reason = String::new();
+        let text = "t".into();
+        self.engine(UpstreamEvent::Chunk { id: ID, index, text, last: false, finish_reason });
+    }
+
+    /// Number of times that the stream was asked for since it was started.
+    fn resumes(&self) -> usize {
+        self.out.iter().filter(|action| matches!(action, AgentAction::Decode { .. })).count()
+    }
+
+    fn has_failed(&self) -> bool {
+        let is_failure = |action: &AgentAction| {
+            matches!(action, AgentAction::Send { message: ToEntry::StreamFailed(_), .. })
+        };
+        self.out.iter().any(is_failure)
+    }
+}
+
+#[test]
+fn a_stream_that_breaks_off_without_a_token_again_and_again_fails() {
+    let mut agent = DecodeAgent::new(Vec::new());
+    agent.start_stream();
+    for _ in 0..=MAX_RESUMES {
+        agent.engine(UpstreamEvent::StreamDisconnected { id: ID });
+    }
+    assert!(agent.has_failed(), "the engine is asked {} times", agent.resumes());
+    assert!(agent.resumes() <= MAX_RESUMES);
+}
+
+#[test]
+fn a_stream_that_breaks_off_after_each_token_goes_on() {
+    let mut agent = DecodeAgent::new(Vec::new());
+    agent.start_stream();
+    for index in 0..20 {
+        agent.token(index);
+        agent.engine(UpstreamEvent::StreamDisconnected { id: ID });
+    }
+    assert!(!agent.has_failed());
+    assert_eq!(agent.resumes(), 20);
+}
+
+#[test]
+fn a_stream_that_breaks_off_twice_without_a_token_goes_on() {
+    let mut agent = DecodeAgent::new(Vec::new());
+    agent.start_stream();
+    for _ in 0..2 {
+        agent.engine(UpstreamEvent::StreamDisconnected { id: ID });
+    }
+    assert!(!agent.has_failed());
+    assert_eq!(agent.resumes(), 2);
+}
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -7,6 +7,7 @@
 
 mod carry_forward;
 mod claims;
+mod engine_results;
 mod event_splitter;
 mod fold;
 mod generation_trial;
