Take only our own form of a stream id for an attempt id

Cause: parse_attempt_id ignored what follows the third part, and took signs, leading zeros and capitals. A stream of another client of the engine whose id is a UUID was taken for an attempt, and cancelled as an orphan under an id that the engine does not know, again and again.

Change: a text is an attempt id only if it is what format_attempt_id writes.

--- a/src/edge/upstream.rs
+++ b/src/edge/upstream.rs
@@ -40,12 +40,13 @@
     format!("{:x}-{:x}-{:x}", id.entry, id.request, id.attempt)
 }
 
-/// Parses the text of [`format_attempt_id`]; returns `None` if it is malformed.
+/// Parses the text of [`format_attempt_id`]; returns `None` if it is any other text.
 pub fn parse_attempt_id(text: &str) -> Option<AttemptId> {
     let mut parts = text.split('-');
     let mut part = || u64::from_str_radix(parts.next()?, HEX_RADIX).ok();
     let (entry, request, attempt) = (part()?, part()?, part()?);
-    Some(AttemptId { entry, request, attempt: attempt.try_into().ok()? })
+    let id = AttemptId { entry, request, attempt: attempt.try_into().ok()? };
+    (format_attempt_id(&id) == text).then_some(id)
 }
 
 #[derive(Serialize)]
--- a/tests/core/parsing.rs
+++ b/tests/core/parsing.rs
@@ -89,6 +89,15 @@
         => RefusalReason::PromptTooLong, "prompt";
 }
 
+#[test]
+fn a_stream_id_in_another_form_is_no_attempt_id() {
+    let others =
+        ["550e8400-e29b-41d4-a716-446655440000", "1-2-3-", "+1-2-3", "01-2-3", "A-b-c", "1-2", ""];
+    let taken: Vec<&str> =
+        others.into_iter().filter(|text| parse_attempt_id(text).is_some()).collect();
+    assert_eq!(taken, Vec::<&str>::new());
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 512, rng_seed: proptest::test_runner::RngSeed::Fixed(1), ..ProptestConfig::default() })]
 
