Count the blocks of listed streams without overflow

Cause: the blocks in an engine's list of streams were added up in 32 bits. Two streams of more than half the range stop the agent in a build that checks overflows, and in one that does not the sum is a small number.

Change: the sums of blocks saturate, so the engine counts as full.

Result: two orphans of 4,294,967,295 blocks: "attempt to add with overflow" before, now no free blocks.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -349,7 +349,7 @@
     }
 
     fn update_orphan_capacity(&mut self) {
-        let blocks = self.orphans.values().map(|orphan| orphan.blocks).sum();
+        let blocks = self.orphans.values().map(|orphan| orphan.blocks).fold(0, u32::saturating_add);
         self.reservations.set_orphans(self.orphans.len() as u32, blocks);
     }
 
--- a/src/agent/reservations.rs
+++ b/src/agent/reservations.rs
@@ -284,7 +284,8 @@
 
     /// Number of blocks in use, including those of streams being cancelled and of orphans.
     pub fn held_blocks(&self) -> u32 {
-        self.active().map(|reservation| reservation.blocks).sum::<u32>() + self.orphan_blocks
+        let active = self.active().map(|reservation| reservation.blocks);
+        active.fold(self.orphan_blocks, u32::saturating_add)
     }
 
     /// Updates the estimated slowdown with the time between two tokens of a stream.
--- a/tests/core/engine_results.rs
+++ b/tests/core/engine_results.rs
@@ -130,3 +130,14 @@
     assert!(!agent.has_failed());
     assert_eq!(agent.resumes(), 2);
 }
+
+#[test]
+fn listed_streams_with_more_blocks_than_can_be_counted_stop_no_agent() {
+    let stream = |request| RunningStream {
+        id: AttemptId { entry: 9, request, attempt: 1 },
+        blocks: u32::MAX,
+    };
+    let mut agent = DecodeAgent::new(vec![stream(1), stream(2)]);
+    agent.start_stream();
+    assert_eq!(agent.core.load(NOW).free_blocks, 0);
+}
