Let a cache size out of range hold up no other transfer

Cause: the size that a prefill engine reports is charged to the link at once. After kv_bytes of 2^64 - 1 no other transfer of that zone could start at this agent for years; on a link of 1 byte/s the conversion to a time panicked.

Change: a transfer is charged at most what the link carries until the transfer's own timeout, at which it is aborted; the conversion saturates. A transfer that fits before its timeout is charged as before.

The slow link panicked before.

--- a/src/agent/transfers.rs
+++ b/src/agent/transfers.rs
@@ -143,15 +143,18 @@
     if bucket.available_bytes < 0.0 {
         return None;
     }
-    bucket.available_bytes -= queued.bytes as f64;
-    let expected = Duration::from_secs_f64(queued.bytes as f64 / bucket.bytes_per_s as f64);
-    Some(TransferStart { id: queued.id, timeout: stall_timeout(expected, now, queued.deadline) })
+    let (bytes, bytes_per_s) = (queued.bytes as f64, bucket.bytes_per_s as f64);
+    let expected = Duration::try_from_secs_f64(bytes / bytes_per_s).unwrap_or(Duration::MAX);
+    let timeout = stall_timeout(expected, now, queued.deadline);
+    // At its timeout the transfer is aborted, so it uses no more of the link than until then.
+    bucket.available_bytes -= bytes.min(bytes_per_s * timeout.as_secs_f64());
+    Some(TransferStart { id: queued.id, timeout })
 }
 
 /// Timeout of a transfer that is expected to last `expected`. It is early enough that
 /// a second attempt fits before `deadline`, when the KV cache is evicted.
 fn stall_timeout(expected: Duration, now: Duration, deadline: Duration) -> Duration {
     let left = deadline.saturating_sub(now);
-    let stalled_after = (expected * STALL_TIMEOUT_FACTOR).max(MIN_STALL_TIMEOUT);
+    let stalled_after = expected.saturating_mul(STALL_TIMEOUT_FACTOR).max(MIN_STALL_TIMEOUT);
     stalled_after.min((left / 2).max(MIN_STALL_TIMEOUT))
 }
--- a/tests/core/engine_results.rs
+++ b/tests/core/engine_results.rs
@@ -2,6 +2,7 @@
 //! other.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bamboodoor::agent::AgentAction;
 use bamboodoor::agent::AgentConfig;
@@ -9,6 +10,7 @@
 use bamboodoor::agent::AgentEvent;
 use bamboodoor::agent::RunningStream;
 use bamboodoor::agent::UpstreamEvent;
+use bamboodoor::agent::transfers::TransferSchedule;
 use bamboodoor::manifest::Snapshot;
 use bamboodoor::schema::wire;
 use bamboodoor::schema::wire::AttemptId;
@@ -141,3 +143,30 @@
     agent.start_stream();
     assert_eq!(agent.core.load(NOW).free_blocks, 0);
 }
+
+#[test]
+fn a_cache_size_out_of_range_holds_up_no_later_transfer() {
+    let snapshot = snapshot();
+    let pool = snapshot.pool("decode-0").expect("the pool exists");
+    let mut transfers = TransferSchedule::default();
+    transfers.configure(&snapshot, pool, ZONE);
+    let lifetime = Duration::from_millis(800);
+    transfers.push(ID, ZONE, u64::MAX, NOW + lifetime);
+    assert_eq!(transfers.start(NOW).len(), 1);
+    let next = AttemptId { request: 2, ..ID };
+    let later = NOW + lifetime;
+    transfers.push(next, ZONE, 1 << 20, later + lifetime);
+    let started = transfers.start(later);
+    assert!(started.iter().any(|start| start.id == next), "{:?}", transfers.next_wakeup());
+}
+
+#[test]
+fn a_cache_size_out_of_range_on_a_slow_link_stops_no_agent() {
+    let slow = fleet::manifest(1, 1).replace("50000000000", "1");
+    let snapshot = Snapshot::parse(1, &slow).expect("the manifest is valid");
+    let pool = snapshot.pool("decode-0").expect("the pool exists");
+    let mut transfers = TransferSchedule::default();
+    transfers.configure(&snapshot, pool, ZONE);
+    transfers.push(ID, ZONE, u64::MAX, NOW + Duration::from_millis(800));
+    assert_eq!(transfers.start(NOW).len(), 1);
+}
