Take no prefill result whose handle cannot be part of a path

Cause: any text was a handle: an empty one, one with line ends or of 17 MiB went to the entry and from there to the decode engine. By reading, the transfer fails there and the decode agent is excluded, and a handle of more than a frame cuts the connection between agent and entry, for all requests on it.

Change: a handle is 1 to 1,024 visible ASCII characters, otherwise the prefill has failed.

--- a/src/edge/upstream.rs
+++ b/src/edge/upstream.rs
@@ -32,6 +32,8 @@
 /// Timeout of requests that only read or change the state of the engine.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
 const HTTP_GONE: u16 = 410;
+/// Longest handle of a KV cache that is accepted, in bytes.
+const MAX_HANDLE_BYTES: usize = 1 << 10;
 const HEX_RADIX: u32 = 16;
 
 /// Writes an attempt id as the engine and the logs name it: entry, request and
@@ -137,7 +139,8 @@
         self.http.send_json(Method::POST, self.address, path, body, timeout).await
     }
 
-    /// Runs a prefill at the engine; fails after 60 s without a complete response.
+    /// Runs a prefill at the engine; fails after 60 s without a complete response, and if
+    /// its handle cannot be part of a path.
     pub async fn run_prefill(&self, prefill: wire::Prefill) -> UpstreamEvent {
         let id = prefill.id.unwrap_or_default();
         let body = PrefillRequest {
@@ -147,6 +150,10 @@
             continued: &String::from_utf8_lossy(&prefill.continued),
         };
         match self.post_json::<PrefillResponse>("/v1/prefill", &body, PREFILL_TIMEOUT).await {
+            Ok(response) if !is_valid_handle(&response.handle) => {
+                let reason = format!("handle of {} bytes is invalid", response.handle.len());
+                UpstreamEvent::PrefillFailed { id, reason }
+            }
             Ok(response) => UpstreamEvent::PrefillDone {
                 id,
                 handle: response.handle,
@@ -310,6 +317,12 @@
     }
 }
 
+/// True if a handle can be a part of the path under which other engines fetch the cache.
+fn is_valid_handle(handle: &str) -> bool {
+    let is_visible = |byte: u8| byte.is_ascii_graphic();
+    !handle.is_empty() && handle.len() <= MAX_HANDLE_BYTES && handle.bytes().all(is_visible)
+}
+
 fn to_engine_state(state: StateResponse) -> EngineState {
     let fence =
         FencingToken { incarnation: state.fence_incarnation, generation: state.fence_generation };
