Bound the responses and error texts of an engine

Cause: up to 64 MiB of a response were read, and of an error response all of it became the reason of the failure that the entry is sent. More than a frame (16 MiB) cuts the connection between agent and entry, for all requests on it.

Change: the agent reads up to 1 MiB of a response; of an error 1 KiB is kept.

--- a/src/edge/http.rs
+++ b/src/edge/http.rs
@@ -17,8 +17,11 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-/// Largest response body that is read into memory.
-const MAX_RESPONSE_BYTES: usize = 64 << 20;
+/// Largest response body that is read into memory unless the client has another limit, in
+/// bytes.
+pub(super) const MAX_RESPONSE_BYTES: usize = 64 << 20;
+/// Longest part of an error response that is kept in [`HttpError::Status`], in bytes.
+const MAX_ERROR_BODY_BYTES: usize = 1 << 10;
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Error of an HTTP request; the variants tell whether the server may have acted.
@@ -40,7 +43,7 @@
     Status {
         /// HTTP status code of the response.
         status: u16,
-        /// Response body, with invalid UTF-8 replaced.
+        /// Start of the response body, up to 1 KiB, with invalid UTF-8 replaced.
         body: String,
     },
     /// The response body is not the expected JSON, or the request body could not be
@@ -54,6 +57,7 @@
 #[derive(Debug, Clone)]
 pub struct HttpClient {
     client: Client<HttpConnector, Full<Bytes>>,
+    max_response_bytes: usize,
 }
 
 impl Default for HttpClient {
@@ -80,7 +84,13 @@
             .pool_idle_timeout(Duration::from_secs(10))
             .pool_max_idle_per_host(max_idle_per_host)
             .build(connector);
-        Self { client }
+        Self { client, max_response_bytes: MAX_RESPONSE_BYTES }
+    }
+
+    /// Limits the response bodies that [`HttpClient::send_json`] reads, 64 MiB by default.
+    #[must_use]
+    pub fn with_max_response_bytes(self, max_response_bytes: usize) -> Self {
+        Self { max_response_bytes, ..self }
     }
 
     /// Sends a request and returns the response once its headers are there, with the
@@ -120,9 +130,10 @@
         let exchange = async {
             let response = self.send(request).await?;
             let status = response.status().as_u16();
-            let body = read_body(response.into_body()).await?;
+            let body = read_body(response.into_body(), self.max_response_bytes).await?;
             if status >= 400 {
-                let body = String::from_utf8_lossy(&body).into_owned();
+                let start = &body[..body.len().min(MAX_ERROR_BODY_BYTES)];
+                let body = String::from_utf8_lossy(start).into_owned();
                 return Err(HttpError::Status { status, body });
             }
             serde_json::from_slice(&body).map_err(|error| HttpError::Malformed(error.to_string()))
@@ -151,12 +162,12 @@
         .map_err(|error| HttpError::NotSent(error.to_string()))
 }
 
-/// Reads a whole response body of at most 64 MiB.
+/// Reads a whole response body of at most `max_bytes`.
 ///
 /// # Errors
 /// Returns [`HttpError::Interrupted`] if the connection failed or the body is too long.
-pub async fn read_body(body: Incoming) -> Result<Bytes, HttpError> {
-    let limited = Limited::new(body, MAX_RESPONSE_BYTES);
+pub async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, HttpError> {
+    let limited = Limited::new(body, max_bytes);
     let collected = limited.collect().await;
     collected.map(|body| body.to_bytes()).map_err(|error| HttpError::Interrupted(error.to_string()))
 }
--- a/src/edge/upstream.rs
+++ b/src/edge/upstream.rs
@@ -21,6 +21,7 @@
 use crate::agent::orders::Order;
 use crate::edge::http::HttpClient;
 use crate::edge::http::HttpError;
+use crate::edge::http::MAX_RESPONSE_BYTES;
 use crate::edge::http::json_request;
 use crate::edge::http::read_body;
 use crate::edge::token_lines::TokenError;
@@ -34,6 +35,8 @@
 const HTTP_GONE: u16 = 410;
 /// Longest handle of a KV cache that is accepted, in bytes.
 const MAX_HANDLE_BYTES: usize = 1 << 10;
+/// Largest response of an engine that is read into memory, in bytes.
+const MAX_ENGINE_RESPONSE_BYTES: usize = 1 << 20;
 const HEX_RADIX: u32 = 16;
 
 /// Writes an attempt id as the engine and the logs name it: entry, request and
@@ -127,6 +130,7 @@
     /// Creates a client of the upstream at `address`. Calls to a plain service do not
     /// use the connection pool of `http`.
     pub fn new(http: HttpClient, address: SocketAddr) -> Self {
+        let http = http.with_max_response_bytes(MAX_ENGINE_RESPONSE_BYTES);
         Self { http, unpooled_http: HttpClient::without_pool(), address }
     }
 
@@ -312,7 +316,7 @@
                 }
             };
         let headers = response.headers().iter().map(to_wire_header).collect();
-        let body = read_body(response.into_body()).await?;
+        let body = read_body(response.into_body(), MAX_RESPONSE_BYTES).await?;
         Ok(wire::CallReply { status, headers, body, ..wire::CallReply::default() })
     }
 }
--- a/tests/upstream/prefills.rs
+++ b/tests/upstream/prefills.rs
@@ -54,6 +54,8 @@
     a_handle_larger_than_a_frame_is_no_result: "200 OK", result(&"h".repeat(MORE_THAN_A_FRAME_BYTES));
     a_handle_of_two_lines_is_no_result: "200 OK", result("kv-1\r\nhost: x");
     a_handle_with_a_space_is_no_result: "200 OK", result("kv 1");
+    an_error_longer_than_a_frame_is_cut: "500 Internal Server Error", "e".repeat(MORE_THAN_A_FRAME_BYTES);
+    a_long_error_is_cut: "500 Internal Server Error", "e".repeat(512 << 10);
     a_result_in_pieces_of_another_is_no_result: "200 OK", result("kv-1") + &result("kv-2");
     a_negative_size_is_no_result: "200 OK",
         "{\"handle\":\"kv-1\",\"cached_tokens\":0,\"kv_bytes\":-1}".to_string();
