Pass on no reply of a service that does not fit into a frame

Cause: a reply of up to 64 MiB was read and sent to the entry in one frame, which holds 16 MiB. The writer of the connection ends at a larger one, so every request on it loses its connection to the agent.

Change: a body of more than 15 MiB is an interrupted response; the call may have run.

--- a/src/edge/http.rs
+++ b/src/edge/http.rs
@@ -19,7 +19,7 @@
 
 /// Largest response body that is read into memory unless the client has another limit, in
 /// bytes.
-pub(super) const MAX_RESPONSE_BYTES: usize = 64 << 20;
+const MAX_RESPONSE_BYTES: usize = 64 << 20;
 /// Longest part of an error response that is kept in [`HttpError::Status`], in bytes.
 const MAX_ERROR_BODY_BYTES: usize = 1 << 10;
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
--- a/src/edge/upstream.rs
+++ b/src/edge/upstream.rs
@@ -19,9 +19,9 @@
 use crate::agent::orders::EngineState;
 use crate::agent::orders::FencingToken;
 use crate::agent::orders::Order;
+use crate::edge::frames::MAX_FRAME_BYTES;
 use crate::edge::http::HttpClient;
 use crate::edge::http::HttpError;
-use crate::edge::http::MAX_RESPONSE_BYTES;
 use crate::edge::http::json_request;
 use crate::edge::http::read_body;
 use crate::edge::token_lines::TokenError;
@@ -37,6 +37,9 @@
 const MAX_HANDLE_BYTES: usize = 1 << 10;
 /// Largest response of an engine that is read into memory, in bytes.
 const MAX_ENGINE_RESPONSE_BYTES: usize = 1 << 20;
+/// Largest response body of a plain service, in bytes: with its headers it must fit into
+/// a frame to the entry.
+const MAX_CALL_RESPONSE_BYTES: usize = MAX_FRAME_BYTES - (1 << 20);
 const HEX_RADIX: u32 = 16;
 
 /// Writes an attempt id as the engine and the logs name it: entry, request and
@@ -316,7 +319,7 @@
                 }
             };
         let headers = response.headers().iter().map(to_wire_header).collect();
-        let body = read_body(response.into_body(), MAX_RESPONSE_BYTES).await?;
+        let body = read_body(response.into_body(), MAX_CALL_RESPONSE_BYTES).await?;
         Ok(wire::CallReply { status, headers, body, ..wire::CallReply::default() })
     }
 }
