Limit max_tokens before the cost of a request is computed

Cause: the cost that an account is charged was computed from max_tokens as the caller sent it, and limited to the model's only after that. 4,294,967,295 stops the entry's actor in a build that checks overflows, and charges the account a wrong cost in one that does not.

Change: the limit comes first.

Result: "attempt to multiply with overflow" before, now a slot is asked for.

--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -93,10 +93,10 @@
             self.refuse(key, Refusal { detail, ..refusal }, out);
             return;
         }
-        let expected_tokens = self.expected_output_tokens(key);
         let generate = self.generate_mut(key);
         generate.max_tokens = generate.max_tokens.clamp(1, model.max_output_tokens);
-        let cost = generate.prompt_tokens + DECODE_TOKEN_WEIGHT * expected_tokens;
+        let prompt_tokens = generate.prompt_tokens;
+        let cost = prompt_tokens + DECODE_TOKEN_WEIGHT * self.expected_output_tokens(key);
         let mut candidates = Vec::new();
         if self.config.policy.has_admission_control() {
             let blocks = self.blocks_needed(key, &snapshot);
--- a/tests/core/engine_results.rs
+++ b/tests/core/engine_results.rs
@@ -1,5 +1,5 @@
-//! Results of an engine that are out of range: they cost the work that they are about, and no
-//! other.
+//! Results of an engine, and limits of a caller, that are out of range: they cost the work that they
+//! are about, and no other.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,6 +11,10 @@
 use bamboodoor::agent::RunningStream;
 use bamboodoor::agent::UpstreamEvent;
 use bamboodoor::agent::transfers::TransferSchedule;
+use bamboodoor::entry::EntryAction;
+use bamboodoor::entry::request::IncomingGeneration;
+use bamboodoor::entry::request::IncomingRequest;
+use bamboodoor::entry::request::IncomingWork;
 use bamboodoor::manifest::Snapshot;
 use bamboodoor::schema::wire;
 use bamboodoor::schema::wire::AttemptId;
@@ -170,3 +174,22 @@
     transfers.push(ID, ZONE, u64::MAX, NOW + Duration::from_millis(800));
     assert_eq!(transfers.start(NOW).len(), 1);
 }
+
+#[test]
+fn a_caller_that_asks_for_more_tokens_than_can_be_counted_is_served() {
+    let mut entry = fleet::Entry::new(8);
+    let work = IncomingWork::Generate(IncomingGeneration {
+        model: "model-0".into(),
+        prompt: vec![b'x'; 800].into(),
+        prompt_tokens: 200,
+        prefixes: vec![1],
+        max_tokens: u32::MAX,
+    });
+    let account = "account-0000".into();
+    let incoming = IncomingRequest { request_id: "r1".into(), account, work };
+    entry.core.on_request(NOW, incoming, &mut entry.out);
+    let asks_for_slot = |action: &EntryAction| {
+        matches!(action, EntryAction::Send { message: ToAgent::Reserve(_), .. })
+    };
+    assert!(entry.out.iter().any(asks_for_slot));
+}
