Take a token only from the agent that runs the attempt

Cause: the entry looked at the attempt of a token and at its index, not at the agent that sent it.

Change: a token of another agent is dropped and recorded as chunk-dropped.

Result: passed on to the caller before, now dropped; the one of the right agent still passes.

--- a/src/entry/decoding.rs
+++ b/src/entry/decoding.rs
@@ -108,7 +108,13 @@
             }
             return;
         };
-        let expected = self.generate(key).next_index;
+        let generate = self.generate(key);
+        if generate.decode_attempt.is_none_or(|attempt| attempt.agent != agent) {
+            let detail = "sent by another agent".to_string();
+            self.record_decision(key, Decision::ChunkDropped, Some(agent), detail, out);
+            return;
+        }
+        let expected = generate.next_index;
         if chunk.index != expected {
             let detail = format!("index {} expected {expected}", chunk.index);
             self.record_decision(key, Decision::ChunkDropped, Some(agent), detail, out);
--- a/tests/core/messages.rs
+++ b/tests/core/messages.rs
@@ -139,6 +139,16 @@
     assert_eq!(conversation.deliver_token(second_agent, second, 0), 1);
 }
 
+#[test]
+fn a_token_from_an_agent_that_does_not_run_the_attempt_is_dropped() {
+    let mut conversation = Conversation::new();
+    let (agent, id) = conversation.start_decoding(1);
+    let agents = conversation.entry.agents.clone();
+    let other = agents.into_iter().find(|&other| other != agent).expect("there are more agents");
+    assert_eq!(conversation.deliver_token(other, id, 0), 0);
+    assert_eq!(conversation.deliver_token(agent, id, 0), 1);
+}
+
 #[test]
 fn a_token_after_the_end_is_dropped_and_its_attempt_cancelled() {
     let mut conversation = Conversation::new();
