Play a token left out by an engine through the processes

Cause: the checks of a decode stream were tested at the agent's client only, not as a caller sees them.

--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -134,6 +134,8 @@
     pub stall_next_import: Switch,
     /// Breaks the connection of the next stream after 3 tokens; the engine keeps the stream.
     pub break_next_stream: Switch,
+    /// Leaves out the fourth token of the next stream.
+    pub skip_token_of_next_stream: Switch,
     /// Ignores cancels and breaks their connections without a response.
     pub lose_cancels: Switch,
     /// Holds back the tokens of all streams until it is off again.
@@ -237,6 +239,7 @@
             stall_import: Switch::default(),
             stall_next_import: Switch::default(),
             break_next_stream: Switch::default(),
+            skip_token_of_next_stream: Switch::default(),
             lose_cancels: Switch::default(),
             freeze_streams: Switch::default(),
         });
@@ -399,6 +402,7 @@
             prompt_hash
         };
         let break_at = self.break_next_stream.take().then_some(body.from_index + 3);
+        let skipped = self.skip_token_of_next_stream.take().then_some(body.from_index + 3);
         let start = Some((self, body.id, body.from_index));
         let tokens = futures_util::stream::unfold(start, move |state| async move {
             let (engine, id, index) = state?;
@@ -406,6 +410,7 @@
                 return Some((Err(server::broken_connection()), None));
             }
             engine.decode_step().await;
+            let index = if skipped == Some(index) { index + 1 } else { index };
             let line = engine.next_line(&id, prompt_hash, index)?;
             let following = (!line.1).then_some((engine, id, index + 1));
             Some((Ok(line.0), following))
