--- a/soak/src/action.rs
+++ b/soak/src/action.rs
@@ -63,6 +63,9 @@
     Shed(usize, u64, Duration),
     /// Streams of a replica end with their connection only, and some of them break off.
     EndWithConnection(usize, Duration),
+    /// A replica garbles one in so many streams and other results, from the kind with the second
+    /// number on.
+    Garble(usize, u64, u64, Duration),
     /// A replica names a rate limit, in tenths of a request a second.
     RateLimit(usize, u32, Duration),
     /// Replicas send nothing for this long, keep their connections open, and continue afterwards.
@@ -102,6 +105,7 @@
             | Self::Shed(position, ..)
             | Self::RateLimit(position, ..)
             | Self::EndWithConnection(position, _)
+            | Self::Garble(position, ..)
             | Self::PauseReplicas(position, ..)
             | Self::TurnAway(position, ..)
             | Self::LeaveWithNotice(position, _)
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -235,6 +235,12 @@
         nodes.iter().map(|node| node.proxy.repeated_responses()).sum()
     }
 
+    /// Number of streams into which replicas wrote garbage.
+    pub fn garbled_streams(&self) -> usize {
+        let nodes = self.nodes.lock().expect("the mutex is not poisoned");
+        nodes.iter().map(|node| node.replica.garbling.garbled_count()).sum()
+    }
+
     /// Publishes the instance record of every replica that serves now, as replicas do at
     /// intervals.
     pub fn publish_replicas(&self) {
--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -80,6 +80,7 @@
                 | Action::ReplicaFull(..)
                 | Action::Shed(..)
                 | Action::EndWithConnection(..)
+                | Action::Garble(..)
                 | Action::RateLimit(..)
                 | Action::DeadlyRequests(..)
         ) || self.leaves_all_sound()
@@ -200,6 +201,12 @@
             Action::EndWithConnection(position, duration) => {
                 self.end_with_connection(position, duration).await;
             }
+            Action::Garble(position, one_in, first_kind, duration) => {
+                let node = fleet.node(position);
+                node.replica.garbling.set_one_in(one_in, first_kind);
+                tokio::time::sleep(duration).await;
+                node.replica.garbling.set_one_in(0, 0);
+            }
             Action::RateLimit(position, tenths_per_s, duration) => {
                 fleet
                     .node(position)
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -78,6 +78,8 @@
     pub orders: usize,
     /// Number of responses that replicas sent a second time.
     pub late_copies: u64,
+    /// Number of streams into which replicas wrote garbage.
+    pub garbled_streams: usize,
     /// Violations of guarantees; empty if the run passed.
     pub violations: Vec<Violation>,
 }
@@ -154,6 +156,7 @@
         faults,
         orders: record.orders().len(),
         late_copies: fleet.late_copies(),
+        garbled_streams: fleet.garbled_streams(),
         violations,
     }
 }
--- a/soak/src/lost.rs
+++ b/soak/src/lost.rs
@@ -23,7 +23,7 @@
 /// A request that an entry has passed on to a sound replica ends in a complete response, or in a
 /// refusal before the first byte. A replica is sound unless it or its connections have a fault of
 /// their own; one that pauses, names a limit or turns requests away is sound, and so is one that
-/// leaves, until it is gone.
+/// leaves, until it is gone. One that writes garbage is sound for the streams without it.
 ///
 /// Excused are requests at their deadline, and those of an entry that was, since 4 s before,
 /// killed, paused, cut off from callers, or still busy with its shutdown in the last sixth of the
@@ -80,7 +80,10 @@
         ArrivalKind::Executed => Arc::ptr_eq(node, reached),
         ArrivalKind::Prefilled | ArrivalKind::Rejected => node.service == reached.service,
     });
-    relevant.all(|node| !has_fault(record, request, node) && !is_gone(request, node))
+    relevant.all(|node| {
+        let garbled = node.replica.garbling.has_garbled(&request.id);
+        !garbled && !has_fault(record, request, node) && !is_gone(request, node)
+    })
 }
 
 /// True if a replica or its connections had a fault of their own, from shortly before the request was
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -42,6 +42,8 @@
 
 /// Most violations that are printed for one seed.
 const MAX_PRINTED_VIOLATIONS: usize = 10;
+/// Most characters of a violation that are printed: a response may have garbage without an end.
+const MAX_PRINTED_CHARS: usize = 4_000;
 
 #[tokio::main]
 async fn main() -> ExitCode {
@@ -61,19 +63,21 @@
         }
         let report = soak::run(seed, &arguments.program, &dir, settings).await;
         println!(
-            "seed {seed}: {} requests, {} served, {} faults, {} orders, {} late copies, {} breaches",
+            "seed {seed}: {} requests, {} served, {} faults, {} orders, {} late copies, {} garbled, {} breaches",
             report.requests,
             report.served,
             report.faults,
             report.orders,
             report.late_copies,
+            report.garbled_streams,
             report.violations.len()
         );
         for (guarantee, count) in report.violation_counts() {
             println!("  {count} x {guarantee}");
         }
         for violation in report.violations.iter().take(MAX_PRINTED_VIOLATIONS) {
-            println!("  {}: {}", violation.guarantee, violation.detail);
+            let detail: String = violation.detail.chars().take(MAX_PRINTED_CHARS).collect();
+            println!("  {}: {detail}", violation.guarantee);
         }
         failed_seeds += u64::from(!report.violations.is_empty());
     }
--- a/soak/src/overlap.rs
+++ b/soak/src/overlap.rs
@@ -38,12 +38,14 @@
     let mut violations = Vec::new();
     for (id, mut runs) in runs {
         let Some(request) = by_id.get(id) else { continue };
+        runs.sort_by_key(|run| run.request.received_at);
+        let first_at = runs[0].request.received_at;
         // The stream does not go on at a replica that failed to take it up.
         runs.retain(|run| {
-            let faults = &nodes[run.node].replica.replacement_faults;
-            !faults.has_failed(id, run.request.received_at)
+            let (replica, at) = (&nodes[run.node].replica, run.request.received_at);
+            let is_garbled = at > first_at && replica.garbling.has_garbled_run(id, at);
+            !is_garbled && !replica.replacement_faults.has_failed(id, at)
         });
-        runs.sort_by_key(|run| run.request.received_at);
         for pair in runs.windows(2) {
             let (before, next) = (pair[0], pair[1]);
             let replica = &nodes[before.node];
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -10,6 +10,7 @@
 use rand::SeedableRng;
 use rand::seq::IndexedRandom;
 use rand_chacha::ChaCha8Rng;
+use standins::platform::garbage::STREAM_GARBAGE_COUNT;
 
 use crate::accounts::REVOKE_BOUND;
 use crate::action::Action;
@@ -62,6 +63,12 @@
 pub const FIRST_LATE_COPY_SEED: u64 = 6_000;
 /// First seed in which half of the entries have little processor time, each for a time.
 pub const FIRST_STARVED_SEED: u64 = 7_000;
+/// First seed whose engines write garbage. Of those for planned changes, nothing else is drawn.
+pub const FIRST_GARBAGE_SEED: u64 = 9_000;
+/// Longest time between the starts of two times of garbage.
+const MAX_GARBAGE_INTERVAL_MS: u64 = 1_000;
+/// Engines garble one in up to this many responses.
+const MAX_GARBLED_ONE_IN: u64 = 3;
 /// Longest time between the starts of two times of late copies, and of rejections for capacity.
 const MAX_LATE_COPY_INTERVAL_MS: u64 = 600;
 /// Longest time between two configurations that withdraw a key.
@@ -100,33 +107,45 @@
         }
         at += Duration::from_millis(rng.random_range(0..1_500));
     }
+    if seed >= FIRST_GARBAGE_SEED {
+        actions.extend(draw_garbage(&mut rng, size));
+    }
+    if seed < FIRST_GARBAGE_SEED || !seed.is_multiple_of(PLANNED_ONLY_SEED_INTERVAL) {
+        actions.extend(draw_by_first_seeds(&mut rng, seed, size));
+    }
+    actions.sort_by_key(|action| action.at);
+    actions
+}
+
+/// Actions that seeds have from some first seed on.
+fn draw_by_first_seeds(rng: &mut ChaCha8Rng, seed: u64, size: RunSize) -> Vec<ScheduledAction> {
+    let mut actions = Vec::new();
     if seed >= FIRST_EXTENDED_SEED {
-        actions.extend(draw_rate_limits(&mut rng, size));
+        actions.extend(draw_rate_limits(rng, size));
     }
     if seed >= FIRST_NOTICE_SEED {
-        actions.extend(draw_pauses(&mut rng, size));
-        actions.extend(draw_turn_aways(&mut rng, size));
-        actions.extend(draw_leaves(&mut rng, size));
+        actions.extend(draw_pauses(rng, size));
+        actions.extend(draw_turn_aways(rng, size));
+        actions.extend(draw_leaves(rng, size));
     }
     if seed >= FIRST_CONNECTION_END_SEED {
-        actions.extend(draw_connection_ends(&mut rng, size));
+        actions.extend(draw_connection_ends(rng, size));
     }
     if seed >= FIRST_DEADLY_SEED {
-        actions.push(draw_deadly_requests(&mut rng, size));
+        actions.push(draw_deadly_requests(rng, size));
     }
     if seed >= FIRST_ACCOUNT_SEED {
-        actions.extend(draw_withdrawals(&mut rng, size));
+        actions.extend(draw_withdrawals(rng, size));
     }
     if seed >= FIRST_LATE_COPY_SEED {
-        actions.extend(draw_late_copies(&mut rng, size));
+        actions.extend(draw_late_copies(rng, size));
     }
-    if seed >= FIRST_STARVED_SEED {
+    if (FIRST_STARVED_SEED..FIRST_GARBAGE_SEED).contains(&seed) {
         let starved = (0..size.entries).step_by(2);
         let action = |entry| Action::Starve(entry, size.fault_duration);
         let at = Duration::from_millis(500);
         actions.extend(starved.map(|entry| ScheduledAction { at, action: action(entry) }));
     }
-    actions.sort_by_key(|action| action.at);
     actions
 }
 
@@ -254,6 +273,18 @@
     })
 }
 
+/// Engines that write garbage for a time.
+fn draw_garbage(rng: &mut ChaCha8Rng, size: RunSize) -> Vec<ScheduledAction> {
+    draw_repeatedly(rng, size, 0, 0..MAX_GARBAGE_INTERVAL_MS, |rng, at, actions| {
+        let engine = rng.random_range(0..size.engines);
+        let one_in = rng.random_range(1..=MAX_GARBLED_ONE_IN);
+        let first_kind = rng.random_range(0..STREAM_GARBAGE_COUNT);
+        let duration = Duration::from_millis(rng.random_range(1_000..6_000));
+        let action = Action::Garble(engine, one_in, first_kind, duration);
+        actions.push(ScheduledAction { at, action });
+    })
+}
+
 fn draw_leaves(rng: &mut ChaCha8Rng, size: RunSize) -> Vec<ScheduledAction> {
     draw_repeatedly(rng, size, 0, 0..MAX_LEAVE_INTERVAL_MS, |rng, at, actions| {
         for _ in 0..rng.random_range(1..=2) {
--- a/soak/tests/seeds.rs
+++ b/soak/tests/seeds.rs
@@ -43,6 +43,7 @@
     plans_stay_from_7000_on: 7_000, 0x4956_5ee0_4c76_6478;
     plans_stay_from_8000_on: 8_000, 0x7b78_42e1_5ea7_2dda;
     plans_stay_from_8460_on: 8_460, 0x8d67_c643_85a0_eeea;
+    plans_stay_from_9000_on: 9_000, 0xe528_7bf1_0892_e8a1;
 }
 
 /// Guards against `seed_6005`: requests of another run were taken at a replica with the same id.
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for the platform that `bamboodoor-platform` runs on: its store and its replicas.
 
+pub mod garbage;
 pub mod groups;
 pub mod orders;
 pub mod replacement_faults;
--- a/standins/src/platform/replica.rs
+++ b/standins/src/platform/replica.rs
@@ -30,6 +30,7 @@
 use crate::faults::Delay;
 use crate::faults::Pause;
 use crate::faults::Switch;
+use crate::platform::garbage::Garbling;
 use crate::platform::orders::Orders;
 use crate::platform::replacement_faults::LATE_REJECTION_TIME;
 use crate::platform::replacement_faults::ReplacementFault;
@@ -126,6 +127,8 @@
     pub break_next_before_event: Switch,
     /// Faults of the requests that an entry has moved to it.
     pub replacement_faults: ReplacementFaults,
+    /// Garbage in its streams, and in place of prefill results, reservations and reports.
+    pub garbling: Garbling,
     /// Marks the end of its responses to executed requests only by the end of the connection.
     pub end_with_connection: Switch,
     /// Delay before each request is executed or prefilled, and before each event of a stream.
@@ -182,6 +185,7 @@
             break_next_stream: Switch::default(),
             break_next_before_event: Switch::default(),
             replacement_faults: ReplacementFaults::default(),
+            garbling: Garbling::default(),
             end_with_connection: Switch::default(),
             response_delay: Delay::default(),
             pause: Pause::default(),
@@ -361,7 +365,7 @@
     fn report_stage(&self) -> Response<Body> {
         let report =
             json!({"stage": self.stage(), "busy": false, "seq": self.orders.accepted_count()});
-        server::json(StatusCode::OK, &report)
+        self.garbling.next_result().unwrap_or_else(|| server::json(StatusCode::OK, &report))
     }
 
     fn receive_order(&self, received: &ReceivedRequest) -> Response<Body> {
@@ -379,8 +383,8 @@
             response.headers_mut().insert("bamboodoor-not-executed", not_executed);
             return response;
         }
-        let hold = self.next_name("hold");
-        server::json(StatusCode::OK, &json!({"hold": hold}))
+        let result = json!({"hold": self.next_name("hold")});
+        self.garbling.next_result().unwrap_or_else(|| server::json(StatusCode::OK, &result))
     }
 
     /// Returns a new name for a reservation or a prefill result.
@@ -395,7 +399,8 @@
         self.prefill_requests.lock().expect("the mutex is not poisoned").push(received);
         let handle = self.next_name("handle");
         let result = json!({"handle": handle, "tokens": 100, "version": 1});
-        let mut response = server::json(StatusCode::OK, &result);
+        let garbage = self.garbling.next_result();
+        let mut response = garbage.unwrap_or_else(|| server::json(StatusCode::OK, &result));
         response.headers_mut().insert("bamboodoor-request-id", id);
         response
     }
--- a/standins/src/platform/replica/events.rs
+++ b/standins/src/platform/replica/events.rs
@@ -8,7 +8,9 @@
 use bytes::Bytes;
 use futures_util::stream;
 use hyper::Response;
+use hyper::Version;
 
+use crate::platform::garbage::StreamGarbage;
 use crate::platform::replacement_faults::EVENTS_BEFORE_BREAK;
 use crate::platform::replica::EVENTS_PER_STREAM;
 use crate::platform::replica::ReceivedRequest;
@@ -35,14 +37,21 @@
         received.headers.get("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
     let break_midway = replica.break_next_stream.take();
     let break_at_start = replica.break_next_before_event.take();
+    let run = (last_seen + 1, event_count.max(last_seen));
+    let garbage = replica.garbling.next_stream(&received.id, received.received_at, run);
+    let ends_with_connection = garbage.as_ref().is_some_and(|garbage| garbage.ends_with_connection);
     replica.open_streams.fetch_add(1, Ordering::SeqCst);
     let open = OpenStream {
         replica: replica.clone(),
         request_id: received.id.clone(),
         next_event: last_seen + 1,
+        garbage,
         finished: false,
     };
     let events = stream::unfold(open, move |mut open| async move {
+        if let Some(part) = open.garbage_part().await {
+            return Some((part, open));
+        }
         if open.next_event > event_count {
             open.replica.pause.wait().await;
             return None;
@@ -76,6 +85,9 @@
     let mut response = server::stream(events);
     let media_type = "text/event-stream".parse().expect("the header is valid");
     response.headers_mut().insert("content-type", media_type);
+    if ends_with_connection {
+        *response.version_mut() = Version::HTTP_10;
+    }
     response
 }
 
@@ -83,9 +95,22 @@
     replica: Arc<Replica>,
     request_id: String,
     next_event: u64,
+    garbage: Option<StreamGarbage>,
     finished: bool,
 }
 
+impl OpenStream {
+    /// Next part of the garbage that is due before the next event, if any.
+    async fn garbage_part(&mut self) -> Option<Result<Bytes, std::io::Error>> {
+        let next_event = self.next_event;
+        let garbage = self.garbage.as_mut().filter(|garbage| garbage.before_event <= next_event)?;
+        let part = garbage.next_part().await?;
+        self.replica.pause.wait().await;
+        self.finished |= part.is_err();
+        Some(part)
+    }
+}
+
 impl Drop for OpenStream {
     fn drop(&mut self) {
         self.replica.open_streams.fetch_sub(1, Ordering::SeqCst);
