A stream is complete only if its end proves it, and events come alone

Comments in front of an event reached them with it, and so did an event with the id 0.

Cause: events that the caller had had counted as a sign that the run had come to its end; bytes after the last event were looked at by their first letter alone; a block was passed on as a whole. Ids could skip as many as an event has tokens, though they count events.

Change: a run completes a stream if it has reached the caller's last event, and where only its connection ends, if it made a new one; what follows the last block must be whole lines of comments. Event streams that are passed on as they are keep the proof of their end (OpaqueBlocks). Events leave without comments and blank lines in front; ids count up by one, from 1. A paused run whose body ends early is lost, as one whose connection fails, and no longer takes the place of its replacement.

--- a/src/edge/direct/event_check.rs
+++ b/src/edge/direct/event_check.rs
@@ -2,11 +2,14 @@
 
 use std::str::from_utf8;
 
+use bytes::Bytes;
+
 /// Fields of server-sent events.
 const ID_FIELD: &str = "id";
 const DATA_FIELD: &str = "data";
 const OTHER_FIELDS: [&str; 2] = ["event", "retry"];
 const COMMENT_START: char = ':';
+const LINE_ENDS: [u8; 2] = [b'\n', b'\r'];
 
 /// Why a block of a stream, which ends with a blank line, is no event of its run; logged and
 /// counted under these names in kebab case.
@@ -82,3 +85,26 @@
     }
     digits.parse().map_err(|_| InvalidEvent::InvalidId)
 }
+
+/// Returns an event without comments and without blank lines in front of it.
+pub fn without_comments(event: Bytes) -> Bytes {
+    let starts_line = |index: usize| index == 0 || LINE_ENDS.contains(&event[index - 1]);
+    let has_comment =
+        (0..event.len()).any(|index| event[index] == COMMENT_START as u8 && starts_line(index));
+    if !has_comment && !LINE_ENDS.contains(&event[0]) {
+        return event;
+    }
+    let mut kept = Vec::with_capacity(event.len());
+    let mut after_dropped_cr = false;
+    for line in event.split_inclusive(|byte| LINE_ENDS.contains(byte)) {
+        let is_rest_of_crlf = after_dropped_cr && line == b"\n";
+        let is_dropped = is_rest_of_crlf
+            || line[0] == COMMENT_START as u8
+            || (LINE_ENDS.contains(&line[0]) && kept.is_empty());
+        after_dropped_cr = is_dropped && line.ends_with(b"\r");
+        if !is_dropped {
+            kept.extend_from_slice(line);
+        }
+    }
+    kept.into()
+}
--- a/src/edge/direct/open_stream.rs
+++ b/src/edge/direct/open_stream.rs
@@ -11,6 +11,7 @@
 use crate::edge::direct::event_check::InvalidEvent;
 use crate::edge::direct::run_events::RunEvent;
 use crate::edge::direct::run_events::RunEvents;
+use crate::edge::direct::sse::OpaqueBlocks;
 use crate::edge::direct::upstream_client::UpstreamResponse;
 
 /// What a response delivers next.
@@ -30,11 +31,11 @@
     Invalid(InvalidEvent),
 }
 
-/// Why a paused stream cannot go on.
+/// Why a stream cannot go on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum PausedStreamLoss {
-    /// Its connection failed.
-    Connection,
+pub(super) enum StreamLoss {
+    /// Its connection failed, or its body ended early.
+    Ended,
     /// The engine sent something that is no event of the run.
     Invalid(InvalidEvent),
 }
@@ -43,8 +44,10 @@
 #[derive(Debug)]
 pub(super) struct OpenStream {
     pub(super) response: UpstreamResponse,
-    /// Events of the body; `None` if the body is opaque to the entry.
+    /// Events of the body; `None` if the route has no streams.
     pub(super) events: Option<RunEvents>,
+    /// What the body has after its last block, if it is passed on as it is.
+    opaque_blocks: OpaqueBlocks,
     /// Id of the last event that was relayed, if any.
     pub(super) last_event: Option<u64>,
     /// Item that was received while the stream was not relayed.
@@ -56,7 +59,8 @@
 impl OpenStream {
     /// Creates the stream of a response whose body is unread.
     pub(super) fn new(response: UpstreamResponse, events: Option<RunEvents>) -> Self {
-        Self { response, events, last_event: None, unread: None, kept_logged: false }
+        let opaque_blocks = OpaqueBlocks::default();
+        Self { response, events, opaque_blocks, last_event: None, unread: None, kept_logged: false }
     }
 
     /// Waits for the next item. Nothing is lost if the wait is cancelled.
@@ -81,7 +85,12 @@
             };
             match &mut self.events {
                 Some(events) => events.push(&data),
-                None => return StreamItem::Part(data),
+                None => {
+                    if self.response.is_event_stream {
+                        self.opaque_blocks.push(&data);
+                    }
+                    return StreamItem::Part(data);
+                }
             }
         }
     }
@@ -104,23 +113,28 @@
         self.unread.insert(item)
     }
 
-    /// True if the response is complete now that its body has ended. An engine that crashes may
-    /// end the connection before the first event, also of a stream that it continues.
+    /// True if the response is complete now that its body has ended. A process that crashes may
+    /// end its connection as if the body were complete.
     fn is_complete(&self) -> bool {
-        let Some(events) = &self.events else { return true };
         let end_is_explicit = self.response.framing != BodyFraming::Connection;
-        (end_is_explicit || events.count() > 0) && events.is_between_events()
+        match &self.events {
+            Some(events) => events.is_complete(end_is_explicit),
+            None if self.response.is_event_stream => {
+                self.opaque_blocks.is_complete(end_is_explicit)
+            }
+            None => true,
+        }
     }
 
     /// Waits until a paused stream goes on or ends; forever without a stream.
     ///
     /// # Errors
     /// If it cannot go on; it is dropped then.
-    pub(super) async fn resumed(paused: &mut Option<Self>) -> Result<(), PausedStreamLoss> {
+    pub(super) async fn resumed(paused: &mut Option<Self>) -> Result<(), StreamLoss> {
         let Some(stream) = paused else { return pending().await };
         let loss = match stream.await_item().await {
-            StreamItem::ConnectionLost => PausedStreamLoss::Connection,
-            StreamItem::Invalid(invalid) => PausedStreamLoss::Invalid(*invalid),
+            StreamItem::ConnectionLost | StreamItem::EndedEarly => StreamLoss::Ended,
+            StreamItem::Invalid(invalid) => StreamLoss::Invalid(*invalid),
             _ => return Ok(()),
         };
         *paused = None;
--- a/src/edge/direct/run_events.rs
+++ b/src/edge/direct/run_events.rs
@@ -1,21 +1,26 @@
 //! Turns the body of a stream into the events of its run. Nothing else leaves this module: what
-//! proves that a part belongs to the run is its form and its id.
+//! proves that a part belongs to the run is its form and its id. The ids of a stream count its
+//! events, from 1 on.
 
 use bytes::Bytes;
 
 use crate::edge::direct::event_check::InvalidEvent;
 use crate::edge::direct::event_check::check_block;
+use crate::edge::direct::event_check::without_comments;
 use crate::edge::direct::sse::EventSplitter;
 
 /// Most bytes from one event of a run to the end of the next one, comments included.
 const MAX_EVENT_BYTES: usize = 64 << 10;
 
-/// Event of a run, in the bytes in which the engine sent it.
+/// Id of the first event of a stream.
+const FIRST_ID: u64 = 1;
+
+/// Event of a run, in the lines in which the engine sent it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RunEvent {
-    /// Its id, which is higher than that of the event before it.
+    /// Its id, which is one higher than that of the event before it.
     pub id: u64,
-    /// The bytes, including the blank line that ends it.
+    /// The bytes, including the blank line that ends it, without comments.
     pub bytes: Bytes,
 }
 
@@ -25,10 +30,8 @@
 pub struct RunEvents {
     splitter: EventSplitter,
     extension_fields: &'static [&'static str],
-    /// Largest difference between the ids of two events.
-    max_step: u64,
-    /// Id of the last event that the caller had when the run began, if any.
-    after: Option<u64>,
+    /// Id of the last event that the caller had when the run began; 0 if it had none.
+    after: u64,
     /// Id of the last event of the run, whether the caller had it or not.
     last_id: Option<u64>,
     events: usize,
@@ -38,18 +41,13 @@
 }
 
 impl RunEvents {
-    /// Returns the events of a run that goes on after event `after`. Ids count events, or their
-    /// tokens. Events may have the fields in `extension_fields` beside those of server-sent events.
-    pub fn new(
-        after: Option<u64>,
-        tokens_per_event: u32,
-        extension_fields: &'static [&'static str],
-    ) -> Self {
+    /// Returns the events of a run that goes on after event `after`. Events may have the fields in
+    /// `extension_fields` beside those of server-sent events.
+    pub fn new(after: Option<u64>, extension_fields: &'static [&'static str]) -> Self {
         Self {
             splitter: EventSplitter::default(),
             extension_fields,
-            max_step: u64::from(tokens_per_event.max(1)),
-            after,
+            after: after.unwrap_or(0),
             last_id: None,
             events: 0,
             repeated_events: 0,
@@ -76,11 +74,11 @@
             self.last_id = Some(id);
             self.events += 1;
             self.skipped_bytes = 0;
-            if self.after.is_some_and(|after| id <= after) {
+            if id <= self.after {
                 self.repeated_events += 1;
                 continue;
             }
-            return Ok(Some(RunEvent { id, bytes }));
+            return Ok(Some(RunEvent { id, bytes: without_comments(bytes) }));
         }
         if self.skipped_bytes + self.splitter.pending_bytes() > MAX_EVENT_BYTES {
             return Err(InvalidEvent::TooLarge);
@@ -88,21 +86,26 @@
         Ok(None)
     }
 
-    /// An engine that begins a stream anew repeats events, but in their order.
+    /// An engine may begin a stream anew, and then repeats events.
     fn check_order(&self, id: u64) -> Result<(), InvalidEvent> {
-        if self.last_id.is_some_and(|last_id| id <= last_id) {
-            return Err(InvalidEvent::IdNotIncreasing);
-        }
-        let previous = self.last_id.max(self.after).unwrap_or(0);
-        if id > previous.saturating_add(self.max_step) {
-            return Err(InvalidEvent::IdSkipped);
+        let (lowest, highest) = match self.last_id {
+            Some(last_id) => (last_id.saturating_add(1), last_id.saturating_add(1)),
+            None => (FIRST_ID, self.after.saturating_add(1)),
+        };
+        match id {
+            _ if id < lowest => Err(InvalidEvent::IdNotIncreasing),
+            _ if id > highest => Err(InvalidEvent::IdSkipped),
+            _ => Ok(()),
         }
-        Ok(())
     }
 
-    /// True if the body may end here: not inside an event.
-    pub fn is_between_events(&self) -> bool {
-        !self.splitter.is_inside_event()
+    /// True if the body proves that the stream is complete now that it has ended. With an
+    /// explicit end, no event need have come: the caller may have had all of them.
+    pub fn is_complete(&self, end_is_explicit: bool) -> bool {
+        let reaches_caller = self.last_id.is_none_or(|last_id| last_id >= self.after);
+        let has_new_events = self.events > self.repeated_events;
+        let proves_end = (end_is_explicit && reaches_caller) || has_new_events;
+        proves_end && self.splitter.holds_only_comments()
     }
 
     /// Number of events of the run so far.
--- a/src/edge/direct/sse.rs
+++ b/src/edge/direct/sse.rs
@@ -3,10 +3,12 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 
+use crate::edge::direct::event_check::check_block;
+
 /// Blank lines that end an event, by the kind of line end before them.
 const EVENT_ENDS: [&[u8]; 3] = [b"\n\n", b"\n\r\n", b"\r\r"];
 const MAX_EVENT_END_BYTES: usize = 3;
-const COMMENT_START: u8 = b':';
+const LINE_ENDS: [u8; 2] = [b'\n', b'\r'];
 
 /// Buffers received bytes until a block is complete: an event, or what is in its place.
 #[derive(Debug, Default)]
@@ -38,10 +40,33 @@
         self.pending.len()
     }
 
-    /// True if the buffered bytes are the beginning of an event, as opposed to comments and
-    /// blank lines only.
-    pub fn is_inside_event(&self) -> bool {
-        lines(&self.pending).any(|line| line.first().is_some_and(|&byte| byte != COMMENT_START))
+    /// True if the buffered bytes are whole lines of comments and blank lines, so that no event
+    /// has begun.
+    pub fn holds_only_comments(&self) -> bool {
+        let ends_line = self.pending.last().is_none_or(|byte| LINE_ENDS.contains(byte));
+        ends_line && matches!(check_block(&self.pending, &[]), Ok(None))
+    }
+}
+
+/// Blocks of an event stream that is passed on as it is: only its end matters.
+#[derive(Debug, Default)]
+pub struct OpaqueBlocks {
+    splitter: EventSplitter,
+    has_blocks: bool,
+}
+
+impl OpaqueBlocks {
+    /// Appends received bytes.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.splitter.push(bytes);
+        while self.splitter.next_block().is_some() {
+            self.has_blocks = true;
+        }
+    }
+
+    /// True if the stream is complete now that its body has ended: not inside a block.
+    pub fn is_complete(&self, end_is_explicit: bool) -> bool {
+        (end_is_explicit || self.has_blocks) && self.splitter.holds_only_comments()
     }
 }
 
@@ -52,8 +77,3 @@
         Some(start + end.len())
     })
 }
-
-/// Returns the lines, whatever their line ends; between a CR and an LF is an empty one.
-fn lines(bytes: &[u8]) -> impl Iterator<Item = &[u8]> {
-    bytes.split(|byte| matches!(byte, b'\n' | b'\r'))
-}
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -376,11 +376,6 @@
         self.response_started || self.prefills > 0
     }
 
-    /// Number of output tokens in one event of its stream.
-    pub fn tokens_per_event(&self) -> u32 {
-        self.engine().unwrap_or_default().tokens_per_event
-    }
-
     /// Properties of the engines that the request goes to, if it goes to any.
     pub(super) fn engine(&self) -> Option<Engine> {
         self.configuration.service(&self.service).and_then(|service| service.engine)
--- a/tests/core/event_splitter.rs
+++ b/tests/core/event_splitter.rs
@@ -2,7 +2,9 @@
 
 use bamboodoor::edge::direct::event_check::InvalidEvent;
 use bamboodoor::edge::direct::event_check::check_block;
+use bamboodoor::edge::direct::event_check::without_comments;
 use bamboodoor::edge::direct::sse::EventSplitter;
+use bytes::Bytes;
 
 #[test]
 fn events_are_split_alike_wherever_the_stream_is_cut() {
@@ -41,7 +43,7 @@
                     }
                 }
                 assert_eq!(events, expected, "parts of {part_bytes} bytes");
-                assert_eq!(splitter.is_inside_event(), $inside, "parts of {part_bytes} bytes");
+                assert_eq!(!splitter.holds_only_comments(), $inside, "parts of {part_bytes} bytes");
             }
         }
     )*};
@@ -58,6 +60,8 @@
         b"id: 1\r\ndata: x\r\n\r\nid: 2\r\n" => [(18, Ok(Some(1)))], true;
     a_comment_is_no_event: b"id: 1\ndata: x\n\n: end\n" => [(15, Ok(Some(1)))], false;
     a_blank_line_is_no_event: b"id: 1\ndata: x\n\n\n" => [(15, Ok(Some(1)))], false;
+    a_comment_without_its_line_end_may_be_anything: b"id: 1\ndata: x\n\n: en"
+        => [(15, Ok(Some(1)))], true;
     a_field_after_a_comment_begins_an_event: b": end\ni" => [], true;
     an_event_without_data_is_none: b"id: 1\n\n" => [(7, Err(InvalidEvent::NoData))], false;
     two_events_in_one_block_are_none: b"id: 1\ndata: x\n\rid: 2\ndata: y\n\n"
@@ -92,3 +96,24 @@
     a_field_in_capitals: b"ID: 7\ndata: x\n\n" => Err(InvalidEvent::UnknownField);
     a_head_of_a_response: b"HTTP/1.1 200 OK\r\n\r\n" => Err(InvalidEvent::UnknownField);
 }
+
+/// Cases: an event, and its lines without comments and without blank lines in front.
+macro_rules! stripped {
+    ($($name:ident: $event:literal => $expected:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            let stripped = without_comments(Bytes::from_static($event));
+            assert_eq!(stripped.as_ref(), $expected.as_slice());
+        }
+    )*};
+}
+
+stripped! {
+    an_event_without_comments_stays: b"id: 7\ndata: :x\n\n" => b"id: 7\ndata: :x\n\n";
+    a_comment_in_front_of_an_event_goes: b": x\nid: 7\ndata: x\n\n" => b"id: 7\ndata: x\n\n";
+    a_comment_inside_an_event_goes: b"id: 7\n:\ndata: x\n\n" => b"id: 7\ndata: x\n\n";
+    blank_lines_in_front_of_an_event_go: b"\n\nid: 7\ndata: x\n\n" => b"id: 7\ndata: x\n\n";
+    comments_that_end_with_crlf_go: b"\r\n: x\r\nid: 7\r\n: y\r\ndata: x\r\n\r\n"
+        => b"id: 7\r\ndata: x\r\n\r\n";
+    comments_that_end_with_cr_go: b": x\rid: 7\r: y\rdata: x\r\r" => b"id: 7\rdata: x\r\r";
+}
