The line about a success that is no stream names its request and route

Cause: no-stream named the peer alone, so that a report of a caller could not be followed to it.

Change: the check stands beside what the entry expects of a stream and logs request, route and instance; one type says why a stream cannot go on.

--- a/src/edge/direct/open_calls.rs
+++ b/src/edge/direct/open_calls.rs
@@ -42,12 +42,15 @@
         fresh_connection: bool,
     ) {
         let (dispatcher, request) = (self.dispatcher.clone(), self.request.clone());
-        let events = dispatcher.run_events(self.key);
+        let (key, events) = (self.key, dispatcher.run_events(self.key));
         self.calls.0.push(Box::pin(async move {
             let client = &dispatcher.upstream_client;
             let response = client.call(&request, &target, remaining_time, fresh_connection).await;
             let result = match response {
-                Ok(response) => dispatcher.read_response(response, events).await,
+                Ok(response) => match dispatcher.check_is_stream(key, &response) {
+                    Ok(()) => dispatcher.read_response(response, events).await,
+                    Err(failure) => Err(failure),
+                },
                 Err(failure) => Err(failure),
             };
             (target, result)
--- a/src/edge/direct/ready_response.rs
+++ b/src/edge/direct/ready_response.rs
@@ -1,19 +1,17 @@
 //! Response of an upstream that is ready to be relayed: read completely, or a stream.
 
-use std::ops::Range;
 use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::HeaderMap;
 use hyper::body::Body;
-use hyper::header::CONTENT_TYPE;
 use tokio::time::timeout;
 
 use crate::edge::direct::bounded_read::read_body;
 use crate::edge::direct::connections::Connection;
-use crate::edge::direct::event_check::InvalidEvent;
 use crate::edge::direct::open_stream::OpenStream;
 use crate::edge::direct::open_stream::StreamItem;
+use crate::edge::direct::open_stream::StreamLoss;
 use crate::edge::direct::response_memory::ResponseMemory;
 use crate::edge::direct::run_events::RunEvents;
 use crate::edge::direct::upstream_client::UpstreamResponse;
@@ -27,9 +25,6 @@
 /// completely as well; a larger one counts as failed.
 const MAX_UNSIZED_BYTES: usize = 1 << 20;
 
-/// Statuses of successful responses.
-const SUCCESSES: Range<u16> = 200..300;
-
 /// Response of an upstream that can be relayed to the caller.
 pub(super) enum ReadyResponse {
     /// Complete response in memory.
@@ -53,8 +48,7 @@
     ///
     /// # Errors
     /// `Broken` if the body ends early, exceeds [`MAX_UNSIZED_BYTES`], or has no length and
-    /// grows beyond the memory of all buffered responses, and if a success is no event stream
-    /// though the route has streams.
+    /// grows beyond the memory of all buffered responses.
     pub(super) async fn read(
         response: UpstreamResponse,
         events: Option<RunEvents>,
@@ -64,10 +58,6 @@
         if response.is_event_stream {
             return Ok(Self::Streamed(Box::new(OpenStream::new(response, events))));
         }
-        if events.is_some() && SUCCESSES.contains(&response.status) {
-            log_no_stream(&response);
-            return Err(Failure::Broken);
-        }
         let length = response.body.size_hint().exact();
         let small = length.is_none_or(|bytes| bytes <= MAX_BUFFERED_BYTES);
         let length = length.unwrap_or(0) as usize;
@@ -87,25 +77,17 @@
     ///
     /// # Errors
     /// If the stream ends or breaks off before its first event, or begins with something that is
-    /// none: what that is.
-    pub(super) async fn await_first_item(&mut self) -> Result<(), Option<InvalidEvent>> {
+    /// none.
+    pub(super) async fn await_first_item(&mut self) -> Result<(), StreamLoss> {
         let Self::Streamed(stream) = self else { return Ok(()) };
         // A slow stream is relayed all the same.
         let Ok(item) = timeout(MAX_RUN_OVERLAP, stream.await_item()).await else { return Ok(()) };
         match item {
             StreamItem::Event(_) | StreamItem::Part(_) => Ok(()),
-            StreamItem::Invalid(invalid) => Err(Some(*invalid)),
-            StreamItem::Complete | StreamItem::EndedEarly | StreamItem::ConnectionLost => Err(None),
+            StreamItem::Invalid(invalid) => Err(StreamLoss::Invalid(*invalid)),
+            StreamItem::Complete | StreamItem::EndedEarly | StreamItem::ConnectionLost => {
+                Err(StreamLoss::Ended)
+            }
         }
     }
 }
-
-/// Logs a success that is no stream of events where one is due.
-fn log_no_stream(response: &UpstreamResponse) {
-    let media_type = response.headers.get(CONTENT_TYPE).and_then(|it| it.to_str().ok());
-    spdlog::warn!("no-stream", kv: {
-        upstream: = response.connection.peer(),
-        status = response.status,
-        media_type: = media_type.unwrap_or_default()
-    });
-}
--- a/src/edge/direct/request_log.rs
+++ b/src/edge/direct/request_log.rs
@@ -2,9 +2,12 @@
 
 use std::time::Duration;
 
+use hyper::header::CONTENT_TYPE;
+
 use crate::clock::as_ms;
 use crate::edge::direct::body_framing::BodyFraming;
 use crate::edge::direct::event_check::InvalidEvent;
+use crate::edge::direct::upstream_client::UpstreamResponse;
 use crate::outcome::Refusal;
 use crate::outcome::RefusalReason;
 use crate::router::Event;
@@ -191,6 +194,19 @@
     });
 }
 
+/// Logs a success that is no stream of events though the route of its request has streams.
+pub(super) fn log_no_stream(instance: &str, request: &Request, response: &UpstreamResponse) {
+    let media_type = response.headers.get(CONTENT_TYPE).and_then(|it| it.to_str().ok());
+    spdlog::warn!("no-stream", kv: {
+        instance: = instance,
+        request_id: = request.id,
+        route: = request.route().name,
+        upstream: = response.connection.peer(),
+        status = response.status,
+        media_type: = media_type.unwrap_or_default()
+    });
+}
+
 /// Logs that an engine of a request sent something that is no event of its run.
 pub(super) fn log_invalid_event(
     instance: &str,
--- a/src/edge/direct/request_task.rs
+++ b/src/edge/direct/request_task.rs
@@ -13,11 +13,10 @@
 use tokio::time::timeout;
 
 use crate::edge::direct::dispatch::Dispatcher;
-use crate::edge::direct::event_check::InvalidEvent;
 use crate::edge::direct::last_waits::LastWaits;
 use crate::edge::direct::open_calls::OpenCalls;
 use crate::edge::direct::open_stream::OpenStream;
-use crate::edge::direct::open_stream::PausedStreamLoss;
+use crate::edge::direct::open_stream::StreamLoss;
 use crate::edge::direct::ready_response::ReadyResponse;
 use crate::edge::direct::request_log::GivenUpBecause;
 use crate::edge::direct::request_log::RequestEnding;
@@ -220,10 +219,10 @@
                     resumed = OpenStream::resumed(&mut paused) => {
                         match resumed {
                             Ok(()) => break Some(Event::ResponseResumed),
-                            Err(PausedStreamLoss::Connection) => {
+                            Err(StreamLoss::Ended) => {
                                 dispatcher.check_paused_engine(key).await;
                             }
-                            Err(PausedStreamLoss::Invalid(invalid)) => {
+                            Err(StreamLoss::Invalid(invalid)) => {
                                 dispatcher.record_invalid_event(
                                     key,
                                     Request::paused_engine,
@@ -353,17 +352,18 @@
             });
             return Err(Failure::NoContinuation);
         }
+        self.dispatcher.check_is_stream(self.key, &response)?;
         let events = self.dispatcher.run_events(self.key);
         let mut ready = self.dispatcher.read_response(response, events).await?;
         if self.has_paused_run() {
-            ready.await_first_item().await.map_err(|invalid| self.unusable_start(invalid))?;
+            ready.await_first_item().await.map_err(|loss| self.record_lost_start(loss))?;
         }
         Ok(self.store_response(ready))
     }
 
-    /// Logs what a stream has begun with in place of its first event, if anything.
-    fn unusable_start(&self, invalid: Option<InvalidEvent>) -> Failure {
-        if let Some(invalid) = invalid {
+    /// Records what a stream has begun with in place of its first event, if anything.
+    fn record_lost_start(&self, loss: StreamLoss) -> Failure {
+        if let StreamLoss::Invalid(invalid) = loss {
             self.dispatcher.record_invalid_event(self.key, Request::upstream, invalid);
         }
         Failure::Broken
