An event stream that is passed on as it is has a bound on its blocks

Cause: keeps the bytes after the last block of an event stream of a route without streams, and a block without an end was kept whole.

--- a/src/edge/direct/event_check.rs
+++ b/src/edge/direct/event_check.rs
@@ -9,7 +9,8 @@
 const DATA_FIELD: &str = "data";
 const OTHER_FIELDS: [&str; 2] = ["event", "retry"];
 const COMMENT_START: char = ':';
-const LINE_ENDS: [u8; 2] = [b'\n', b'\r'];
+/// Bytes that end a line; a CR and an LF end one together.
+pub(super) const LINE_ENDS: [u8; 2] = [b'\n', b'\r'];
 
 /// Why a block of a stream, which ends with a blank line, is no event of its run; logged and
 /// counted under these names in kebab case.
--- a/src/edge/direct/open_stream.rs
+++ b/src/edge/direct/open_stream.rs
@@ -85,25 +85,32 @@
             };
             match &mut self.events {
                 Some(events) => events.push(&data),
-                None => {
-                    if self.response.is_event_stream {
-                        self.opaque_blocks.push(&data);
-                    }
-                    return StreamItem::Part(data);
-                }
+                None => return self.opaque_part(data),
             }
         }
     }
 
+    fn opaque_part(&mut self, data: Bytes) -> StreamItem {
+        if self.response.is_event_stream {
+            self.opaque_blocks.push(&data);
+        }
+        if self.opaque_blocks.is_too_large() {
+            return self.invalid(InvalidEvent::TooLarge);
+        }
+        StreamItem::Part(data)
+    }
+
+    fn invalid(&self, invalid: InvalidEvent) -> StreamItem {
+        if invalid == InvalidEvent::TooLarge {
+            self.response.connection.log_too_large(ResponsePlace::Event);
+        }
+        StreamItem::Invalid(invalid)
+    }
+
     fn buffered_event(&mut self) -> Option<StreamItem> {
         match self.events.as_mut()?.next_event() {
             Ok(event) => event.map(StreamItem::Event),
-            Err(invalid) => {
-                if invalid == InvalidEvent::TooLarge {
-                    self.response.connection.log_too_large(ResponsePlace::Event);
-                }
-                Some(StreamItem::Invalid(invalid))
-            }
+            Err(invalid) => Some(self.invalid(invalid)),
         }
     }
 
--- a/src/edge/direct/run_events.rs
+++ b/src/edge/direct/run_events.rs
@@ -8,9 +8,7 @@
 use crate::edge::direct::event_check::check_block;
 use crate::edge::direct::event_check::without_comments;
 use crate::edge::direct::sse::EventSplitter;
-
-/// Most bytes from one event of a run to the end of the next one, comments included.
-const MAX_EVENT_BYTES: usize = 64 << 10;
+use crate::edge::direct::sse::MAX_BLOCK_BYTES;
 
 /// Id of the first event of a stream.
 const FIRST_ID: u64 = 1;
@@ -80,7 +78,8 @@
             }
             return Ok(Some(RunEvent { id, bytes: without_comments(bytes) }));
         }
-        if self.skipped_bytes + self.splitter.pending_bytes() > MAX_EVENT_BYTES {
+        // Blocks of comments count as part of the next event.
+        if self.remainder_bytes() > MAX_BLOCK_BYTES {
             return Err(InvalidEvent::TooLarge);
         }
         Ok(None)
--- a/src/edge/direct/sse.rs
+++ b/src/edge/direct/sse.rs
@@ -3,12 +3,14 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 
+use crate::edge::direct::event_check::LINE_ENDS;
 use crate::edge::direct::event_check::check_block;
 
 /// Blank lines that end an event, by the kind of line end before them.
 const EVENT_ENDS: [&[u8]; 3] = [b"\n\n", b"\n\r\n", b"\r\r"];
 const MAX_EVENT_END_BYTES: usize = 3;
-const LINE_ENDS: [u8; 2] = [b'\n', b'\r'];
+/// Most bytes of a block.
+pub(super) const MAX_BLOCK_BYTES: usize = 64 << 10;
 
 /// Buffers received bytes until a block is complete: an event, or what is in its place.
 #[derive(Debug, Default)]
@@ -64,6 +66,11 @@
         }
     }
 
+    /// True if the last block is too large to wait for its end.
+    pub fn is_too_large(&self) -> bool {
+        self.splitter.pending_bytes() > MAX_BLOCK_BYTES
+    }
+
     /// True if the stream is complete now that its body has ended: not inside a block.
     pub fn is_complete(&self, end_is_explicit: bool) -> bool {
         (end_is_explicit || self.has_blocks) && self.splitter.holds_only_comments()
