A stream that ends with its connection is complete only right after an event

Cause: comments and blank lines after the last event were taken for a proof that nothing else is missing, also where nothing but the end of the connection ends the body. That they are no event of the run holds there as well.

Change: without a length or a last chunk, a new event must be the last thing in the body.

--- a/src/edge/direct/run_events.rs
+++ b/src/edge/direct/run_events.rs
@@ -99,12 +99,14 @@
     }
 
     /// True if the body proves that the stream is complete now that it has ended. With an
-    /// explicit end, no event need have come: the caller may have had all of them.
+    /// explicit end, no event need have come: the caller may have had all of them. Without one, a
+    /// new event must be the last thing in the body.
     pub fn is_complete(&self, end_is_explicit: bool) -> bool {
-        let reaches_caller = self.last_id.is_none_or(|last_id| last_id >= self.after);
-        let has_new_events = self.events > self.repeated_events;
-        let proves_end = (end_is_explicit && reaches_caller) || has_new_events;
-        proves_end && self.splitter.holds_only_comments()
+        if end_is_explicit {
+            let reaches_caller = self.last_id.is_none_or(|last_id| last_id >= self.after);
+            return reaches_caller && self.splitter.holds_only_comments();
+        }
+        self.events > self.repeated_events && self.remainder_bytes() == 0
     }
 
     /// Number of events of the run so far.
