--- a/src/edge/direct/event_check.rs
+++ b/src/edge/direct/event_check.rs
@@ -17,25 +17,25 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
 pub enum InvalidEvent {
-    /// It is not UTF-8 text.
+    /// The block is not UTF-8 text.
     NotUtf8,
     /// A line is neither a comment nor a field that events have.
     UnknownField,
-    /// A blank line is inside it, so that readers take it for several events.
+    /// A blank line is inside the block, so that readers take it for several events.
     SeveralEvents,
-    /// It has no id.
+    /// The block has fields, but no id.
     NoId,
-    /// Its id is no number.
+    /// The id is no number.
     InvalidId,
-    /// It has several ids.
+    /// The block has several ids.
     SeveralIds,
-    /// It has an id, but no data.
+    /// The block has an id, but no data.
     NoData,
-    /// Its id is not higher than that of the event before it.
+    /// The id is not higher than that of the event before it.
     IdNotIncreasing,
-    /// Events are missing between the one before it and it.
+    /// Events are missing between the one before the block and its id.
     IdSkipped,
-    /// It has no end within the largest size of an event.
+    /// The block has no end within the largest size of an event.
     TooLarge,
 }
 
--- a/src/edge/direct/open_stream.rs
+++ b/src/edge/direct/open_stream.rs
@@ -34,7 +34,7 @@
 /// Why a stream cannot go on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum StreamLoss {
-    /// Its connection failed, or its body ended early.
+    /// The connection failed, or the body ended early.
     Ended,
     /// The engine sent something that is no event of the run.
     Invalid(InvalidEvent),
@@ -46,7 +46,8 @@
     pub(super) response: UpstreamResponse,
     /// Events of the body; `None` if the route has no streams.
     pub(super) events: Option<RunEvents>,
-    /// What the body has after its last block, if it is passed on as it is.
+    /// Blocks of an event stream on a route without streams: they are passed on as they are, and
+    /// tell whether the body ends inside one.
     opaque_blocks: OpaqueBlocks,
     /// Id of the last event that was relayed, if any.
     pub(super) last_event: Option<u64>,
--- a/src/edge/direct/run_events.rs
+++ b/src/edge/direct/run_events.rs
@@ -16,9 +16,9 @@
 /// Event of a run, in the lines in which the engine sent it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RunEvent {
-    /// Its id, which is one higher than that of the event before it.
+    /// Id of the event, one higher than that of the event before it.
     pub id: u64,
-    /// The bytes, including the blank line that ends it, without comments.
+    /// Lines of the event with the blank line that ends it, without comments.
     pub bytes: Bytes,
 }
 
