--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-rustc --edition 2024 -O -o target/review-2/stand-in review/tools-2/main.rs
+rustc --edition 2024 -O -o target/review-2/stand-in review/6/stand-ins/main.rs
