--- a/review/6/stand-ins/crashed_stream.rs
+++ b/review/6/stand-ins/crashed_stream.rs
@@ -5,7 +5,7 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
 use std::thread::{self, sleep};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use crate::Verdict;
 use crate::engine::PIECES;
@@ -22,6 +22,7 @@
     id: &'static str,
     address: String,
     stage: &'static str,
+    born_ms: u128,
     process: Child,
 }
 
@@ -40,15 +41,16 @@
             command.args(["engine", id, stage]).stdout(Stdio::piped()).spawn().ok()?;
         let mut address = String::new();
         BufReader::new(process.stdout.take()?).read_line(&mut address).ok()?;
-        Some(Self { id, address: address.trim().to_string(), stage, process })
+        let born_ms = SystemTime::now().duration_since(UNIX_EPOCH).ok()?.as_millis();
+        Some(Self { id, address: address.trim().to_string(), stage, born_ms, process })
     }
 
     fn entry(&self) -> String {
         format!(
             "{{\"service\":\"{SERVICE}\",\"address\":\"{}\",\"zone\":\"z\",\"version\":\"v1\",\
              \"slots\":64,\"state\":\"ready\",\"coldLeftMs\":0,\"stage\":\"{}\",\"models\":\
-             [{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\"seq\":0,\"born\":1}}",
-            self.address, self.stage
+             [{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\"seq\":0,\"born\":{}}}",
+            self.address, self.stage, self.born_ms
         )
     }
 }
--- a/review/6/stand-ins/engine.rs
+++ b/review/6/stand-ins/engine.rs
@@ -3,6 +3,7 @@
 
 use std::io::{self, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread::{self, sleep};
 use std::time::Duration;
 
@@ -14,6 +15,9 @@
 const PIECE_INTERVAL: Duration = Duration::from_millis(50);
 const SIGNATURE: &str = "3e1b.07.5a2.600.0.c9f2a4d1";
 
+/// Number of the next hold or handle.
+static NEXT: AtomicU64 = AtomicU64::new(1);
+
 /// Serves until the process is killed. The address is printed on the standard output.
 pub fn serve(id: &str, stage: &str) {
     let listener = TcpListener::bind(SocketAddr::new(host(101), 0)).expect("a port is free");
@@ -53,7 +57,9 @@
         return Ok(true);
     }
     if request.path() == "/api/hold-take" {
-        respond(output, 200, &[json], b"{\"hold\":\"h-1\"}")?;
+        let number = NEXT.fetch_add(1, Ordering::SeqCst);
+        let hold = format!("{{\"hold\":\"h-{number}\"}}");
+        respond(output, 200, &[json], hold.as_bytes())?;
         return Ok(true);
     }
     if request.path().starts_with("/api/") {
@@ -68,8 +74,10 @@
         return Ok(true);
     }
     if prefills {
-        let prefilled = b"{\"handle\":\"3fa09c41b7d5\",\"tokens\":1460,\"version\":1}";
-        respond(output, 200, &[name, json], prefilled)?;
+        let number = NEXT.fetch_add(1, Ordering::SeqCst);
+        let prefilled =
+            format!("{{\"handle\":\"3fa0{number:08x}\",\"tokens\":1460,\"version\":1}}");
+        respond(output, 200, &[name, json], prefilled.as_bytes())?;
         return Ok(true);
     }
     let head = format!(
--- a/review/6/stand-ins/fleet.rs
+++ b/review/6/stand-ins/fleet.rs
@@ -337,10 +337,12 @@
 ) -> (Arc<Mutex<Vec<Sent>>>, Vec<thread::JoinHandle<()>>) {
     let sent = Arc::new(Mutex::new(Vec::new()));
     let numbers = Arc::new(AtomicU64::new(1));
-    let threads = (0..clients).map(|_| {
+    let threads = (0..clients).map(|place| {
         let (sent, numbers) = (sent.clone(), numbers.clone());
         let (stop, record) = (stop.clone(), record.clone());
         thread::spawn(move || {
+            // The clients are not in step.
+            thread::sleep(Duration::from_millis(21 * place));
             let mut client = Client::new(entry);
             while !stop.load(Ordering::SeqCst) {
                 let number = numbers.fetch_add(1, Ordering::SeqCst);
