--- a/review/6/stand-ins/fleet.rs
+++ b/review/6/stand-ins/fleet.rs
@@ -189,7 +189,7 @@
         let state = if self.is_draining.load(Ordering::SeqCst) { "draining" } else { "ready" };
         let value = format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"z\",\"version\":\"v1\",\
-             \"slots\":6,\"state\":\"{state}\",\"coldLeftMs\":0,\"seq\":0,\"born\":{}}}",
+             \"slots\":64,\"state\":\"{state}\",\"coldLeftMs\":0,\"seq\":0,\"born\":{}}}",
             self.service, self.address, self.born_ms
         );
         store.beat(&self.id, &value)
