--- a/review/tools-2/crashed_stream.rs
+++ b/review/tools-2/crashed_stream.rs
@@ -7,12 +7,12 @@
 use std::thread::{self, sleep};
 use std::time::Duration;
 
+use crate::Verdict;
 use crate::engine::PIECES;
-use crate::fleet::{free_address, host, temporary_folder};
 use crate::fleet::{Entry, Record};
+use crate::fleet::{free_address, host, temporary_folder};
 use crate::http::{read_chunk, read_head};
-use crate::store::{Store, HEARTBEAT};
-use crate::Verdict;
+use crate::store::{HEARTBEAT, Store};
 
 const SERVICE: &str = "writer";
 const STREAMS: u32 = 6;
@@ -72,15 +72,18 @@
     let store_address = free_address(host(1));
     let store = Store::start(store_address);
     store.put("keyed.op", "config", configuration().as_bytes());
-    let engines = [("i-p", "prefill"), ("i-d", "decode")].map(|(id, stage)| Engine::start(id, stage));
+    let engines =
+        [("i-p", "prefill"), ("i-d", "decode")].map(|(id, stage)| Engine::start(id, stage));
     let [Some(prefill), Some(mut decode)] = engines else { return Verdict::NotRun };
     let beats = [&prefill, &decode].map(|engine| (engine.id, engine.entry()));
     let beating = store.clone();
-    thread::spawn(move || loop {
-        beats.iter().for_each(|(id, entry)| {
-            beating.beat(id, entry);
-        });
-        sleep(HEARTBEAT);
+    thread::spawn(move || {
+        loop {
+            beats.iter().for_each(|(id, entry)| {
+                beating.beat(id, entry);
+            });
+            sleep(HEARTBEAT);
+        }
     });
     let Some(entry) = Entry::start(11, store_address, &folder, record) else {
         return Verdict::NotRun;
--- a/review/tools-2/engine.rs
+++ b/review/tools-2/engine.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use crate::fleet::host;
-use crate::http::{read_message, respond, Message};
+use crate::http::{Message, read_message, respond};
 
 /// Pieces of each stream.
 pub const PIECES: u32 = 40;
@@ -37,12 +37,7 @@
 }
 
 /// Answers a request. Returns false if the connection ends then.
-fn answer(
-    request: &Message,
-    output: &mut TcpStream,
-    id: &str,
-    stage: &str,
-) -> io::Result<bool> {
+fn answer(request: &Message, output: &mut TcpStream, id: &str, stage: &str) -> io::Result<bool> {
     let json = ("Content-Type", "application/json");
     if request.header("bamboodoor-expect-instance").is_some_and(|other| other != id) {
         respond(output, 421, &[("Bamboodoor-Instance-Id", id)], b"")?;
--- a/review/tools-2/fleet.rs
+++ b/review/tools-2/fleet.rs
@@ -10,8 +10,8 @@
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use crate::http::{read_message, respond, Message};
-use crate::store::{Store, HEARTBEAT};
+use crate::http::{Message, read_message, respond};
+use crate::store::{HEARTBEAT, Store};
 
 /// Program and argument of `deploy/system.toml`.
 const PROGRAM: &str = "target/release/bamboodoor-platform";
@@ -91,12 +91,7 @@
 }
 
 /// Settings of a `front` machine, as `fleetbench wire` shows them.
-fn settings_text(
-    number: u8,
-    front: SocketAddr,
-    ready: SocketAddr,
-    store: SocketAddr,
-) -> String {
+fn settings_text(number: u8, front: SocketAddr, ready: SocketAddr, store: SocketAddr) -> String {
     format!(
         "nodeName = \"front-z-{number}\"\nrole = \"entry\"\nmachineClass = \"front\"\n\
          serves = [\"front\"]\nip = \"{}\"\nzone = \"z\"\nregion = \"r\"\nbootstrap = true\n\
--- a/review/tools-2/held_back_leaving.rs
+++ b/review/tools-2/held_back_leaving.rs
@@ -5,10 +5,10 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-use crate::fleet::{configuration, free_address, host, send_bookings, temporary_folder};
+use crate::Verdict;
 use crate::fleet::{Entry, Record, Run, Runs, Sent, Server};
+use crate::fleet::{configuration, free_address, host, send_bookings, temporary_folder};
 use crate::store::Store;
-use crate::Verdict;
 
 const SERVICE: &str = "desk";
 const DRAIN: Duration = Duration::from_millis(2_000);
@@ -25,15 +25,14 @@
     let store = Store::start(store_address);
     store.put("keyed.op", "config", configuration("unsafe", SERVICE).as_bytes());
     let runs = Runs::default();
-    let servers = ["i-a", "i-b", "i-c"]
-        .map(|id| Server::start(id, SERVICE, WORK, &store, &runs, record));
+    let servers =
+        ["i-a", "i-b", "i-c"].map(|id| Server::start(id, SERVICE, WORK, &store, &runs, record));
     let Some(entry) = Entry::start(11, store_address, &folder, record) else {
         return Verdict::NotRun;
     };
     sleep(Duration::from_secs(1));
     let stop = Arc::new(AtomicBool::new(false));
-    let (sent, clients) =
-        send_bookings(entry.address, 8, Duration::from_millis(20), &stop, record);
+    let (sent, clients) = send_bookings(entry.address, 8, Duration::from_millis(20), &stop, record);
     sleep(Duration::from_secs(2));
     let leaving = &servers[0];
     if has_trouble {
--- a/review/tools-2/http.rs
+++ b/review/tools-2/http.rs
@@ -84,7 +84,8 @@
     if input.read_line(&mut line)? == 0 {
         return Err(io::ErrorKind::UnexpectedEof.into());
     }
-    let size = usize::from_str_radix(line.trim_end(), 16).map_err(|_| io::ErrorKind::InvalidData)?;
+    let size =
+        usize::from_str_radix(line.trim_end(), 16).map_err(|_| io::ErrorKind::InvalidData)?;
     let mut chunk = vec![0; size + 2];
     input.read_exact(&mut chunk)?;
     chunk.truncate(size);
--- a/review/tools-2/large_bodies.rs
+++ b/review/tools-2/large_bodies.rs
@@ -7,10 +7,10 @@
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
-use crate::fleet::{configuration, free_address, host, send_bookings, temporary_folder};
+use crate::Verdict;
 use crate::fleet::{Client, Entry, Record, Runs, Sent, Server};
+use crate::fleet::{configuration, free_address, host, send_bookings, temporary_folder};
 use crate::store::Store;
-use crate::Verdict;
 
 const SERVICE: &str = "desk";
 const WORK: Duration = Duration::from_millis(150);
@@ -42,8 +42,7 @@
     let watch = watch_memory(entry, &peak_kb, &watch_ends, record);
     let stop = Arc::new(AtomicBool::new(false));
     let pause = Duration::from_millis(20);
-    let (small, small_clients) =
-        send_bookings(entry_address, SMALL_CLIENTS, pause, &stop, record);
+    let (small, small_clients) = send_bookings(entry_address, SMALL_CLIENTS, pause, &stop, record);
     sleep(Duration::from_secs(2));
     let large = send_large(entry_address, has_trouble, record);
     stop.store(true, Ordering::SeqCst);
@@ -69,11 +68,7 @@
 
 /// Has each client send a small booking, and then a large one on the same connection: all of them
 /// at once, or one after the other without the trouble.
-fn send_large(
-    entry: std::net::SocketAddr,
-    at_once: bool,
-    record: &Arc<Record>,
-) -> Vec<Sent> {
+fn send_large(entry: std::net::SocketAddr, at_once: bool, record: &Arc<Record>) -> Vec<Sent> {
     record.line(&format!("{LARGE_CLIENTS} clients send {LARGEST_BODY} bytes; at once: {at_once}"));
     let barrier = Arc::new(Barrier::new(LARGE_CLIENTS));
     let turn = Arc::new(Mutex::new(()));
--- a/review/tools-2/store.rs
+++ b/review/tools-2/store.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::http::{read_message, respond, Message};
+use crate::http::{Message, read_message, respond};
 
 pub const HEARTBEAT: Duration = Duration::from_millis(1_200);
 const PARTITIONS: usize = 8;
@@ -40,9 +40,11 @@
             }
         });
         let expiring = store.clone();
-        thread::spawn(move || loop {
-            thread::sleep(Duration::from_millis(50));
-            expiring.expire();
+        thread::spawn(move || {
+            loop {
+                thread::sleep(Duration::from_millis(50));
+                expiring.expire();
+            }
         });
         store
     }
